Add the workspace, base library, settings, log client and its stand-in

Cause: an empty repository. The green names are imported in one module and nothing is monkey-patched, since grpcio does not return under monkey_patch.

--- /dev/null
+++ b/libs/base/src/mulberryhub/base/__init__.py
@@ -0,0 +1,1 @@
+"""Clock, errors, findings, counters and logging that every library shares."""
--- /dev/null
+++ b/libs/base/src/mulberryhub/base/errors.py
@@ -0,0 +1,68 @@
+"""Errors with stable codes, as callers and operators see them."""
+
+from enum import Enum, StrEnum
+
+
+class Ran(StrEnum):
+    """Tell whether a refused request may have run on an upstream."""
+
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class Code(Enum):
+    """Stable error codes, each with its HTTP status."""
+
+    BAD_REQUEST = ("bad_request", 400)
+    MALFORMED_JSON = ("malformed_json", 400)
+    BODY_TOO_LARGE = ("body_too_large", 413)
+    AMBIGUOUS_LENGTH = ("ambiguous_length", 400)
+    DUPLICATE_KEY = ("duplicate_key", 400)
+    SLOW_SENDER = ("slow_sender", 408)
+    MISSING_KEY = ("missing_key", 401)
+    UNKNOWN_KEY = ("unknown_key", 401)
+    WITHDRAWN_KEY = ("withdrawn_key", 401)
+    MODEL_NOT_ALLOWED = ("model_not_allowed", 403)
+    UNKNOWN_MODEL = ("unknown_model", 404)
+    UNKNOWN_ROUTE = ("unknown_route", 404)
+    METHOD_NOT_ALLOWED = ("method_not_allowed", 405)
+    MISSING_IDEMPOTENCY_KEY = ("missing_idempotency_key", 400)
+    IDEMPOTENCY_MISMATCH = ("idempotency_mismatch", 422)
+    IN_PROGRESS = ("in_progress", 409)
+    OUTCOME_UNKNOWN = ("outcome_unknown", 409)
+    OVER_RATE = ("over_rate", 429)
+    OVER_BURST = ("over_burst", 413)
+    QUEUE_FULL = ("queue_full", 503)
+    DEADLINE = ("deadline", 504)
+    QUARANTINED = ("quarantined", 422)
+    NO_UPSTREAM = ("no_upstream", 503)
+    UPSTREAM_FAILED = ("upstream_failed", 502)
+    UPSTREAM_SILENT = ("upstream_silent", 504)
+    NOT_READY = ("not_ready", 503)
+    STOPPING = ("stopping", 503)
+    LOG_UNAVAILABLE = ("log_unavailable", 503)
+    STALE_BASE = ("stale_base", 409)
+    INVALID_INVENTORY = ("invalid_inventory", 422)
+    NOT_OPERATOR = ("not_operator", 403)
+    BAD_RESUME_TOKEN = ("bad_resume_token", 400)
+    INTERNAL = ("internal", 500)
+
+    def __init__(self, label, status):
+        self.label = label
+        self.status = status
+
+
+class HubError(Exception):
+    """An error with a code.
+
+    `ran` tells whether the request may have run, `retry_after` is the advised
+    pause in ms or None where a retry does not help.
+    """
+
+    def __init__(self, code, message, ran=Ran.NOT_RUN, retry_after=None):
+        super().__init__(message)
+        self.code = code
+        self.message = message
+        self.ran = ran
+        self.retry_after = retry_after
--- /dev/null
+++ b/libs/base/src/mulberryhub/base/green.py
@@ -0,0 +1,48 @@
+"""The only place that names eventlet's green modules.
+
+Nothing is monkey-patched: grpcio keeps its native threads, and code that must
+yield to the hub imports the green names from here.
+"""
+
+import warnings
+
+warnings.filterwarnings("ignore", message="\\nEventlet is deprecated")
+
+import eventlet  # noqa: E402
+from eventlet import (  # noqa: E402
+    GreenPool,
+    Timeout,
+    event,
+    hubs,
+    listen,
+    queue,
+    semaphore,
+    sleep,
+    spawn,
+    spawn_n,
+    wsgi,
+)
+from eventlet.green import socket  # noqa: E402
+
+urllib3 = eventlet.import_patched("urllib3")
+
+Event = event.Event
+Queue = queue.Queue
+Semaphore = semaphore.Semaphore
+
+__all__ = [
+    "Event",
+    "GreenPool",
+    "Queue",
+    "Semaphore",
+    "Timeout",
+    "hubs",
+    "listen",
+    "queue",
+    "sleep",
+    "socket",
+    "spawn",
+    "spawn_n",
+    "urllib3",
+    "wsgi",
+]
--- /dev/null
+++ b/libs/cli/src/mulberryhub/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool."""
--- /dev/null
+++ b/libs/config/src/mulberryhub/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a process and the inventory of a fleet."""
--- /dev/null
+++ b/libs/config/src/mulberryhub/config/view.py
@@ -0,0 +1,44 @@
+"""A configuration in force, indexed for lookups on the path of a request."""
+
+
+class ConfigView:
+    """An inventory at a log offset, with keys added and withdrawn since.
+
+    `keys_by_hash` holds the keys that are in force; `withdrawn_hashes` those
+    that must be refused, whatever any inventory says.
+    """
+
+    __slots__ = (
+        "offset",
+        "inventory",
+        "keys_by_hash",
+        "withdrawn_hashes",
+        "workspaces_by_id",
+        "models_by_id",
+        "upstreams_by_id",
+        "vms_by_id",
+        "operators_by_hash",
+        "routes_by_path",
+    )
+
+    def __init__(self, offset, inventory, withdrawn_hashes=frozenset()):
+        self.offset = offset
+        self.inventory = inventory
+        self.withdrawn_hashes = withdrawn_hashes
+        self.keys_by_hash = {
+            key.hash: key for key in inventory.keys if key.hash not in withdrawn_hashes
+        }
+        self.workspaces_by_id = {item.id: item for item in inventory.workspaces}
+        self.models_by_id = {item.id: item for item in inventory.models}
+        self.upstreams_by_id = {item.id: item for item in inventory.upstreams}
+        self.vms_by_id = {item.id: item for item in inventory.vms}
+        self.operators_by_hash = {item.key_hash: item for item in inventory.operators}
+        self.routes_by_path = {item.path: item for item in inventory.routes}
+
+    def engines_for(self, model_id):
+        """Return the engines that serve the model `model_id`."""
+        return [
+            upstream
+            for upstream in self.inventory.upstreams
+            if upstream.kind == "engine" and model_id in upstream.models
+        ]
--- /dev/null
+++ b/libs/daemon/src/mulberryhub/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: composition root, start and stop."""
--- /dev/null
+++ b/libs/gateway/src/mulberryhub/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP side that callers and operators see."""
--- /dev/null
+++ b/libs/limits/src/mulberryhub/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Token allowances of workspaces across all routers."""
--- /dev/null
+++ b/libs/orders/src/mulberryhub/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Calls that run at most once and orders to engines."""
--- /dev/null
+++ b/libs/peers/src/mulberryhub/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between routers over gRPC."""
--- /dev/null
+++ b/libs/platform/src/mulberryhub/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's log, VM list and weight store."""
--- /dev/null
+++ b/libs/replica/src/mulberryhub/replica/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated configuration and what routers learn from each other."""
--- /dev/null
+++ b/libs/routing/src/mulberryhub/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The choice of an upstream for a request."""
--- /dev/null
+++ b/libs/standins/src/mulberryhub/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of outside systems for tests, demo and benchmarks."""
--- /dev/null
+++ b/libs/upstream/src/mulberryhub/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of engines and plain services."""
--- /dev/null
+++ b/tests/platform/test_log.py
@@ -0,0 +1,46 @@
+import pytest
+
+from mulberryhub.platform.log import LogClient, LogUnavailable, OffsetExpired
+
+
+@pytest.fixture
+def log(fleet):
+    return fleet.start("mulberryhub.standins.log")
+
+
+def test_append_and_read_back(log):
+    client = LogClient(log.address)
+    assert client.append("a", [b"x", b"y"]) == [0, 1]
+    page = client.read("a", 0)
+    assert [record.payload for record in page.records] == [b"x", b"y"]
+    assert (page.oldest, page.end) == (0, 2)
+
+
+def test_streams_are_apart(log):
+    client = LogClient(log.address)
+    client.append("a", [b"x"])
+    assert client.read("b", 0).records == []
+
+
+def test_lost_answer_takes_effect(log):
+    client = LogClient(log.address)
+    log.fault(lose_answers=1)
+    with pytest.raises(LogUnavailable):
+        client.append("a", [b"x"])
+    assert client.read("a", 0).end == 1
+
+
+def test_expired_offset(log):
+    client = LogClient(log.address)
+    log.fault(retention=1)
+    client.append("a", [b"x", b"y"])
+    with pytest.raises(OffsetExpired) as raised:
+        client.read("a", 0)
+    assert raised.value.oldest == 1
+
+
+def test_outage(log):
+    client = LogClient(log.address)
+    log.fault(outage=True)
+    with pytest.raises(LogUnavailable):
+        client.read("a", 0)
