Add the HTTP side's calls, replies, authentication and dispatch, and a loopback fleet

Cause: the thin path needs a listener, coded errors in the clients' shape and a way to start routers and stand-ins as separate processes. Not yet wired to an engine client.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, measurements and the programs that they start on loopback."""
--- /dev/null
+++ b/benchmarks/topology.py
@@ -0,0 +1,168 @@
+"""A small fleet on loopback: stand-ins of the platform, upstreams and routers."""
+
+import json
+import socket
+import tempfile
+from pathlib import Path
+
+from benchmarks.processes import Fleet
+from mulberryhub.base.digest import key_hash
+
+DATA_CENTRES = ("bangkok-1", "bangkok-2", "bangkok-3")
+MODEL = "parts-match"
+OPERATOR_KEY = "operator-key-of-the-demo"
+CALLER_KEYS_BY_WORKSPACE = {
+    "installers": "caller-key-of-installers",
+    "hotels": "caller-key-of-hotels",
+}
+ORDER_PATH = "/orders"
+
+
+def free_port():
+    """Return a loopback port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def loopback():
+    """Return a free loopback address as host:port."""
+    return f"127.0.0.1:{free_port()}"
+
+
+class Topology:
+    """Addresses and processes of a small fleet.
+
+    `routers_by_id` and `engines_by_id` hold the processes; `log`, `vm_list`,
+    `kept_cache` and `order_worker` the other stand-ins. Settings and secrets
+    lie in a temporary directory that goes with the fleet.
+    """
+
+    def __init__(self, routers=3, engines=2, engine_options=(), settings=None):
+        self.fleet = Fleet()
+        self.directory = tempfile.TemporaryDirectory(prefix="mulberryhub-")
+        self.router_ids = [f"vm-{index + 1}" for index in range(routers)]
+        self.engine_ids = [f"engine-{index + 1}" for index in range(engines)]
+        self.engine_options = engine_options
+        self.settings = settings or {}
+        self.addresses_by_id = {id_: loopback() for id_ in self.router_ids}
+        self.peer_addresses_by_id = {id_: loopback() for id_ in self.router_ids}
+        self.routers_by_id = {}
+        self.engines_by_id = {}
+
+    def __enter__(self):
+        self.start_standins()
+        for id_ in self.router_ids:
+            self.start_router(id_)
+        return self
+
+    def __exit__(self, *exc):
+        self.fleet.__exit__(*exc)
+        self.directory.cleanup()
+
+    def start_standins(self):
+        """Start the platform's stand-ins and the upstreams."""
+        start = self.fleet.start
+        self.log = start("mulberryhub.standins.log")
+        self.vm_list = start("mulberryhub.standins.vm_list")
+        self.kept_cache = start("mulberryhub.standins.kept_cache")
+        self.order_worker = start("mulberryhub.standins.service")
+        for id_ in self.engine_ids:
+            self.engines_by_id[id_] = start(
+                "mulberryhub.standins.engine", "127.0.0.1:0", *self.engine_options
+            )
+
+    def start_router(self, id_):
+        """Start or restart the router `id_` at its address."""
+        path = self.write(f"{id_}.json", self.settings_of(id_))
+        process = self.fleet.start("mulberryhub.daemon", "--settings", path)
+        self.routers_by_id[id_] = process
+        return process
+
+    def write(self, name, document):
+        """Write `document` as JSON to the fleet's directory and return the path."""
+        path = Path(self.directory.name) / name
+        path.write_text(json.dumps(document))
+        return str(path)
+
+    def settings_of(self, id_):
+        """Return the settings of the router `id_`."""
+        secrets = {"bootstrap_operator_hash": key_hash(OPERATOR_KEY)}
+        return {
+            "vm": id_,
+            "data_centre": self.data_centre(self.router_ids.index(id_)),
+            "address": self.addresses_by_id[id_],
+            "peer_address": self.peer_addresses_by_id[id_],
+            "log_address": self.log.address,
+            "vm_list_address": self.vm_list.address,
+            "secrets_file": self.write("secrets.json", secrets),
+            "peers": [
+                address
+                for peer, address in self.peer_addresses_by_id.items()
+                if peer != id_
+            ],
+            **self.settings,
+        }
+
+    def data_centre(self, index):
+        """Return the data centre of the VM or upstream number `index`."""
+        return DATA_CENTRES[index % len(DATA_CENTRES)]
+
+    def inventory(self):
+        """Return the inventory of this fleet."""
+        return {
+            "vms": self._vms(),
+            "models": [{"id": MODEL, "version": "1"}],
+            "upstreams": [*self._engines(), *self._services()],
+            "workspaces": [
+                {"id": id_, "rate": 20_000, "burst": 100_000}
+                for id_ in CALLER_KEYS_BY_WORKSPACE
+            ],
+            "keys": [
+                {"hash": key_hash(key), "workspace": id_}
+                for id_, key in CALLER_KEYS_BY_WORKSPACE.items()
+            ],
+            "operators": [{"id": "demo", "key_hash": key_hash(OPERATOR_KEY)}],
+            "routes": [
+                {"path": ORDER_PATH, "upstreams": ["order-worker"], "idempotent": False}
+            ],
+        }
+
+    def _vms(self):
+        return [
+            {
+                "id": id_,
+                "data_centre": self.data_centre(index),
+                "address": self.addresses_by_id[id_],
+                "peer_address": self.peer_addresses_by_id[id_],
+            }
+            for index, id_ in enumerate(self.router_ids)
+        ]
+
+    def _engines(self):
+        return [
+            {
+                "id": id_,
+                "kind": "engine",
+                "data_centre": self.data_centre(index),
+                "address": process.address,
+                "models": [MODEL],
+            }
+            for index, (id_, process) in enumerate(self.engines_by_id.items())
+        ]
+
+    def _services(self):
+        return [
+            {
+                "id": "order-worker",
+                "kind": "service",
+                "data_centre": DATA_CENTRES[0],
+                "address": self.order_worker.address,
+            },
+            {
+                "id": "kept-cache",
+                "kind": "kept_cache",
+                "data_centre": DATA_CENTRES[0],
+                "address": self.kept_cache.address,
+            },
+        ]
--- /dev/null
+++ b/libs/gateway/src/mulberryhub/gateway/auth.py
@@ -0,0 +1,50 @@
+"""Authentication: from the key of a call to its workspace or operator."""
+
+from mulberryhub.base.digest import key_hash
+from mulberryhub.base.errors import Code, HubError
+
+BEARER = "bearer "
+KEY_QUERIES = frozenset({"api_key", "api-key", "key"})
+
+
+def presented_key(call):
+    """Return the key that came with `call`, or an empty string.
+
+    Raise HubError where the call carries keys that differ.
+    """
+    keys = set()
+    for value in call.headers_named("Authorization"):
+        if value.lower().startswith(BEARER):
+            keys.add(value[len(BEARER) :].strip())
+    keys.update(call.headers_named("X-Api-Key"))
+    keys.update(value for name, value in call.query if name.lower() in KEY_QUERIES)
+    keys.discard("")
+    if len(keys) > 1:
+        raise HubError(Code.DUPLICATE_KEY, "the request carries more than one key")
+    return keys.pop() if keys else ""
+
+
+def authenticate(call, view):
+    """Return the workspace of the key that came with `call`.
+
+    Raise HubError where there is no key, or it is unknown or withdrawn.
+    """
+    key = presented_key(call)
+    if not key:
+        raise HubError(Code.MISSING_KEY, "the request carries no key")
+    digest = key_hash(key)
+    entry = view.keys_by_hash.get(digest)
+    if entry is not None:
+        return view.workspaces_by_id[entry.workspace]
+    if digest in view.withdrawn_hashes:
+        raise HubError(Code.WITHDRAWN_KEY, "the key has been withdrawn")
+    raise HubError(Code.UNKNOWN_KEY, "the key is not known")
+
+
+def authenticate_operator(call, view):
+    """Return the operator of the key that came with `call`, or raise HubError."""
+    key = presented_key(call)
+    operator = view.operators_by_hash.get(key_hash(key)) if key else None
+    if operator is None:
+        raise HubError(Code.NOT_OPERATOR, "the key belongs to no operator")
+    return operator
--- /dev/null
+++ b/libs/gateway/src/mulberryhub/gateway/server.py
@@ -0,0 +1,62 @@
+"""The HTTP listener of a router, with a stop that lets running calls finish."""
+
+from loguru import logger
+
+from mulberryhub.base.green import GreenPool, listen, spawn, wsgi
+
+BACKLOG = 1_024  # connections
+MAX_CONNECTIONS = 8_192
+SOCKET_TIMEOUT = 60_000  # ms
+
+
+class WsgiLog:
+    """Sends eventlet's own messages to the log at the debug level."""
+
+    __slots__ = ()
+
+    def _write(self, message, *arguments):
+        logger.debug(message, *arguments)
+
+    info = debug = error = _write
+
+
+class HttpServer:
+    """Serves a WSGI application on one listening socket."""
+
+    __slots__ = ("_app", "_listener", "_pool", "_thread")
+
+    def __init__(self, address, app):
+        host, port = address.rsplit(":", 1)
+        self._app = app
+        self._listener = listen((host, int(port)), backlog=BACKLOG)
+        self._pool = GreenPool(MAX_CONNECTIONS)
+        self._thread = None
+
+    @property
+    def address(self):
+        """Return the address in use as host:port."""
+        host, port = self._listener.getsockname()[:2]
+        return f"{host}:{port}"
+
+    def start(self):
+        """Start to accept connections."""
+        self._thread = spawn(
+            wsgi.server,
+            self._listener,
+            self._app,
+            log=WsgiLog(),
+            custom_pool=self._pool,
+            socket_timeout=SOCKET_TIMEOUT / 1000,
+            debug=False,
+            log_output=False,
+        )
+
+    def stop(self):
+        """Refuse new connections, close idle ones and wait for running calls."""
+        self._thread.kill(SystemExit)
+        self._pool.waitall()
+
+    @property
+    def connections(self):
+        """Return the number of open connections."""
+        return self._pool.running()
