Add the peers library: calls between routers over gRPC

Cause: routers need messages between them, and grpcio's native threads cannot run code of eventlet's hub. A call that times out on a connection without any answer since drops that connection. Ruled out: running gRPC's own pool on green threads, since grpcio waits there on native conditions for a request's body and would stop the hub.

--- a/libs/peers/src/mulberryhub/peers/__init__.py
+++ b/libs/peers/src/mulberryhub/peers/__init__.py
@@ -1,1 +1,1 @@
-"""Messages between routers over gRPC."""
+"""Messages between routers: gRPC on native threads, handlers on green threads."""
--- /dev/null
+++ b/libs/peers/src/mulberryhub/peers/client.py
@@ -0,0 +1,135 @@
+"""Calls other routers; a call waits as a green thread."""
+
+import grpc
+import msgspec
+
+from mulberryhub.base.clock import Clock
+from mulberryhub.base.counters import Counters
+from mulberryhub.base.green import Event
+from mulberryhub.peers.authentication import METADATA_KEY, message_mac
+from mulberryhub.peers.bridge import Bridge
+from mulberryhub.peers.transport import CLIENT_OPTIONS, method_path
+
+IDLE_TIMEOUT = 300_000  # ms
+
+
+class PeerUnavailable(Exception):
+    """A peer gave no usable answer; the call may or may not have taken effect.
+
+    `reason` is `timeout`, `connection`, `refused`, `failed` or `malformed`.
+    """
+
+    def __init__(self, address, method, reason, details=""):
+        super().__init__(f"{address} {method}: {reason} {details}".strip())
+        self.address = address
+        self.method = method
+        self.reason = reason
+
+
+REASONS_BY_STATUS = {
+    grpc.StatusCode.DEADLINE_EXCEEDED: "timeout",
+    grpc.StatusCode.UNAVAILABLE: "connection",
+    grpc.StatusCode.CANCELLED: "connection",
+    grpc.StatusCode.UNAUTHENTICATED: "refused",
+    grpc.StatusCode.RESOURCE_EXHAUSTED: "refused",
+    grpc.StatusCode.UNIMPLEMENTED: "refused",
+    grpc.StatusCode.INVALID_ARGUMENT: "refused",
+}
+
+
+class Connection:
+    """One gRPC channel with the times of its last call and last answer in ms."""
+
+    __slots__ = ("channel", "called", "answered")
+
+    def __init__(self, address, now):
+        self.channel = grpc.insecure_channel(address, options=CLIENT_OPTIONS)
+        self.called = now
+        self.answered = now
+
+
+class PeerClient:
+    """Calls methods of the routers at given addresses (host:port)."""
+
+    __slots__ = (
+        "_peer_key",
+        "_clock",
+        "_counters",
+        "_bridge",
+        "_connections_by_address",
+    )
+
+    def __init__(self, peer_key, clock=None, counters=None):
+        self._peer_key = peer_key
+        self._clock = clock or Clock()
+        self._counters = counters or Counters()
+        self._bridge = Bridge()
+        self._connections_by_address = {}
+
+    def call(self, address, method, message, answer_type, timeout):
+        """Send `message` (a msgspec.Struct) and return the answer as `answer_type`.
+
+        Raise PeerUnavailable when there is none within `timeout` ms; the call
+        may then have taken effect.
+        """
+        data = msgspec.msgpack.encode(message)
+        connection = self._connect(address)
+        started = self._clock.now()
+        connection.called = started
+        future = self._send(connection, method, data, timeout)
+        status = future.code()
+        if status is grpc.StatusCode.OK:
+            connection.answered = self._clock.now()
+            return self._decode(address, method, future.result(), answer_type)
+        reason = REASONS_BY_STATUS.get(status, "failed")
+        if reason == "timeout" and connection.answered <= started:
+            self._disconnect(address, connection)
+        self._counters.add(f"peer_failure.{reason}")
+        raise PeerUnavailable(address, method, reason, future.details() or "")
+
+    def close(self):
+        """Close all connections; calls in progress fail."""
+        for connection in self._connections_by_address.values():
+            connection.channel.close()
+        self._connections_by_address.clear()
+
+    def _send(self, connection, method, data, timeout):
+        call = connection.channel.unary_unary(method_path(method))
+        metadata = ((METADATA_KEY, message_mac(self._peer_key, method, data)),)
+        future = call.future(data, timeout=timeout / 1000, metadata=metadata)
+        done = Event()
+        future.add_done_callback(lambda _: self._bridge.post(done.send))
+        try:
+            done.wait()
+        except BaseException:
+            # The waiting thread was killed or its own time ran out.
+            future.cancel()
+            raise
+        return future
+
+    def _decode(self, address, method, data, answer_type):
+        try:
+            return msgspec.msgpack.decode(data, type=answer_type)
+        except msgspec.DecodeError as error:
+            self._counters.add("peer_failure.malformed")
+            raise PeerUnavailable(address, method, "malformed", str(error)) from error
+
+    def _connect(self, address):
+        connection = self._connections_by_address.get(address)
+        if connection is None:
+            self._close_idle()
+            connection = Connection(address, self._clock.now())
+            self._connections_by_address[address] = connection
+        return connection
+
+    def _disconnect(self, address, connection):
+        """Drop a connection that went silent, so that the next call opens another."""
+        if self._connections_by_address.get(address) is connection:
+            del self._connections_by_address[address]
+        connection.channel.close()
+
+    def _close_idle(self):
+        oldest = self._clock.now() - IDLE_TIMEOUT
+        for address, connection in list(self._connections_by_address.items()):
+            if connection.called < oldest:
+                self._disconnect(address, connection)
