--- a/libs/config/src/mulberryhub/config/view.py
+++ b/libs/config/src/mulberryhub/config/view.py
@@ -19,6 +19,7 @@
         "vms_by_id",
         "operators_by_hash",
         "routes_by_path",
+        "engines_by_model",
     )
 
     def __init__(self, offset, inventory, withdrawn_hashes=frozenset()):
@@ -34,11 +35,17 @@
         self.vms_by_id = {item.id: item for item in inventory.vms}
         self.operators_by_hash = {item.key_hash: item for item in inventory.operators}
         self.routes_by_path = {item.path: item for item in inventory.routes}
+        self.engines_by_model = _engines_by_model(inventory.upstreams)
 
     def engines_for(self, model_id):
-        """Return the engines that serve the model `model_id`."""
-        return [
-            upstream
-            for upstream in self.inventory.upstreams
-            if upstream.kind == "engine" and model_id in upstream.models
-        ]
+        """Return the engines that serve `model_id`: one list for the view's life."""
+        return self.engines_by_model.get(model_id, [])
+
+
+def _engines_by_model(upstreams):
+    engines_by_model = {}
+    for upstream in upstreams:
+        if upstream.kind == "engine":
+            for model_id in upstream.models:
+                engines_by_model.setdefault(model_id, []).append(upstream)
+    return engines_by_model
--- a/libs/gateway/src/mulberryhub/gateway/chat.py
+++ b/libs/gateway/src/mulberryhub/gateway/completion_body.py
@@ -1,11 +1,10 @@
-"""Completions: checks a call, admits it, chooses an engine and relays its answer."""
+"""The body of a completions request: its fields, limits and prompt."""
 
 from typing import Any
 
 import msgspec
 
 from mulberryhub.base.errors import Code, HubError
-from mulberryhub.gateway.auth import authenticate
 
 DEFAULT_MAX_TOKENS = 256
 MAX_TOKENS = 100_000
@@ -70,24 +69,11 @@
     return model
 
 
-class ModelEntry(msgspec.Struct):
-    """One model in the answer to a listing."""
-
-    id: str
-    object: str = "model"
-    created: int = 0
-    owned_by: str = "mulberryhub"
-
-
-class ModelList(msgspec.Struct):
-    """The answer to a listing of models."""
-
-    data: list[ModelEntry]
-    object: str = "list"
-
-
-def list_models(call, view):
-    """Return the models that the caller's workspace may use."""
-    workspace = authenticate(call, view)
-    allowed = workspace.models or list(view.models_by_id)
-    return ModelList([ModelEntry(id_) for id_ in allowed])
+def content_text(content):
+    """Return the text of a message's content, given as a string or as parts."""
+    if isinstance(content, str):
+        return content
+    if not isinstance(content, list):
+        return ""
+    parts = [part for part in content if isinstance(part, dict)]
+    return "\n".join(str(part.get("text", "")) for part in parts)
--- /dev/null
+++ b/tests/gateway/test_auth.py
@@ -0,0 +1,55 @@
+import pytest
+
+from mulberryhub.base.digest import key_hash
+from mulberryhub.base.errors import Code, HubError
+from mulberryhub.config.inventory import Inventory, Key, Operator, Workspace
+from mulberryhub.config.view import ConfigView
+from mulberryhub.gateway.auth import authenticate, authenticate_operator
+from tests.gateway.calls import make_call
+
+INVENTORY = Inventory(
+    workspaces=[Workspace("hotels", 10, 10)],
+    keys=[Key(key_hash("k1"), "hotels"), Key(key_hash("k2"), "hotels")],
+    operators=[Operator("ann", key_hash("op"))],
+)
+VIEW = ConfigView(7, INVENTORY, frozenset({key_hash("k2")}))
+
+
+@pytest.mark.parametrize(
+    "headers, query",
+    [
+        ([("Authorization", "Bearer k1")], ""),
+        ([("authorization", "bearer k1")], ""),
+        ([("X-Api-Key", "k1")], ""),
+        ([], "api_key=k1"),
+        ([("X-Api-Key", "k1"), ("Authorization", "Bearer k1")], ""),
+    ],
+)
+def test_key_is_found_where_clients_put_it(headers, query):
+    assert authenticate(make_call(headers=headers, query=query), VIEW).id == "hotels"
+
+
+@pytest.mark.parametrize(
+    "headers, code",
+    [
+        ([], Code.MISSING_KEY),
+        ([("Authorization", "Basic k1")], Code.MISSING_KEY),
+        ([("X-Api-Key", "other")], Code.UNKNOWN_KEY),
+        ([("X-Api-Key", "k2")], Code.WITHDRAWN_KEY),
+        ([("X-Api-Key", "op")], Code.UNKNOWN_KEY),
+        ([("X-Api-Key", "k1"), ("X-Api-Key", "k3")], Code.DUPLICATE_KEY),
+        ([("X-Api-Key", "k1"), ("Authorization", "Bearer x")], Code.DUPLICATE_KEY),
+    ],
+)
+def test_other_keys_are_refused(headers, code):
+    with pytest.raises(HubError) as raised:
+        authenticate(make_call(headers=headers), VIEW)
+    assert raised.value.code is code
+
+
+def test_operator_key_is_apart_from_callers_keys():
+    call = make_call(headers=[("X-Api-Key", "op")])
+    assert authenticate_operator(call, VIEW).id == "ann"
+    with pytest.raises(HubError) as raised:
+        authenticate_operator(make_call(headers=[("X-Api-Key", "k1")]), VIEW)
+    assert raised.value.code is Code.NOT_OPERATOR
