Add prefix chains, rendezvous placement and baseline policies

Cause: the path of a request needs a choice of engine that all routers make alike without messages.

Ruled out: hashing the whole prompt (nothing would be shared), hashing the first block (a workspace would load one engine), blocks cut without regard to messages (one word more in a system prompt shifts the blocks of all that follows).

Change: chains of digests salted with the scope, levels at the ends of leading messages, rendezvous hashing in groups of about 64 engines, policies by name with feedback. Load is given back also when a request ends without an answer.

--- a/libs/routing/src/mulberryhub/routing/__init__.py
+++ b/libs/routing/src/mulberryhub/routing/__init__.py
@@ -1,1 +1,16 @@
 """The choice of an upstream for a request."""
+
+from mulberryhub.routing.chain import chat_request, prefix_chain, text_request
+from mulberryhub.routing.policies import make_policy, policy_names
+from mulberryhub.routing.request import Decision, RouteRequest, Scope
+
+__all__ = [
+    "Decision",
+    "RouteRequest",
+    "Scope",
+    "chat_request",
+    "make_policy",
+    "policy_names",
+    "prefix_chain",
+    "text_request",
+]
--- /dev/null
+++ b/tests/routing/test_policies.py
@@ -0,0 +1,42 @@
+import pytest
+
+from mulberryhub.base.clock import ManualClock
+from mulberryhub.config.inventory import Upstream
+from mulberryhub.routing.chain import text_request
+from mulberryhub.routing.policies import make_policy, policy_names
+from mulberryhub.routing.request import Scope
+
+ENGINES = [Upstream(f"engine-{i}", "engine", "a", "") for i in range(10)]
+
+
+def request(text):
+    return text_request(Scope("prasertkit", "small", "1"), text)
+
+
+@pytest.mark.parametrize("answered", [True, False])
+@pytest.mark.parametrize("name", policy_names())
+def test_load_is_given_back_when_a_request_ends(name, answered):
+    policy = make_policy(name, ManualClock())
+    decision = policy.choose(request("a b c"), ENGINES, 0)
+    assert len(set(decision.order)) == len(decision.order) > 1
+    policy.started(decision, decision.order[0])
+    if answered:
+        policy.answered(decision, decision.order[0], 0, 10)
+    policy.ended(decision, decision.order[0])
+    policy.forgotten(decision.order[0])
+    load = policy.state.loads.get(decision.order[0])
+    assert (load.own_tokens, load.own_running) == (0, 0)
+
+
+@pytest.mark.parametrize("name", policy_names())
+def test_policy_without_engines_has_no_order(name):
+    assert make_policy(name, ManualClock()).choose(request("a"), [], 0).order == []
+
+
+def test_routers_agree_without_messages():
+    text = "part " * 5_000
+    orders = [
+        make_policy("rendezvous", ManualClock(), seed).choose(request(text), ENGINES, 0)
+        for seed in range(3)
+    ]
+    assert len({tuple(decision.order) for decision in orders}) == 1
