--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,141 @@
+"""Slopes of memory and time against sizes, measured in this process.
+
+Run as `python -m benchmarks.slopes`; prints one JSON object per slope: the unit,
+the sizes measured, the value at each and the fitted value per item.
+"""
+
+import gc
+import json
+import time
+import tracemalloc
+
+import msgspec
+import numpy as np
+
+from mulberryhub.base.clock import Clock
+from mulberryhub.base.digest import key_hash
+from mulberryhub.config.inventory import Inventory, Key, Model, Upstream, Workspace
+from mulberryhub.config.view import ConfigView
+from mulberryhub.routing.policies import make_policy
+from mulberryhub.routing.request import RouteRequest, Scope
+
+SIZES = (500, 1_000, 2_000, 4_000)
+DECISIONS = 300
+
+
+class Slope(msgspec.Struct):
+    """One measured slope; `per_item` is the least-squares gradient."""
+
+    name: str
+    unit: str
+    sizes: list[int]
+    values: list[float]
+    per_item: float
+    at_zero: float
+
+
+def fit(name, unit, sizes, values):
+    """Return the Slope through `values` at `sizes`."""
+    gradient, intercept = np.polyfit(sizes, values, 1)
+    rounded = [round(value, 3) for value in values]
+    return Slope(name, unit, list(sizes), rounded, float(gradient), float(intercept))
+
+
+def held_bytes(build):
+    """Return the bytes that the result of `build()` keeps allocated."""
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    held = build()
+    gc.collect()
+    size = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    del held
+    return size
+
+
+def inventory_of(workspaces=0, keys=0, engines=0):
+    """Return the JSON of an inventory with that many entries."""
+    inventory = Inventory(
+        models=[Model(f"model-{index}", "1") for index in range(3)],
+        workspaces=[
+            Workspace(f"workspace-{index}", 1_000, 5_000) for index in range(workspaces)
+        ],
+        keys=[
+            Key(key_hash(f"key-{index}"), f"workspace-{index % max(1, workspaces)}")
+            for index in range(keys)
+        ],
+        upstreams=[
+            Upstream(
+                f"engine-{index}",
+                "engine",
+                f"data-centre-{index % 8}",
+                f"10.0.{index // 250}.{index % 250}:8000",
+                [f"model-{index % 3}"],
+            )
+            for index in range(engines)
+        ],
+    )
+    return msgspec.json.encode(inventory)
+
+
+def view_of(data):
+    """Return the view of an inventory given as JSON."""
+    return ConfigView(1, msgspec.json.decode(data, type=Inventory))
+
+
+def view_slopes():
+    """Yield the memory that a view keeps per workspace, key and engine."""
+    for field in ("workspaces", "keys", "engines"):
+        documents = [inventory_of(**{field: size}) for size in SIZES]
+        values = [held_bytes(lambda data=data: view_of(data)) for data in documents]
+        yield fit(f"view.{field}", "bytes", SIZES, values)
+        lengths = [len(data) for data in documents]
+        yield fit(f"inventory.{field}", "bytes of JSON", SIZES, lengths)
+
+
+def load_slopes():
+    """Yield the time to decode and index an inventory."""
+    values = []
+    for size in SIZES:
+        data = inventory_of(workspaces=size, keys=size, engines=size // 4)
+        started = time.process_time()
+        view_of(data)
+        values.append((time.process_time() - started) * 1000)
+    yield fit("view.load", "ms of CPU", SIZES, values)
+
+
+def decision_slopes(policy_name):
+    """Yield the time of one decision against the number of engines."""
+    clock = Clock()
+    values = []
+    for size in SIZES:
+        view = view_of(inventory_of(engines=size))
+        engines = view.engines_for("model-0")
+        policy = make_policy(policy_name, clock)
+        policy.choose(request_of(0), engines, clock.now())
+        started = time.process_time()
+        for number in range(DECISIONS):
+            policy.choose(request_of(number), engines, clock.now())
+        elapsed = time.process_time() - started
+        values.append(elapsed / DECISIONS * 1_000_000)
+    yield fit(f"decision.{policy_name}", "µs of CPU", SIZES, values)
+
+
+def request_of(number):
+    """Return a request of three blocks; ten requests share their first two."""
+    parts = (number // 10, number // 10 + 1_000, number)
+    chain = [part.to_bytes(16, "big") for part in parts]
+    scope = Scope("workspace-0", "model-0", "1")
+    return RouteRequest(scope, chain, [2_000, 4_000, 4_500], [0, 1], 4_500)
+
+
+def main():
+    """Measure and print all slopes."""
+    for slopes in (view_slopes(), load_slopes(), decision_slopes("rendezvous")):
+        for slope in slopes:
+            print(json.dumps(msgspec.to_builtins(slope)))
+
+
+if __name__ == "__main__":
+    main()
--- a/libs/config/src/mulberryhub/config/settings.py
+++ b/libs/config/src/mulberryhub/config/settings.py
@@ -10,7 +10,9 @@
 
     `address` is for callers and operators, `peer_address` for other routers;
     `log_address` and `vm_list_address` belong to the platform. `peers` are the
-    peer addresses to ask for a snapshot before the VM list has answered.
+    peer addresses to ask for a snapshot before the VM list has answered. On a
+    stop, readiness fails for `drain_delay` before the listener closes, and
+    running calls get up to `stop_timeout`.
     """
 
     vm: str
@@ -24,8 +26,9 @@
     peers: list[str] = []
     log_level: str = "INFO"
     log_json: bool = False
-    policy: str = "cost"
-    stop_timeout: int = 30_000
+    policy: str = "rendezvous"
+    drain_delay: int = 0
+    stop_timeout: int = 600_000
 
 
 class Secrets(msgspec.Struct, forbid_unknown_fields=True):
--- /dev/null
+++ b/libs/daemon/src/mulberryhub/daemon/daemon.py
@@ -0,0 +1,59 @@
+"""Start and graceful stop of a router."""
+
+from mulberryhub.base.green import Timeout, sleep
+from mulberryhub.base.logs import module_logger
+
+log = module_logger(__name__)
+
+PEER_GRACE = 1_000  # ms
+
+
+class Lifecycle:
+    """Whether the router is about to stop."""
+
+    __slots__ = ("stopping",)
+
+    def __init__(self):
+        self.stopping = False
+
+
+class Daemon:
+    """A wired router.
+
+    `parts` have `start()` and `stop()`; they start in order before the HTTP
+    side serves, and stop in reverse order after its last call has ended.
+    """
+
+    __slots__ = ("_settings", "_lifecycle", "_http", "_peer_server", "_parts")
+
+    def __init__(self, settings, lifecycle, http, peer_server, parts):
+        self._settings = settings
+        self._lifecycle = lifecycle
+        self._http = http
+        self._peer_server = peer_server
+        self._parts = parts
+
+    @property
+    def address(self):
+        """Return the address for callers as host:port."""
+        return self._http.address
+
+    def start(self):
+        """Start to serve."""
+        self._peer_server.start()
+        for part in self._parts:
+            part.start()
+        self._http.start()
+        log.info("started")
+
+    def stop(self):
+        """Fail readiness, let running calls end, then stop the parts."""
+        log.info("stopping")
+        self._lifecycle.stopping = True
+        sleep(self._settings.drain_delay / 1000)
+        with Timeout(self._settings.stop_timeout / 1000, False):
+            self._http.stop()
+        for part in reversed(self._parts):
+            part.stop()
+        self._peer_server.stop(PEER_GRACE)
+        log.info("stopped")
--- a/libs/gateway/src/mulberryhub/gateway/app.py
+++ b/libs/gateway/src/mulberryhub/gateway/app.py
@@ -10,6 +10,8 @@
 log = module_logger(__name__)
 
 READY_RETRY = 1_000  # ms
+UNGUARDED_PATHS = frozenset({"/healthz", "/readyz"})
+ADMIN_PATH = "/admin/"
 
 
 class Endpoint:
@@ -26,17 +28,25 @@
     """Dispatches calls by path.
 
     `endpoints_by_path` holds the fixed paths; `fallback(call)` answers the
-    others. `is_ready()` tells whether calls can be served.
+    others. `is_ready()` tells whether calls can be served and `is_stopping()`
+    whether the balancer should send no new ones.
     """
 
-    __slots__ = ("endpoints_by_path", "_fallback", "_is_ready", "_counters")
+    __slots__ = (
+        "endpoints_by_path",
+        "_fallback",
+        "_is_ready",
+        "_is_stopping",
+        "_counters",
+    )
 
-    def __init__(self, endpoints_by_path, fallback, is_ready, counters):
+    def __init__(self, endpoints_by_path, fallback, is_ready, is_stopping, counters):
         self.endpoints_by_path = dict(endpoints_by_path)
         self.endpoints_by_path["/healthz"] = Endpoint("GET", self._health)
         self.endpoints_by_path["/readyz"] = Endpoint("GET", self._readiness)
         self._fallback = fallback
         self._is_ready = is_ready
+        self._is_stopping = is_stopping
         self._counters = counters
 
     def __call__(self, environ, start_response):
@@ -67,9 +77,10 @@
             return error_reply(failure)
 
     def _dispatch(self, call):
+        if not self._is_unguarded(call.path):
+            self.require_ready()
         endpoint = self.endpoints_by_path.get(call.path)
         if endpoint is None:
-            self.require_ready()
             return self._fallback(call)
         if endpoint.method != call.method:
             raise HubError(
@@ -77,6 +88,10 @@
             )
         return endpoint.handle(call)
 
+    @staticmethod
+    def _is_unguarded(path):
+        return path in UNGUARDED_PATHS or path.startswith(ADMIN_PATH)
+
     def require_ready(self):
         """Raise HubError while no configuration is in force."""
         if not self._is_ready():
@@ -89,4 +104,6 @@
 
     def _readiness(self, call):
         self.require_ready()
+        if self._is_stopping():
+            raise HubError(Code.STOPPING, "the router is stopping")
         return Reply(200, b"ready\n", "text/plain")
