Replicate the configuration through the log with compare-and-set

Cause: routers need one configuration, changed by operators who may race, over a log whose answers can be lost after taking effect.

Ruled out: last write wins (loses one of two racing changes); trusting the answer of an append (it may be lost); accepting by content (versions would disagree).

Whether a change is accepted depends only on the records before it: it names the base offset and is stale when something was set since. A change counts once its unique id is read back; until then the same record is appended again, which is harmless. Secrets.operator_key_hash gives the first operator key of an empty fleet.

Shown to fail first: with is_stale always False, test_of_racing_changes_one_wins and test_stale_base_is_refused fail; with an error raised on a failed append, test_lost_answer_is_settled_by_reading_back fails.

--- a/libs/config/src/mulberryhub/config/settings.py
+++ b/libs/config/src/mulberryhub/config/settings.py
@@ -32,12 +32,14 @@
     """Secrets shared by all routers.
 
     `token_key` signs resume tokens, `scope_key` salts cache scopes and
-    `peer_key` authenticates routers to one another.
+    `peer_key` authenticates routers to one another. `operator_key_hash` is the
+    SHA-256 of the operator key that holds until an inventory names operators.
     """
 
     token_key: str = "development"
     scope_key: str = "development"
     peer_key: str = "development"
+    operator_key_hash: str = ""
 
 
 class SettingsInvalid(Exception):
--- a/libs/config/src/mulberryhub/config/view.py
+++ b/libs/config/src/mulberryhub/config/view.py
@@ -4,8 +4,10 @@
 class ConfigView:
     """An inventory at a log offset, with keys added and withdrawn since.
 
-    `keys_by_hash` holds the keys that are in force; `withdrawn_hashes` those
-    that must be refused, whatever any inventory says.
+    Keys added count on top of the inventory's, which go first; a key whose
+    workspace is not in the inventory is left out. `keys_by_hash` holds the keys
+    that are in force; `withdrawn_hashes` those that must be refused, whatever any
+    inventory says.
     """
 
     __slots__ = (
@@ -21,14 +23,17 @@
         "routes_by_path",
     )
 
-    def __init__(self, offset, inventory, withdrawn_hashes=frozenset()):
+    def __init__(self, offset, inventory, withdrawn_hashes=frozenset(), added_keys=()):
         self.offset = offset
         self.inventory = inventory
         self.withdrawn_hashes = withdrawn_hashes
+        self.workspaces_by_id = {item.id: item for item in inventory.workspaces}
         self.keys_by_hash = {
-            key.hash: key for key in inventory.keys if key.hash not in withdrawn_hashes
+            key.hash: key
+            for key in [*added_keys, *inventory.keys]
+            if key.hash not in withdrawn_hashes
+            and key.workspace in self.workspaces_by_id
         }
-        self.workspaces_by_id = {item.id: item for item in inventory.workspaces}
         self.models_by_id = {item.id: item for item in inventory.models}
         self.upstreams_by_id = {item.id: item for item in inventory.upstreams}
         self.vms_by_id = {item.id: item for item in inventory.vms}
--- /dev/null
+++ b/libs/replica/src/mulberryhub/replica/replay.py
@@ -0,0 +1,116 @@
+"""Replays the log into a state, also where the log's oldest records have expired."""
+
+from mulberryhub.replica.records import Outcome, Snapshot, decode
+from mulberryhub.replica.state import State, from_snapshot
+
+
+class Replayed:
+    """A record with its offset and what it did."""
+
+    __slots__ = ("offset", "record", "outcome")
+
+    def __init__(self, offset, record, outcome):
+        self.offset = offset
+        self.record = record
+        self.outcome = outcome
+
+
+class Replayer:
+    """The state, and the records that wait for a snapshot to build on.
+
+    `start` is the offset to read next. After a gap, records are held until a
+    snapshot covers what was lost; the state from before the gap stays in force.
+    `snapshot_position` is the highest position of a snapshot seen in the log,
+    and `malformed` the number of records that could not be read.
+    """
+
+    __slots__ = (
+        "state",
+        "start",
+        "snapshot_position",
+        "malformed",
+        "_gap_end",
+        "_held",
+    )
+
+    def __init__(self):
+        self.state = State()
+        self.start = 0
+        self.snapshot_position = -1
+        self.malformed = 0
+        self._gap_end = None
+        self._held = []
+
+    @property
+    def has_gap(self):
+        """Return whether records are missing between the state and `start`."""
+        return self._gap_end is not None
+
+    def skip_to(self, oldest):
+        """Note that the log no longer holds records before the offset `oldest`."""
+        self.start = oldest
+        self._held = []
+        if oldest > self.state.position:
+            self._gap_end = oldest
+
+    def take(self, offset, payload):
+        """Take in the record at `offset` and return the Replayed ones."""
+        if offset < self.start:
+            return []
+        self.start = offset + 1
+        record = decode(payload)
+        if record is None:
+            self.malformed += 1
+        if isinstance(record, Snapshot):
+            return self._take_snapshot(offset, record)
+        if self.has_gap:
+            self._held.append((offset, record))
+            return []
+        return [self._replay(offset, record)]
+
+    def adopt(self, snapshot):
+        """Go on from a peer's snapshot if it is newer; return the Replayed ones.
+
+        Return None where the snapshot was of no use.
+        """
+        if snapshot.position <= self.state.position:
+            return None
+        state = from_snapshot(snapshot)
+        if state is None or state.offset < self.state.offset:
+            return None
+        self.state = state
+        return self._close_gap()
+
+    def _take_snapshot(self, offset, snapshot):
+        if snapshot.position > offset:
+            self.malformed += 1
+            return self._pass(offset)
+        self.snapshot_position = max(self.snapshot_position, snapshot.position)
+        if self.has_gap:
+            self._held.append((offset, None))
+            return self.adopt(snapshot) or []
+        return self._pass(offset)
+
+    def _pass(self, offset):
+        if self.has_gap:
+            self._held.append((offset, None))
+            return []
+        return [self._replay(offset, None)]
+
+    def _close_gap(self):
+        """Replay the held records if the state reaches past the gap."""
+        if not self.has_gap:
+            self.start = max(self.start, self.state.position)
+            return []
+        if self.state.position < self._gap_end:
+            return []
+        held = [item for item in self._held if item[0] >= self.state.position]
+        self._gap_end = None
+        self._held = []
+        self.start = max(self.start, self.state.position)
+        return [self._replay(offset, record) for offset, record in held]
+
+    def _replay(self, offset, record):
+        if offset < self.state.position:
+            return Replayed(offset, record, Outcome.IGNORED)
+        return Replayed(offset, record, self.state.replay(offset, record))
--- /dev/null
+++ b/libs/replica/src/mulberryhub/replica/state.py
@@ -0,0 +1,169 @@
+"""The configuration as a function of the log's records.
+
+Whether a change is accepted depends only on earlier records, so that all routers
+that read the same log agree, however they came by their state.
+"""
+
+import msgspec
+
+from mulberryhub.config.inventory import Key
+from mulberryhub.config.reading import read_inventory
+from mulberryhub.config.view import ConfigView
+from mulberryhub.replica.records import (
+    FORMAT,
+    AddKey,
+    Change,
+    Outcome,
+    SetInventory,
+    Snapshot,
+    Unknown,
+    WithdrawKey,
+)
+
+HISTORY_LENGTH = 50
+
+
+class State:
+    """The state before the record at offset `position`; -1 stands for none."""
+
+    __slots__ = (
+        "position",
+        "offset",
+        "compared",
+        "inventory",
+        "added_by_hash",
+        "withdrawn",
+        "history",
+        "unread",
+        "complete",
+    )
+
+    def __init__(self):
+        self.position = 0
+        self.offset = -1
+        self.compared = -1
+        self.inventory = None
+        self.added_by_hash = {}
+        self.withdrawn = set()
+        self.history = []
+        self.unread = None
+        self.complete = True
+
+    def replay(self, offset, record):
+        """Take in the record at `offset` and return its Outcome."""
+        self.position = offset + 1
+        match record:
+            case SetInventory():
+                return self._set_inventory(offset, record)
+            case AddKey():
+                return self._add_key(offset, record)
+            case WithdrawKey():
+                return self._withdraw_key(offset, record)
+            case Unknown():
+                self.complete = False
+        return Outcome.IGNORED
+
+    def is_stale(self, base):
+        """Return whether something was set after the offset `base`."""
+        return base < self.compared
+
+    def _set_inventory(self, offset, record):
+        if self.is_stale(record.base) or record.base >= offset:
+            return Outcome.STALE
+        if record.format > FORMAT:
+            return self._pass_unread(offset, record)
+        inventory, is_whole = read_inventory(record.inventory)
+        if inventory is None:
+            return Outcome.REFUSED
+        self.inventory = inventory
+        self.unread = None
+        self.complete = self.complete and is_whole
+        self.compared = offset
+        self._accept(offset, record, "set_inventory")
+        return Outcome.ACCEPTED
+
+    def _pass_unread(self, offset, record):
+        """Accept an inventory that only newer routers can read."""
+        if self.unread is None:
+            self.unread = offset
+        self.complete = False
+        self.compared = offset
+        self._accept(offset, record, "set_inventory")
+        return Outcome.ACCEPTED
+
+    def _add_key(self, offset, record):
+        if self.is_stale(record.base) or record.base >= offset:
+            return Outcome.STALE
+        if record.hash in self.withdrawn:
+            return Outcome.REFUSED
+        self.added_by_hash[record.hash] = Key(record.hash, record.workspace)
+        self.compared = offset
+        self._accept(offset, record, "add_key")
+        return Outcome.ACCEPTED
+
+    def _withdraw_key(self, offset, record):
+        if record.hash not in self.withdrawn:
+            self.withdrawn.add(record.hash)
+            self.added_by_hash.pop(record.hash, None)
+            self._accept(offset, record, "withdraw_key")
+        return Outcome.ACCEPTED
+
+    def _accept(self, offset, record, action):
+        self.offset = offset
+        self.history.append(Change(offset, record.change, record.author, action))
+        del self.history[:-HISTORY_LENGTH]
+
+    @property
+    def view_offset(self):
+        """Return the offset up to which every change is in force."""
+        return self.offset if self.unread is None else self.unread - 1
+
+    def view(self, withdrawn=frozenset()):
+        """Return the ConfigView, or None where no inventory was ever set.
+
+        `withdrawn` are hashes to refuse that the log does not hold yet.
+        """
+        if self.inventory is None:
+            return None
+        return ConfigView(
+            self.view_offset,
+            self.inventory,
+            frozenset(self.withdrawn | withdrawn),
+            list(self.added_by_hash.values()),
+        )
+
+    def to_snapshot(self):
+        """Return the state as a Snapshot."""
+        inventory = None
+        if self.inventory is not None:
+            inventory = msgspec.Raw(msgspec.json.encode(self.inventory))
+        return Snapshot(
+            position=self.position,
+            offset=self.offset,
+            compared=self.compared,
+            inventory=inventory,
+            added=list(self.added_by_hash.values()),
+            withdrawn=sorted(self.withdrawn),
+            history=list(self.history),
+            unread=self.unread,
+            complete=self.complete,
+        )
+
+
+def from_snapshot(snapshot):
+    """Return the State in `snapshot`, or None where its inventory is malformed."""
+    state = State()
+    is_whole = True
+    if snapshot.inventory is not None:
+        state.inventory, is_whole = read_inventory(snapshot.inventory)
+        if state.inventory is None:
+            return None
+    state.position = snapshot.position
+    state.offset = snapshot.offset
+    state.compared = snapshot.compared
+    state.added_by_hash = {key.hash: key for key in snapshot.added}
+    state.withdrawn = set(snapshot.withdrawn)
+    state.history = list(snapshot.history)
+    state.unread = snapshot.unread
+    state.complete = snapshot.complete and is_whole
+    return state
--- /dev/null
+++ b/tests/replica/test_config.py
@@ -0,0 +1,93 @@
+import pytest
+
+from mulberryhub.base.clock import Clock
+from mulberryhub.base.counters import Counters
+from mulberryhub.base.errors import Code, HubError
+from mulberryhub.base.green import sleep, spawn
+from mulberryhub.platform.log import LogClient
+from mulberryhub.replica.config import ConfigReplica
+from tests.support.inventories import document
+
+
+@pytest.fixture
+def log(fleet):
+    return fleet.start("mulberryhub.standins.log")
+
+
+def start_replica(log, **options):
+    replica = ConfigReplica(LogClient(log.address), Clock(), Counters(), **options)
+    replica.start()
+    return replica
+
+
+def wait_for(condition, timeout=20_000):
+    deadline = Clock().now() + timeout
+    while not condition():
+        assert Clock().now() < deadline
+        sleep(0.01)
+
+
+def wait_ready(replica):
+    wait_for(lambda: replica.is_caught_up)
+
+
+def rate(replica):
+    return replica.current().inventory.workspaces[0].rate
+
+
+def test_apply_is_in_force_on_each_replica(log):
+    first, second = start_replica(log), start_replica(log)
+    wait_ready(first)
+    assert first.current() is None
+    offset = first.apply(-1, "ana", document(rate=7))
+    assert first.current().offset == offset
+    wait_for(second.current)
+    assert rate(second) == 7
+
+
+def test_of_racing_changes_one_wins(log):
+    replicas = [start_replica(log) for _ in range(4)]
+    for replica in replicas:
+        wait_ready(replica)
+
+    def race(replica, value):
+        try:
+            return replica.apply(-1, "ana", document(rate=value))
+        except HubError as error:
+            return error.code
+
+    threads = [spawn(race, replica, i) for i, replica in enumerate(replicas)]
+    results = [thread.wait() for thread in threads]
+    assert results.count(Code.STALE_BASE) == 3
+    winner = next(i for i, result in enumerate(results) if isinstance(result, int))
+    for replica in replicas:
+        wait_for(replica.current)
+        assert rate(replica) == winner
+
+
+def test_lost_answer_is_settled_by_reading_back(log):
+    replica = start_replica(log)
+    wait_ready(replica)
+    log.fault(lose_answers=1)
+    offset = replica.apply(-1, "ana", document(rate=7))
+    assert replica.current().offset == offset == 0
+
+
+def test_stale_base_is_refused(log):
+    replica = start_replica(log)
+    wait_ready(replica)
+    replica.apply(-1, "ana", document())
+    with pytest.raises(HubError) as raised:
+        replica.apply(-1, "ana", document())
+    assert raised.value.code is Code.STALE_BASE
+
+
+def test_outage_refuses_changes_and_keeps_what_is_in_force(log):
+    replica = start_replica(log, commit_timeout=1_500)
+    wait_ready(replica)
+    replica.apply(-1, "ana", document(rate=7))
+    log.fault(outage=True)
+    with pytest.raises(HubError) as raised:
+        replica.apply(0, "ana", document(rate=8))
+    assert raised.value.code is Code.LOG_UNAVAILABLE
+    assert rate(replica) == 7
