--- /dev/null
+++ b/tests/platform/test_vm_list.py
@@ -0,0 +1,43 @@
+import pytest
+
+from mulberryhub.platform.vm_list import VmEntry, VmListClient, VmListUnavailable
+
+
+@pytest.fixture
+def vm_list(fleet):
+    return fleet.start("mulberryhub.standins.vm_list")
+
+
+def test_add_change_and_drop(vm_list):
+    client = VmListClient(vm_list.address)
+    assert client.read() == []
+    vm_list.request("POST", "/vms", json={"id": "a", "peer_address": "127.0.0.1:1"})
+    vm_list.request("POST", "/vms", json={"id": "b"})
+    vm_list.request("POST", "/vms", json={"id": "b", "state": "leaving"})
+    a, b = client.read()
+    assert a == VmEntry("a", peer_address="127.0.0.1:1")
+    assert b.state == "leaving"
+    vm_list.request("DELETE", "/vms/a")
+    assert [entry.id for entry in client.read()] == ["b"]
+
+
+def test_lag_hides_recent_changes(vm_list):
+    client = VmListClient(vm_list.address)
+    vm_list.fault(lag=600_000)
+    vm_list.request("POST", "/vms", json={"id": "a"})
+    assert client.read() == []
+    vm_list.fault(lag=None)
+    assert len(client.read()) == 1
+
+
+@pytest.mark.parametrize("faults", [{"outage": True}, {"delay": 1_000}])
+def test_no_answer(vm_list, faults):
+    vm_list.fault(**faults)
+    with pytest.raises(VmListUnavailable):
+        VmListClient(vm_list.address).read(timeout=200)
+
+
+def test_unusable_answer(vm_list):
+    vm_list.request("POST", "/vms", json={"id": "a", "state": "other"})
+    with pytest.raises(VmListUnavailable):
+        VmListClient(vm_list.address).read()
