--- a/benchmarks/topology.py
+++ b/benchmarks/topology.py
@@ -87,7 +87,7 @@
 
     def settings_of(self, id_):
         """Return the settings of the router `id_`."""
-        secrets = {"bootstrap_operator_hash": key_hash(OPERATOR_KEY)}
+        secrets = {"operator_key_hash": key_hash(OPERATOR_KEY)}
         return {
             "vm": id_,
             "data_centre": self.data_centre(self.router_ids.index(id_)),
--- /dev/null
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -0,0 +1,57 @@
+"""The composition root: the only place that wires the parts of a router."""
+
+from mulberryhub.base.clock import Clock
+from mulberryhub.base.counters import statsd_counters
+from mulberryhub.base.errors import Code, HubError
+from mulberryhub.daemon.daemon import Daemon, Lifecycle
+from mulberryhub.daemon.unlimited import UnlimitedLimiter
+from mulberryhub.gateway.app import Endpoint, Gateway
+from mulberryhub.gateway.completions import Completions
+from mulberryhub.gateway.models import list_models
+from mulberryhub.gateway.server import HttpServer
+from mulberryhub.peers.server import PeerServer
+from mulberryhub.platform.log import LogClient
+from mulberryhub.replica.config import ConfigReplica
+from mulberryhub.routing.policies import make_policy
+from mulberryhub.upstream.engine import EngineClient
+
+
+def build(settings, secrets):
+    """Return the daemon for `settings` and `secrets`, not yet started."""
+    clock = Clock()
+    counters = statsd_counters(settings.statsd_address)
+    lifecycle = Lifecycle()
+    log = LogClient(settings.log_address)
+    peer_server = PeerServer(settings.peer_address, secrets.peer_key, counters)
+    replica = ConfigReplica(log, clock, counters)
+    policy = make_policy(settings.policy, clock)
+    engines = EngineClient(counters)
+    limiter = UnlimitedLimiter()
+    completions = Completions(replica, limiter, policy, engines, counters, clock)
+    gateway = Gateway(
+        completion_endpoints(completions, replica),
+        refuse_unknown_route,
+        lambda: replica.current() is not None,
+        lambda: lifecycle.stopping,
+        counters,
+    )
+    http = HttpServer(settings.address, gateway)
+    return Daemon(settings, lifecycle, http, peer_server, [replica])
+
+
+def completion_endpoints(completions, replica):
+    """Return the endpoints of the completions interface by path."""
+
+    def models(call):
+        return list_models(call, replica.current())
+
+    return {
+        "/v1/chat/completions": Endpoint("POST", completions.chat),
+        "/v1/completions": Endpoint("POST", completions.complete),
+        "/v1/models": Endpoint("GET", models),
+    }
+
+
+def refuse_unknown_route(call):
+    """Refuse a call on a path that nothing serves."""
+    raise HubError(Code.UNKNOWN_ROUTE, "nothing serves this path")
