--- /dev/null
+++ b/libs/upstream/src/mulberryhub/upstream/errors.py
@@ -0,0 +1,57 @@
+"""Ways in which a stream from an engine can fail."""
+
+
+class EngineFailure(Exception):
+    """The engine gave no complete answer; `reason` names the retry counter.
+
+    `sent` tells whether the request may have reached the engine.
+    """
+
+    reason = "failed"
+
+    def __init__(self, message, sent=True):
+        super().__init__(message)
+        self.sent = sent
+
+
+class ConnectFailed(EngineFailure):
+    """No connection could be opened, so nothing has reached the engine."""
+
+    reason = "connect"
+
+    def __init__(self, message):
+        super().__init__(message, sent=False)
+
+
+class EngineSilent(EngineFailure):
+    """Nothing arrived within the timeout; the connection is closed."""
+
+    reason = "silent"
+
+
+class StreamCut(EngineFailure):
+    """The connection broke before the explicit end of the answer."""
+
+    reason = "cut"
+
+
+class AnswerCrossed(EngineFailure):
+    """The answer belongs to another request; the connection is closed."""
+
+    reason = "crossed"
+
+
+class EngineRefused(EngineFailure):
+    """The engine answered with an error status."""
+
+    reason = "refused"
+
+    def __init__(self, status, message):
+        super().__init__(f"status {status}: {message}")
+        self.status = status
+
+
+class StreamUnknown(EngineFailure):
+    """The engine no longer keeps the stream that was to be resumed."""
+
+    reason = "unknown_stream"
