--- a/libs/config/src/mulberryhub/config/view.py
+++ b/libs/config/src/mulberryhub/config/view.py
@@ -4,8 +4,10 @@
 class ConfigView:
     """An inventory at a log offset, with keys added and withdrawn since.
 
-    `keys_by_hash` holds the keys that are in force; `withdrawn_hashes` those
-    that must be refused, whatever any inventory says.
+    Keys added count on top of the inventory's, which go first; a key whose
+    workspace is not in the inventory is left out. `keys_by_hash` holds the keys
+    that are in force; `withdrawn_hashes` those that must be refused, whatever any
+    inventory says.
     """
 
     __slots__ = (
@@ -19,26 +21,36 @@
         "vms_by_id",
         "operators_by_hash",
         "routes_by_path",
+        "engines_by_model",
     )
 
-    def __init__(self, offset, inventory, withdrawn_hashes=frozenset()):
+    def __init__(self, offset, inventory, withdrawn_hashes=frozenset(), added_keys=()):
         self.offset = offset
         self.inventory = inventory
         self.withdrawn_hashes = withdrawn_hashes
+        self.workspaces_by_id = {item.id: item for item in inventory.workspaces}
         self.keys_by_hash = {
-            key.hash: key for key in inventory.keys if key.hash not in withdrawn_hashes
+            key.hash: key
+            for key in [*added_keys, *inventory.keys]
+            if key.hash not in withdrawn_hashes
+            and key.workspace in self.workspaces_by_id
         }
-        self.workspaces_by_id = {item.id: item for item in inventory.workspaces}
         self.models_by_id = {item.id: item for item in inventory.models}
         self.upstreams_by_id = {item.id: item for item in inventory.upstreams}
         self.vms_by_id = {item.id: item for item in inventory.vms}
         self.operators_by_hash = {item.key_hash: item for item in inventory.operators}
         self.routes_by_path = {item.path: item for item in inventory.routes}
+        self.engines_by_model = _engines_by_model(inventory.upstreams)
 
     def engines_for(self, model_id):
-        """Return the engines that serve the model `model_id`."""
-        return [
-            upstream
-            for upstream in self.inventory.upstreams
-            if upstream.kind == "engine" and model_id in upstream.models
-        ]
+        """Return the engines that serve `model_id`: one list for the view's life."""
+        return self.engines_by_model.get(model_id, [])
+
+
+def _engines_by_model(upstreams):
+    engines_by_model = {}
+    for upstream in upstreams:
+        if upstream.kind == "engine":
+            for model_id in upstream.models:
+                engines_by_model.setdefault(model_id, []).append(upstream)
+    return engines_by_model
