Serve a chat from caller to engine and back through two router processes

Cause: the path had no composition root. Ruled out: one lifecycle class for all parts; start and stop are lists of functions, so a part needs neither. Measured: tests/system/test_path.py passes; the second router finds at least 4,000 of 6,000 prefix tokens cached on the same engine, with no message between the routers. 'make demo' still lacks the order worker and the kept-cache store.

--- a/benchmarks/topology.py
+++ b/benchmarks/topology.py
@@ -38,13 +38,16 @@
     lie in a temporary directory that goes with the fleet.
     """
 
-    def __init__(self, routers=3, engines=2, engine_options=(), settings=None):
+    def __init__(
+        self, routers=3, engines=2, engine_options=(), settings=None, services=True
+    ):
         self.fleet = Fleet()
         self.directory = tempfile.TemporaryDirectory(prefix="mulberryhub-")
         self.router_ids = [f"vm-{index + 1}" for index in range(routers)]
         self.engine_ids = [f"engine-{index + 1}" for index in range(engines)]
         self.engine_options = engine_options
         self.settings = settings or {}
+        self.has_services = services
         self.addresses_by_id = {id_: loopback() for id_ in self.router_ids}
         self.peer_addresses_by_id = {id_: loopback() for id_ in self.router_ids}
         self.routers_by_id = {}
@@ -65,8 +68,9 @@
         start = self.fleet.start
         self.log = start("mulberryhub.standins.log")
         self.vm_list = start("mulberryhub.standins.vm_list")
-        self.kept_cache = start("mulberryhub.standins.kept_cache")
-        self.order_worker = start("mulberryhub.standins.service")
+        if self.has_services:
+            self.kept_cache = start("mulberryhub.standins.kept_cache")
+            self.order_worker = start("mulberryhub.standins.service")
         for id_ in self.engine_ids:
             self.engines_by_id[id_] = start(
                 "mulberryhub.standins.engine", "127.0.0.1:0", *self.engine_options
@@ -123,9 +127,7 @@
                 for id_, key in CALLER_KEYS_BY_WORKSPACE.items()
             ],
             "operators": [{"id": "demo", "key_hash": key_hash(OPERATOR_KEY)}],
-            "routes": [
-                {"path": ORDER_PATH, "upstreams": ["order-worker"], "idempotent": False}
-            ],
+            "routes": self._routes(),
         }
 
     def _vms(self):
@@ -151,7 +153,16 @@
             for index, (id_, process) in enumerate(self.engines_by_id.items())
         ]
 
+    def _routes(self):
+        if not self.has_services:
+            return []
+        return [
+            {"path": ORDER_PATH, "upstreams": ["order-worker"], "idempotent": False}
+        ]
+
     def _services(self):
+        if not self.has_services:
+            return []
         return [
             {
                 "id": "order-worker",
--- a/libs/daemon/src/mulberryhub/daemon/daemon.py
+++ b/libs/daemon/src/mulberryhub/daemon/daemon.py
@@ -20,18 +20,26 @@
 class Daemon:
     """A wired router.
 
-    `parts` have `start()` and `stop()`; they start in order before the HTTP
-    side serves, and stop in reverse order after its last call has ended.
+    The functions `on_start` run in order before the HTTP side serves, and those
+    of `on_stop` in order after its last call has ended.
     """
 
-    __slots__ = ("_settings", "_lifecycle", "_http", "_peer_server", "_parts")
+    __slots__ = (
+        "_settings",
+        "_lifecycle",
+        "_http",
+        "_peer_server",
+        "_on_start",
+        "_on_stop",
+    )
 
-    def __init__(self, settings, lifecycle, http, peer_server, parts):
+    def __init__(self, settings, lifecycle, http, peer_server, on_start, on_stop):
         self._settings = settings
         self._lifecycle = lifecycle
         self._http = http
         self._peer_server = peer_server
-        self._parts = parts
+        self._on_start = on_start
+        self._on_stop = on_stop
 
     @property
     def address(self):
@@ -41,8 +49,8 @@
     def start(self):
         """Start to serve."""
         self._peer_server.start()
-        for part in self._parts:
-            part.start()
+        for function in self._on_start:
+            function()
         self._http.start()
         log.info("started")
 
@@ -53,7 +61,7 @@
         sleep(self._settings.drain_delay / 1000)
         with Timeout(self._settings.stop_timeout / 1000, False):
             self._http.stop()
-        for part in reversed(self._parts):
-            part.stop()
+        for function in self._on_stop:
+            function()
         self._peer_server.stop(PEER_GRACE)
         log.info("stopped")
--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -5,6 +5,7 @@
 from mulberryhub.base.errors import Code, HubError
 from mulberryhub.daemon.daemon import Daemon, Lifecycle
 from mulberryhub.daemon.unlimited import UnlimitedLimiter
+from mulberryhub.gateway.admin import apply_inventory
 from mulberryhub.gateway.app import Endpoint, Gateway
 from mulberryhub.gateway.completions import Completions
 from mulberryhub.gateway.models import list_models
@@ -29,14 +30,17 @@
     limiter = UnlimitedLimiter()
     completions = Completions(replica, limiter, policy, engines, counters, clock)
     gateway = Gateway(
-        completion_endpoints(completions, replica),
+        {
+            **completion_endpoints(completions, replica),
+            **admin_endpoints(replica, secrets),
+        },
         refuse_unknown_route,
         lambda: replica.current() is not None,
         lambda: lifecycle.stopping,
         counters,
     )
     http = HttpServer(settings.address, gateway)
-    return Daemon(settings, lifecycle, http, peer_server, [replica])
+    return Daemon(settings, lifecycle, http, peer_server, [replica.start], [])
 
 
 def completion_endpoints(completions, replica):
@@ -52,6 +56,15 @@
     }
 
 
+def admin_endpoints(replica, secrets):
+    """Return the endpoints of the administration API by path."""
+
+    def inventory(call):
+        return apply_inventory(call, replica, secrets.operator_key_hash)
+
+    return {"/admin/inventory": Endpoint("POST", inventory)}
+
+
 def refuse_unknown_route(call):
     """Refuse a call on a path that nothing serves."""
     raise HubError(Code.UNKNOWN_ROUTE, "nothing serves this path")
