--- a/libs/config/src/mulberryhub/config/view.py
+++ b/libs/config/src/mulberryhub/config/view.py
@@ -21,6 +21,7 @@
         "vms_by_id",
         "operators_by_hash",
         "routes_by_path",
+        "engines",
         "engines_by_model",
     )
 
@@ -40,17 +41,17 @@
         self.vms_by_id = {item.id: item for item in inventory.vms}
         self.operators_by_hash = {item.key_hash: item for item in inventory.operators}
         self.routes_by_path = {item.path: item for item in inventory.routes}
-        self.engines_by_model = _engines_by_model(inventory.upstreams)
+        self.engines = [item for item in inventory.upstreams if item.kind == "engine"]
+        self.engines_by_model = _engines_by_model(self.engines)
 
     def engines_for(self, model_id):
         """Return the engines that serve `model_id`: one list for the view's life."""
         return self.engines_by_model.get(model_id, [])
 
 
-def _engines_by_model(upstreams):
+def _engines_by_model(engines):
     engines_by_model = {}
-    for upstream in upstreams:
-        if upstream.kind == "engine":
-            for model_id in upstream.models:
-                engines_by_model.setdefault(model_id, []).append(upstream)
+    for engine in engines:
+        for model_id in engine.models:
+            engines_by_model.setdefault(model_id, []).append(engine)
     return engines_by_model
--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -15,6 +15,8 @@
 from mulberryhub.replica.config import ConfigReplica
 from mulberryhub.routing.policies import make_policy
 from mulberryhub.upstream.engine import EngineClient
+from mulberryhub.upstream.health import Health
+from mulberryhub.upstream.watcher import Watcher
 
 
 def build(settings, secrets):
@@ -26,9 +28,13 @@
     peer_server = PeerServer(settings.peer_address, secrets.peer_key, counters)
     replica = ConfigReplica(log, clock, counters)
     policy = make_policy(settings.policy, clock)
+    health = Health(clock, counters)
+    watcher = Watcher(replica, policy, health, clock, counters)
     engines = EngineClient(counters)
     limiter = UnlimitedLimiter()
-    completions = Completions(replica, limiter, policy, engines, counters, clock)
+    completions = Completions(
+        replica, limiter, policy, health, engines, counters, clock
+    )
     gateway = Gateway(
         {
             **completion_endpoints(completions, replica),
@@ -40,7 +46,9 @@
         counters,
     )
     http = HttpServer(settings.address, gateway)
-    return Daemon(settings, lifecycle, http, peer_server, [replica.start], [])
+    return Daemon(
+        settings, lifecycle, http, peer_server, [replica.start, watcher.start], []
+    )
 
 
 def completion_endpoints(completions, replica):
--- a/libs/gateway/src/mulberryhub/gateway/completions.py
+++ b/libs/gateway/src/mulberryhub/gateway/completions.py
@@ -20,15 +20,24 @@
     """Serves the two completions paths.
 
     `replica` gives the configuration, `limiter` admits by tokens, `policy`
-    chooses engines and `engines` opens streams on them.
+    chooses engines, `health` puts failing ones last, and `engines` opens streams.
     """
 
-    __slots__ = ("_replica", "_limiter", "_policy", "_engines", "_counters", "_clock")
+    __slots__ = (
+        "_replica",
+        "_limiter",
+        "_policy",
+        "_health",
+        "_engines",
+        "_counters",
+        "_clock",
+    )
 
-    def __init__(self, replica, limiter, policy, engines, counters, clock):
+    def __init__(self, replica, limiter, policy, health, engines, counters, clock):
         self._replica = replica
         self._limiter = limiter
         self._policy = policy
+        self._health = health
         self._engines = engines
         self._counters = counters
         self._clock = clock
@@ -71,7 +80,13 @@
             first_token_timeout=view.inventory.rules.first_token_deadline,
         )
         relay = Relay(
-            self._engines, self._policy, self._clock, self._counters, decision, grant
+            self._engines,
+            self._policy,
+            self._health,
+            self._clock,
+            self._counters,
+            decision,
+            grant,
         )
         relay.open(engine_call, view.upstreams_by_id)
         shape = AnswerShape(call.request_id, model.id, is_chat)
--- a/libs/gateway/src/mulberryhub/gateway/relay.py
+++ b/libs/gateway/src/mulberryhub/gateway/relay.py
@@ -16,6 +16,7 @@
     __slots__ = (
         "_engines",
         "_policy",
+        "_health",
         "_clock",
         "_counters",
         "_decision",
@@ -25,9 +26,10 @@
         "_tokens",
     )
 
-    def __init__(self, engines, policy, clock, counters, decision, grant):
+    def __init__(self, engines, policy, health, clock, counters, decision, grant):
         self._engines = engines
         self._policy = policy
+        self._health = health
         self._clock = clock
         self._counters = counters
         self._decision = decision
@@ -39,7 +41,7 @@
     def open(self, engine_call, upstreams_by_id):
         """Open the stream on the first engine of the decision that takes it."""
         sent = False
-        for id_ in self._decision.order:
+        for id_ in self._health.ordered(self._decision.order):
             self._policy.started(self._decision, id_)
             try:
                 self._stream = self._engines.open(upstreams_by_id[id_], engine_call)
@@ -48,6 +50,7 @@
             except EngineFailure as error:
                 self._counters.add(f"retry.{error.reason}")
                 self._policy.ended(self._decision, id_)
+                self._health.failed(id_)
                 sent = sent or error.sent
         self._grant.settle(0)
         ran = Ran.UNKNOWN if sent else Ran.NOT_RUN
--- /dev/null
+++ b/tests/upstream/test_health.py
@@ -0,0 +1,31 @@
+from mulberryhub.base.clock import ManualClock
+from mulberryhub.base.counters import Counters
+from mulberryhub.upstream.health import Health
+
+
+def test_failing_upstreams_go_last_until_the_pause_is_over():
+    clock = ManualClock()
+    health = Health(clock, Counters())
+    health.failed("a")
+    assert health.ordered(["a", "b", "c"]) == ["b", "c", "a"]
+    clock.advance(1_000)
+    assert health.ordered(["a", "b", "c"]) == ["a", "b", "c"]
+
+
+def test_pause_doubles_up_to_its_bound():
+    clock = ManualClock()
+    health = Health(clock, Counters())
+    for _ in range(20):
+        health.failed("a")
+    clock.advance(9_999)
+    assert health.is_avoided("a")
+    clock.advance(1)
+    assert not health.is_avoided("a")
+
+
+def test_answer_ends_the_pause():
+    health = Health(ManualClock(), Counters())
+    health.failed("a")
+    health.answered("a")
+    assert not health.is_avoided("a")
+    assert not health.failing_by_id
