Keep the routers' membership in the log

Cause: shares of a workspace's rate need agreement on who holds them. A router may use only what it is due under every view since the newest one that all members have adopted, so who gains waits for who loses. A silent VM keeps its share until the platform's list has shown it, dropped it, and a settle time has passed; a list that drops most VMs at once is taken for a fault. Ruled out: leases by time, since holders must go on while the log is out; an adoption record for each removal, since nobody loses by one.

--- /dev/null
+++ b/tests/replica/test_membership.py
@@ -0,0 +1,141 @@
+import pytest
+
+from mulberryhub.base.green import sleep
+from mulberryhub.platform.log import LogClient
+from mulberryhub.platform.vm_list import VmListClient
+from mulberryhub.replica import membership as module
+from mulberryhub.replica.membership import Membership, Router
+
+POLLS = 300
+
+
+@pytest.fixture
+def log(fleet):
+    return fleet.start("mulberryhub.standins.log")
+
+
+@pytest.fixture
+def vm_list(fleet):
+    return fleet.start("mulberryhub.standins.vm_list")
+
+
+@pytest.fixture
+def start(log, monkeypatch):
+    monkeypatch.setattr(module, "LIST_INTERVAL", 100)
+    monkeypatch.setattr(module, "RANK_DELAY", 100)
+    monkeypatch.setattr(module, "APPEND_INTERVAL", 300)
+    monkeypatch.setattr(module, "SNAPSHOT_TIMEOUT", 3_000)
+    monkeypatch.setattr(module, "READ_WAIT", 1_000)
+    started = []
+
+    def start(vm, vm_list=None, **options):
+        client = vm_list and VmListClient(vm_list.address)
+        router = Router(vm, "dc", f"{vm}:1")
+        membership = Membership(
+            router, LogClient(log.address), client, settle_time=500, **options
+        )
+        membership.start()
+        started.append(membership)
+        return membership
+
+    yield start
+    for membership in started:
+        membership.stop()
+
+
+def vms_in_force(membership):
+    members = membership.current()
+    return members and [view.vms for view in members.views]
+
+
+def wait_until(condition):
+    for _ in range(POLLS):
+        if condition():
+            return
+        sleep(0.1)
+    raise AssertionError("the condition was not met in time")
+
+
+def wait_for_view(memberships, *vms):
+    wait_until(lambda: all(vms_in_force(item) == [vms] for item in memberships))
+
+
+def test_join_and_leave(start):
+    a, b = start("a"), start("b")
+    wait_for_view([a, b], "a", "b")
+    assert b.leave(10_000)
+    wait_for_view([a], "a")
+
+
+def test_joiner_waits_for_those_who_lose(start):
+    holds = [True]
+    a = start("a", release=lambda view: not holds)
+    wait_for_view([a], "a")
+    b = start("b")
+    wait_until(b.is_member)
+    sleep(1)
+    assert vms_in_force(b) == [("a",), ("a", "b")]
+    holds.clear()
+    wait_for_view([a, b], "a", "b")
+
+
+def test_silent_vm_stays_until_the_list_drops_it(start, vm_list):
+    for vm in "abc":
+        vm_list.request("POST", "/vms", json={"id": vm})
+    routers = [start(vm, vm_list) for vm in "abc"]
+    a, b, c = routers
+    wait_for_view(routers, "a", "b", "c")
+    wait_until(lambda: all(m.listed for m in a.current().members_by_vm.values()))
+    c.stop()
+    sleep(2)
+    assert vms_in_force(a) == [("a", "b", "c")]
+    vm_list.fault(empty=True)
+    sleep(2)
+    assert vms_in_force(a) == [("a", "b", "c")]
+    vm_list.fault(empty=None)
+    vm_list.request("DELETE", "/vms/c")
+    wait_for_view([a, b], "a", "b")
+
+
+def test_lost_answers_and_an_outage_of_the_log(start, log):
+    log.fault(lose_answers=3)
+    a, b = start("a"), start("b")
+    wait_for_view([a, b], "a", "b")
+    log.fault(outage=True)
+    c = start("c")
+    sleep(1)
+    assert vms_in_force(a) == [("a", "b")]
+    log.fault(outage=None)
+    wait_for_view([a, b, c], "a", "b", "c")
+
+
+def test_router_taken_for_gone_joins_again(start, vm_list):
+    for vm in "abc":
+        vm_list.request("POST", "/vms", json={"id": vm})
+    routers = [start(vm, vm_list) for vm in "abc"]
+    wait_for_view(routers, "a", "b", "c")
+    first_run = routers[2].router.incarnation
+    wait_until(
+        lambda: all(
+            member.listed for member in routers[0].current().members_by_vm.values()
+        )
+    )
+    vm_list.request("DELETE", "/vms/c")
+    wait_until(lambda: routers[2].router.incarnation != first_run)
+    wait_for_view(routers, "a", "b", "c")
+
+
+def test_start_after_records_have_expired(start, log):
+    a = start("a")
+    wait_for_view([a], "a")
+    log.fault(retention=2)
+    LogClient(log.address).append("members", [b"\xc0", b"\xc0"])
+    b = start("b")
+    wait_for_view([a, b], "a", "b")
+
+
+def test_start_when_nobody_knows_the_expired_members(start, log):
+    log.fault(retention=1)
+    LogClient(log.address).append("members", [b"\xc0", b"\xc0"])
+    a = start("a")
+    wait_for_view([a], "a")
