Add faults, orders, events, cache exchange and late reports to the engine stand-in

Change: the stand-in now crashes, restarts empty, falls silent on open connections, cuts, crosses and delays answers, and dies of a poison prompt; it takes orders with and without fencing, exports and imports blocks by scope, reports load and events late and with gaps, and GET /report tells tests what it saw (runs by request id, received headers, uses out of scope).

Failed try: a first test of priorities read partly consumed urllib3 responses, which returned early; it now asks the batch itself.

--- a/libs/standins/src/mulberryhub/standins/engine.py
+++ b/libs/standins/src/mulberryhub/standins/engine.py
@@ -1,9 +1,11 @@
 """Stand-in of a model engine: batching, prefix cache, streams and faults.
 
 Run `python -m mulberryhub.standins.engine HOST:PORT`; `--help` lists its sizes.
+`GET /report` tells tests what the engine saw.
 """
 
 import sys
+from collections import OrderedDict, deque
 from uuid import uuid4
 
 import defopt
@@ -11,11 +13,21 @@
 
 from mulberryhub.base.clock import Clock
 from mulberryhub.standins.engine_batch import Batch, EngineOptions, Sequence
-from mulberryhub.standins.engine_cache import PrefixCache
-from mulberryhub.standins.engine_text import prompt_text
-from mulberryhub.standins.server import Answer, Faults, make_app, serve
+from mulberryhub.standins.engine_cache import Block, PrefixCache
+from mulberryhub.standins.engine_chunks import chunk, event, last_chunk, whole
+from mulberryhub.standins.engine_control import CacheEvents, LoadReports, Weights
+from mulberryhub.standins.engine_faults import Connections, EngineFaults
+from mulberryhub.standins.engine_text import (
+    answer_seed,
+    prompt_text,
+    token_text,
+)
+from mulberryhub.standins.server import Answer, make_app, pause, serve
 
 COMPLETION_PATHS = ("/v1/chat/completions", "/v1/completions")
+SEQUENCES_KEPT = 4_096
+HEADERS_KEPT = 1_000  # requests
+CROSSED_INDEX = 2
 
 
 class Engine:
@@ -28,105 +40,179 @@
         "incarnation",
         "cache",
         "batch",
+        "weights",
+        "events",
+        "loads",
+        "connections",
         "sequences_by_id",
         "runs_by_id",
+        "headers",
+        "totals_by_name",
     )
 
     def __init__(self, options, clock=None):
         self.options = options
         self.clock = clock or Clock()
-        self.faults = Faults()
+        self.faults = EngineFaults()
+        self.faults.actions_by_name["restart_empty"] = self._restart
+        self.faults.actions_by_name["silence"] = self._silence
         self.incarnation = uuid4().hex
-        self.cache = PrefixCache(options.cache_tokens, self._record)
-        self.batch = Batch(options, self.cache, self.faults)
-        self.sequences_by_id = {}
+        self.events = CacheEvents(self.clock, options.event_delay, options.event_gap)
+        self.cache = PrefixCache(options.cache_tokens, self.events.record)
+        self.batch = Batch(options, self.cache, self.faults, self.clock)
+        self.weights = Weights(
+            options.version, options.checks_fencing, options.load_time
+        )
+        self.loads = LoadReports(self._load, self.clock, options.load_lag)
+        self.connections = Connections()
+        self.sequences_by_id = OrderedDict()
         self.runs_by_id = {}
+        self.headers = deque(maxlen=HEADERS_KEPT)
+        self.totals_by_name = dict.fromkeys(
+            ("runs", "cancelled", "resumed", "continued", "mismatched", "refused"), 0
+        )
 
     def handle(self, request):
         """Serve one request."""
+        connection = self.connections.note(request)
+        self.connections.wait_while_silenced(connection)
         if request.path in COMPLETION_PATHS:
-            return self._complete(request)
+            return self._complete(request, connection)
         if request.path.startswith("/v1/streams/"):
-            return self._resume(request)
-        if request.path == "/v1/cancel":
-            return self._cancel(request)
-        if request.path == "/load":
-            return Answer(self._load())
-        return Answer({"error": "unknown path"}, status=404)
-
-    def _complete(self, request):
+            return self._resume(request, connection)
+        handler = self._handlers_by_path().get(request.path)
+        if handler is None:
+            return Answer({"error": "unknown path"}, status=404)
+        return handler(request)
+
+    def _handlers_by_path(self):
+        return {
+            "/v1/cancel": self._cancel,
+            "/load": lambda request: Answer(self.loads.current()),
+            "/events": self._read_events,
+            "/orders": self._order,
+            "/cache/export": self._export,
+            "/cache/import": self._import,
+            "/report": self._report,
+        }
+
+    def _complete(self, request, connection):
+        self.headers.append([list(pair) for pair in request.environ["headers_raw"]])
         body = msgspec.json.decode(request.body)
-        chat = request.path == "/v1/chat/completions"
         sequence = self._sequence(request, body)
-        self.sequences_by_id[sequence.id] = sequence
-        runs = self.runs_by_id.get(sequence.id, 0)
-        self.runs_by_id[sequence.id] = runs + 1
-        self.batch.submit(sequence)
+        if sequence.version != self.weights.version(sequence.model):
+            self.totals_by_name["refused"] += 1
+            return Answer({"error": "another version is loaded"}, status=409)
+        pause(self.faults.get("late", 0))
+        self._start(sequence)
+        chat = request.path == "/v1/chat/completions"
         if body.get("stream"):
-            chunks = self._chunks(sequence, sequence.start, chat)
-            return Answer(chunks, headers=self._headers(sequence, stream=True))
+            return self._stream(sequence, sequence.start, chat, connection)
+        sequence.readers += 1
         while sequence.active:
             sequence.wait()
         if sequence.broken:
             return Answer({"error": "engine restarted"}, status=500)
-        return Answer(_whole(sequence, chat), headers=self._headers(sequence))
+        return Answer(whole(sequence, chat), headers=self._headers(sequence))
 
     def _sequence(self, request, body):
+        model = body.get("model", "")
         sequence = Sequence(
             request.header("X-Request-Id") or uuid4().hex,
             prompt_text(body),
             request.header("X-Cache-Scope"),
-            body.get("model", ""),
-            request.header("X-Model-Version") or self.options.version,
+            model,
+            request.header("X-Model-Version") or self.weights.version(model),
             int(request.header("X-Priority") or 0),
         )
-        sequence.max_tokens = body.get("max_tokens") or 16
+        limit = body.get("max_completion_tokens") or body.get("max_tokens")
+        sequence.max_tokens = limit or 256
         continuation = body.get("continue_from")
         if continuation:
-            sequence.start = continuation["tokens"]
+            self._continue(sequence, continuation)
         return sequence
 
-    def _resume(self, request):
+    def _continue(self, sequence, continuation):
+        sequence.start = continuation["tokens"]
+        seed = answer_seed(sequence.prompt)
+        text = "".join(token_text(seed, index) for index in range(sequence.start))
+        self.totals_by_name["continued"] += 1
+        if text != continuation["text"]:
+            self.totals_by_name["mismatched"] += 1
+
+    def _start(self, sequence):
+        self.totals_by_name["runs"] += 1
+        self.runs_by_id[sequence.id] = self.runs_by_id.get(sequence.id, 0) + 1
+        self.sequences_by_id[sequence.id] = sequence
+        if len(self.sequences_by_id) > SEQUENCES_KEPT:
+            old, _ = self.sequences_by_id.popitem(last=False)
+            self.runs_by_id.pop(old, None)
+        sequence.left_at = self.clock.now()
+        self.batch.submit(sequence)
+
+    def _stream(self, sequence, start, chat, connection):
+        chunks = self._chunks(sequence, start, chat, connection)
+        headers = self._headers(sequence)
+        headers.append(("Content-Type", "text/event-stream"))
+        return Answer(chunks, headers=headers)
+
+    def _resume(self, request, connection):
         sequence = self.sequences_by_id.get(request.path.split("/")[3])
         start = int(request.query.get("from", 0))
-        if sequence is None or start < sequence.start:
+        if sequence is None or sequence.broken or start < sequence.start:
             return Answer({"error": "unknown stream"}, status=404)
+        self.totals_by_name["resumed"] += 1
         chat = request.query.get("chat", "1") == "1"
-        chunks = self._chunks(sequence, start, chat)
-        return Answer(chunks, headers=self._headers(sequence, stream=True))
+        return self._stream(sequence, start, chat, connection)
 
     def _cancel(self, request):
         sequence = self.sequences_by_id.get(msgspec.json.decode(request.body)["id"])
-        if sequence is None:
+        if sequence is None or not sequence.active:
             return Answer({"cancelled": False}, status=404)
         sequence.finish("cancelled")
+        self.totals_by_name["cancelled"] += 1
         return Answer({"cancelled": True})
 
-    def _chunks(self, sequence, index, chat):
-        yield b": accepted\n\n"
+    def _chunks(self, sequence, index, chat, connection):
+        sequence.readers += 1
+        try:
+            yield b": accepted\n\n"
+            for data in self._events(sequence, index, chat):
+                self.connections.wait_while_silenced(connection)
+                yield data
+        finally:
+            sequence.readers -= 1
+            sequence.left_at = self.clock.now()
+
+    def _events(self, sequence, index, chat):
+        cut = self.faults.get("cut_after")
+        end = index + cut if cut is not None and self.faults.take("cuts") else None
+        crossed = self.faults.take("crossed_chunks")
         while True:
             while index < sequence.next_index:
+                if index == end:
+                    raise ConnectionError("cut")
+                if crossed and index == sequence.start + CROSSED_INDEX:
+                    yield event(index, _foreign_chunk(chat))
                 text = sequence.tokens[index - sequence.start]
-                yield _event(index, _chunk(sequence, text, chat))
+                yield event(index, chunk(sequence, text, chat))
                 index += 1
             if sequence.broken:
                 raise ConnectionError("engine restarted")
             if sequence.finish_reason:
                 break
             sequence.wait()
-        yield _event(index, _last_chunk(sequence, chat))
+        yield event(index, last_chunk(sequence, chat))
         yield b"data: [DONE]\n\n"
 
-    def _headers(self, sequence, stream=False):
-        headers = [
-            ("X-Request-Id", sequence.id),
+    def _headers(self, sequence):
+        id = uuid4().hex if self.faults.take("crossed") else sequence.id
+        return [
+            ("X-Request-Id", id),
             ("X-Incarnation", self.incarnation),
             ("X-Model-Version", sequence.version),
-            ("X-Load", msgspec.json.encode(self._load()).decode()),
+            ("X-Load", msgspec.json.encode(self.loads.current()).decode()),
         ]
-        if stream:
-            headers.append(("Content-Type", "text/event-stream"))
-        return headers
 
     def _load(self):
         queued = self.batch.queued
@@ -137,60 +223,67 @@
             "queued": len(queued),
             "queued_tokens": sum(sequence.prompt_tokens for sequence in queued),
             "slots": self.options.slots,
-            "models": {},
+            "models": self.weights.versions_by_model,
             "cached_tokens": self.cache.tokens,
         }
 
-    def _record(self, type, block):
-        pass
-
-
-def _event(index, document):
-    return b"id: %d\ndata: %s\n\n" % (index, msgspec.json.encode(document))
-
-
-def _chunk(sequence, text, chat):
-    if chat:
-        choice = {"index": 0, "delta": {"content": text}, "finish_reason": None}
-    else:
-        choice = {"index": 0, "text": text, "finish_reason": None}
-    return _document(sequence, chat, choice, ".chunk")
-
+    def _read_events(self, request):
+        start = int(request.query.get("from", 0))
+        events = self.events.read(start, int(request.query.get("wait", 0)))
+        end = events[-1]["sequence"] + 1 if events else start
+        answer = {"events": events, "next": end, "incarnation": self.incarnation}
+        return Answer(answer)
 
-def _last_chunk(sequence, chat):
-    choice = {"index": 0, "finish_reason": sequence.finish_reason}
-    choice |= {"delta": {}} if chat else {"text": ""}
-    return _document(sequence, chat, choice, ".chunk") | {"usage": _usage(sequence)}
+    def _order(self, request):
+        if self.weights.order(msgspec.json.decode(request.body)):
+            return Answer({"accepted": True})
+        return Answer({"error": "old fencing number"}, status=409)
 
+    def _export(self, request):
+        blocks = self.cache.blocks(request.query.get("scope", ""))
+        return Answer({"blocks": [block.document() for block in blocks]})
 
-def _whole(sequence, chat):
-    text = "".join(sequence.tokens)
-    choice = {"index": 0, "finish_reason": sequence.finish_reason}
-    if chat:
-        choice["message"] = {"role": "assistant", "content": text}
-    else:
-        choice["text"] = text
-    return _document(sequence, chat, choice, "") | {"usage": _usage(sequence)}
+    def _import(self, request):
+        body = msgspec.json.decode(request.body)
+        blocks = [Block(**document) for document in body["blocks"]]
+        if any(block.scope != body["scope"] for block in blocks):
+            self.cache.out_of_scope += 1
+            return Answer({"error": "a block belongs to another scope"}, status=409)
+        for block in blocks:
+            self.cache.store(block)
+        return Answer({"imported": len(blocks)})
+
+    def _report(self, request):
+        return Answer(
+            {
+                "totals": self.totals_by_name,
+                "runs": self.runs_by_id,
+                "out_of_scope": self.cache.out_of_scope,
+                "headers": list(self.headers),
+                "running": len(self.batch.running),
+                "queued": len(self.batch.queued),
+                "loading": self.weights.loading,
+                "orders": self.weights.accepted,
+                "versions": self.weights.versions_by_model,
+                "role": self.weights.role,
+                "incarnation": self.incarnation,
+                "cached_tokens": self.cache.tokens,
+            }
+        )
 
+    def _restart(self):
+        self.incarnation = uuid4().hex
+        self.batch.drop_all()
+        self.cache.clear()
+        self.sequences_by_id.clear()
 
-def _document(sequence, chat, choice, suffix):
-    return {
-        "id": sequence.id,
-        "object": f"chat.completion{suffix}" if chat else "text_completion",
-        "created": 0,
-        "model": sequence.model,
-        "choices": [choice],
-    }
+    def _silence(self):
+        self.connections.silence()
 
 
-def _usage(sequence):
-    completion = sequence.next_index
-    return {
-        "prompt_tokens": sequence.prompt_tokens,
-        "completion_tokens": completion,
-        "total_tokens": sequence.prompt_tokens + completion,
-        "prompt_tokens_details": {"cached_tokens": sequence.cached_tokens},
-    }
+def _foreign_chunk(chat):
+    other = Sequence(uuid4().hex, "")
+    return chunk(other, " foreign", chat)
 
 
 def make_engine(options, clock=None):
@@ -209,6 +302,11 @@
     slots=16,
     version="1",
     checks_fencing=False,
+    load_time=1_000,
+    load_lag=0,
+    event_delay=0,
+    event_gap=0,
+    orphan_timeout=10_000,
 ):
     """Run one engine.
 
@@ -220,17 +318,15 @@
     :param int slots: requests that run at once
     :param str version: version of the weights loaded at the start
     :param bool checks_fencing: refuse orders with an old fencing number
+    :param int load_time: ms that new weights take
+    :param int load_lag: age of load reports in ms
+    :param int event_delay: age of cache events in ms
+    :param int event_gap: lose each event of this number, 0 for none
+    :param int orphan_timeout: ms that a stream goes on without a reader
     """
-    options = EngineOptions(
-        block_tokens,
-        cache_tokens,
-        prefill_cost,
-        token_time,
-        slots,
-        version,
-        checks_fencing,
-    )
-    serve(address, make_engine(options))
+    values = locals()
+    del values["address"]
+    serve(address, make_engine(EngineOptions(**values)))
 
 
 if __name__ == "__main__":
--- a/libs/standins/src/mulberryhub/standins/engine_batch.py
+++ b/libs/standins/src/mulberryhub/standins/engine_batch.py
@@ -2,42 +2,29 @@
 
 from heapq import heappop, heappush
 
+import msgspec
+
 from mulberryhub.base.green import Event, Semaphore, spawn_n
 from mulberryhub.standins.engine_cache import Block
 from mulberryhub.standins.engine_text import answer_seed, block_digests, token_text
 from mulberryhub.standins.server import pause
 
 
-class EngineOptions:
-    """Sizes and speeds of an engine; costs and times are in ms."""
+class EngineOptions(msgspec.Struct):
+    """Sizes and speeds of an engine; costs, times and delays are in ms."""
 
-    __slots__ = (
-        "block_tokens",
-        "cache_tokens",
-        "prefill_cost",
-        "token_time",
-        "slots",
-        "version",
-        "checks_fencing",
-    )
-
-    def __init__(
-        self,
-        block_tokens=2_000,
-        cache_tokens=400_000,
-        prefill_cost=0.05,
-        token_time=20,
-        slots=16,
-        version="1",
-        checks_fencing=False,
-    ):
-        self.block_tokens = block_tokens
-        self.cache_tokens = cache_tokens
-        self.prefill_cost = prefill_cost
-        self.token_time = token_time
-        self.slots = slots
-        self.version = version
-        self.checks_fencing = checks_fencing
+    block_tokens: int = 2_000
+    cache_tokens: int = 400_000
+    prefill_cost: float = 0.05
+    token_time: float = 20.0
+    slots: int = 16
+    version: str = "1"
+    checks_fencing: bool = False
+    load_time: int = 1_000
+    load_lag: int = 0
+    event_delay: int = 0
+    event_gap: int = 0
+    orphan_timeout: int = 10_000
 
 
 class Sequence:
@@ -58,7 +45,7 @@
         "finish_reason",
         "broken",
         "readers",
-        "last_read",
+        "left_at",
         "_changed",
     )
 
@@ -77,7 +64,7 @@
         self.finish_reason = None
         self.broken = False
         self.readers = 0
-        self.last_read = 0
+        self.left_at = 0
         self._changed = Event()
 
     @property
@@ -101,7 +88,7 @@
 
     def finish(self, reason):
         """End the answer."""
-        if self.finish_reason is None:
+        if self.active:
             self.finish_reason = reason
             self.notify()
 
@@ -114,13 +101,23 @@
 class Batch:
     """Runs up to `options.slots` sequences, those of higher priority first."""
 
-    __slots__ = ("options", "cache", "faults", "running", "_waiting", "_order", "_gpu")
+    __slots__ = (
+        "options",
+        "cache",
+        "faults",
+        "running",
+        "_clock",
+        "_waiting",
+        "_order",
+        "_gpu",
+    )
 
-    def __init__(self, options, cache, faults):
+    def __init__(self, options, cache, faults, clock):
         self.options = options
         self.cache = cache
         self.faults = faults
         self.running = []
+        self._clock = clock
         self._waiting = []
         self._order = 0
         self._gpu = Semaphore(1)
@@ -131,6 +128,12 @@
         heappush(self._waiting, (-sequence.priority, self._order, sequence))
         self._fill_slots()
 
+    def drop_all(self):
+        """Break off all sequences, as a crash does."""
+        for sequence in [*self.queued, *self.running]:
+            sequence.break_off()
+        self._waiting.clear()
+
     @property
     def queued(self):
         """Return the sequences that wait for a slot."""
@@ -164,6 +167,7 @@
             missing = sequence.prompt_tokens + sequence.start - cached
             pause(missing * options.prefill_cost * self.faults.get("slow", 1))
         if sequence.active:
+            self.faults.check_poison(sequence.prompt)
             self._store(sequence, digests)
 
     def _store(self, sequence, digests):
@@ -175,8 +179,14 @@
         seed = answer_seed(sequence.prompt)
         while sequence.active and sequence.next_index < sequence.max_tokens:
             pause(self.options.token_time * self.faults.get("slow", 1))
-            text = token_text(seed, sequence.next_index)
-            sequence.tokens.append(text)
+            if not sequence.active:
+                return
+            sequence.tokens.append(token_text(seed, sequence.next_index))
             sequence.notify()
-        if sequence.active:
-            sequence.finish("length")
+            if self._is_orphan(sequence):
+                sequence.finish("abandoned")
+        sequence.finish("length")
+
+    def _is_orphan(self, sequence):
+        idle = self._clock.now() - sequence.left_at
+        return not sequence.readers and idle > self.options.orphan_timeout
--- a/libs/standins/src/mulberryhub/standins/engine_cache.py
+++ b/libs/standins/src/mulberryhub/standins/engine_cache.py
@@ -14,6 +14,15 @@
         self.tokens = tokens
         self.version = version
 
+    def document(self):
+        """Return the block as it is exported."""
+        return {
+            "scope": self.scope,
+            "digest": self.digest,
+            "tokens": self.tokens,
+            "version": self.version,
+        }
+
 
 class PrefixCache:
     """Blocks by scope and digest; `record(type, block)` hears of each change."""
--- /dev/null
+++ b/tests/standins/test_engine.py
@@ -0,0 +1,179 @@
+import time
+
+import pytest
+import urllib3
+
+from mulberryhub.base.clock import Clock
+from mulberryhub.standins.engine_batch import Batch, EngineOptions, Sequence
+from mulberryhub.standins.engine_cache import PrefixCache
+from mulberryhub.standins.engine_faults import EngineFaults
+from mulberryhub.standins.engine_text import answer_text
+
+PROMPT = "word " * 40
+FAST = ("--block-tokens", 10, "--token-time", 2, "--load-time", 10)
+
+
+@pytest.fixture
+def start(fleet):
+    def start(*options):
+        return fleet.start(
+            "mulberryhub.standins.engine", "127.0.0.1:0", *FAST, *options
+        )
+
+    return start
+
+
+def post(engine, path, body, **headers):
+    return engine.request("POST", path, json=body, headers=headers)
+
+
+def complete(engine, prompt=PROMPT, tokens=4, id="r", scope="s", **headers):
+    body = {"model": "m", "prompt": prompt, "max_tokens": tokens}
+    headers = {"X-Request-Id": id, "X-Cache-Scope": scope, **headers}
+    return post(engine, "/v1/completions", body, **headers)
+
+
+def cached(answer):
+    return answer.json()["usage"]["prompt_tokens_details"]["cached_tokens"]
+
+
+def report(engine):
+    return engine.request("GET", "/report").json()
+
+
+def test_whole_answer(start):
+    engine = start()
+    body = {"prompt": PROMPT}
+    assert complete(engine).json()["choices"][0]["text"] == answer_text(body, 4)
+
+
+def test_memory_is_limited(start):
+    engine = start("--cache-tokens", 40)
+    complete(engine)
+    complete(engine, prompt="other " * 40)
+    assert cached(complete(engine)) == 0
+    assert report(engine)["cached_tokens"] == 40
+
+
+def test_restart_drops_everything(start):
+    engine = start()
+    first = complete(engine)
+    engine.fault(restart_empty=True)
+    again = complete(engine)
+    assert cached(again) == 0
+    assert first.headers["X-Incarnation"] != again.headers["X-Incarnation"]
+
+
+def test_crash_ends_the_process(start):
+    engine = start()
+    engine.fault(crash=True)
+    assert engine.popen.wait(10) != 0
+
+
+def test_poison_ends_the_process(start):
+    engine = start()
+    engine.fault(poison="toxic")
+    assert complete(engine).status == 200
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        complete(engine, prompt="a toxic prompt")
+    assert engine.popen.wait(10) != 0
+
+
+def test_silence_strikes_open_connections_alone(start):
+    engine = start()
+    host, port = engine.address.split(":")
+    with urllib3.HTTPConnectionPool(host, int(port)) as pool:
+        pool.request("GET", "/load")
+        engine.fault(silence=True)
+        with pytest.raises(urllib3.exceptions.ReadTimeoutError):
+            pool.request("GET", "/load", timeout=0.3, retries=False)
+    assert engine.request("GET", "/load").status == 200
+
+
+def test_use_by_other_weights_counts_as_out_of_scope(start):
+    engine = start()
+    complete(engine)
+    order = {"kind": "load", "model": "m", "version": "2", "fencing": 1}
+    assert post(engine, "/orders", order).status == 200
+    assert complete(engine, **{"X-Model-Version": "1"}).status == 409
+    complete(engine, **{"X-Model-Version": "2"})
+    assert report(engine)["out_of_scope"] > 0
+
+
+@pytest.mark.parametrize("options, status", [(("--checks-fencing",), 409), ((), 200)])
+def test_order_with_an_old_fencing_number(start, options, status):
+    engine = start(*options)
+    new = {"kind": "load", "model": "m", "version": "3", "fencing": 7}
+    old = {"kind": "load", "model": "m", "version": "2", "fencing": 6}
+    assert post(engine, "/orders", new).status == 200
+    assert post(engine, "/orders", old).status == status
+
+
+def test_export_and_import_keep_the_scope(start):
+    source, target = start(), start()
+    complete(source)
+    blocks = source.request("GET", "/cache/export?scope=s").json()["blocks"]
+    body = {"scope": "s", "blocks": blocks}
+    assert post(target, "/cache/import", body).json() == {"imported": 4}
+    assert cached(complete(target)) == 40
+    assert post(target, "/cache/import", {**body, "scope": "t"}).status == 409
+
+
+def test_events_have_gaps(start):
+    engine = start("--event-gap", 2)
+    complete(engine)
+    answer = engine.request("GET", "/events?from=0&wait=1000").json()
+    assert [item["sequence"] for item in answer["events"]] == [0, 2]
+
+
+def test_events_and_loads_come_late(start):
+    engine = start("--event-delay", 60_000, "--load-lag", 60_000)
+    complete(engine)
+    assert engine.request("GET", "/events").json()["events"] == []
+    assert engine.request("GET", "/load").json()["cached_tokens"] == 0
+
+
+def test_cancel_frees_the_slot(start):
+    engine = start("--slots", 1, "--token-time", 50)
+    body = {"model": "m", "prompt": PROMPT, "max_tokens": 10_000, "stream": True}
+    headers = {"X-Request-Id": "long"}
+    stream = engine.request(
+        "POST", "/v1/completions", json=body, headers=headers, preload_content=False
+    )
+    next(stream.stream(16))
+    assert post(engine, "/v1/cancel", {"id": "long"}).json() == {"cancelled": True}
+    assert complete(engine, id="next").status == 200
+
+
+def test_priority_goes_first():
+    options = EngineOptions(slots=1, token_time=1)
+    cache = PrefixCache(100, lambda type, block: None)
+    batch = Batch(options, cache, EngineFaults(), Clock())
+    sequences = [Sequence(id, "x", priority=p) for id, p in (("a", 0), ("b", 0))]
+    sequences.append(Sequence("urgent", "x", priority=5))
+    for sequence in sequences:
+        batch.submit(sequence)
+    first, low, high = sequences
+    while high.active:
+        high.wait()
+    assert not first.active
+    assert low.active
+
+
+def test_crossed_answer_has_another_id(start):
+    engine = start()
+    engine.fault(crossed=1)
+    assert complete(engine).headers["X-Request-Id"] != "r"
+    assert complete(engine).headers["X-Request-Id"] == "r"
+
+
+def test_stream_without_reader_ends(start):
+    engine = start("--orphan-timeout", 100, "--token-time", 20)
+    body = {"model": "m", "prompt": PROMPT, "max_tokens": 10_000, "stream": True}
+    stream = engine.request("POST", "/v1/completions", json=body, preload_content=False)
+    next(stream.stream(16))
+    stream.close()
+    deadline = time.monotonic() + 10
+    while report(engine)["running"] and time.monotonic() < deadline:
+        time.sleep(0.05)
+    assert report(engine)["running"] == 0
