--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -17,6 +17,7 @@
 
 PREFIX_WORDS = 6_000
 READY_TIMEOUT = 20.0  # s
+CHAT_TIMEOUT = 30.0  # s
 KEY = CALLER_KEYS_BY_WORKSPACE["installers"]
 
 
@@ -86,6 +87,7 @@
         headers={"Authorization": f"Bearer {KEY}"},
         json=body,
         preload_content=False,
+        timeout=CHAT_TIMEOUT,
     )
     if answer.status != 200:
         raise DemoFailed(f"chat answered {answer.status}: {answer.data.decode()}")
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -10,6 +10,7 @@
 import urllib3
 
 START_TIMEOUT = 30_000  # ms
+REQUEST_TIMEOUT = 30_000  # ms
 
 
 class Process:
@@ -39,6 +40,7 @@
 
     def request(self, method, path, **options):
         """Send one HTTP request and return the whole answer."""
+        options.setdefault("timeout", REQUEST_TIMEOUT / 1000)
         return urllib3.request(method, self.url(path), retries=False, **options)
 
     def fault(self, **values):
--- a/libs/gateway/src/mulberryhub/gateway/call.py
+++ b/libs/gateway/src/mulberryhub/gateway/call.py
@@ -4,7 +4,7 @@
 from uuid import uuid4
 
 from mulberryhub.base.errors import Code, HubError
-from mulberryhub.base.green import Timeout
+from mulberryhub.base.green import Timeout, wsgi
 
 MAX_BODY = 8 * 1024 * 1024  # bytes
 BODY_TIMEOUT = 10_000  # ms
@@ -66,7 +66,7 @@
             if expired is not timeout:
                 raise
             raise HubError(Code.SLOW_SENDER, "the body did not arrive in time")
-        except OSError as error:
+        except (OSError, wsgi.ChunkReadError) as error:
             raise HubError(Code.BAD_REQUEST, "the body could not be read") from error
         finally:
             timeout.cancel()
--- /dev/null
+++ b/tests/system/test_stock_client.py
@@ -0,0 +1,69 @@
+import openai
+import pytest
+
+from benchmarks.demo import apply_inventory, wait_ready
+from benchmarks.topology import CALLER_KEYS_BY_WORKSPACE, MODEL, Topology
+
+MESSAGES = [{"role": "user", "content": "Which seal fits the north entrance?"}]
+
+
+@pytest.fixture(scope="module")
+def topology():
+    with Topology(routers=1, services=False) as topology:
+        routers = list(topology.routers_by_id.values())
+        apply_inventory(routers[0], topology.inventory())
+        wait_ready(routers)
+        yield topology
+
+
+@pytest.fixture
+def client(topology):
+    return make_client(topology, CALLER_KEYS_BY_WORKSPACE["hotels"])
+
+
+def make_client(topology, key):
+    router = topology.routers_by_id["vm-1"]
+    return openai.OpenAI(api_key=key, base_url=router.url("/v1"), max_retries=0)
+
+
+def test_streamed_and_whole_chats_agree(client):
+    whole = client.chat.completions.create(model=MODEL, messages=MESSAGES, max_tokens=8)
+    stream = client.chat.completions.create(
+        model=MODEL,
+        messages=MESSAGES,
+        max_tokens=8,
+        stream=True,
+        stream_options={"include_usage": True},
+    )
+    chunks = list(stream)
+    text = "".join(
+        choice.delta.content or "" for chunk in chunks for choice in chunk.choices
+    )
+    assert whole.choices[0].message.content == text
+    assert whole.usage.completion_tokens == 8
+    assert chunks[-1].usage.completion_tokens == 8
+
+
+def test_plain_completions(client):
+    whole = client.completions.create(model=MODEL, prompt="a seal", max_tokens=4)
+    stream = client.completions.create(
+        model=MODEL, prompt="a seal", max_tokens=4, stream=True
+    )
+    text = "".join(choice.text for chunk in stream for choice in chunk.choices)
+    assert whole.choices[0].text == text
+
+
+def test_models(client):
+    assert [model.id for model in client.models.list()] == [MODEL]
+
+
+def test_errors_have_the_classes_that_clients_know(topology, client):
+    with pytest.raises(openai.NotFoundError) as raised:
+        client.chat.completions.create(model="other", messages=MESSAGES)
+    assert raised.value.code == "unknown_model"
+    with pytest.raises(openai.AuthenticationError) as raised:
+        make_client(topology, "other").models.list()
+    assert raised.value.code == "unknown_key"
+    with pytest.raises(openai.BadRequestError) as raised:
+        client.chat.completions.create(model=MODEL, messages=[])
+    assert raised.value.code == "bad_request"
