Resume and continue broken streams, and let callers reconnect through any router

Cause: a break of an engine's stream ended the caller's answer, a caller that left kept its engine at work until the next write, and a stream was lost with its router.

Change: Attempts keeps one answer coming: a break is looked for on a fresh connection to the same engine, then continued elsewhere with what was delivered, else ended with an error event. Retries that may have run upstream take from a budget and wait with jitter. Events carry a signed resume token, so that a reconnect with Last-Event-ID goes on through any router; the new router reads the stream from its start, so that it can continue it as well.

Ruled out: a heartbeat to notice a caller that left (a write per stream and interval); text in the resume token.

--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -7,13 +7,16 @@
 from mulberryhub.daemon.unlimited import UnlimitedLimiter
 from mulberryhub.gateway.admin import apply_inventory
 from mulberryhub.gateway.app import Endpoint, Gateway
+from mulberryhub.gateway.attempts import RelayServices
 from mulberryhub.gateway.completions import Completions
 from mulberryhub.gateway.models import list_models
+from mulberryhub.gateway.resume_token import TokenSigner
 from mulberryhub.gateway.server import HttpServer
 from mulberryhub.peers.server import PeerServer
 from mulberryhub.platform.log import LogClient
 from mulberryhub.replica.config import ConfigReplica
 from mulberryhub.routing.policies import make_policy
+from mulberryhub.upstream.budget import RetryBudget
 from mulberryhub.upstream.engine import EngineClient
 from mulberryhub.upstream.health import Health
 from mulberryhub.upstream.watcher import Watcher
@@ -32,9 +35,18 @@
     watcher = Watcher(replica, policy, health, clock, counters)
     engines = EngineClient(counters)
     limiter = UnlimitedLimiter()
-    completions = Completions(
-        replica, limiter, policy, health, engines, counters, clock
+    services = RelayServices(
+        engines,
+        policy,
+        health,
+        watcher,
+        RetryBudget(),
+        TokenSigner(secrets.token_key),
+        replica.current,
+        counters,
+        clock,
     )
+    completions = Completions(replica, limiter, services)
     gateway = Gateway(
         {
             **completion_endpoints(completions, replica),
--- a/libs/gateway/src/mulberryhub/gateway/completions.py
+++ b/libs/gateway/src/mulberryhub/gateway/completions.py
@@ -19,28 +19,24 @@
 class Completions:
     """Serves the two completions paths.
 
-    `replica` gives the configuration, `limiter` admits by tokens, `policy`
-    chooses engines, `health` puts failing ones last, and `engines` opens streams.
+    `replica` gives the configuration, `limiter` admits by tokens, and `services`
+    are what relays share, with the policy that chooses engines.
     """
 
     __slots__ = (
         "_replica",
         "_limiter",
+        "_services",
         "_policy",
-        "_health",
-        "_engines",
-        "_counters",
         "_clock",
     )
 
-    def __init__(self, replica, limiter, policy, health, engines, counters, clock):
+    def __init__(self, replica, limiter, services):
         self._replica = replica
         self._limiter = limiter
-        self._policy = policy
-        self._health = health
-        self._engines = engines
-        self._counters = counters
-        self._clock = clock
+        self._services = services
+        self._policy = services.policy
+        self._clock = services.clock
 
     def chat(self, call):
         """Answer `POST /v1/chat/completions`."""
@@ -63,6 +59,7 @@
                 f"no engine serves {model.id!r}",
                 retry_after=NO_UPSTREAM_RETRY,
             )
+        point = self._resume_point(call, body, workspace)
         request = self._route_request(body, workspace, model, is_chat)
         now = self._clock.now()
         deadline = now + view.inventory.rules.first_token_deadline
@@ -71,7 +68,7 @@
         decision = self._policy.choose(request, candidates, now)
         engine_call = EngineCall(
             request_id=f"{call.request_id}.{uuid4().hex[:12]}",
-            body=msgspec.json.decode(data),
+            body=_bounded(msgspec.json.decode(data), body),
             chat=is_chat,
             scope=scope_salt(request.scope).hex(),
             model_version=model.version,
@@ -79,18 +76,23 @@
             idle_timeout=view.inventory.rules.idle_timeout,
             first_token_timeout=view.inventory.rules.first_token_deadline,
         )
-        relay = Relay(
-            self._engines,
-            self._policy,
-            self._health,
-            self._clock,
-            self._counters,
-            decision,
-            grant,
-        )
-        relay.open(engine_call, view.upstreams_by_id)
+        relay = Relay(self._services, decision, grant, workspace.id)
+        if point is None:
+            relay.open(engine_call)
+        else:
+            engine_call.request_id = point.origin.request_id
+            relay.resume(engine_call, point)
         shape = AnswerShape(call.request_id, model.id, is_chat)
-        return relay.streamed(shape) if body.stream else relay.whole(shape)
+        if body.stream:
+            return relay.streamed(call, shape)
+        return relay.whole(call, shape)
+
+    def _resume_point(self, call, body, workspace):
+        """Return where a caller that reconnects wants to go on, or None."""
+        token = call.header("Last-Event-ID")
+        if not token or not body.stream:
+            return None
+        return self._services.signer.check(token, workspace.id)
 
     def _route_request(self, body, workspace, model, is_chat):
         scope = Scope(workspace.id, model.id, model.version)
@@ -98,3 +100,10 @@
             return text_request(scope, body.prompt)
         messages = [(item.role, content_text(item.content)) for item in body.messages]
         return chat_request(scope, messages)
+
+
+def _bounded(document, body):
+    """Return the JSON object to send, with the reserved output as its limit."""
+    if body.max_tokens is None and body.max_completion_tokens is None:
+        document["max_tokens"] = body.output_tokens
+    return document
--- a/libs/standins/src/mulberryhub/standins/engine_chunks.py
+++ b/libs/standins/src/mulberryhub/standins/engine_chunks.py
@@ -8,13 +8,16 @@
     return b"id: %d\ndata: %s\n\n" % (index, msgspec.json.encode(document))
 
 
-def chunk(sequence, text, chat):
-    """Return the chunk of one token."""
+def chunk(sequence, text, chat, index=None):
+    """Return the chunk of one token; the first one tells the usage so far."""
     if chat:
         choice = {"index": 0, "delta": {"content": text}, "finish_reason": None}
     else:
         choice = {"index": 0, "text": text, "finish_reason": None}
-    return _document(sequence, chat, choice, ".chunk")
+    document = _document(sequence, chat, choice, ".chunk")
+    if index == sequence.start:
+        document["usage"] = _usage(sequence)
+    return document
 
 
 def last_chunk(sequence, chat):
--- a/libs/upstream/src/mulberryhub/upstream/engine.py
+++ b/libs/upstream/src/mulberryhub/upstream/engine.py
@@ -1,15 +1,19 @@
 """Client of model engines: opens, resumes and cancels streams."""
 
+from urllib.parse import quote
+
 import msgspec
 
 from mulberryhub.base.green import spawn_n, urllib3
 from mulberryhub.upstream.errors import (
     AnswerCrossed,
     ConnectFailed,
+    EngineFailure,
     EngineRefused,
     EngineSilent,
     StreamCut,
     StreamUnknown,
+    WrongVersion,
 )
 from mulberryhub.upstream.messages import End, EngineLoad, Token, Usage
 from mulberryhub.upstream.sse import EventParser
@@ -17,6 +21,7 @@
 READ_SIZE = 65_536  # bytes
 POOL_SIZE = 64  # connections kept for one engine
 CANCEL_TIMEOUT = 2_000  # ms
+DROPPED_REASONS = frozenset({"abandoned", "cancelled"})
 ERROR_LENGTH = 200  # bytes of an engine's error that are kept
 
 errors = urllib3.exceptions
@@ -73,6 +78,7 @@
         "incarnation",
         "model_version",
         "load",
+        "cached_tokens",
         "next_index",
         "ended",
         "_client",
@@ -80,7 +86,7 @@
         "_response",
         "_parser",
         "_items",
-        "_idle_timeout",
+        "_failure",
     )
 
     def __init__(self, client, upstream, call, response):
@@ -89,6 +95,7 @@
         self.incarnation = headers.get("X-Incarnation", "")
         self.model_version = headers.get("X-Model-Version", "")
         self.load = decode_load(headers.get("X-Load", "{}"))
+        self.cached_tokens = 0
         self.next_index = call.tokens
         self.ended = False
         self._client = client
@@ -96,7 +103,7 @@
         self._response = response
         self._parser = EventParser()
         self._items = []
-        self._idle_timeout = call.idle_timeout
+        self._failure = None
 
     def __iter__(self):
         return self
@@ -113,15 +120,28 @@
         return items
 
     def _receive(self):
+        if self._failure is not None:
+            raise self._failure
         if self.ended:
             raise StopIteration
         items = []
         while not items:
-            data = self._read()
-            items = [item for item in map(self._item, self._parser.feed(data)) if item]
-        connection = self._response.connection
-        if connection is not None and connection.sock is not None:
-            connection.sock.settimeout(self._idle_timeout / 1000)
+            events = self._parser.feed(self._read())
+            items = self._decoded(events)
+        return items
+
+    def _decoded(self, events):
+        """Return the items of `events`; a failure behind some of them is kept."""
+        items = []
+        try:
+            for event in events:
+                item = self._item(event)
+                if item is not None:
+                    items.append(item)
+        except EngineFailure as failure:
+            self._failure = failure
+            if not items:
+                raise
         return items
 
     def _read(self):
@@ -145,6 +165,8 @@
         if chunk.id != self.request_id:
             self._discard()
             raise AnswerCrossed(f"chunk of another request: {chunk.id}")
+        if chunk.usage is not None:
+            self.cached_tokens = chunk.usage.prompt_tokens_details.cached_tokens
         choice = chunk.choices[0]
         if choice.finish_reason is not None:
             return self._end(choice, chunk.usage or UsageDocument())
@@ -168,17 +190,16 @@
         return Token(index, text)
 
     def _end(self, choice, usage):
+        if choice.finish_reason in DROPPED_REASONS:
+            self._discard()
+            raise StreamUnknown(f"the engine ended it: {choice.finish_reason}")
         self.ended = True
-        cached = usage.prompt_tokens_details.cached_tokens
-        counts = Usage(usage.prompt_tokens, usage.completion_tokens, cached)
-        self._finish_connection()
-        return End(choice.finish_reason, counts)
-
-    def _finish_connection(self):
-        """Give the connection back once the rest of the answer was read."""
+        counts = Usage(usage.prompt_tokens, usage.completion_tokens, self.cached_tokens)
         spawn_n(self._drain)
+        return End(choice.finish_reason, counts)
 
     def _drain(self):
+        """Give the connection back once the rest of the answer was read."""
         try:
             self._response.drain_conn()
         except (errors.HTTPError, OSError):
@@ -215,6 +236,7 @@
         Raise EngineFailure.
         """
         body = {**call.body, "stream": True}
+        body.pop("continue_from", None)
         if call.tokens:
             body["continue_from"] = {"text": call.text, "tokens": call.tokens}
         path = "/v1/chat/completions" if call.chat else "/v1/completions"
@@ -234,12 +256,13 @@
         Raise EngineFailure; StreamUnknown where the engine does not keep it.
         """
         chat = int(call.chat)
-        path = f"/v1/streams/{call.request_id}?from={call.tokens}&chat={chat}"
+        stream = quote(call.request_id, safe="")
+        path = f"/v1/streams/{stream}?from={call.tokens}&chat={chat}"
         return self._stream(upstream, call, "GET", path, None, {})
 
     def _stream(self, upstream, call, method, path, data, headers):
         limits = urllib3.Timeout(
-            connect=call.connect_timeout / 1000, read=call.first_token_timeout / 1000
+            connect=call.connect_timeout / 1000, read=call.idle_timeout / 1000
         )
         response = self._request(upstream, method, path, data, headers, limits)
         if response.status == 404 and method == "GET":
@@ -253,7 +276,12 @@
             response.close()
             self.distrust(upstream)
             raise AnswerCrossed("answer to another request")
-        return EngineStream(self, upstream, call, response)
+        stream = EngineStream(self, upstream, call, response)
+        version = stream.model_version
+        if version and call.model_version and version != call.model_version:
+            stream.close()
+            raise WrongVersion(f"answer by version {version}")
+        return stream
 
     def _request(self, upstream, method, path, data, headers, limits):
         try:
--- a/libs/upstream/src/mulberryhub/upstream/errors.py
+++ b/libs/upstream/src/mulberryhub/upstream/errors.py
@@ -1,5 +1,8 @@
 """Ways in which a stream from an engine can fail."""
 
+# Error statuses of engines after which the request may have run.
+RUN_STATUSES = frozenset({500, 502, 504})
+
 
 class EngineFailure(Exception):
     """The engine gave no complete answer; `reason` names the retry counter.
@@ -47,7 +50,7 @@
     reason = "refused"
 
     def __init__(self, status, message):
-        super().__init__(f"status {status}: {message}")
+        super().__init__(f"status {status}: {message}", sent=status in RUN_STATUSES)
         self.status = status
 
 
@@ -55,3 +58,9 @@
     """The engine no longer keeps the stream that was to be resumed."""
 
     reason = "unknown_stream"
+
+
+class WrongVersion(EngineFailure):
+    """The engine answers with other weights than those asked for."""
+
+    reason = "wrong_version"
--- a/libs/upstream/src/mulberryhub/upstream/messages.py
+++ b/libs/upstream/src/mulberryhub/upstream/messages.py
@@ -31,6 +31,7 @@
     `body` is the caller's JSON object and `chat` tells which of the two completions
     interfaces it is for. `text` and `tokens` are what was already delivered, for an
     answer that goes on elsewhere. `request_id` must be unique over all callers.
+    `idle_timeout` is the longest silence on a connection, before the first token too.
     """
 
     request_id: str
