--- a/libs/gateway/src/mulberryhub/gateway/attempts.py
+++ b/libs/gateway/src/mulberryhub/gateway/attempts.py
@@ -16,6 +16,7 @@
 
 FAILED_RETRY = 1_000  # ms
 BAD_REQUEST_STATUSES = frozenset({400, 413, 422})
+MAX_TRIES = 3  # on one engine
 MAX_STALLS = 2  # resumptions without a new token, once there was a first one
 
 # Failures of a connection after which the engine may well be working on the request.
@@ -197,22 +198,30 @@
         return True
 
     def _open_on(self, upstream):
-        engines = self._services.engines
-        try:
-            stream = engines.open(upstream, self._call)
-        except CONNECTION_FAILURES as failure:
-            self.sent = True
-            self._count(failure)
-            stream = self._open_afresh(upstream)
-        self._take(stream)
-
-    def _open_afresh(self, upstream):
-        """Look for the request on a fresh connection, or else send it again."""
-        engines = self._services.engines
+        """Open on one engine; each try after the first has a fresh connection."""
+        send = self._services.engines.open
+        for tries_left in reversed(range(MAX_TRIES)):
+            try:
+                self._take(send(upstream, self._call))
+                return
+            except CONNECTION_FAILURES as failure:
+                self.sent = True
+                if not tries_left or self._is_dead(failure, tries_left):
+                    raise
+                self._count(failure)
+            send = self._find_or_send
+
+    @staticmethod
+    def _is_dead(failure, tries_left):
+        """Return whether a fresh connection was silent as well."""
+        return isinstance(failure, EngineSilent) and tries_left < MAX_TRIES - 1
+
+    def _find_or_send(self, upstream, call):
+        """Look for the request on the engine, or else send it again."""
         try:
-            return engines.resume(upstream, self._call)
+            return self._services.engines.resume(upstream, call)
         except StreamUnknown:
-            return engines.open(upstream, self._call)
+            return self._services.engines.open(upstream, call)
 
     def _take(self, stream):
         self.sent = True
@@ -261,12 +270,24 @@
         view = self._services.current_view()
         upstream = view.upstreams_by_id.get(self.upstream_id)
         if upstream is not None and self._may_resume(failure):
+            failure = self._resume_or_failure(upstream)
+            if failure is None:
+                return
+        self._continue_elsewhere(upstream, failure)
+
+    def _resume_or_failure(self, upstream):
+        """Resume on fresh connections; return None or why that failed."""
+        failure = None
+        for _ in range(MAX_TRIES - 1):
             try:
                 self._resume_on(upstream)
-                return
-            except EngineFailure as error:
+                return None
+            except CONNECTION_FAILURES as error:
                 failure = error
-        self._continue_elsewhere(upstream, failure)
+                self._count(error)
+            except EngineFailure as error:
+                return error
+        return failure
 
     def _check_deadline(self):
         elapsed = self._services.clock.now() - self._first_started
