Keep workspaces within rate and burst across all routers

Cause: the sum over all routers must never exceed burst + rate * t, while traffic may fall on any of them. Change: each router holds a part of each workspace's bucket; others borrow from it. A loan is usable for 1 s from the ask by the asker's clock; the holder debits before it answers and keeps as much burst room closed until the loan has run out or is reported used. Unused tokens go back to where they were debited, as far as the bucket would not have overflowed since. A restarted holder starts to fill only when no loan of its earlier run can be used. Ruled out: plain refunds, since tokens returned long after their debit let a window exceed the burst; a note of the debit time for refunds, since what counts is the highest level since.

--- /dev/null
+++ b/libs/limits/src/mulberryhub/limits/demand.py
@@ -0,0 +1,30 @@
+"""An estimate of the tokens that callers of one workspace ask for on one router."""
+
+from math import exp
+
+TIME_CONSTANT = 2_000  # ms
+
+
+class Demand:
+    """An exponentially weighted sum of costs."""
+
+    __slots__ = ("_sum", "_updated")
+
+    def __init__(self, now):
+        self._sum = 0.0
+        self._updated = now
+
+    def add(self, cost, now):
+        """Count a request of `cost` tokens."""
+        self._decay(now)
+        self._sum += cost
+
+    def rate(self, now):
+        """Return the estimate in tokens per ms."""
+        self._decay(now)
+        return self._sum / TIME_CONSTANT
+
+    def _decay(self, now):
+        if now > self._updated:
+            self._sum *= exp((self._updated - now) / TIME_CONSTANT)
+            self._updated = now
--- /dev/null
+++ b/libs/limits/src/mulberryhub/limits/grant.py
@@ -0,0 +1,22 @@
+"""What a request was admitted with."""
+
+
+class Grant:
+    """Tokens debited for one request.
+
+    `give_back(parts, unused)` returns unused tokens to where they came from.
+    """
+
+    __slots__ = ("cost", "_parts", "_give_back")
+
+    def __init__(self, cost, parts, give_back):
+        self.cost = cost
+        self._parts = parts
+        self._give_back = give_back
+
+    def settle(self, used):
+        """Return the tokens beyond `used`; later calls change nothing."""
+        parts, self._parts = self._parts, []
+        unused = int(self.cost - used)
+        if parts and unused > 0:
+            self._give_back(parts, unused)
--- a/libs/peers/src/mulberryhub/peers/members.py
+++ b/libs/peers/src/mulberryhub/peers/members.py
@@ -1,5 +1,7 @@
 """Who the routers are, as agreed in the log: the input to placement and shares."""
 
+from secrets import token_hex
+
 import msgspec
 
 
@@ -38,7 +40,28 @@
         self.members_by_vm = members_by_vm
         self.views = views
 
+    def includes(self, router):
+        """Tell whether this run of `router` is a member."""
+        member = self.members_by_vm.get(router.vm)
+        return member is not None and member.incarnation == router.incarnation
+
     @property
     def newest(self):
         """Return the newest view."""
         return self.views[-1]
+
+
+class Router:
+    """What this router says about itself when it joins."""
+
+    __slots__ = ("vm", "data_centre", "peer_address", "incarnation")
+
+    def __init__(self, vm, data_centre, peer_address):
+        self.vm = vm
+        self.data_centre = data_centre
+        self.peer_address = peer_address
+        self.incarnation = token_hex(8)
+
+    def renew(self):
+        """Take a new incarnation, as if the process had started again."""
+        self.incarnation = token_hex(8)
--- a/libs/replica/src/mulberryhub/replica/membership.py
+++ b/libs/replica/src/mulberryhub/replica/membership.py
@@ -1,7 +1,6 @@
 """Membership of the routers, kept in the log's stream `members`."""
 
 from random import Random
-from secrets import token_hex
 
 from mulberryhub.base.clock import Clock
 from mulberryhub.base.counters import Counters
@@ -37,18 +36,6 @@
 log = module_logger("replica.membership")
 
 
-class Router:
-    """What this router says about itself when it joins."""
-
-    __slots__ = ("vm", "data_centre", "peer_address", "incarnation")
-
-    def __init__(self, vm, data_centre, peer_address):
-        self.vm = vm
-        self.data_centre = data_centre
-        self.peer_address = peer_address
-        self.incarnation = token_hex(8)
-
-
 class Membership:
     """Joins the routers, follows who they are, and reports VMs that are gone.
 
@@ -195,7 +182,7 @@
         if self._was_member:
             # Taken for gone: records about the earlier run must not end this one.
             self._was_member = False
-            self.router.incarnation = token_hex(8)
+            self.router.renew()
         router = self.router
         record = Joined(
             router.vm, router.incarnation, router.data_centre, router.peer_address
--- /dev/null
+++ b/tests/limits/fleet_model.py
@@ -0,0 +1,180 @@
+"""Routers that share one workspace over a network that a test decides on.
+
+Real accounts, holders, borrowings and members; only transport and time are
+replaced. Each router has a clock of its own that drifts within the bound.
+"""
+
+from mulberryhub.limits.account import Account
+from mulberryhub.limits.bucket import MAX_DRIFT
+from mulberryhub.limits.holding import CLOSED_TIME
+from mulberryhub.limits.shares import fraction_of
+from mulberryhub.peers.members import Router
+from mulberryhub.replica.member_records import Adopted, Gone, Joined, Left
+from mulberryhub.replica.member_table import MemberTable
+from tests.limits.token_judge import worst_excess
+
+RATE = 1.0  # tokens per ms
+BURST = 900  # tokens
+GRANULARITY = 1  # ms
+
+
+class Node:
+    """One run of a router."""
+
+    def __init__(self, vm, now):
+        self.router = Router(vm, "dc", vm)
+        self.table = MemberTable()
+        self.account = Account("w", now)
+        self.grants = []
+        self.loan_number = 0
+
+    def resize(self, now):
+        fraction = fraction_of("w", self.router, self.table.members())
+        self.account.resize(RATE, BURST, fraction, now)
+
+
+class FleetModel:
+    """The routers, the log of members, messages on the way, and admissions."""
+
+    def __init__(self, vms, drifts):
+        self.time = 0.0
+        self.drifts_by_vm = dict(zip(vms, drifts))
+        self.records = []
+        self.messages = []
+        self.admissions = []
+        self.nodes_by_vm = {}
+        self.crashed_by_vm = {}
+        self.ended_by_vm = {}
+        for vm in vms:
+            self.start(vm)
+        for _ in range(len(vms)):
+            for vm in vms:
+                self.read(vm)
+                self.adopt(vm)
+        for vm in vms:
+            self.read(vm)
+
+    def now(self, vm):
+        index = list(self.drifts_by_vm).index(vm)
+        factor = 1 + MAX_DRIFT * self.drifts_by_vm[vm]
+        return int(self.time * factor) + 1_000 * index
+
+    def advance(self, duration):
+        self.time += duration
+
+    def start(self, vm):
+        if vm in self.nodes_by_vm:
+            return
+        node = Node(vm, self.now(vm))
+        self.nodes_by_vm[vm] = node
+        self.crashed_by_vm.pop(vm, None)
+        self.records.append(Joined(vm, node.router.incarnation, "dc", vm))
+
+    def read(self, vm):
+        node = self.nodes_by_vm.get(vm)
+        if node is None:
+            return
+        while node.table.through + 1 < len(self.records):
+            offset = node.table.through + 1
+            node.table.apply(offset, self.records[offset])
+        node.resize(self.now(vm))
+
+    def adopt(self, vm):
+        node = self.nodes_by_vm.get(vm)
+        member = node and node.table.find(vm, node.router.incarnation)
+        if not member or not node.table.lacks_adoption(member):
+            return
+        node.account.holding.advance(self.now(vm))
+        if node.account.holding.bucket.fits():
+            number = node.table.views[-1].number
+            self.records.append(Adopted(vm, node.router.incarnation, number))
+
+    def crash(self, vm):
+        node = self.nodes_by_vm.pop(vm, None)
+        if node:
+            self.crashed_by_vm[vm] = (self.time, node.router.incarnation)
+
+    def gone(self, vm):
+        crashed, incarnation = self.crashed_by_vm.get(vm, (None, None))
+        if crashed is not None and self.time > crashed + 2 * CLOSED_TIME:
+            self.records.append(Gone(vm, incarnation, "x"))
+
+    def leave(self, vm):
+        node = self.nodes_by_vm.get(vm)
+        if node is None:
+            return
+        node.account.holding.advance(self.now(vm))
+        if not node.account.holding.has_open_loans:
+            del self.nodes_by_vm[vm]
+            self.records.append(Left(vm, node.router.incarnation))
+
+    def admit(self, vm, cost):
+        node = self.nodes_by_vm.get(vm)
+        parts = node and node.account.take(cost, self.now(vm))
+        if parts:
+            self.admissions.append([self.time, cost])
+            node.grants.append((parts, cost, len(self.admissions) - 1))
+
+    def settle(self, vm, index, used_percent):
+        node = self.nodes_by_vm.get(vm)
+        if node and node.grants:
+            parts, cost, number = node.grants.pop(index % len(node.grants))
+            used = cost * used_percent // 100
+            self.admissions[number][1] = used
+            node.account.give_back(parts, cost - used, self.now(vm))
+
+    def ask(self, vm, holder, wanted):
+        node = self.nodes_by_vm.get(vm)
+        if node is None or vm == holder:
+            return
+        node.loan_number += 1
+        borrowings = node.account.borrowings
+        borrowings.advance(self.now(vm))
+        run = node.router.incarnation
+        ask = borrowings.ask(holder, node.loan_number, wanted, True, self.now(vm))
+        self.messages.append(("ask", vm, run, holder, ask))
+        self.report(vm, holder)
+
+    def report(self, vm, holder):
+        node = self.nodes_by_vm.get(vm)
+        if node is None:
+            return
+        node.account.borrowings.advance(self.now(vm))
+        for report in node.account.borrowings.take_reports(holder):
+            run = node.router.incarnation
+            self.messages.append(("report", vm, run, holder, report))
+
+    def deliver(self, index, keep=False):
+        """Deliver one message out of order; `keep` lets it arrive again."""
+        if not self.messages:
+            return
+        index %= len(self.messages)
+        message = self.messages[index] if keep else self.messages.pop(index)
+        kind, vm, run, holder, body = message
+        if kind == "answer":
+            self._answer(vm, run, body)
+            return
+        node = self.nodes_by_vm.get(holder)
+        if node is None:
+            return
+        loan_id, now = (vm, run, body.loan), self.now(holder)
+        if kind == "report":
+            node.account.holding.report(loan_id, body.returned, now)
+            return
+        amount = node.account.holding.lend(loan_id, body.wanted, 0, now)
+        self.messages.append(("answer", vm, run, holder, (body.loan, amount)))
+
+    def drop(self, index):
+        if self.messages:
+            self.messages.pop(index % len(self.messages))
+
+    def excess(self):
+        """Return by how much the bound was exceeded, above the clock's grain."""
+        admissions = [tuple(admission) for admission in self.admissions]
+        return worst_excess(admissions, RATE, BURST) - RATE * GRANULARITY
+
+    def _answer(self, vm, run, body):
+        node = self.nodes_by_vm.get(vm)
+        if node and node.router.incarnation == run:
+            loan, amount = body
+            node.account.borrowings.receive(loan, amount, self.now(vm))
--- a/tests/replica/test_membership.py
+++ b/tests/replica/test_membership.py
@@ -1,10 +1,11 @@
 import pytest
 
 from mulberryhub.base.green import sleep
+from mulberryhub.peers.members import Router
 from mulberryhub.platform.log import LogClient
 from mulberryhub.platform.vm_list import VmListClient
 from mulberryhub.replica import membership as module
-from mulberryhub.replica.membership import Membership, Router
+from mulberryhub.replica.membership import Membership
 
 POLLS = 300
 
