Admit requests by the fleet-wide allowances

Cause: the completions path admitted everything. Change: the limiter and the membership are wired; a stop drains loans, then leaves the log's membership. Found: a caller's resume through the second of two routers was refused when the first was killed before it had adopted the view with both: the second then holds no share and has nobody to borrow from, as the rule of reserved shares demands. /readyz now tells whether a router holds its shares, and the fleets of tests wait for it.

--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -58,15 +58,21 @@
 
 
 def wait_ready(routers):
-    """Wait until all `routers` serve."""
+    """Wait until all `routers` serve from their own shares."""
     deadline = time.monotonic() + READY_TIMEOUT
     for router in routers:
-        while router.request("GET", "/readyz").status != 200:
+        while not is_ready(router):
             if time.monotonic() > deadline:
                 raise DemoFailed(f"{router.address} did not become ready")
             time.sleep(0.05)
 
 
+def is_ready(router):
+    """Return whether `router` serves and holds its shares."""
+    answer = router.request("GET", "/readyz")
+    return answer.status == 200 and answer.json()["holds_shares"]
+
+
 def chat(router, question):
     """Stream one chat with the shared prefix through `router`."""
     catalogue = " ".join(f"part-{index}" for index in range(PREFIX_WORDS))
--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -4,7 +4,6 @@
 from mulberryhub.base.counters import statsd_counters
 from mulberryhub.base.errors import Code, HubError
 from mulberryhub.daemon.daemon import Daemon, Lifecycle
-from mulberryhub.daemon.unlimited import UnlimitedLimiter
 from mulberryhub.gateway.admin import apply_inventory
 from mulberryhub.gateway.app import Endpoint, Gateway
 from mulberryhub.gateway.attempts import RelayServices
@@ -12,15 +11,23 @@
 from mulberryhub.gateway.models import list_models
 from mulberryhub.gateway.resume_token import TokenSigner
 from mulberryhub.gateway.server import HttpServer
+from mulberryhub.limits.limiter import Limiter
+from mulberryhub.peers.client import PeerClient
+from mulberryhub.peers.members import Router
 from mulberryhub.peers.server import PeerServer
 from mulberryhub.platform.log import LogClient
+from mulberryhub.platform.vm_list import VmListClient
 from mulberryhub.replica.config import ConfigReplica
+from mulberryhub.replica.membership import Membership
 from mulberryhub.routing.policies import make_policy
 from mulberryhub.upstream.budget import RetryBudget
 from mulberryhub.upstream.engine import EngineClient
 from mulberryhub.upstream.health import Health
 from mulberryhub.upstream.watcher import Watcher
 
+DRAIN_TIMEOUT = 5_000  # ms
+LEAVE_TIMEOUT = 2_000  # ms
+
 
 def build(settings, secrets):
     """Return the daemon for `settings` and `secrets`, not yet started."""
@@ -29,12 +36,21 @@
     lifecycle = Lifecycle()
     log = LogClient(settings.log_address)
     peer_server = PeerServer(settings.peer_address, secrets.peer_key, counters)
+    peers = PeerClient(secrets.peer_key, clock, counters)
     replica = ConfigReplica(log, clock, counters)
+    router = Router(settings.vm, settings.data_centre, settings.peer_address)
+    limiter = Limiter(router, replica, peers, peer_server, clock, counters)
+    vm_list = (
+        VmListClient(settings.vm_list_address) if settings.vm_list_address else None
+    )
+    membership = Membership(
+        router, log, vm_list, clock, counters, release=limiter.release
+    )
+    membership.on_change(limiter.follow)
     policy = make_policy(settings.policy, clock)
     health = Health(clock, counters)
     watcher = Watcher(replica, policy, health, clock, counters)
     engines = EngineClient(counters)
-    limiter = UnlimitedLimiter()
     services = RelayServices(
         engines,
         policy,
@@ -53,13 +69,25 @@
             **admin_endpoints(replica, secrets),
         },
         refuse_unknown_route,
-        lambda: replica.current() is not None,
+        lambda: replica.current() is not None and limiter.is_ready,
         lambda: lifecycle.stopping,
+        lambda: limiter.holds_shares,
         counters,
     )
     http = HttpServer(settings.address, gateway)
     return Daemon(
-        settings, lifecycle, http, peer_server, [replica.start, watcher.start], []
+        settings,
+        lifecycle,
+        http,
+        peer_server,
+        on_start=[replica.start, limiter.start, membership.start, watcher.start],
+        on_stop=[
+            lambda: limiter.drain(DRAIN_TIMEOUT),
+            lambda: membership.leave(LEAVE_TIMEOUT),
+            limiter.stop,
+            membership.stop,
+            peers.close,
+        ],
     )
 
 
--- a/libs/gateway/src/mulberryhub/gateway/app.py
+++ b/libs/gateway/src/mulberryhub/gateway/app.py
@@ -2,10 +2,12 @@
 
 from http import HTTPStatus
 
+import msgspec
+
 from mulberryhub.base.errors import Code, HubError, Ran
 from mulberryhub.base.logs import module_logger
 from mulberryhub.gateway.call import Call, Reply
-from mulberryhub.gateway.replies import error_reply
+from mulberryhub.gateway.replies import error_reply, json_reply
 
 log = module_logger(__name__)
 
@@ -24,12 +26,19 @@
         self.handle = handle
 
 
+class Readiness(msgspec.Struct):
+    """The answer of a router that is ready."""
+
+    holds_shares: bool
+
+
 class Gateway:
     """Dispatches calls by path.
 
     `endpoints_by_path` holds the fixed paths; `fallback(call)` answers the
-    others. `is_ready()` tells whether calls can be served and `is_stopping()`
-    whether the balancer should send no new ones.
+    others. `is_ready()` tells whether calls can be served, `is_stopping()` whether
+    the balancer should send no new ones, and `holds_shares()` whether the router
+    admits requests from its own shares (else it borrows).
     """
 
     __slots__ = (
@@ -37,16 +46,20 @@
         "_fallback",
         "_is_ready",
         "_is_stopping",
+        "_holds_shares",
         "_counters",
     )
 
-    def __init__(self, endpoints_by_path, fallback, is_ready, is_stopping, counters):
+    def __init__(
+        self, endpoints_by_path, fallback, is_ready, is_stopping, holds_shares, counters
+    ):
         self.endpoints_by_path = dict(endpoints_by_path)
         self.endpoints_by_path["/healthz"] = Endpoint("GET", self._health)
         self.endpoints_by_path["/readyz"] = Endpoint("GET", self._readiness)
         self._fallback = fallback
         self._is_ready = is_ready
         self._is_stopping = is_stopping
+        self._holds_shares = holds_shares
         self._counters = counters
 
     def __call__(self, environ, start_response):
@@ -106,4 +119,4 @@
         self.require_ready()
         if self._is_stopping():
             raise HubError(Code.STOPPING, "the router is stopping")
-        return Reply(200, b"ready\n", "text/plain")
+        return json_reply(Readiness(self._holds_shares()))
--- a/libs/limits/src/mulberryhub/limits/limiter.py
+++ b/libs/limits/src/mulberryhub/limits/limiter.py
@@ -66,6 +66,14 @@
         """Tell whether the routers are known, so that requests can be admitted."""
         return self._members is not None
 
+    @property
+    def holds_shares(self):
+        """Tell whether this router is a member that all others have made room for."""
+        members = self._members
+        if members is None or not members.includes(self._router):
+            return False
+        return all(self._router.vm in view.vms for view in members.views)
+
     def start(self):
         """Serve those who wait and borrow for them, on a green thread."""
         self._thread = spawn(self._run)
