Show that the tests of streams fail without their mechanisms

Cause: a test that passes with its mechanism broken proves nothing.

Change: the stand-in's crossed answer is now the whole answer to another request, and tests in which a stream goes on elsewhere check that the next engine was given just what was delivered.

--- a/libs/standins/src/mulberryhub/standins/engine.py
+++ b/libs/standins/src/mulberryhub/standins/engine.py
@@ -152,6 +152,9 @@
         self.batch.submit(sequence)
 
     def _stream(self, sequence, start, chat, connection):
+        if self.faults.take("crossed"):
+            sequence = _foreign_answer()
+            start = 0
         chunks = self._chunks(sequence, start, chat, connection)
         headers = self._headers(sequence)
         headers.append(("Content-Type", "text/event-stream"))
@@ -194,7 +197,7 @@
                 if index == end:
                     raise ConnectionError("cut")
                 if crossed and index == sequence.start + CROSSED_INDEX:
-                    yield event(index, _foreign_chunk(chat))
+                    yield event(index, chunk(_foreign_answer(), " foreign", chat))
                 text = sequence.tokens[index - sequence.start]
                 yield event(index, chunk(sequence, text, chat, index))
                 index += 1
@@ -207,9 +210,8 @@
         yield b"data: [DONE]\n\n"
 
     def _headers(self, sequence):
-        id = uuid4().hex if self.faults.take("crossed") else sequence.id
         return [
-            ("X-Request-Id", id),
+            ("X-Request-Id", sequence.id),
             ("X-Incarnation", self.incarnation),
             ("X-Model-Version", sequence.version),
             ("X-Load", msgspec.json.encode(self.loads.current()).decode()),
@@ -282,9 +284,12 @@
         self.connections.silence()
 
 
-def _foreign_chunk(chat):
-    other = Sequence(uuid4().hex, "")
-    return chunk(other, " foreign", chat)
+def _foreign_answer():
+    """Return the finished answer to a request that nobody here has sent."""
+    sequence = Sequence(uuid4().hex, "")
+    sequence.tokens = [" foreign"] * 4
+    sequence.finish_reason = "length"
+    return sequence
 
 
 def make_engine(options, clock=None):
--- a/libs/standins/src/mulberryhub/standins/engine_faults.py
+++ b/libs/standins/src/mulberryhub/standins/engine_faults.py
@@ -3,7 +3,7 @@
 Lasting faults: `slow` (factor on all times), `late` (ms before each answer),
 `poison` (a request whose prompt holds this text ends the process once it runs),
 `cut_after` (tokens after which a stream breaks, `cuts` times).
-Counted faults: `cuts`, `crossed` (answers under the id of another request),
+Counted faults: `cuts`, `crossed` (streams that are those of another request),
 `crossed_chunks` (streams with one chunk of another request).
 Actions: `crash` (the process ends), `restart_empty` (everything is dropped and open
 connections break), `silence` (open connections never answer again, new ones do).
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -160,11 +160,15 @@
     assert low.active
 
 
-def test_crossed_answer_has_another_id(start):
+def test_crossed_answer_is_that_of_another_request(start):
     engine = start()
     engine.fault(crossed=1)
-    assert complete(engine).headers["X-Request-Id"] != "r"
-    assert complete(engine).headers["X-Request-Id"] == "r"
+    body = {"model": "m", "prompt": PROMPT, "max_tokens": 4, "stream": True}
+    headers = {"X-Request-Id": "r"}
+    for foreign in (True, False):
+        answer = post(engine, "/v1/completions", body, **headers)
+        assert (answer.headers["X-Request-Id"] != "r") == foreign
+        assert (b"foreign" in answer.data) == foreign
 
 
 def test_stream_without_reader_ends(start):
--- a/tests/system/test_streams.py
+++ b/tests/system/test_streams.py
@@ -48,6 +48,12 @@
     assert stream.text == expected(stream.body)
 
 
+def check_continued(fleet, stream):
+    """Check that the other engines were given just what was delivered."""
+    totals = [report(engine)["totals"] for engine in others(fleet, stream)]
+    assert sum(item["mismatched"] for item in totals) == 0
+
+
 def kill(engine):
     engine.kill()
 
@@ -71,8 +77,7 @@
         stream = CallerStream(router(fleet), request_body()).read(tokens)
         fault(fleet.engine_of(stream))
         check_complete(stream.read())
-        totals = [report(engine)["totals"] for engine in others(fleet, stream)]
-        assert [item["mismatched"] for item in totals] == [0]
+        check_continued(fleet, stream)
 
 
 FAULTS = {
@@ -157,6 +162,7 @@
         second = resume(fleet, 1, first).read(5)
         fleet.engine_of(second).kill()
         check_resumed(first, second.read())
+        check_continued(fleet, second)
 
 
 def test_reconnect_of_a_caller_that_left(streams):
