Exchange routing news between neighbours on a ring of routers

Cause: work outstanding and sightings of peers let a router see waits that reports show 1 to 3 s late; a call costs each end about a millisecond, so news must be few.

Ruled out: sending to all peers (all-to-all at 400 routers), one call for each direction (twice the calls), news for each request.

Change: NewsExchange calls at most four next routers on a ring of hashed names every 250 ms, and each call carries news both ways; up to nine routers hear all others. Rules are read at each choice, so that a change is in force at once.

--- a/benchmarks/routing/__main__.py
+++ b/benchmarks/routing/__main__.py
@@ -14,7 +14,6 @@
     with_hot_prefix,
     with_shift,
 )
-from mulberryhub.config.inventory import Rules
 from mulberryhub.routing.cost import Elements, make_cost_policy
 from mulberryhub.routing.policies import make_policy, policy_names
 
@@ -32,10 +31,10 @@
             return make_bound(model, profile, profile.engines)
         if policy == "bound":
             return make_bound(model, profile)
-        rules = Rules(
-            latency_weight=profile.latency_weight,
-            recomputation_weight=profile.recomputation_weight,
-        )
+
+        def rules():
+            return profile.rules
+
         name, *without = policy.split("-")
         if without:
             elements = Elements(**dict.fromkeys(without, False))
--- a/benchmarks/routing/bound.py
+++ b/benchmarks/routing/bound.py
@@ -23,8 +23,8 @@
 
         def cost(engine):
             prefill = PREFILL_COST * engine.missing(request)
-            total = profile.latency_weight * (engine.wait(now) + prefill)
-            total += profile.recomputation_weight * prefill
+            total = profile.rules.latency_weight * (engine.wait(now) + prefill)
+            total += profile.rules.recomputation_weight * prefill
             if engine is not order[0]:
                 total += AWAY_SHARE * PREFILL_COST * request.tokens
             return total
--- a/benchmarks/routing/model.py
+++ b/benchmarks/routing/model.py
@@ -7,12 +7,12 @@
 from benchmarks.routing.engines import Engine, Job
 from benchmarks.routing.profiles import BLOCK
 from mulberryhub.routing.chain import prefix_chain
+from mulberryhub.routing.exchange import PERIOD, called_peers
 from mulberryhub.routing.request import RouteRequest, Scope
 
 ROUTERS = 6
 REPORT_PERIOD = 1_000  # ms
 REPORT_LAG = (1_000, 3_000)  # ms
-EXCHANGE_PERIOD = 200  # ms
 EXCHANGE_DELAY = 1  # ms
 RETRY_DELAY = 200  # ms
 FAULT_AT = 30_000  # ms
@@ -76,7 +76,7 @@
         for engine in self.engines:
             self.later(self.random.uniform(0, REPORT_PERIOD), self._report, engine)
         for i in range(len(self.policies)):
-            self.later(self.random.uniform(0, EXCHANGE_PERIOD), self._exchange, i)
+            self.later(self.random.uniform(0, PERIOD), self._exchange, i)
         if fault:
             self.later(FAULT_AT, fault, self)
         while len(self.results) < len(calls):
@@ -132,16 +132,17 @@
         engine.send(Job(request, call, first, end, lost, decision.priority), now)
 
     def _exchange(self, now, number):
-        """Send the news of one router to all others."""
-        policy = self.policies[number]
-        news = policy.news()
-        for peer in self.policies:
-            if peer is not policy:
-                self.later(EXCHANGE_DELAY, self._heard, peer, number, news)
-        self.later(EXCHANGE_PERIOD, self._exchange, number)
-
-    def _heard(self, now, peer, number, news):
-        peer.heard(f"router-{number}", news)
+        """Exchange news of one router with the peers that it calls."""
+        policy, name = self.policies[number], router_name(number)
+        policies_by_name = {router_name(i): p for i, p in enumerate(self.policies)}
+        for peer in called_peers(name, policies_by_name):
+            other = policies_by_name[peer]
+            self.later(EXCHANGE_DELAY, self._heard, other, name, policy.news(peer))
+            self.later(EXCHANGE_DELAY, self._heard, policy, peer, other.news(name))
+        self.later(PERIOD, self._exchange, number)
+
+    def _heard(self, now, policy, peer, news):
+        policy.heard(peer, news)
 
     def _report(self, now, engine):
         report, incarnation = engine.report(), engine.incarnation
@@ -155,6 +156,11 @@
             policy.reported(engine.id, report, int(now - at))
 
 
+def router_name(number):
+    """Return the name of a router."""
+    return f"router-{number}"
+
+
 def crash_fault(now, model):
     """Crash one engine, which comes back empty at once."""
     engine = model.engines[0]
--- a/benchmarks/routing/profiles.py
+++ b/benchmarks/routing/profiles.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from mulberryhub.config.inventory import Rules
+
 BLOCK = 2_000  # tokens
 SHIFT_PERIOD = 30_000  # ms
 BURST_PERIOD = 4_000  # ms
@@ -40,8 +42,7 @@
     short_output_tokens: tuple[int, int]
     short_share: float
     cache_blocks: int
-    latency_weight: float
-    recomputation_weight: float
+    rules: Rules
     burstiness: float
 
 
@@ -56,8 +57,7 @@
         short_output_tokens=(20, 60),
         short_share=0.1,
         cache_blocks=100,
-        latency_weight=1.0,
-        recomputation_weight=0.2,
+        rules=Rules(latency_weight=1.0, recomputation_weight=0.2),
         burstiness=0.5,
     ),
     "kowhai": Profile(
@@ -70,8 +70,7 @@
         short_output_tokens=(80, 160),
         short_share=0.3,
         cache_blocks=300,
-        latency_weight=0.5,
-        recomputation_weight=1.0,
+        rules=Rules(latency_weight=0.5, recomputation_weight=1.0),
         burstiness=0.2,
     ),
 }
--- a/libs/routing/src/mulberryhub/routing/cost.py
+++ b/libs/routing/src/mulberryhub/routing/cost.py
@@ -1,5 +1,8 @@
 """The cost policy: expected time to first token and tokens recomputed, weighed."""
 
+from collections import deque
+from itertools import islice
+
 import msgspec
 
 from mulberryhub.routing.knowledge import Knowledge, Retention
@@ -10,7 +13,8 @@
 HOME_ENGINES = 2
 ORDER_LENGTH = 8  # engines
 AWAY_SHARE = 0.25  # of the prefill of the whole prompt
-SIGHTINGS_KEPT = 64
+SIGHTINGS_KEPT = 128
+PEERS_KEPT = 64
 DIGEST_BYTES = 8
 
 
@@ -37,7 +41,15 @@
 class CostState(PolicyState):
     """What the cost policy keeps besides loads."""
 
-    __slots__ = ("knowledge", "retention", "rules", "elements", "news")
+    __slots__ = (
+        "knowledge",
+        "retention",
+        "rules",
+        "elements",
+        "_sightings",
+        "_sighted",
+        "_told_by_peer",
+    )
 
     def __init__(self, rules, elements):
         super().__init__()
@@ -45,7 +57,24 @@
         self.retention = Retention()
         self.rules = rules
         self.elements = elements
-        self.news = []
+        self._sightings = deque(maxlen=SIGHTINGS_KEPT)
+        self._sighted = 0
+        self._told_by_peer = {}
+
+    def sighted(self, sighting):
+        """Keep `sighting` for the peers."""
+        self._sightings.append(sighting)
+        self._sighted += 1
+
+    def sightings_for(self, peer):
+        """Return the sightings that `peer` was not told of."""
+        told = self._told_by_peer.pop(peer, 0)
+        count = min(self._sighted - told, len(self._sightings))
+        self._told_by_peer[peer] = self._sighted
+        if len(self._told_by_peer) > PEERS_KEPT:
+            del self._told_by_peer[next(iter(self._told_by_peer))]
+        start = len(self._sightings) - count
+        return list(islice(self._sightings, start, None))
 
 
 class CostPolicy(Policy):
@@ -69,18 +98,17 @@
             self.state.retention.learn(sighting, was_held)
         digests = level_digests(request)
         self._record(engine_id, digests)
-        if len(self.state.news) < SIGHTINGS_KEPT:
-            self.state.news.append(Sighting(engine_id, digests))
+        self.state.sighted(Sighting(engine_id, digests))
 
     def forgotten(self, engine_id):
         """Drop the reports and sightings of an incarnation that is gone."""
         super().forgotten(engine_id)
         self.state.knowledge.forget_engine(engine_id)
 
-    def news(self):
-        """Return work outstanding now and what was seen since the last call."""
-        sightings, self.state.news = self.state.news, []
-        return RoutingNews(self.state.loads.outstanding(), sightings)
+    def news(self, peer):
+        """Return work outstanding now and the sightings that `peer` has not had."""
+        outstanding = self.state.loads.outstanding()
+        return RoutingNews(outstanding, self.state.sightings_for(peer))
 
     def heard(self, peer, news):
         """Take in the RoutingNews of the router named `peer`."""
@@ -97,7 +125,7 @@
 
 
 def make_cost_policy(clock, rules, elements=Elements()):  # noqa: B008
-    """Return a cost policy with state of its own."""
+    """Return a cost policy with state of its own; `rules()` returns the Rules."""
     state = CostState(rules, elements)
     return CostPolicy("cost", state, cost_rank(state), clock)
 
@@ -154,7 +182,7 @@
     missing = expected_missing(state, decision, is_first, engine, now)
     prefill = missing * engine.prefill_cost
     wait = expected_wait(state, engine, now)
-    rules = state.rules
+    rules = state.rules()
     total = rules.latency_weight * (wait + prefill)
     total += rules.recomputation_weight * prefill
     if state.elements.away_cost and not is_first:
--- a/libs/routing/src/mulberryhub/routing/policies.py
+++ b/libs/routing/src/mulberryhub/routing/policies.py
@@ -13,9 +13,9 @@
 def make_policy(name, clock, seed=0, rules=None):
     """Return the policy `name` with state of its own; KeyError if there is none.
 
-    `rules` are the Rules of the inventory, the default ones if None.
+    `rules()` returns the Rules in force; by default they are the usual ones.
     """
-    rules = rules or Rules()
+    rules = rules or Rules
     if name == "cost":
         return make_cost_policy(clock, rules)
     make_rank = RANKS_BY_NAME[name]
--- a/libs/routing/src/mulberryhub/routing/policy.py
+++ b/libs/routing/src/mulberryhub/routing/policy.py
@@ -85,8 +85,8 @@
         """Drop what is known of an engine that came back as a new incarnation."""
         self.state.loads.get(engine_id).forget_reports()
 
-    def news(self):
-        """Return what peers may use, to be sent to them a few times a second."""
+    def news(self, peer):
+        """Return what the router named `peer` may use and has not been told."""
         return RoutingNews()
 
     def heard(self, peer, news):
--- a/tests/routing/test_cost.py
+++ b/tests/routing/test_cost.py
@@ -25,7 +25,7 @@
 
 @pytest.fixture
 def policy(clock):
-    return make_cost_policy(clock, Rules())
+    return make_cost_policy(clock, Rules)
 
 
 def request(question="which seal?", document=DOCUMENT):
@@ -43,7 +43,7 @@
     for _ in range(5):
         decision = policy.choose(request(), ENGINES, clock.now())
         run(policy, decision, decision.order[0], 8_000)
-    fresh = make_cost_policy(clock, Rules())
+    fresh = make_cost_policy(clock, Rules)
     assert fresh.choose(request(), ENGINES, 0).order[0] == decision.order[0]
 
 
@@ -81,14 +81,15 @@
 
 
 def test_holder_that_a_peer_saw_is_weighed(clock, policy):
-    peer = make_cost_policy(clock, Rules())
+    peer = make_cost_policy(clock, Rules)
     decision = peer.choose(request(), ENGINES, clock.now())
     last = decision.order[-1]
     run(peer, decision, last, 8_000)
-    data = msgspec.msgpack.encode(peer.news())
+    data = msgspec.msgpack.encode(peer.news("router-b"))
     policy.heard("router-b", msgspec.msgpack.decode(data, type=RoutingNews))
     assert last in policy.choose(request(), ENGINES, clock.now()).missing_by_id
-    assert peer.news().sightings == []
+    assert peer.news("router-b").sightings == []
+    assert len(peer.news("router-c").sightings) == 1
 
 
 def test_new_incarnation_is_not_thought_to_hold_anything(clock, policy):
@@ -112,7 +113,7 @@
 @pytest.mark.parametrize("weight", [0.0, 4.0])
 def test_recomputation_weight_decides_between_copy_and_wait(clock, weight):
     rules = Rules(latency_weight=1.0, recomputation_weight=weight)
-    policy = make_cost_policy(clock, rules)
+    policy = make_cost_policy(clock, lambda: rules)
     decision = policy.choose(request(), ENGINES, clock.now())
     first = decision.order[0]
     run(policy, decision, first, 8_000)
