Add fair turns between workspaces, their priorities, and the time of a decision

Cause: one workspace at five times its rate makes all others wait, since engines serve what they are sent in order; a decision at 3,300 engines took 245 us at p95.

--- /dev/null
+++ b/benchmarks/decision.py
@@ -0,0 +1,98 @@
+"""Measures the time of one decision by the number of engines and known prefixes.
+
+Run `python -m benchmarks.decision`.
+"""
+
+import sys
+from time import perf_counter_ns
+
+import defopt
+import msgspec
+
+from mulberryhub.base.clock import Clock
+from mulberryhub.config.inventory import Rules, Upstream
+from mulberryhub.routing.chain import prefix_chain
+from mulberryhub.routing.cost import make_cost_policy
+from mulberryhub.routing.request import RouteRequest, Scope
+
+ENGINE_COUNTS = (10, 100, 1_000, 3_300)
+PREFIX_COUNTS = (0, 1_000, 4_000, 100_000)
+SCOPE = Scope("workspace", "model", "1")
+
+
+class Row(msgspec.Struct):
+    """Times in microseconds; `table_bytes` is about the size of what is known."""
+
+    engines: int
+    prefixes: int
+    p50: float
+    p95: float
+    p99: float
+    build_time: float
+    table_bytes: int
+
+
+def make_request(number):
+    """Return a request with three levels; each number has a part of its own."""
+    chain = prefix_chain(SCOPE, ["system", f"catalogue {number % 997}", str(number)])
+    return RouteRequest(
+        SCOPE, [*chain, b"own"], [4_000, 12_000, 16_000, 16_200], [0, 1, 2], 16_200
+    )
+
+
+def measure(engine_count, prefix_count, decisions):
+    """Return the Row for one size."""
+    clock = Clock()
+    policy = make_cost_policy(clock, Rules)
+    engines = [
+        Upstream(f"engine-{i}", "engine", "a", "", prefill_cost=0.05)
+        for i in range(engine_count)
+    ]
+    started = perf_counter_ns()
+    policy.choose(make_request(0), engines, clock.now())
+    build_time = (perf_counter_ns() - started) / 1_000
+    for number in range(prefix_count):
+        request = make_request(number)
+        decision = policy.choose(request, engines, clock.now())
+        policy.started(decision, decision.order[0])
+        policy.answered(decision, decision.order[0], 16_000, 50)
+        policy.ended(decision, decision.order[0])
+    times = []
+    for number in range(decisions):
+        request = make_request(number % max(1, prefix_count))
+        start = perf_counter_ns()
+        policy.choose(request, engines, clock.now())
+        times.append((perf_counter_ns() - start) / 1_000)
+    times.sort()
+    return Row(
+        engine_count,
+        prefix_count,
+        times[len(times) // 2],
+        times[int(len(times) * 0.95)],
+        times[int(len(times) * 0.99)],
+        build_time,
+        policy.state.knowledge.size_in_bytes(),
+    )
+
+
+def run(*, decisions: int = 5_000):
+    """Measure all sizes.
+
+    :param decisions: decisions timed for each size
+    """
+    rows = []
+    for engine_count in ENGINE_COUNTS:
+        for prefix_count in PREFIX_COUNTS:
+            row = measure(engine_count, prefix_count, decisions)
+            rows.append(row)
+            print(
+                f"{row.engines:6} engines {row.prefixes:7} prefixes: "
+                f"p50 {row.p50:.0f} p95 {row.p95:.0f} p99 {row.p99:.0f} us, "
+                f"first {row.build_time:.0f} us, table {row.table_bytes} bytes",
+                file=sys.stderr,
+            )
+    print(msgspec.json.encode(rows).decode())
+
+
+if __name__ == "__main__":
+    defopt.run(run)
--- a/benchmarks/routing/__main__.py
+++ b/benchmarks/routing/__main__.py
@@ -23,7 +23,7 @@
 COLUMNS = ("hit_rate", "wasted_share", "p50", "p95", "p99", "worst_p95", "busy_share")
 
 
-def make_model(profile, policy, seed):
+def make_model(profile, policy, seed, **fairness):
     """Return a model whose routers run the policy named `policy`."""
 
     def make(model, number):
@@ -41,7 +41,7 @@
             return make_cost_policy(model.clock, rules, elements)
         return make_policy(name, model.clock, seed * 100 + number, rules)
 
-    return Model(profile, make, seed)
+    return Model(profile, make, seed, **fairness)
 
 
 def run_once(profile, policy, seed, load=1.0, fault=None):
--- a/benchmarks/routing/model.py
+++ b/benchmarks/routing/model.py
@@ -6,6 +6,7 @@
 
 from benchmarks.routing.engines import Engine, Job
 from benchmarks.routing.profiles import BLOCK
+from mulberryhub.base.errors import HubError
 from mulberryhub.routing.chain import prefix_chain
 from mulberryhub.routing.exchange import PERIOD, called_peers
 from mulberryhub.routing.request import RouteRequest, Scope
@@ -14,6 +15,7 @@
 REPORT_PERIOD = 1_000  # ms
 REPORT_LAG = (1_000, 3_000)  # ms
 EXCHANGE_DELAY = 1  # ms
+DEADLINE = 30_000  # ms
 RETRY_DELAY = 200  # ms
 FAULT_AT = 30_000  # ms
 CUT_TIME = 10_000  # ms
@@ -44,10 +46,29 @@
         self.engine = engine
 
 
+class Attempt:
+    """One call on its way through a router; `since` is when it came first."""
+
+    __slots__ = ("call", "decision", "policy", "since", "gate", "cost")
+
+    def __init__(self, call, decision, policy, since):
+        self.call = call
+        self.decision = decision
+        self.policy = policy
+        self.since = since
+        self.gate = None
+        self.cost = 0
+
+    def leave(self):
+        """Tell the gate that the first token has come or never will."""
+        if self.gate is not None:
+            self.gate.leave(self.cost)
+
+
 class Model:
     """Routers with a policy each, before engines that they share."""
 
-    def __init__(self, profile, make, seed, routers=ROUTERS):
+    def __init__(self, profile, make, seed, routers=ROUTERS, gates=None, usages=None):
         self.clock = ModelClock()
         self.random = Random(seed)
         self.engines = [
@@ -59,7 +80,10 @@
         self.profile = profile
         self.make = make
         self.policies = [make(self, i) for i in range(routers)]
+        self.gates = [gates(self) for _ in range(routers)] if gates else None
+        self.usages = [usages(self) for _ in range(routers)] if usages else None
         self.results = []
+        self.refused = []
         self._agenda = []
         self._sequence = count()
         self._digests_by_path = {}
@@ -79,7 +103,7 @@
             self.later(self.random.uniform(0, PERIOD), self._exchange, i)
         if fault:
             self.later(FAULT_AT, fault, self)
-        while len(self.results) < len(calls):
+        while len(self.results) + len(self.refused) < len(calls):
             self.clock.time, _, function, arguments = heappop(self._agenda)
             function(self.clock.time, *arguments)
         return self.results
@@ -110,26 +134,60 @@
         return self._digests_by_path[key]
 
     def _arrive(self, now, call, since=None):
-        since = now if since is None else since
-        policy = self.random.choice(self.policies)
+        number = self.random.randrange(len(self.policies))
+        policy = self.policies[number]
         request = self.request_of(call)
         decision = policy.choose(request, self.live, int(now))
+        attempt = Attempt(call, decision, policy, now if since is None else since)
+        if self.usages is not None:
+            usage = self.usages[number]
+            decision.priority = usage.priority(call.workspace)
+            usage.add(call.workspace, request.tokens)
+        if self.gates is None:
+            self._send(attempt)
+            return
+        attempt.gate = self.gates[number]
+        attempt.cost = decision.missing(decision.order[0])
+        self._enter(attempt, int(attempt.since) + DEADLINE)
+
+    def _enter(self, attempt, deadline):
+        def start():
+            old = attempt.decision
+            now = int(self.clock.time)
+            attempt.decision = attempt.policy.choose(old.request, self.live, now)
+            attempt.decision.priority = old.priority
+            self._send(attempt)
+
+        arguments = attempt.call.workspace, attempt.cost, deadline, start
+        try:
+            if attempt.gate.submit(*arguments) is None:
+                start()
+        except HubError:
+            self.refused.append(attempt.call)
+
+    def _send(self, attempt):
+        decision, policy = attempt.decision, attempt.policy
         engine = self.engines_by_id[decision.order[0]]
+        sent_at = self.clock.time
         policy.started(decision, engine.id)
 
         def first(at, job):
-            duration = int(at - now)
-            policy.answered(decision, engine.id, job.cached, duration)
-            self.results.append(Result(call, request.tokens, job, at - since, engine))
+            attempt.leave()
+            policy.answered(decision, engine.id, job.cached, int(at - sent_at))
+            tokens, duration = decision.request.tokens, at - attempt.since
+            self.results.append(Result(attempt.call, tokens, job, duration, engine))
 
         def end(at, job):
             policy.ended(decision, engine.id)
 
         def lost(at):
+            attempt.leave()
             policy.ended(decision, engine.id)
-            self.later(RETRY_DELAY, self._arrive, call, since)
+            self.later(RETRY_DELAY, self._arrive, attempt.call, attempt.since)
 
-        engine.send(Job(request, call, first, end, lost, decision.priority), now)
+        priority = decision.priority
+        job = Job(decision.request, attempt.call, first, end, lost, priority)
+        engine.send(job, self.clock.time)
 
     def _exchange(self, now, number):
         """Exchange news of one router with the peers that it calls."""
--- a/libs/base/src/mulberryhub/base/digest.py
+++ b/libs/base/src/mulberryhub/base/digest.py
@@ -18,3 +18,9 @@
 def placement_score(seed, item):
     """Return a 64-bit rendezvous score of the bytes `item` under the bytes `seed`."""
     return xxh3_64_intdigest(seed + b"\0" + item)
+
+
+def placement_scores(seed, items):
+    """Return the rendezvous scores of all `items`, like placement_score."""
+    prefix = seed + b"\0"
+    return [xxh3_64_intdigest(prefix + item) for item in items]
--- a/libs/routing/src/mulberryhub/routing/knowledge.py
+++ b/libs/routing/src/mulberryhub/routing/knowledge.py
@@ -1,6 +1,7 @@
 """What a router has seen of engines' caches, for the prefixes used most recently."""
 
 from collections import OrderedDict
+from sys import getsizeof
 
 PREFIXES_KEPT = 4_096
 HOLDERS_KEPT = 8
@@ -8,6 +9,7 @@
 AGE_CLASSES = 10
 GAIN = 0.05
 UNSEEN = 0
+SIGHTING_SIZE = 32  # bytes
 
 
 class Knowledge:
@@ -21,6 +23,13 @@
     def __len__(self):
         return len(self._seen_by_prefix)
 
+    def size_in_bytes(self):
+        """Return about how much memory the entries take."""
+        return getsizeof(self._seen_by_prefix) + sum(
+            getsizeof(digest) + getsizeof(seen) + len(seen) * SIGHTING_SIZE
+            for digest, seen in self._seen_by_prefix.items()
+        )
+
     def seen_by_engine(self, digest):
         """Return the time at which each engine was last seen to hold `digest`."""
         return self._seen_by_prefix.get(digest, {})
--- a/libs/routing/src/mulberryhub/routing/placement.py
+++ b/libs/routing/src/mulberryhub/routing/placement.py
@@ -3,10 +3,10 @@
 from heapq import nlargest
 from math import log
 
-from mulberryhub.base.digest import placement_score
+from mulberryhub.base.digest import placement_score, placement_scores
 
 GROUP_SIZE = 64  # engines
-SCORE_RANGE = 2**64
+SCORE_RANGE = 2**64 + 1
 
 
 class Placement:
@@ -16,53 +16,68 @@
     it each engine has the same chance. Up to GROUP_SIZE engines are one group.
     """
 
-    __slots__ = ("engines", "engines_by_id", "_groups")
+    __slots__ = ("engines", "engines_by_id", "_groups", "_group_names", "_sizes")
 
     def __init__(self, engines):
         self.engines = engines
         self.engines_by_id = {engine.id: engine for engine in engines}
         count = _group_count(len(engines))
-        members_by_group = {}
+        groups_by_number = {}
         for engine in engines:
             name = engine.id.encode()
             number = placement_score(b"group", name) % count
-            members_by_group.setdefault(number, []).append((name, engine))
-        self._groups = [
-            (number.to_bytes(4), len(members), members)
-            for number, members in sorted(members_by_group.items())
-        ]
+            groups_by_number.setdefault(number, Group()).add(name, engine)
+        numbers = sorted(groups_by_number)
+        self._groups = [groups_by_number[number] for number in numbers]
+        self._group_names = [number.to_bytes(4) for number in numbers]
+        self._sizes = [len(group.names) for group in self._groups]
 
     def order(self, digest, count):
         """Return the best `count` engines for `digest`, the best first."""
+        if len(self._groups) == 1:
+            return self._groups[0].order(digest, count)
         engines = []
-        for members in self._ranked_groups(digest, count):
-            scored = [
-                (placement_score(digest, name), name, engine)
-                for name, engine in members
-            ]
-            best = nlargest(count - len(engines), scored, key=_score_and_name)
-            engines.extend(engine for _, _, engine in best)
+        for group in self._ranked_groups(digest, count):
+            engines.extend(group.order(digest, count - len(engines)))
             if len(engines) >= count:
                 break
         return engines
 
-    def reorder(self, digest, engines):
-        """Return `engines` in rendezvous order for `digest`."""
+    def _ranked_groups(self, digest, count):
+        scores = placement_scores(digest, self._group_names)
+        weighed = [
+            size / -log((score + 1) / SCORE_RANGE)
+            for size, score in zip(self._sizes, scores)
+        ]
+        first = weighed.index(max(weighed))
+        if self._sizes[first] >= count:
+            return [self._groups[first]]
+        order = sorted(range(len(weighed)), key=weighed.__getitem__, reverse=True)
+        return [self._groups[index] for index in order]
 
-        def score(engine):
-            return placement_score(digest, engine.id.encode()), engine.id
 
-        return sorted(engines, key=score, reverse=True)
+class Group:
+    """Engines with their names as bytes."""
 
-    def _ranked_groups(self, digest, count):
-        if len(self._groups) == 1:
-            return [self._groups[0][2]]
-        scored = []
-        for name, size, members in self._groups:
-            share = (placement_score(digest, name) + 1) / (SCORE_RANGE + 1)
-            scored.append((size / -log(share), name, members))
-        needed = min(len(scored), 1 + count // 8)
-        return [members for _, _, members in nlargest(needed, scored)]
+    __slots__ = ("names", "engines")
+
+    def __init__(self):
+        self.names = []
+        self.engines = []
+
+    def add(self, name, engine):
+        """Add an engine."""
+        self.names.append(name)
+        self.engines.append(engine)
+
+    def order(self, digest, count):
+        """Return the best `count` engines for `digest`, the best first."""
+        scored = list(
+            zip(
+                placement_scores(digest, self.names), self.names, range(len(self.names))
+            )
+        )
+        return [self.engines[index] for _, _, index in nlargest(count, scored)]
 
 
 def _group_count(engines):
@@ -70,7 +85,3 @@
     while count * GROUP_SIZE < engines:
         count *= 2
     return count
-
-
-def _score_and_name(item):
-    return item[0], item[1]
