--- a/benchmarks/routing/__main__.py
+++ b/benchmarks/routing/__main__.py
@@ -44,15 +44,20 @@
     return Model(profile, make, seed, **fairness)
 
 
-def run_once(profile, policy, seed, load=1.0, fault=None):
-    """Return the Figures of one run."""
+def run_results(profile, policy, seed, load=1.0, fault=None):
+    """Return the results of one run, and its model."""
     calls = make_calls(profile, seed, DURATION, load)
     if fault == "shift":
         calls = with_shift(calls, profile, FAULT_AT)
     if fault == "hot":
         calls = with_hot_prefix(calls, profile, FAULT_AT, seed)
     model = make_model(profile, policy, seed)
-    results = model.run(calls, FAULTS_BY_NAME.get(fault))
+    return model.run(calls, FAULTS_BY_NAME.get(fault)), model
+
+
+def run_once(profile, policy, seed, load=1.0, fault=None):
+    """Return the Figures of one run."""
+    results, model = run_results(profile, policy, seed, load, fault)
     start = FAULT_AT if fault else WARM_UP
     end = FAULT_AT + FAULT_WINDOW if fault else DURATION
     return figures_of(results, model, (start, end))
