Wire limits and membership into the daemon

Cause: requests were admitted without any allowance. Change: the daemon joins the members in the log, admits by Limiter, is ready only when it knows the routers, and on a graceful stop lends no more, waits until its loans have ended and leaves. The stub that admitted everything is gone. The wait of a new holder counts from the start of the process, not from the first sight of the workspace.

--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -4,7 +4,6 @@
 from mulberryhub.base.counters import statsd_counters
 from mulberryhub.base.errors import Code, HubError
 from mulberryhub.daemon.daemon import Daemon, Lifecycle
-from mulberryhub.daemon.unlimited import UnlimitedLimiter
 from mulberryhub.gateway.admin import apply_inventory
 from mulberryhub.gateway.app import Endpoint, Gateway
 from mulberryhub.gateway.attempts import RelayServices
@@ -12,9 +11,14 @@
 from mulberryhub.gateway.models import list_models
 from mulberryhub.gateway.resume_token import TokenSigner
 from mulberryhub.gateway.server import HttpServer
+from mulberryhub.limits.limiter import Limiter
+from mulberryhub.peers.client import PeerClient
+from mulberryhub.peers.members import Router
 from mulberryhub.peers.server import PeerServer
 from mulberryhub.platform.log import LogClient
+from mulberryhub.platform.vm_list import VmListClient
 from mulberryhub.replica.config import ConfigReplica
+from mulberryhub.replica.membership import Membership
 from mulberryhub.routing.policies import make_policy
 from mulberryhub.upstream.budget import RetryBudget
 from mulberryhub.upstream.engine import EngineClient
@@ -34,7 +38,10 @@
     health = Health(clock, counters)
     watcher = Watcher(replica, policy, health, clock, counters)
     engines = EngineClient(counters)
-    limiter = UnlimitedLimiter()
+    peers = PeerClient(secrets.peer_key, clock, counters)
+    router = Router(settings.vm, settings.data_centre, settings.peer_address)
+    limiter = Limiter(router, replica, peers, peer_server, clock, counters)
+    membership = build_membership(settings, router, log, clock, counters, limiter)
     services = RelayServices(
         engines,
         policy,
@@ -53,14 +60,25 @@
             **admin_endpoints(replica, secrets),
         },
         refuse_unknown_route,
-        lambda: replica.current() is not None,
+        lambda: replica.current() is not None and limiter.is_ready,
         lambda: lifecycle.stopping,
         counters,
     )
     http = HttpServer(settings.address, gateway)
-    return Daemon(
-        settings, lifecycle, http, peer_server, [replica.start, watcher.start], []
+    on_start = [replica.start, watcher.start, limiter.start, membership.start]
+    on_stop = [limiter.close, membership.close]
+    return Daemon(settings, lifecycle, http, peer_server, on_start, on_stop)
+
+
+def build_membership(settings, router, log, clock, counters, limiter):
+    """Return the membership, which tells `limiter` who shares the allowances."""
+    address = settings.vm_list_address
+    vm_list = VmListClient(address) if address else None
+    membership = Membership(
+        router, log, vm_list, clock, counters, release=limiter.release
     )
+    membership.on_change(limiter.follow)
+    return membership
 
 
 def completion_endpoints(completions, replica):
--- a/libs/limits/src/mulberryhub/limits/account.py
+++ b/libs/limits/src/mulberryhub/limits/account.py
@@ -25,20 +25,25 @@
 
 
 class Waiter:
-    """A request that waits for `cost` tokens; `parts` is set when it has them."""
+    """A request that waits for `cost` tokens.
 
-    __slots__ = ("cost", "parts", "event")
+    `parts` and the `time` of the debit in ms are set when it has them.
+    """
+
+    __slots__ = ("cost", "parts", "time", "event")
 
     def __init__(self, cost):
         self.cost = cost
         self.parts = None
+        self.time = None
         self.event = Event()
 
 
 class Account:
     """The allowance of one workspace as one router sees it.
 
-    `rate` (tokens per ms) and `burst` are those of the whole fleet.
+    `rate` (tokens per ms) and `burst` are those of the whole fleet. The own share
+    fills from the time `start` in ms on.
     """
 
     __slots__ = (
@@ -52,11 +57,11 @@
         "waiting_cost",
     )
 
-    def __init__(self, workspace, now):
+    def __init__(self, workspace, now, start):
         self.workspace = workspace
         self.rate = 0.0
         self.burst = 0.0
-        self.holding = Holding(now)
+        self.holding = Holding(start)
         self.borrowings = Borrowings(workspace)
         self.demand = Demand(now)
         self.waiters = deque()
@@ -127,6 +132,7 @@
             waiter.parts = self.take(waiter.cost, now)
             if waiter.parts is None:
                 return
+            waiter.time = now
             self.remove_waiter(waiter)
             waiter.event.send()
 
--- a/libs/limits/src/mulberryhub/limits/grant.py
+++ b/libs/limits/src/mulberryhub/limits/grant.py
@@ -2,15 +2,16 @@
 
 
 class Grant:
-    """Tokens debited for one request.
+    """Tokens debited for one request at `time` in ms.
 
     `give_back(parts, unused)` returns unused tokens to where they came from.
     """
 
-    __slots__ = ("cost", "_parts", "_give_back")
+    __slots__ = ("cost", "time", "_parts", "_give_back")
 
-    def __init__(self, cost, parts, give_back):
+    def __init__(self, cost, time, parts, give_back):
         self.cost = cost
+        self.time = time
         self._parts = parts
         self._give_back = give_back
 
--- a/libs/limits/src/mulberryhub/limits/holding.py
+++ b/libs/limits/src/mulberryhub/limits/holding.py
@@ -24,13 +24,14 @@
 class Holding:
     """A share of one workspace's rate and burst that this router keeps.
 
-    The bucket starts to fill when no loan of an earlier run can be used any more.
+    The bucket fills from empty from the time `start` in ms on, when no loan of an
+    earlier run of the router can be used any more.
     """
 
     __slots__ = ("bucket", "_loans_by_id", "_open_ids")
 
-    def __init__(self, now):
-        self.bucket = Bucket(now + CLOSED_TIME)
+    def __init__(self, start):
+        self.bucket = Bucket(start)
         self._loans_by_id = {}
         self._open_ids = {}
 
--- a/libs/limits/src/mulberryhub/limits/limiter.py
+++ b/libs/limits/src/mulberryhub/limits/limiter.py
@@ -7,6 +7,7 @@
 from mulberryhub.base.green import sleep, spawn
 from mulberryhub.limits.account import Account
 from mulberryhub.limits.grant import Grant
+from mulberryhub.limits.holding import CLOSED_TIME
 from mulberryhub.limits.lender import Lender
 from mulberryhub.limits.link import Link
 from mulberryhub.limits.planner import Planner
@@ -41,6 +42,7 @@
         "_links_by_vm",
         "_loan_numbers",
         "_reports_due",
+        "_fill_start",
         "_thread",
     )
 
@@ -59,6 +61,7 @@
         self._links_by_vm = {}
         self._loan_numbers = count(1)
         self._reports_due = 0
+        self._fill_start = clock.now() + CLOSED_TIME
         self._thread = None
 
     @property
@@ -70,8 +73,9 @@
         """Serve those who wait and borrow for them, on a green thread."""
         self._thread = spawn(self._run)
 
-    def stop(self):
-        """Stop borrowing."""
+    def close(self):
+        """Lend no more, wait for the loans to end, and stop borrowing."""
+        self.drain(CLOSED_TIME + IDLE_TICK)
         if self._thread is not None:
             self._thread.kill()
         for link in self._links_by_vm.values():
@@ -127,12 +131,13 @@
         account = self._account_of(workspace)
         now = self._clock.now()
         account.demand.add(cost, now)
+        give_back = partial(self._give_back, account)
         parts = None if account.waiters else account.take(cost, now)
         if parts is None:
-            parts = self._wait(account, cost, deadline)
-        else:
-            self._borrow(account, now)
-        return Grant(cost, parts, partial(self._give_back, account))
+            waiter = self._wait(account, cost, deadline)
+            return Grant(cost, waiter.time, waiter.parts, give_back)
+        self._borrow(account, now)
+        return Grant(cost, now, parts, give_back)
 
     def allowance(self):
         """Return the level of the own share by workspace, in tokens."""
@@ -195,7 +200,7 @@
             error = self._over_rate(account, cost)
             self._withdraw(account, waiter)
             raise error
-        return waiter.parts
+        return waiter
 
     def _withdraw(self, account, waiter):
         if waiter.parts is None:
@@ -315,7 +320,7 @@
     def _account_of(self, workspace):
         account = self._accounts_by_workspace.get(workspace.id)
         if account is None:
-            account = Account(workspace.id, self._clock.now())
+            account = Account(workspace.id, self._clock.now(), self._fill_start)
             self._accounts_by_workspace[workspace.id] = account
             self._planners_by_workspace[workspace.id] = Planner(account)
             self._resize_account(account, workspace)
--- a/libs/replica/src/mulberryhub/replica/membership.py
+++ b/libs/replica/src/mulberryhub/replica/membership.py
@@ -28,6 +28,7 @@
 SETTLE_TIME = 30_000  # ms
 RANK_DELAY = 1_000  # ms
 APPEND_INTERVAL = 2_000  # ms
+LEAVE_TIMEOUT = 5_000  # ms
 ADOPT_SPREAD = 4  # ms per member
 SNAPSHOT_INTERVAL = 600_000  # ms
 SNAPSHOT_RECORDS = 500  # records
@@ -117,6 +118,12 @@
         for thread in self._threads:
             thread.kill()
 
+    def close(self):
+        """Leave, when the log allows it soon, and stop following."""
+        if not self.leave(LEAVE_TIMEOUT):
+            log.warning("the log did not confirm that this router has left")
+        self.stop()
+
     def leave(self, timeout):
         """Say in the log that this router holds nothing any more.
 
--- a/tests/limits/fleet_model.py
+++ b/tests/limits/fleet_model.py
@@ -4,9 +4,9 @@
 replaced. Each router has a clock of its own that drifts within the bound.
 """
 
+from mulberryhub.limits import holding
 from mulberryhub.limits.account import Account
 from mulberryhub.limits.bucket import MAX_DRIFT
-from mulberryhub.limits.holding import CLOSED_TIME
 from mulberryhub.limits.shares import fraction_of
 from mulberryhub.peers.members import Router
 from mulberryhub.replica.member_records import Adopted, Gone, Joined, Left
@@ -24,7 +24,7 @@
     def __init__(self, vm, now):
         self.router = Router(vm, "dc", vm)
         self.table = MemberTable()
-        self.account = Account("w", now)
+        self.account = Account("w", now, now + holding.CLOSED_TIME)
         self.grants = []
         self.loan_number = 0
 
@@ -96,7 +96,7 @@
 
     def gone(self, vm):
         crashed, incarnation = self.crashed_by_vm.get(vm, (None, None))
-        if crashed is not None and self.time > crashed + 2 * CLOSED_TIME:
+        if crashed is not None and self.time > crashed + 2 * holding.CLOSED_TIME:
             self.records.append(Gone(vm, incarnation, "x"))
 
     def leave(self, vm):
--- a/tests/limits/test_bound.py
+++ b/tests/limits/test_bound.py
@@ -177,8 +177,8 @@
     return 1 / len(members.newest.vms) if router.vm in members.newest.vms else 0.0
 
 
-def start_at_once(self, now):
-    original_init(self, now - holding.CLOSED_TIME)
+def start_at_once(self, start):
+    original_init(self, start - holding.CLOSED_TIME)
 
 
 original_init = holding.Holding.__init__
