--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -25,9 +25,6 @@
 from mulberryhub.upstream.health import Health
 from mulberryhub.upstream.watcher import Watcher
 
-DRAIN_TIMEOUT = 5_000  # ms
-LEAVE_TIMEOUT = 2_000  # ms
-
 
 def build(settings, secrets):
     """Return the daemon for `settings` and `secrets`, not yet started."""
@@ -36,21 +33,15 @@
     lifecycle = Lifecycle()
     log = LogClient(settings.log_address)
     peer_server = PeerServer(settings.peer_address, secrets.peer_key, counters)
-    peers = PeerClient(secrets.peer_key, clock, counters)
     replica = ConfigReplica(log, clock, counters)
-    router = Router(settings.vm, settings.data_centre, settings.peer_address)
-    limiter = Limiter(router, replica, peers, peer_server, clock, counters)
-    vm_list = (
-        VmListClient(settings.vm_list_address) if settings.vm_list_address else None
-    )
-    membership = Membership(
-        router, log, vm_list, clock, counters, release=limiter.release
-    )
-    membership.on_change(limiter.follow)
     policy = make_policy(settings.policy, clock)
     health = Health(clock, counters)
     watcher = Watcher(replica, policy, health, clock, counters)
     engines = EngineClient(counters)
+    peers = PeerClient(secrets.peer_key, clock, counters)
+    router = Router(settings.vm, settings.data_centre, settings.peer_address)
+    limiter = Limiter(router, replica, peers, peer_server, clock, counters)
+    membership = build_membership(settings, router, log, clock, counters, limiter)
     services = RelayServices(
         engines,
         policy,
@@ -75,20 +66,20 @@
         counters,
     )
     http = HttpServer(settings.address, gateway)
-    return Daemon(
-        settings,
-        lifecycle,
-        http,
-        peer_server,
-        on_start=[replica.start, limiter.start, membership.start, watcher.start],
-        on_stop=[
-            lambda: limiter.drain(DRAIN_TIMEOUT),
-            lambda: membership.leave(LEAVE_TIMEOUT),
-            limiter.stop,
-            membership.stop,
-            peers.close,
-        ],
+    on_start = [replica.start, watcher.start, limiter.start, membership.start]
+    on_stop = [limiter.close, membership.close, peers.close]
+    return Daemon(settings, lifecycle, http, peer_server, on_start, on_stop)
+
+
+def build_membership(settings, router, log, clock, counters, limiter):
+    """Return the membership, which tells `limiter` who shares the allowances."""
+    address = settings.vm_list_address
+    vm_list = VmListClient(address) if address else None
+    membership = Membership(
+        router, log, vm_list, clock, counters, release=limiter.release
     )
+    membership.on_change(limiter.follow)
+    return membership
 
 
 def completion_endpoints(completions, replica):
--- a/tests/limits/fleet_model.py
+++ b/tests/limits/fleet_model.py
@@ -4,9 +4,9 @@
 replaced. Each router has a clock of its own that drifts within the bound.
 """
 
+from mulberryhub.limits import holding
 from mulberryhub.limits.account import Account
 from mulberryhub.limits.bucket import MAX_DRIFT
-from mulberryhub.limits.holding import CLOSED_TIME
 from mulberryhub.limits.shares import fraction_of
 from mulberryhub.peers.members import Router
 from mulberryhub.replica.member_records import Adopted, Gone, Joined, Left
@@ -24,7 +24,7 @@
     def __init__(self, vm, now):
         self.router = Router(vm, "dc", vm)
         self.table = MemberTable()
-        self.account = Account("w", now)
+        self.account = Account("w", now, now + holding.CLOSED_TIME)
         self.grants = []
         self.loan_number = 0
 
@@ -96,7 +96,7 @@
 
     def gone(self, vm):
         crashed, incarnation = self.crashed_by_vm.get(vm, (None, None))
-        if crashed is not None and self.time > crashed + 2 * CLOSED_TIME:
+        if crashed is not None and self.time > crashed + 2 * holding.CLOSED_TIME:
             self.records.append(Gone(vm, incarnation, "x"))
 
     def leave(self, vm):
@@ -110,11 +110,21 @@
 
     def admit(self, vm, cost):
         node = self.nodes_by_vm.get(vm)
-        parts = node and node.account.take(cost, self.now(vm))
+        parts = node and cost and node.account.take(cost, self.now(vm))
         if parts:
             self.admissions.append([self.time, cost])
             node.grants.append((parts, cost, len(self.admissions) - 1))
 
+    def spend(self, vm):
+        """Admit all that can be admitted."""
+        node = self.nodes_by_vm.get(vm)
+        if node:
+            self.admit(vm, int(node.account.available(self.now(vm))))
+
+    def spend_all(self):
+        for vm in list(self.nodes_by_vm):
+            self.spend(vm)
+
     def settle(self, vm, index, used_percent):
         node = self.nodes_by_vm.get(vm)
         if node and node.grants:
@@ -135,6 +145,27 @@
         self.messages.append(("ask", vm, run, holder, ask))
         self.report(vm, holder)
 
+    def borrow(self, vm, holder, wanted):
+        """Ask, and get the answer at once."""
+        self.ask(vm, holder, wanted)
+        self.deliver_all()
+
+    def deliver_all(self):
+        while self.messages:
+            self.deliver(0)
+
+    def agree(self):
+        """Let all routers read the log and adopt what is in it."""
+        for _ in range(2):
+            for vm in list(self.nodes_by_vm):
+                self.read(vm)
+                self.adopt(vm)
+
+    def restart(self, vm):
+        self.crash(vm)
+        self.start(vm)
+        self.read(vm)
+
     def report(self, vm, holder):
         node = self.nodes_by_vm.get(vm)
         if node is None:
