Keep the configuration through retention, restarts, pauses and log outages

Cause: the log keeps records for a limited time and has outages, routers restart with nothing kept, and a withdrawn key must stop while the log is down.

A start asks three peers and the log at once. Withdrawals are pushed to eight peers, passed on to three, and found by comparing digests with one random peer a second; they are appended later, also by others when the router that took them is gone. A router that is behind its peers for a second fetches their state. After a pause of over 1.5 s nothing is in force until the log or a peer has answered a question asked after it, for at most 3 s.

--- a/libs/replica/src/mulberryhub/replica/records.py
+++ b/libs/replica/src/mulberryhub/replica/records.py
@@ -12,6 +12,7 @@
 
 STREAM = "config"
 FORMAT = 1  # version of the inventory's types
+NO_INVENTORY = b"null"
 
 
 class SetInventory(msgspec.Struct, frozen=True, tag="set_inventory", tag_field="kind"):
@@ -55,8 +56,9 @@
 class Snapshot(msgspec.Struct, frozen=True, tag="snapshot", tag_field="kind"):
     """The whole state before the record at offset `position`.
 
-    `offset` is that of the last accepted change, `compared` that of the last one
-    that later changes are compared with. `unread` is the offset of the first
+    `inventory` is null where none was set; `offset` is that of the last accepted
+    change, `compared` that of the last one that later changes are compared with.
+    `unread` is the offset of the first
     inventory that the writer could not read, or None. A snapshot is not
     `complete` when its writer has met anything newer than itself.
     """
@@ -64,7 +66,7 @@
     position: int
     offset: int
     compared: int
-    inventory: msgspec.Raw | None
+    inventory: msgspec.Raw
     added: list[Key]
     withdrawn: list[str]
     history: list[Change]
--- a/libs/replica/src/mulberryhub/replica/replay.py
+++ b/libs/replica/src/mulberryhub/replica/replay.py
@@ -20,14 +20,16 @@
 
     `start` is the offset to read next. After a gap, records are held until a
     snapshot covers what was lost; the state from before the gap stays in force.
-    `snapshot_position` is the highest position of a snapshot seen in the log,
-    and `malformed` the number of records that could not be read.
+    `snapshot_position` is the highest position of a snapshot seen in the log and
+    `covered_time` the log's time in ms of that snapshot, or of the first record
+    read; `malformed` counts the records that could not be read.
     """
 
     __slots__ = (
         "state",
         "start",
         "snapshot_position",
+        "covered_time",
         "malformed",
         "_gap_end",
         "_held",
@@ -37,6 +39,7 @@
         self.state = State()
         self.start = 0
         self.snapshot_position = -1
+        self.covered_time = None
         self.malformed = 0
         self._gap_end = None
         self._held = []
@@ -53,16 +56,21 @@
         if oldest > self.state.position:
             self._gap_end = oldest
 
-    def take(self, offset, payload):
-        """Take in the record at `offset` and return the Replayed ones."""
+    def take(self, offset, payload, time=0):
+        """Take in the record at `offset`, appended at the log's `time` in ms.
+
+        Return the Replayed records, none while they wait for a snapshot.
+        """
         if offset < self.start:
             return []
         self.start = offset + 1
+        if self.covered_time is None:
+            self.covered_time = time
         record = decode(payload)
         if record is None:
             self.malformed += 1
         if isinstance(record, Snapshot):
-            return self._take_snapshot(offset, record)
+            return self._take_snapshot(offset, record, time)
         if self.has_gap:
             self._held.append((offset, record))
             return []
@@ -81,11 +89,13 @@
         self.state = state
         return self._close_gap()
 
-    def _take_snapshot(self, offset, snapshot):
+    def _take_snapshot(self, offset, snapshot, time):
         if snapshot.position > offset:
             self.malformed += 1
             return self._pass(offset)
-        self.snapshot_position = max(self.snapshot_position, snapshot.position)
+        if snapshot.position > self.snapshot_position:
+            self.snapshot_position = snapshot.position
+            self.covered_time = time
         if self.has_gap:
             self._held.append((offset, None))
             return self.adopt(snapshot) or []
--- a/libs/replica/src/mulberryhub/replica/state.py
+++ b/libs/replica/src/mulberryhub/replica/state.py
@@ -11,6 +11,7 @@
 from mulberryhub.config.view import ConfigView
 from mulberryhub.replica.records import (
     FORMAT,
+    NO_INVENTORY,
     AddKey,
     Change,
     Outcome,
@@ -134,14 +135,11 @@
 
     def to_snapshot(self):
         """Return the state as a Snapshot."""
-        inventory = None
-        if self.inventory is not None:
-            inventory = msgspec.Raw(msgspec.json.encode(self.inventory))
         return Snapshot(
             position=self.position,
             offset=self.offset,
             compared=self.compared,
-            inventory=inventory,
+            inventory=msgspec.Raw(msgspec.json.encode(self.inventory)),
             added=list(self.added_by_hash.values()),
             withdrawn=sorted(self.withdrawn),
             history=list(self.history),
@@ -154,7 +152,7 @@
     """Return the State in `snapshot`, or None where its inventory is malformed."""
     state = State()
     is_whole = True
-    if snapshot.inventory is not None:
+    if bytes(snapshot.inventory) != NO_INVENTORY:
         state.inventory, is_whole = read_inventory(snapshot.inventory)
         if state.inventory is None:
             return None
--- a/tests/replica/test_config.py
+++ b/tests/replica/test_config.py
@@ -3,10 +3,11 @@
 from mulberryhub.base.clock import Clock
 from mulberryhub.base.counters import Counters
 from mulberryhub.base.errors import Code, HubError
-from mulberryhub.base.green import sleep, spawn
+from mulberryhub.base.green import spawn
 from mulberryhub.platform.log import LogClient
 from mulberryhub.replica.config import ConfigReplica
 from tests.support.inventories import document
+from tests.support.waiting import wait_for
 
 
 @pytest.fixture
@@ -20,13 +21,6 @@
     return replica
 
 
-def wait_for(condition, timeout=20_000):
-    deadline = Clock().now() + timeout
-    while not condition():
-        assert Clock().now() < deadline
-        sleep(0.01)
-
-
 def wait_ready(replica):
     wait_for(lambda: replica.is_caught_up)
 
--- /dev/null
+++ b/tests/replica/test_peer_sync.py
@@ -0,0 +1,155 @@
+import pytest
+
+from mulberryhub.base.clock import Clock
+from mulberryhub.base.counters import Counters
+from mulberryhub.base.digest import key_hash
+from mulberryhub.platform.log import LogClient
+from mulberryhub.replica.config import ConfigReplica
+from mulberryhub.replica.messages import SNAPSHOT, WITHDRAW
+from tests.support.inventories import document
+from tests.support.peers import LocalPeers
+from tests.support.waiting import wait_for
+
+KEY = key_hash("caller-key")
+
+
+@pytest.fixture
+def log(fleet):
+    return fleet.start("mulberryhub.standins.log")
+
+
+@pytest.fixture
+def peers():
+    return LocalPeers()
+
+
+@pytest.fixture
+def start(log, peers):
+    replicas = []
+
+    def start(address):
+        replica = ConfigReplica(
+            LogClient(log.address),
+            Clock(),
+            Counters(),
+            call=peers.caller(address),
+            peer_addresses=lambda: [
+                a for a in peers.handlers_by_address if a != address
+            ],
+            vm=address,
+            commit_timeout=3_000,
+        )
+        replica.register(peers.server(address))
+        replica.start()
+        replicas.append(replica)
+        return replica
+
+    yield start
+    for replica in replicas:
+        replica.stop()
+
+
+def start_with_inventory(start, count):
+    replicas = [start(f"r{i}") for i in range(count)]
+    wait_for(lambda: replicas[0].is_caught_up)
+    replicas[0].apply(-1, "ana", document())
+    wait_for(lambda: all(has_key(replica) for replica in replicas))
+    return replicas
+
+
+def has_key(replica):
+    view = replica.current()
+    return view is not None and KEY in view.keys_by_hash
+
+
+def has_withdrawn(replica):
+    return KEY in replica.current().withdrawn_hashes
+
+
+def test_withdrawal_spreads_while_the_log_is_down(log, start):
+    replicas = start_with_inventory(start, 12)
+    log.fault(outage=True)
+    withdrawal = replicas[3].withdraw_key("ana", KEY)
+    assert not withdrawal.is_kept
+    wait_for(lambda: all(map(has_withdrawn, replicas)), timeout=5_000)
+    assert not any(map(has_key, replicas))
+
+
+def test_withdrawal_spreads_when_pushes_are_lost(log, peers, start):
+    replicas = start_with_inventory(start, 6)
+    log.fault(outage=True)
+    peers.lost_methods.add(WITHDRAW)
+    replicas[0].withdraw_key("ana", KEY)
+    wait_for(lambda: all(map(has_withdrawn, replicas)), timeout=20_000)
+
+
+def test_withdrawal_is_appended_once_the_log_is_back(log, start):
+    replicas = start_with_inventory(start, 3)
+    log.fault(outage=True)
+    replicas[0].withdraw_key("ana", KEY)
+    log.fault(outage=None)
+    wait_for(lambda: all(replica.status().pending == 0 for replica in replicas))
+    assert all(map(has_withdrawn, replicas))
+    replicas[1].apply(replicas[1].offset, "ben", document(rate=3))
+    assert not any(map(has_key, replicas))
+
+
+def test_withdrawal_outlives_the_router_that_took_it(log, start):
+    replicas = start_with_inventory(start, 3)
+    log.fault(outage=True)
+    replicas[0].withdraw_key("ana", KEY)
+    wait_for(lambda: all(map(has_withdrawn, replicas)))
+    replicas[0].stop()
+    log.fault(outage=None)
+    wait_for(lambda: replicas[1].status().pending == 0, timeout=40_000)
+
+
+def test_start_from_peers_while_the_log_is_down(log, start):
+    replicas = start_with_inventory(start, 3)
+    log.fault(outage=True)
+    replicas[0].withdraw_key("ana", KEY)
+    wait_for(lambda: all(map(has_withdrawn, replicas)))
+    started = start("new")
+    wait_for(started.current)
+    assert started.current().offset == replicas[0].offset
+    assert has_withdrawn(started)
+
+
+def test_herd_of_starts_from_one_peer(log, start):
+    old = start_with_inventory(start, 1)[0]
+    log.fault(outage=True)
+    started = [start(f"new{i}") for i in range(8)]
+    wait_for(lambda: all(replica.current() for replica in started))
+    assert {replica.offset for replica in started} == {old.offset}
+
+
+def test_nothing_is_in_force_without_log_and_peers(log, peers, start):
+    log.fault(outage=True)
+    replica = start("alone")
+    wait_for(lambda: replica.status().log_readable is False)
+    assert replica.current() is None
+
+
+def test_router_that_is_cut_off_from_the_log_follows_its_peers(log, peers, start):
+    replicas = start_with_inventory(start, 2)
+    cut = ConfigReplica(
+        LogClient("127.0.0.1:1"),
+        Clock(),
+        Counters(),
+        call=peers.caller("cut"),
+        peer_addresses=lambda: ["r0", "r1"],
+    )
+    cut.start()
+    wait_for(cut.current)
+    offset = replicas[0].apply(0, "ana", document(rate=9))
+    wait_for(lambda: cut.offset == offset)
+    assert cut.current().inventory.workspaces[0].rate == 9
+    cut.stop()
+
+
+def test_start_uses_the_log_when_no_peer_answers(peers, start):
+    start_with_inventory(start, 2)
+    peers.lost_methods.add(SNAPSHOT)
+    started = start("new")
+    wait_for(started.current)
+    assert has_key(started)
--- /dev/null
+++ b/tests/replica/test_replay.py
@@ -0,0 +1,179 @@
+import msgspec
+from hypothesis import given, settings, strategies as st
+
+from mulberryhub.replica.records import (
+    AddKey,
+    Outcome,
+    SetInventory,
+    WithdrawKey,
+    encode,
+)
+from mulberryhub.replica.replay import Replayer
+from mulberryhub.replica.state import State
+from tests.support.inventories import document
+
+HASHES = [str(digit) * 64 for digit in range(4)]
+
+
+class Writers:
+    """Builds a log from steps as racing, lagging writers would leave it."""
+
+    def __init__(self, steps):
+        self.payloads = []
+        self.snapshots = []
+        for step in steps:
+            self.payloads.append(self._payload(*step))
+
+    def _payload(self, kind, base, choice):
+        change = f"c{len(self.payloads)}"
+        if kind == "set":
+            data = msgspec.Raw(document(rate=choice))
+            return encode(SetInventory(change, "a", base, data))
+        if kind == "add":
+            return encode(AddKey(change, "a", base, HASHES[choice % 4], "w"))
+        if kind == "withdraw":
+            return encode(WithdrawKey(change, "a", base, HASHES[choice % 4]))
+        if kind == "repeat" and self.payloads:
+            return self.payloads[choice % len(self.payloads)]
+        if kind == "cut" and self.payloads:
+            return self.payloads[-1][: choice + 1]
+        if kind == "snapshot":
+            return self._snapshot(choice)
+        if kind == "newer":
+            return msgspec.json.encode({"kind": "newer", "x": choice})
+        return bytes([choice]) * choice
+
+    def _snapshot(self, lag):
+        position = max(0, len(self.payloads) - lag % 4)
+        state = read(self.payloads[:position]).state
+        snapshot = state.to_snapshot()
+        self.snapshots.append((len(self.payloads), snapshot.position))
+        return encode(snapshot)
+
+
+def read(payloads):
+    replayer = Replayer()
+    for offset, payload in enumerate(payloads):
+        replayer.take(offset, payload)
+    return replayer
+
+
+def content(replayer):
+    return encode(replayer.state.to_snapshot())
+
+
+KINDS = ["set", "add", "withdraw", "repeat", "cut", "snapshot", "newer", "garbage"]
+STEP = st.tuples(
+    st.sampled_from(KINDS), st.integers(-1, 40), st.integers(min_value=0, max_value=60)
+)
+LOGS = st.lists(STEP, max_size=40).map(Writers)
+FIXED = settings(derandomize=True, deadline=None, max_examples=300)
+
+
+@FIXED
+@given(LOGS, st.data())
+def test_start_from_a_snapshot_in_the_log_gives_the_same_state(log, data):
+    oldest = data.draw(st.integers(0, len(log.payloads)))
+    replayer = Replayer()
+    replayer.skip_to(oldest)
+    for offset in range(oldest, len(log.payloads)):
+        replayer.take(offset, log.payloads[offset])
+    is_covered = oldest == 0 or any(
+        offset >= oldest and position >= oldest for offset, position in log.snapshots
+    )
+    assert replayer.has_gap is not is_covered
+    if is_covered:
+        assert content(replayer) == content(read(log.payloads))
+
+
+@FIXED
+@given(LOGS, st.data())
+def test_start_from_a_peer_gives_the_same_state(log, data):
+    length = len(log.payloads)
+    read_first = data.draw(st.integers(0, length))
+    lost_until = data.draw(st.integers(read_first, length))
+    read_next = data.draw(st.integers(lost_until, length))
+    peer_position = data.draw(st.integers(0, length))
+    replayer = read(log.payloads[:read_first])
+    replayer.skip_to(lost_until)
+    offsets = []
+    for offset in range(lost_until, read_next):
+        replayer.take(offset, log.payloads[offset])
+        offsets.append(replayer.state.offset)
+    replayer.adopt(read(log.payloads[:peer_position]).state.to_snapshot())
+    offsets.append(replayer.state.offset)
+    for offset in range(replayer.start, length):
+        replayer.take(offset, log.payloads[offset])
+        offsets.append(replayer.state.offset)
+    assert offsets == sorted(offsets)
+    if not replayer.has_gap:
+        assert content(replayer) == content(read(log.payloads))
+
+
+@FIXED
+@given(LOGS, st.data())
+def test_pages_that_overlap_change_nothing(log, data):
+    replayer = Replayer()
+    while replayer.start < len(log.payloads):
+        start = data.draw(st.integers(0, replayer.start))
+        end = data.draw(st.integers(replayer.start + 1, len(log.payloads)))
+        for offset in range(start, end):
+            replayer.take(offset, log.payloads[offset])
+    assert content(replayer) == content(read(log.payloads))
+
+
+@FIXED
+@given(LOGS)
+def test_withdrawn_keys_never_come_back(log):
+    replayer = Replayer()
+    withdrawn = set()
+    for offset, payload in enumerate(log.payloads):
+        replayer.take(offset, payload)
+        assert withdrawn <= replayer.state.withdrawn
+        assert not withdrawn & replayer.state.added_by_hash.keys()
+        withdrawn = set(replayer.state.withdrawn)
+
+
+@FIXED
+@given(st.lists(st.binary(max_size=60), max_size=10))
+def test_garbage_changes_nothing(payloads):
+    replayer = read(payloads)
+    empty = State()
+    empty.position = len(payloads)
+    assert encode(replayer.state.to_snapshot()) == encode(empty.to_snapshot())
+    assert replayer.malformed == len(payloads)
+
+
+def test_newer_inventory_is_passed_over_and_the_older_stays_in_force():
+    newer = msgspec.Raw(b'{"shape": "newer"}')
+    replayer = read(
+        [
+            encode(SetInventory("a", "ana", -1, msgspec.Raw(document(rate=1)))),
+            encode(SetInventory("b", "ana", 0, newer, format=2)),
+            encode(WithdrawKey("c", "ana", 0, HASHES[0])),
+        ]
+    )
+    view = replayer.state.view()
+    assert view.offset == 0
+    assert view.inventory.workspaces[0].rate == 1
+    assert HASHES[0] in view.withdrawn_hashes
+    assert replayer.state.unread == 1
+    assert not replayer.state.complete
+
+
+def test_newer_fields_are_left_out():
+    data = msgspec.json.decode(document(rate=1))
+    data["workspaces"][0]["colour"] = "red"
+    data["shape"] = {}
+    raw = msgspec.Raw(msgspec.json.encode(data))
+    replayer = read([encode(SetInventory("a", "ana", -1, raw))])
+    assert replayer.state.view().inventory.workspaces[0].rate == 1
+    assert not replayer.state.complete
+
+
+def test_inventory_of_wrong_types_is_refused():
+    replayer = Replayer()
+    raw = msgspec.Raw(b'{"workspaces": 7}')
+    replayed = replayer.take(0, encode(SetInventory("a", "ana", -1, raw)))
+    assert replayed[0].outcome is Outcome.REFUSED
+    assert replayer.state.view() is None
