--- /dev/null
+++ b/libs/gateway/src/mulberryhub/gateway/completions.py
@@ -0,0 +1,109 @@
+"""Completions: admits a call, chooses an engine and relays its answer."""
+
+from uuid import uuid4
+
+import msgspec
+
+from mulberryhub.base.errors import Code, HubError
+from mulberryhub.gateway.auth import authenticate
+from mulberryhub.gateway.chunks import AnswerShape
+from mulberryhub.gateway.completion_body import check_model, content_text, parse_body
+from mulberryhub.gateway.relay import Relay
+from mulberryhub.routing.chain import chat_request, scope_salt, text_request
+from mulberryhub.routing.request import Scope
+from mulberryhub.upstream.messages import EngineCall
+
+NO_UPSTREAM_RETRY = 2_000  # ms
+
+
+class Completions:
+    """Serves the two completions paths.
+
+    `replica` gives the configuration, `limiter` admits by tokens, and `services`
+    are what relays share, with the policy that chooses engines.
+    """
+
+    __slots__ = (
+        "_replica",
+        "_limiter",
+        "_services",
+        "_policy",
+        "_clock",
+    )
+
+    def __init__(self, replica, limiter, services):
+        self._replica = replica
+        self._limiter = limiter
+        self._services = services
+        self._policy = services.policy
+        self._clock = services.clock
+
+    def chat(self, call):
+        """Answer `POST /v1/chat/completions`."""
+        return self._serve(call, is_chat=True)
+
+    def complete(self, call):
+        """Answer `POST /v1/completions`."""
+        return self._serve(call, is_chat=False)
+
+    def _serve(self, call, is_chat):
+        view = self._replica.current()
+        workspace = authenticate(call, view)
+        data = call.read_body()
+        body = parse_body(data, is_chat)
+        model = check_model(body, workspace, view)
+        candidates = view.engines_for(model.id)
+        if not candidates:
+            raise HubError(
+                Code.NO_UPSTREAM,
+                f"no engine serves {model.id!r}",
+                retry_after=NO_UPSTREAM_RETRY,
+            )
+        point = self._resume_point(call, body, workspace)
+        request = self._route_request(body, workspace, model, is_chat)
+        now = self._clock.now()
+        deadline = now + view.inventory.rules.first_token_deadline
+        cost = request.tokens + body.output_tokens
+        grant = self._limiter.admit(workspace, cost, deadline)
+        decision = self._policy.choose(request, candidates, now)
+        engine_call = EngineCall(
+            request_id=f"{call.request_id}.{uuid4().hex[:12]}",
+            body=_bounded(msgspec.json.decode(data), body),
+            chat=is_chat,
+            scope=scope_salt(request.scope).hex(),
+            model_version=model.version,
+            priority=decision.priority,
+            idle_timeout=view.inventory.rules.idle_timeout,
+            first_token_timeout=view.inventory.rules.first_token_deadline,
+        )
+        relay = Relay(self._services, decision, grant, workspace.id)
+        if point is None:
+            relay.open(engine_call)
+        else:
+            engine_call.request_id = point.origin.request_id
+            relay.resume(engine_call, point)
+        shape = AnswerShape(call.request_id, model.id, is_chat)
+        if body.stream:
+            return relay.streamed(call, shape)
+        return relay.whole(call, shape)
+
+    def _resume_point(self, call, body, workspace):
+        """Return where a caller that reconnects wants to go on, or None."""
+        token = call.header("Last-Event-ID")
+        if not token or not body.stream:
+            return None
+        return self._services.signer.check(token, workspace.id)
+
+    def _route_request(self, body, workspace, model, is_chat):
+        scope = Scope(workspace.id, model.id, model.version)
+        if not is_chat:
+            return text_request(scope, body.prompt)
+        messages = [(item.role, content_text(item.content)) for item in body.messages]
+        return chat_request(scope, messages)
+
+
+def _bounded(document, body):
+    """Return the JSON object to send, with the reserved output as its limit."""
+    if body.max_tokens is None and body.max_completion_tokens is None:
+        document["max_tokens"] = body.output_tokens
+    return document
