Ask holders that have nothing less and less often

Cause: with even overload each router asked every other in vain twice a second. Change: the pause before the next ask doubles up to 8 intervals while the holder had not gained at least half of a share's tokens.

--- a/libs/limits/src/mulberryhub/limits/planner.py
+++ b/libs/limits/src/mulberryhub/limits/planner.py
@@ -1,20 +1,24 @@
 """Decides how much a workspace should borrow now, and from whom."""
 
 MIN_ASK = 1  # token
+MAX_PAUSES = 8  # intervals
+VAIN_SHARE = 0.5  # of what a share of the size of the own one gains in an interval
 
 
 class HolderEstimate:
     """What one holder is thought to have for one workspace.
 
     `level` was reported at `time` in ms; no ask goes out before `ask_after`.
+    `pauses` is the number of intervals to wait after the next vain ask.
     """
 
-    __slots__ = ("level", "time", "ask_after")
+    __slots__ = ("level", "time", "ask_after", "pauses")
 
     def __init__(self, level, time):
         self.level = level
         self.time = time
         self.ask_after = time
+        self.pauses = 1
 
     def at(self, now, rate, burst):
         """Return the level expected at `now`, for the holder's rate and burst."""
@@ -55,12 +59,20 @@
         return self._spread(ahead - stock, holders, False, now)
 
     def answered(self, holder, wanted, amount, level, now):
-        """Take in an answer; a holder that ran short is left alone for a while."""
+        """Take in an answer; a holder that ran short is left alone for a while.
+
+        The while grows when it had not even gained much since the last ask.
+        """
         estimate = self._estimate(holder, now)
         estimate.level = level
         estimate.time = now
-        if amount < wanted:
-            estimate.ask_after = now + self._account.interval
+        if amount >= wanted:
+            return
+        interval = self._account.interval
+        if amount >= self._account.holding.bucket.rate * interval * VAIN_SHARE:
+            estimate.pauses = 1
+        estimate.ask_after = now + estimate.pauses * interval
+        estimate.pauses = min(MAX_PAUSES, 2 * estimate.pauses)
 
     def _urgent_need(self):
         """Return what those who wait can hope to get soon."""
