Serve the routes of plain services, with at most one run of an order

Cause: routes of plain services answered unknown_route, and at most once had been shown without router processes only.

Ruled out: kept connections for orders (one that the service closed leaves open whether the order ran); forwarding all headers but those with keys (an unknown header could hold the key), so headers go by an allow list; GET on a route that is not idempotent without a key, since the route's rule has no exception by method.

A graceful stop waits for calls that run and results that are not kept yet. The demo's order carries a key of version 7.

A pause of more than 4 s between claim and send ends in not_run and a release; a shorter one may run.

--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -3,7 +3,6 @@
 import json
 import sys
 import time
-from uuid import uuid4
 
 import urllib3
 
@@ -14,6 +13,7 @@
     ORDER_PATH,
     Topology,
 )
+from mulberryhub.orders.idempotency import new_key
 
 PREFIX_WORDS = 6_000
 READY_TIMEOUT = 20.0  # s
@@ -118,7 +118,10 @@
     answer = router.request(
         "POST",
         ORDER_PATH,
-        headers={"Authorization": f"Bearer {KEY}", "Idempotency-Key": uuid4().hex},
+        headers={
+            "Authorization": f"Bearer {KEY}",
+            "Idempotency-Key": new_key(time.time_ns() // 1_000_000),
+        },
         json={"part": "seal-17", "quantity": 2},
     )
     if answer.status >= 300:
--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -2,8 +2,8 @@
 
 from mulberryhub.base.clock import Clock
 from mulberryhub.base.counters import statsd_counters
-from mulberryhub.base.errors import Code, HubError
 from mulberryhub.daemon.daemon import Daemon, Lifecycle
+from mulberryhub.daemon.plain_services import PlainServices
 from mulberryhub.daemon.unlimited import UnlimitedLimiter
 from mulberryhub.gateway.admin import apply_inventory
 from mulberryhub.gateway.app import Endpoint, Gateway
@@ -35,31 +35,40 @@
     watcher = Watcher(replica, policy, health, clock, counters)
     engines = EngineClient(counters)
     limiter = UnlimitedLimiter()
+    budget = RetryBudget()
     services = RelayServices(
         engines,
         policy,
         health,
         watcher,
-        RetryBudget(),
+        budget,
         TokenSigner(secrets.token_key),
         replica.current,
         counters,
         clock,
     )
     completions = Completions(replica, limiter, services)
+    plain_services = PlainServices(
+        log, replica, health, budget, clock, counters, settings
+    )
     gateway = Gateway(
         {
             **completion_endpoints(completions, replica),
             **admin_endpoints(replica, secrets),
         },
-        refuse_unknown_route,
+        plain_services.handle,
         lambda: replica.current() is not None,
         lambda: lifecycle.stopping,
         counters,
     )
     http = HttpServer(settings.address, gateway)
     return Daemon(
-        settings, lifecycle, http, peer_server, [replica.start, watcher.start], []
+        settings,
+        lifecycle,
+        http,
+        peer_server,
+        [replica.start, watcher.start, plain_services.start],
+        [plain_services.stop],
     )
 
 
@@ -83,8 +92,3 @@
         return apply_inventory(call, replica, secrets.operator_key_hash)
 
     return {"/admin/inventory": Endpoint("POST", inventory)}
-
-
-def refuse_unknown_route(call):
-    """Refuse a call on a path that nothing serves."""
-    raise HubError(Code.UNKNOWN_ROUTE, "nothing serves this path")
--- a/libs/orders/src/mulberryhub/orders/once.py
+++ b/libs/orders/src/mulberryhub/orders/once.py
@@ -54,6 +54,7 @@
         "_answer_timeout",
         "_progress_limit",
         "_outage_end",
+        "_running",
     )
 
     def __init__(
@@ -74,6 +75,7 @@
         self._answer_timeout = answer_timeout
         self._progress_limit = progress_limit
         self._outage_end = 0
+        self._running = 0
 
     def call(self, workspace_id, route, key, fingerprint, send):
         """Run `send` unless a call with this key ran before; return its Outcome.
@@ -99,11 +101,14 @@
         return self._first(partition, claim, send)
 
     def stop(self, timeout):
-        """Wait up to `timeout` ms until the log has taken all results."""
+        """Wait up to `timeout` ms for calls that run and results to be kept."""
         deadline = self._clock.now() + timeout
-        while self._keeper.waiting and self._clock.now() < deadline:
+        while self._busy() and self._clock.now() < deadline:
             sleep(REPEAT_PAUSE / 1000)
 
+    def _busy(self):
+        return self._running or self._keeper.waiting
+
     def partition(self, index):
         """Return the partition with this index."""
         partition = self._partitions_by_index.get(index)
@@ -179,7 +184,14 @@
             )
         return answer
 
-    def _run(self, partition, claim, send, done):
+    def _run(self, *arguments):
+        self._running += 1
+        try:
+            self._send(*arguments)
+        finally:
+            self._running -= 1
+
+    def _send(self, partition, claim, send, done):
         try:
             outcome = send()
         except NotSent as error:
