--- a/libs/orders/src/mulberryhub/orders/partition.py
+++ b/libs/orders/src/mulberryhub/orders/partition.py
@@ -13,7 +13,6 @@
 from mulberryhub.orders.standing import Entry
 from mulberryhub.platform.log import LogUnavailable, OffsetExpired
 
-LINGER = 3  # ms
 BATCH_LIMIT = 200  # records
 PAGE = 64  # records read back at first, or forward before the cache is dropped
 MAX_PAGE = 500  # records
@@ -105,8 +104,9 @@
             return 0 if self._first else None
 
     def _write(self):
-        sleep(LINGER / 1000)
+        """Append what is pending; what comes meanwhile goes into the next append."""
         while self._pending:
+            sleep(0)
             batch = self._pending[:BATCH_LIMIT]
             del self._pending[:BATCH_LIMIT]
             self._write_batch(batch)
