--- a/libs/gateway/src/mulberryhub/gateway/server.py
+++ b/libs/gateway/src/mulberryhub/gateway/server.py
@@ -2,7 +2,7 @@
 
 from loguru import logger
 
-from mulberryhub.base.green import GreenPool, listen, spawn, wsgi
+from mulberryhub.base.green import GreenPool, listen, socket, spawn, wsgi
 
 BACKLOG = 1_024  # connections
 MAX_CONNECTIONS = 8_192
@@ -29,6 +29,9 @@
         host, port = address.rsplit(":", 1)
         self._app = app
         self._listener = listen((host, int(port)), backlog=BACKLOG)
+        # Accepted connections inherit this; else an event waits for the
+        # acknowledgement of the one before it.
+        self._listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._pool = GreenPool(MAX_CONNECTIONS)
         self._thread = None
 
--- a/libs/standins/src/mulberryhub/standins/server.py
+++ b/libs/standins/src/mulberryhub/standins/server.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from mulberryhub.base.green import listen, sleep, wsgi
+from mulberryhub.base.green import listen, sleep, socket, wsgi
 
 
 class Request:
@@ -102,6 +102,7 @@
     """
     host, port = address.rsplit(":", 1)
     listener = listen((host, int(port)), backlog=1024)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     bound = listener.getsockname()
     print(f"listening on {bound[0]}:{bound[1]}", flush=True)
     wsgi.server(listener, app, log_output=False, max_size=20_000, debug=False)
