--- /dev/null
+++ b/tests/standins/test_kept_cache.py
@@ -0,0 +1,13 @@
+def test_blocks_stay_in_their_scope(fleet):
+    store = fleet.start("mulberryhub.standins.kept_cache")
+    block = {"scope": "a", "digest": "d1", "tokens": 10}
+    answer = store.request("POST", "/cache/import", json={"blocks": [block, block]})
+    assert answer.json() == {"imported": 2}
+    assert store.request("GET", "/cache/export?scope=a").json() == {"blocks": [block]}
+    assert store.request("GET", "/cache/export?scope=b").json() == {"blocks": []}
+
+
+def test_outage(fleet):
+    store = fleet.start("mulberryhub.standins.kept_cache")
+    store.fault(outage=True)
+    assert store.request("GET", "/cache/export?scope=a").status == 503
