Keep callers' keys out of request ids

Cause: a caller that puts its key into X-Request-Id had it sent to engines as part of the engine's request id. Ruled out: a filter in each forwarding place; the id is replaced where a call is read, so that no user of it can forget.

--- a/libs/gateway/src/mulberryhub/gateway/auth.py
+++ b/libs/gateway/src/mulberryhub/gateway/auth.py
@@ -7,18 +7,23 @@
 KEY_QUERIES = frozenset({"api_key", "api-key", "key"})
 
 
-def presented_key(call):
-    """Return the key that came with `call`, or an empty string.
-
-    Raise HubError where the call carries keys that differ.
-    """
-    keys = set()
+def presented_keys(call):
+    """Return each key that came with `call`, in a header or in the query."""
+    keys = set(call.headers_named("X-Api-Key"))
     for value in call.headers_named("Authorization"):
         if value.lower().startswith(BEARER):
             keys.add(value[len(BEARER) :].strip())
-    keys.update(call.headers_named("X-Api-Key"))
     keys.update(value for name, value in call.query if name.lower() in KEY_QUERIES)
     keys.discard("")
+    return keys
+
+
+def presented_key(call):
+    """Return the key that came with `call`, or an empty string.
+
+    Raise HubError where the call carries keys that differ.
+    """
+    keys = presented_keys(call)
     if len(keys) > 1:
         raise HubError(Code.DUPLICATE_KEY, "the request carries more than one key")
     return keys.pop() if keys else ""
--- a/libs/gateway/src/mulberryhub/gateway/call.py
+++ b/libs/gateway/src/mulberryhub/gateway/call.py
@@ -5,6 +5,7 @@
 
 from mulberryhub.base.errors import Code, HubError
 from mulberryhub.base.green import Timeout, wsgi
+from mulberryhub.gateway.auth import presented_keys
 
 MAX_BODY = 8 * 1024 * 1024  # bytes
 BODY_TIMEOUT = 10_000  # ms
@@ -24,11 +25,13 @@
         self.request_id = self._request_id()
 
     def _request_id(self):
+        """Return the caller's id, or a new one where it cannot go upstream."""
         given = self.header("X-Request-Id")
-        usable = given.isascii() and given.isprintable()
-        if given and usable and len(given) <= MAX_REQUEST_ID:
-            return given
-        return uuid4().hex
+        if not given or len(given) > MAX_REQUEST_ID:
+            return uuid4().hex
+        is_plain = given.isascii() and given.isprintable()
+        holds_key = any(key in given for key in presented_keys(self))
+        return given if is_plain and not holds_key else uuid4().hex
 
     def header(self, name, default=""):
         """Return the header `name`, such as `Last-Event-ID`."""
--- a/libs/gateway/src/mulberryhub/gateway/forwarding.py
+++ b/libs/gateway/src/mulberryhub/gateway/forwarding.py
@@ -4,10 +4,9 @@
 """
 
 from urllib.parse import quote, urlencode
-from uuid import uuid4
 
 from mulberryhub.base.errors import Code, HubError
-from mulberryhub.gateway.auth import BEARER, KEY_QUERIES
+from mulberryhub.gateway.auth import KEY_QUERIES, presented_keys
 
 REQUEST_HEADERS = (
     "Accept",
@@ -39,8 +38,7 @@
         for name, value in headers.items()
         if value and not _holds_key(value, keys)
     }
-    holds_key = _holds_key(call.request_id, keys)
-    kept["X-Request-Id"] = uuid4().hex if holds_key else call.request_id
+    kept["X-Request-Id"] = call.request_id
     return kept
 
 
@@ -77,9 +75,5 @@
 
 
 def _presented_keys(call):
-    keys = set(call.headers_named("X-Api-Key"))
-    for value in call.headers_named("Authorization"):
-        keys.update((value, value[len(BEARER) :].strip()))
-    keys.update(value for name, value in call.query if name.lower() in KEY_QUERIES)
-    keys.discard("")
-    return keys
+    """Return the keys and, for other schemes, whole Authorization headers."""
+    return presented_keys(call).union(call.headers_named("Authorization"))
