Read engine streams by a listener that stays registered

Change: urllib3 still opens the connection, sends the request and parses the head; the body is then read straight from the socket by a listener that stays registered for the stream's life, with one timer for silence. Each stream has a connection of its own, closed at its end, so no request can fall to a pooled connection that has gone silent; the pools are gone.

Ruled out: gathering tokens for some ms when busy.

--- a/libs/upstream/src/mulberryhub/upstream/engine.py
+++ b/libs/upstream/src/mulberryhub/upstream/engine.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from mulberryhub.base.green import spawn_n, urllib3
+from mulberryhub.upstream.chunked import ChunkDecoder, MalformedBody
 from mulberryhub.upstream.errors import (
     AnswerCrossed,
     ConnectFailed,
@@ -16,15 +17,16 @@
     WrongVersion,
 )
 from mulberryhub.upstream.messages import End, EngineLoad, Token, Usage
+from mulberryhub.upstream.reader import READ_SIZE, SocketReader
 from mulberryhub.upstream.sse import EventParser
 
-READ_SIZE = 65_536  # bytes
-POOL_SIZE = 64  # connections kept for one engine
 CANCEL_TIMEOUT = 2_000  # ms
 DROPPED_REASONS = frozenset({"abandoned", "cancelled"})
 ERROR_LENGTH = 200  # bytes of an engine's error that are kept
 
 errors = urllib3.exceptions
+HTTPConnection = urllib3.connection.HTTPConnection
+HTTPException = urllib3.connection.HTTPException
 
 
 class Delta(msgspec.Struct):
@@ -83,13 +85,15 @@
         "ended",
         "_client",
         "_upstream",
-        "_response",
+        "_reader",
+        "_decoder",
+        "_first",
         "_parser",
         "_items",
         "_failure",
     )
 
-    def __init__(self, client, upstream, call, response):
+    def __init__(self, client, upstream, call, connection, response):
         headers = response.headers
         self.request_id = call.request_id
         self.incarnation = headers.get("X-Incarnation", "")
@@ -100,7 +104,10 @@
         self.ended = False
         self._client = client
         self._upstream = upstream
-        self._response = response
+        self._reader = SocketReader(connection.sock, call.idle_timeout)
+        is_chunked = "chunked" in headers.get("Transfer-Encoding", "")
+        self._decoder = ChunkDecoder() if is_chunked else None
+        self._first = _take_buffered(response)
         self._parser = EventParser()
         self._items = []
         self._failure = None
@@ -126,8 +133,7 @@
             raise StopIteration
         items = []
         while not items:
-            events = self._parser.feed(self._read())
-            items = self._decoded(events)
+            items = self._decoded(self._parser.feed(self._read()))
         return items
 
     def _decoded(self, events):
@@ -145,18 +151,21 @@
         return items
 
     def _read(self):
+        """Return the payload that has arrived; not empty before the body's end."""
         try:
-            data = self._response.read1(READ_SIZE)
-        except errors.ReadTimeoutError as error:
+            data = self._first or self._reader.read()
+            self._first = b""
+            payload = self._decoder.feed(data) if self._decoder else data
+        except TimeoutError as error:
             self._discard()
             raise EngineSilent("no token within the timeout") from error
-        except (errors.HTTPError, OSError) as error:
+        except (OSError, MalformedBody) as error:
             self._discard()
             raise StreamCut(str(error)) from error
-        if not data:
+        if not data or (not payload and self._decoder.ended):
             self._discard()
             raise StreamCut("the stream ended without an end event")
-        return data
+        return payload
 
     def _item(self, event):
         if event.data == b"[DONE]":
@@ -193,42 +202,34 @@
         if choice.finish_reason in DROPPED_REASONS:
             self._discard()
             raise StreamUnknown(f"the engine ended it: {choice.finish_reason}")
-        self.ended = True
+        self._discard()
         counts = Usage(usage.prompt_tokens, usage.completion_tokens, self.cached_tokens)
-        spawn_n(self._drain)
         return End(choice.finish_reason, counts)
 
-    def _drain(self):
-        """Give the connection back once the rest of the answer was read."""
-        try:
-            self._response.drain_conn()
-        except (errors.HTTPError, OSError):
-            pass
-        self._response.release_conn()
-
     def _discard(self):
-        """Close the connection, so that it is never used again."""
+        """Close the connection, which is never used again."""
         self.ended = True
-        self._response.close()
-        self._client.distrust(self._upstream)
+        self._reader.close()
 
     def close(self):
         """Cancel the request on the engine unless it has ended."""
         if self.ended:
             return
-        self.ended = True
-        self._response.close()
+        self._discard()
         spawn_n(self._client.cancel, self._upstream, self.request_id)
 
 
 class EngineClient:
-    """Opens streams on engines, with one pool of connections for each."""
+    """Opens streams on engines, each on a connection of its own.
+
+    So no request can fall to a pooled connection that has gone silent, and no
+    answer to one that still carries another.
+    """
 
-    __slots__ = ("_counters", "_pools_by_address")
+    __slots__ = ("_counters",)
 
     def __init__(self, counters):
         self._counters = counters
-        self._pools_by_address = {}
 
     def open(self, upstream, call):
         """Send `call` to the engine `upstream` and return its EngineStream.
@@ -261,68 +262,68 @@
         return self._stream(upstream, call, "GET", path, None, {})
 
     def _stream(self, upstream, call, method, path, data, headers):
-        limits = urllib3.Timeout(
-            connect=call.connect_timeout / 1000, read=call.idle_timeout / 1000
-        )
-        response = self._request(upstream, method, path, data, headers, limits)
-        if response.status == 404 and method == "GET":
-            response.release_conn()
-            raise StreamUnknown("the engine does not keep this stream")
-        if response.status != 200:
-            message = response.read(ERROR_LENGTH).decode(errors="replace")
-            response.close()
-            raise EngineRefused(response.status, message)
-        if response.headers.get("X-Request-Id") != call.request_id:
-            response.close()
-            self.distrust(upstream)
-            raise AnswerCrossed("answer to another request")
-        stream = EngineStream(self, upstream, call, response)
-        version = stream.model_version
-        if version and call.model_version and version != call.model_version:
-            stream.close()
-            raise WrongVersion(f"answer by version {version}")
-        return stream
-
-    def _request(self, upstream, method, path, data, headers, limits):
+        connection = _connect(upstream, call.connect_timeout)
         try:
-            return self._pool(upstream).urlopen(
-                method,
-                path,
-                body=data,
-                headers=headers,
-                timeout=limits,
-                retries=False,
-                preload_content=False,
+            connection.sock.settimeout(call.idle_timeout / 1000)
+            connection.request(
+                method, path, body=data, headers=headers, preload_content=False
             )
-        except (errors.NewConnectionError, errors.ConnectTimeoutError) as error:
-            raise ConnectFailed(str(error)) from error
-        except errors.ReadTimeoutError as error:
-            self.distrust(upstream)
+            response = connection.getresponse()
+            _check_answer(method, call, response)
+            return EngineStream(self, upstream, call, connection, response)
+        except TimeoutError as error:
+            connection.close()
             raise EngineSilent("no answer within the timeout") from error
-        except (errors.HTTPError, OSError) as error:
-            self.distrust(upstream)
+        except (HTTPException, errors.HTTPError, OSError) as error:
+            connection.close()
             raise StreamCut(str(error)) from error
+        except EngineFailure:
+            connection.close()
+            raise
 
     def cancel(self, upstream, request_id):
         """End the request on the engine; a failure is only counted."""
         data = msgspec.json.encode({"id": request_id})
-        limits = urllib3.Timeout(total=CANCEL_TIMEOUT / 1000)
-        pool = self._pool(upstream)
         try:
-            pool.urlopen("POST", "/v1/cancel", body=data, timeout=limits, retries=False)
-        except errors.HTTPError:
+            connection = _connect(upstream, CANCEL_TIMEOUT)
+        except ConnectFailed:
             self._counters.add("upstream.cancel_failed")
-
-    def distrust(self, upstream):
-        """Drop the idle connections to `upstream`, so that the next one is fresh."""
-        pool = self._pools_by_address.pop(upstream.address, None)
-        if pool is not None:
-            pool.close()
-
-    def _pool(self, upstream):
-        pool = self._pools_by_address.get(upstream.address)
-        if pool is None:
-            host, port = upstream.address.rsplit(":", 1)
-            pool = urllib3.HTTPConnectionPool(host, int(port), maxsize=POOL_SIZE)
-            self._pools_by_address[upstream.address] = pool
-        return pool
+            return
+        try:
+            connection.request("POST", "/v1/cancel", body=data)
+            connection.getresponse()
+        except (HTTPException, errors.HTTPError, OSError):
+            self._counters.add("upstream.cancel_failed")
+        finally:
+            connection.close()
+
+
+def _connect(upstream, timeout):
+    """Return a new connection or raise ConnectFailed."""
+    host, port = upstream.address.rsplit(":", 1)
+    connection = HTTPConnection(host, int(port), timeout=timeout / 1000)
+    try:
+        connection.connect()
+    except (errors.HTTPError, OSError) as error:
+        connection.close()
+        raise ConnectFailed(str(error)) from error
+    return connection
+
+
+def _check_answer(method, call, response):
+    """Raise EngineFailure unless `response` is the answer to `call`."""
+    if response.status == 404 and method == "GET":
+        raise StreamUnknown("the engine does not keep this stream")
+    if response.status != 200:
+        message = response.read(ERROR_LENGTH).decode(errors="replace")
+        raise EngineRefused(response.status, message)
+    if response.headers.get("X-Request-Id") != call.request_id:
+        raise AnswerCrossed("answer to another request")
+    version = response.headers.get("X-Model-Version", "")
+    if version and call.model_version and version != call.model_version:
+        raise WrongVersion(f"answer by version {version}")
+
+
+def _take_buffered(response):
+    """Return what has arrived behind the head of an answer, without waiting."""
+    return response._fp.fp.peek(READ_SIZE)
--- /dev/null
+++ b/tests/upstream/test_chunked.py
@@ -0,0 +1,25 @@
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from mulberryhub.upstream.chunked import ChunkDecoder, MalformedBody
+
+
+def encode(payloads):
+    chunks = [b"%x\r\n%s\r\n" % (len(payload), payload) for payload in payloads]
+    return b"".join(chunks) + b"0\r\n\r\n"
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(st.binary(min_size=1, max_size=40)), st.integers(1, 50))
+def test_payload_does_not_depend_on_the_pieces(payloads, size):
+    decoder = ChunkDecoder()
+    data = encode(payloads)
+    pieces = [data[start : start + size] for start in range(0, len(data), size)]
+    assert not decoder.ended
+    assert b"".join(map(decoder.feed, pieces)) == b"".join(payloads)
+    assert decoder.ended
+
+
+def test_body_without_chunk_size_is_malformed():
+    with pytest.raises(MalformedBody):
+        ChunkDecoder().feed(b"data: x\r\n\r\n")
