--- a/libs/base/src/mulberryhub/base/errors.py
+++ b/libs/base/src/mulberryhub/base/errors.py
@@ -17,7 +17,6 @@
     BAD_REQUEST = ("bad_request", 400)
     MALFORMED_JSON = ("malformed_json", 400)
     BODY_TOO_LARGE = ("body_too_large", 413)
-    AMBIGUOUS_LENGTH = ("ambiguous_length", 400)
     DUPLICATE_KEY = ("duplicate_key", 400)
     SLOW_SENDER = ("slow_sender", 408)
     MISSING_KEY = ("missing_key", 401)
