--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -2,8 +2,8 @@
 
 from mulberryhub.base.clock import Clock
 from mulberryhub.base.counters import statsd_counters
-from mulberryhub.base.errors import Code, HubError
 from mulberryhub.daemon.daemon import Daemon, Lifecycle
+from mulberryhub.daemon.plain_services import PlainServices
 from mulberryhub.gateway.admin import apply_inventory
 from mulberryhub.gateway.app import Endpoint, Gateway
 from mulberryhub.gateway.attempts import RelayServices
@@ -25,9 +25,6 @@
 from mulberryhub.upstream.health import Health
 from mulberryhub.upstream.watcher import Watcher
 
-DRAIN_TIMEOUT = 5_000  # ms
-LEAVE_TIMEOUT = 2_000  # ms
-
 
 def build(settings, secrets):
     """Return the daemon for `settings` and `secrets`, not yet started."""
@@ -36,59 +33,63 @@
     lifecycle = Lifecycle()
     log = LogClient(settings.log_address)
     peer_server = PeerServer(settings.peer_address, secrets.peer_key, counters)
-    peers = PeerClient(secrets.peer_key, clock, counters)
     replica = ConfigReplica(log, clock, counters)
-    router = Router(settings.vm, settings.data_centre, settings.peer_address)
-    limiter = Limiter(router, replica, peers, peer_server, clock, counters)
-    vm_list = (
-        VmListClient(settings.vm_list_address) if settings.vm_list_address else None
-    )
-    membership = Membership(
-        router, log, vm_list, clock, counters, release=limiter.release
-    )
-    membership.on_change(limiter.follow)
     policy = make_policy(settings.policy, clock)
     health = Health(clock, counters)
     watcher = Watcher(replica, policy, health, clock, counters)
     engines = EngineClient(counters)
+    peers = PeerClient(secrets.peer_key, clock, counters)
+    router = Router(settings.vm, settings.data_centre, settings.peer_address)
+    limiter = Limiter(router, replica, peers, peer_server, clock, counters)
+    membership = build_membership(settings, router, log, clock, counters, limiter)
+    budget = RetryBudget()
     services = RelayServices(
         engines,
         policy,
         health,
         watcher,
-        RetryBudget(),
+        budget,
         TokenSigner(secrets.token_key),
         replica.current,
         counters,
         clock,
     )
     completions = Completions(replica, limiter, services)
+    plain_services = PlainServices(
+        log, replica, health, budget, clock, counters, settings
+    )
     gateway = Gateway(
         {
             **completion_endpoints(completions, replica),
             **admin_endpoints(replica, secrets),
         },
-        refuse_unknown_route,
+        plain_services.handle,
         lambda: replica.current() is not None and limiter.is_ready,
         lambda: lifecycle.stopping,
         lambda: limiter.holds_shares,
         counters,
     )
     http = HttpServer(settings.address, gateway)
-    return Daemon(
-        settings,
-        lifecycle,
-        http,
-        peer_server,
-        on_start=[replica.start, limiter.start, membership.start, watcher.start],
-        on_stop=[
-            lambda: limiter.drain(DRAIN_TIMEOUT),
-            lambda: membership.leave(LEAVE_TIMEOUT),
-            limiter.stop,
-            membership.stop,
-            peers.close,
-        ],
+    on_start = [
+        replica.start,
+        watcher.start,
+        limiter.start,
+        membership.start,
+        plain_services.start,
+    ]
+    on_stop = [plain_services.stop, limiter.close, membership.close, peers.close]
+    return Daemon(settings, lifecycle, http, peer_server, on_start, on_stop)
+
+
+def build_membership(settings, router, log, clock, counters, limiter):
+    """Return the membership, which tells `limiter` who shares the allowances."""
+    address = settings.vm_list_address
+    vm_list = VmListClient(address) if address else None
+    membership = Membership(
+        router, log, vm_list, clock, counters, release=limiter.release
     )
+    membership.on_change(limiter.follow)
+    return membership
 
 
 def completion_endpoints(completions, replica):
@@ -111,8 +112,3 @@
         return apply_inventory(call, replica, secrets.operator_key_hash)
 
     return {"/admin/inventory": Endpoint("POST", inventory)}
-
-
-def refuse_unknown_route(call):
-    """Refuse a call on a path that nothing serves."""
-    raise HubError(Code.UNKNOWN_ROUTE, "nothing serves this path")
