Add the administration API and try the configuration on six routers

Cause: operators change the configuration and keys through any router, and the promises on keys and configuration must hold between real router processes.

Ruled out: an author named by the request (it can be forged; the operator's key tells); a first operator key that holds for ever (only while no operator is named, and not once it is withdrawn); skipping routers that do not answer in the fleet's report (they are listed with the reason).

Change: /admin/check, inventory, configuration, status, fleet, keys/add and keys/withdraw, with the types shared by routers and the tool in config. A withdrawal answers 200 when the log holds it and 202 when it is in force but not kept yet. A withdrawn operator's key no longer counts either. The daemon wires peers into the replica.

--- a/libs/config/src/mulberryhub/config/consistency.py
+++ b/libs/config/src/mulberryhub/config/consistency.py
@@ -6,6 +6,11 @@
 MAX_PORT = 65_535
 
 
+def is_hash(value):
+    """Return whether `value` is a SHA-256 in lower-case hexadecimal."""
+    return HASH.fullmatch(value) is not None
+
+
 def check_consistency(inventory, findings):
     """Add a finding for each duplicate id, dangling reference and bad value."""
     _check_unique(inventory, findings)
@@ -132,7 +137,7 @@
 
 
 def _check_hash(value, path, findings):
-    if not HASH.fullmatch(value):
+    if not is_hash(value):
         findings.error(path, "must be a SHA-256 in lower-case hexadecimal")
 
 
--- a/libs/config/src/mulberryhub/config/view.py
+++ b/libs/config/src/mulberryhub/config/view.py
@@ -39,7 +39,11 @@
         self.models_by_id = {item.id: item for item in inventory.models}
         self.upstreams_by_id = {item.id: item for item in inventory.upstreams}
         self.vms_by_id = {item.id: item for item in inventory.vms}
-        self.operators_by_hash = {item.key_hash: item for item in inventory.operators}
+        self.operators_by_hash = {
+            item.key_hash: item
+            for item in inventory.operators
+            if item.key_hash not in withdrawn_hashes
+        }
         self.routes_by_path = {item.path: item for item in inventory.routes}
         self.engines = [item for item in inventory.upstreams if item.kind == "engine"]
         self.engines_by_model = _engines_by_model(self.engines)
--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -5,13 +5,14 @@
 from mulberryhub.base.errors import Code, HubError
 from mulberryhub.daemon.daemon import Daemon, Lifecycle
 from mulberryhub.daemon.unlimited import UnlimitedLimiter
-from mulberryhub.gateway.admin import apply_inventory
+from mulberryhub.gateway.admin import Administration
 from mulberryhub.gateway.app import Endpoint, Gateway
 from mulberryhub.gateway.attempts import RelayServices
 from mulberryhub.gateway.completions import Completions
 from mulberryhub.gateway.models import list_models
 from mulberryhub.gateway.resume_token import TokenSigner
 from mulberryhub.gateway.server import HttpServer
+from mulberryhub.peers.client import PeerClient
 from mulberryhub.peers.server import PeerServer
 from mulberryhub.platform.log import LogClient
 from mulberryhub.replica.config import ConfigReplica
@@ -29,7 +30,16 @@
     lifecycle = Lifecycle()
     log = LogClient(settings.log_address)
     peer_server = PeerServer(settings.peer_address, secrets.peer_key, counters)
-    replica = ConfigReplica(log, clock, counters)
+    peers = PeerClient(secrets.peer_key, clock, counters)
+    replica = ConfigReplica(
+        log,
+        clock,
+        counters,
+        call=peers.call,
+        peer_addresses=lambda: peer_addresses(settings, replica),
+        vm=settings.vm,
+    )
+    replica.register(peer_server)
     policy = make_policy(settings.policy, clock)
     health = Health(clock, counters)
     watcher = Watcher(replica, policy, health, clock, counters)
@@ -47,10 +57,11 @@
         clock,
     )
     completions = Completions(replica, limiter, services)
+    administration = Administration(replica, counters, secrets.operator_key_hash)
     gateway = Gateway(
         {
             **completion_endpoints(completions, replica),
-            **admin_endpoints(replica, secrets),
+            **administration.endpoints(),
         },
         refuse_unknown_route,
         lambda: replica.current() is not None,
@@ -63,6 +74,18 @@
     )
 
 
+def peer_addresses(settings, replica):
+    """Return the peer addresses of the other VMs: the inventory's, else the settings'.
+
+    The settings count until an inventory is in force.
+    """
+    view = replica.last_view
+    if view is None or not view.inventory.vms:
+        return settings.peers
+    vms = view.inventory.vms
+    return [vm.peer_address for vm in vms if vm.id != settings.vm]
+
+
 def completion_endpoints(completions, replica):
     """Return the endpoints of the completions interface by path."""
 
@@ -76,15 +99,6 @@
     }
 
 
-def admin_endpoints(replica, secrets):
-    """Return the endpoints of the administration API by path."""
-
-    def inventory(call):
-        return apply_inventory(call, replica, secrets.operator_key_hash)
-
-    return {"/admin/inventory": Endpoint("POST", inventory)}
-
-
 def refuse_unknown_route(call):
     """Refuse a call on a path that nothing serves."""
     raise HubError(Code.UNKNOWN_ROUTE, "nothing serves this path")
--- a/libs/gateway/src/mulberryhub/gateway/replies.py
+++ b/libs/gateway/src/mulberryhub/gateway/replies.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from mulberryhub.base.errors import Code
+from mulberryhub.base.findings import Finding
 from mulberryhub.gateway.call import Reply
 
 TYPES_BY_STATUS = {
@@ -32,18 +33,28 @@
     error: ErrorDetail
 
 
-def error_body(error):
-    """Return the JSON body for a HubError."""
+class InvalidBody(ErrorBody):
+    """The body of a refusal that lists findings."""
+
+    findings: list[Finding]
+
+
+def error_detail(error):
+    """Return the ErrorDetail for a HubError."""
     status = error.code.status
     fallback = "server_error" if status >= 500 else "invalid_request_error"
-    detail = ErrorDetail(
+    return ErrorDetail(
         message=error.message,
         type=TYPES_BY_STATUS.get(status, fallback),
         code=error.code.label,
         ran=error.ran.value,
         retry_after_ms=error.retry_after,
     )
-    return msgspec.json.encode(ErrorBody(detail))
+
+
+def error_body(error):
+    """Return the JSON body for a HubError."""
+    return msgspec.json.encode(ErrorBody(error_detail(error)))
 
 
 def error_reply(error):
--- a/libs/replica/src/mulberryhub/replica/config.py
+++ b/libs/replica/src/mulberryhub/replica/config.py
@@ -4,11 +4,12 @@
 
 from mulberryhub.base.errors import Code, HubError
 from mulberryhub.base.green import spawn
+from mulberryhub.config.administration import RouterReport, RouterStatus
 from mulberryhub.config.validation import validate_inventory
 from mulberryhub.replica.commit import Committer, new_change
-from mulberryhub.replica.fleet import RouterReport, collect_reports
+from mulberryhub.replica.fleet import collect_reports
 from mulberryhub.replica.in_force import InForce
-from mulberryhub.replica.messages import STATUS, RouterStatus, StatusRequest
+from mulberryhub.replica.messages import STATUS, StatusRequest
 from mulberryhub.replica.peer_sync import PeerSync
 from mulberryhub.replica.records import AddKey, SetInventory, WithdrawKey
 from mulberryhub.replica.snapshots import SnapshotWriter
@@ -37,12 +38,14 @@
     """What is in force on this router, read from the log and from peers.
 
     `call` is `PeerClient.call` and `peer_addresses()` gives the other routers'
-    peer addresses; without them the log is the only source. `vm` is this VM's id.
+    peer addresses; without them the log is the only source. `vm` is this VM's id,
+    and `live_vms()` gives the ids of live VMs, or None where they are not known.
     """
 
     __slots__ = (
         "_vm",
         "_call",
+        "_live_vms",
         "_in_force",
         "_tail",
         "_committer",
@@ -58,10 +61,12 @@
         call=None,
         peer_addresses=lambda: (),
         vm="",
+        live_vms=lambda: None,
         commit_timeout=COMMIT_TIMEOUT,
     ):
         self._vm = vm
         self._call = call
+        self._live_vms = live_vms
         self._in_force = InForce(clock, counters)
         snapshots = SnapshotWriter(log_client, clock, counters, self._in_force)
         self._tail = Tail(
@@ -77,7 +82,7 @@
 
     def register(self, server):
         """Serve the methods that peers call on a PeerServer."""
-        server.serve(STATUS, StatusRequest, lambda _: self.status())
+        server.serve(STATUS, StatusRequest, self._answer_status)
         if self._sync is not None:
             self._sync.register(server)
 
@@ -102,6 +107,11 @@
         """
         return self._in_force.view()
 
+    @property
+    def last_view(self):
+        """Return the ConfigView even while it is not confirmed, to find peers."""
+        return self._in_force.last_view
+
     @property
     def offset(self):
         """Return the offset of the last accepted change, -1 where there is none."""
@@ -112,13 +122,27 @@
         """Return whether the state is known, so that it can be changed."""
         return self._in_force.is_caught_up
 
+    @property
+    def is_known(self):
+        """Return whether the state was read from the log's end or from a peer."""
+        return self._in_force.is_known
+
+    @property
+    def names_operators(self):
+        """Return whether any operator may change the configuration."""
+        return self._in_force.names_operators
+
+    def is_withdrawn(self, key_hash):
+        """Return whether a key was withdrawn, as far as this router knows."""
+        return self._in_force.is_withdrawn(key_hash)
+
     @property
     def history(self):
         """Return the last accepted changes, oldest first."""
         return list(self._in_force.state.history)
 
-    def status(self):
-        """Return the RouterStatus of this router."""
+    def status(self, key_hash=""):
+        """Return the RouterStatus; `key_hash` is a key to report on."""
         view = self.current()
         state = self._in_force.state
         return RouterStatus(
@@ -129,16 +153,20 @@
             log_readable=self._tail.is_readable,
             pending=len(self._in_force.pending),
             unread=state.unread,
+            withdrawn=view is not None and key_hash in view.withdrawn_hashes,
         )
 
-    def fleet(self):
+    def _answer_status(self, request):
+        return self.status(request.key_hash)
+
+    def fleet(self, key_hash=""):
         """Return a RouterReport for each VM of the inventory in force."""
         view = self.current()
         others = [] if view is None else view.inventory.vms
         others = [vm for vm in others if vm.id != self._vm]
         return [
-            RouterReport(self._vm, self.status()),
-            *collect_reports(self._call, others),
+            RouterReport(self._vm, self.status(key_hash)),
+            *collect_reports(self._call, others, self._live_vms(), key_hash),
         ]
 
     def apply(self, base, author, inventory_bytes):
--- a/libs/replica/src/mulberryhub/replica/in_force.py
+++ b/libs/replica/src/mulberryhub/replica/in_force.py
@@ -51,6 +51,21 @@
         """Return the ConfigView, or None while it is unknown or not confirmed."""
         return self._view if self.freshness.check() else None
 
+    @property
+    def names_operators(self):
+        """Return whether the last known view has operators, confirmed or not."""
+        return self._view is not None and bool(self._view.operators_by_hash)
+
+    @property
+    def last_view(self):
+        """Return the last known ConfigView, confirmed or not."""
+        return self._view
+
+    def is_withdrawn(self, key_hash):
+        """Return whether the key was withdrawn, kept in the log or not yet."""
+        is_pending = key_hash in self.pending.records_by_hash
+        return is_pending or key_hash in self.state.withdrawn
+
     def wait_for(self, change, event):
         """Send the Replayed record of the id `change` to `event` once it is read."""
         self._waiting_by_change[change] = event
--- a/libs/replica/src/mulberryhub/replica/messages.py
+++ b/libs/replica/src/mulberryhub/replica/messages.py
@@ -51,24 +51,9 @@
 
 
 class StatusRequest(msgspec.Struct, frozen=True):
-    """Ask a router what it has in force."""
+    """Ask a router what it has in force, and whether it refuses a key."""
 
-
-class RouterStatus(msgspec.Struct, frozen=True):
-    """What a router has in force and whether it can read the log.
-
-    `offset` is that in force, -1 where there is none; `unread` that of the first
-    change that this router is too old to read; `pending` counts withdrawals that
-    the log does not hold yet.
-    """
-
-    vm: str
-    offset: int
-    position: int
-    ready: bool
-    log_readable: bool
-    pending: int
-    unread: int | None = None
+    key_hash: str = ""
 
 
 class Done(msgspec.Struct, frozen=True):
--- a/libs/replica/src/mulberryhub/replica/records.py
+++ b/libs/replica/src/mulberryhub/replica/records.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from mulberryhub.config.administration import Change
 from mulberryhub.config.inventory import Key
 
 STREAM = "config"
@@ -44,15 +45,6 @@
     hash: str
 
 
-class Change(msgspec.Struct, frozen=True):
-    """An accepted change as the history lists it."""
-
-    offset: int
-    change: str
-    author: str
-    action: str
-
-
 class Snapshot(msgspec.Struct, frozen=True, tag="snapshot", tag_field="kind"):
     """The whole state before the record at offset `position`.
 
--- a/libs/replica/src/mulberryhub/replica/state.py
+++ b/libs/replica/src/mulberryhub/replica/state.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from mulberryhub.config.administration import Change
 from mulberryhub.config.inventory import Key
 from mulberryhub.config.reading import read_inventory
 from mulberryhub.config.view import ConfigView
@@ -13,7 +14,6 @@
     FORMAT,
     NO_INVENTORY,
     AddKey,
-    Change,
     Outcome,
     SetInventory,
     Snapshot,
--- /dev/null
+++ b/tests/system/test_configuration.py
@@ -0,0 +1,250 @@
+import http.client
+import json
+import signal
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from benchmarks.demo import wait_ready
+from benchmarks.topology import (
+    CALLER_KEYS_BY_WORKSPACE,
+    OPERATOR_KEY,
+    Topology,
+)
+from mulberryhub.base.digest import key_hash
+
+KEY = CALLER_KEYS_BY_WORKSPACE["hotels"]
+HASH = key_hash(KEY)
+ROUTERS = 6
+WITHDRAWAL_LIMIT = 5.0  # s
+TIMEOUT = 30.0  # s
+
+
+class ConfigFleet(Topology):
+    """Routers without upstreams, with an inventory in force."""
+
+    def __init__(self, routers=ROUTERS):
+        super().__init__(routers, 0, settings={"drain_delay": 50}, services=False)
+
+    def __enter__(self):
+        super().__enter__()
+        self.offset = poll(lambda: self.apply(-1))
+        wait_ready(self.routers)
+        return self
+
+    @property
+    def routers(self):
+        return list(self.routers_by_id.values())
+
+    def apply(self, base, rate=100, router=None):
+        inventory = self.inventory()
+        inventory["workspaces"][0]["rate"] = rate
+        path = f"/admin/inventory?base={base}"
+        answer = admin(router or self.routers[0], "POST", path, json=inventory)
+        return answer.json()["offset"] if answer.status == 200 else None
+
+
+def admin(router, method, path, key=OPERATOR_KEY, **options):
+    headers = {"Authorization": f"Bearer {key}"}
+    return router.request(method, path, headers=headers, **options)
+
+
+def poll(condition, timeout=TIMEOUT):
+    deadline = time.monotonic() + timeout
+    while True:
+        value = condition()
+        if value is not None and value is not False:
+            return value
+        assert time.monotonic() < deadline, "the condition did not come true"
+        time.sleep(0.02)
+
+
+def offset_of(router):
+    return admin(router, "GET", "/admin/status").json()["router"]["offset"]
+
+
+def rate_of(router):
+    answer = admin(router, "GET", "/admin/configuration").json()
+    return answer["inventory"]["workspaces"][0]["rate"]
+
+
+class OpenConnection:
+    """A caller's keep-alive connection that must never be opened again."""
+
+    def __init__(self, router):
+        host, port = router.address.split(":")
+        self.connection = http.client.HTTPConnection(host, int(port), timeout=TIMEOUT)
+        self.connection.connect()
+        self.connection.auto_open = 0
+
+    def status(self):
+        headers = {"Authorization": f"Bearer {KEY}"}
+        self.connection.request("GET", "/v1/models", headers=headers)
+        answer = self.connection.getresponse()
+        answer.read()
+        return answer.status
+
+
+@pytest.fixture
+def routers_and_log():
+    with ConfigFleet() as fleet:
+        yield fleet
+
+
+@pytest.fixture(scope="module")
+def shared_fleet():
+    with ConfigFleet() as fleet:
+        yield fleet
+
+
+def current_base(fleet):
+    return admin(fleet.routers[0], "GET", "/admin/configuration").json()["base"]
+
+
+def withdraw(router):
+    return admin(router, "POST", "/admin/keys/withdraw", json={"hash": HASH})
+
+
+@pytest.mark.parametrize("is_log_down", [False, True])
+def test_withdrawn_key_stops_on_open_connections(routers_and_log, is_log_down):
+    fleet = routers_and_log
+    connections = [OpenConnection(router) for router in fleet.routers]
+    assert [connection.status() for connection in connections] == [200] * ROUTERS
+    fleet.log.fault(outage=is_log_down)
+    started = time.monotonic()
+    with ThreadPoolExecutor(1) as pool:
+        answer = pool.submit(withdraw, fleet.routers[2])
+        poll(lambda: all(item.status() == 401 for item in connections))
+        elapsed = time.monotonic() - started
+        assert answer.result().status == (202 if is_log_down else 200)
+    assert elapsed < WITHDRAWAL_LIMIT
+    assert [item.status() for item in connections] == [401] * ROUTERS
+
+
+def test_withdrawal_is_kept_after_the_outage_and_a_restart_of_all(routers_and_log):
+    fleet = routers_and_log
+    fleet.log.fault(outage=True)
+    assert withdraw(fleet.routers[0]).status == 202
+    fleet.log.fault(outage=None)
+    poll(lambda: withdraw(fleet.routers[1]).status == 200)
+    for router in fleet.routers:
+        router.kill()
+    for id_ in fleet.router_ids:
+        fleet.start_router(id_)
+    wait_ready(fleet.routers)
+    assert [OpenConnection(router).status() for router in fleet.routers] == [
+        401
+    ] * ROUTERS
+
+
+def test_racing_operators(shared_fleet):
+    fleet = shared_fleet
+    base = current_base(fleet)
+    with ThreadPoolExecutor(ROUTERS) as pool:
+        results = list(
+            pool.map(
+                lambda item: fleet.apply(base, 200 + item[0], item[1]),
+                enumerate(fleet.routers),
+            )
+        )
+    accepted = [index for index, offset in enumerate(results) if offset is not None]
+    assert len(accepted) == 1
+    offset = results[accepted[0]]
+    poll(lambda: all(offset_of(router) == offset for router in fleet.routers))
+    assert {rate_of(router) for router in fleet.routers} == {200 + accepted[0]}
+
+
+def test_lost_answer_and_slow_log(shared_fleet):
+    fleet = shared_fleet
+    base = current_base(fleet)
+    fleet.log.fault(lose_answers=2, delay=300)
+    offset = fleet.apply(base, 7)
+    assert offset is not None
+    poll(lambda: all(rate_of(router) == 7 for router in fleet.routers))
+    fleet.log.fault(delay=None)
+    assert fleet.apply(base, 8) is None
+    assert rate_of(fleet.routers[0]) == 7
+
+
+def test_paused_router_never_serves_what_it_missed(routers_and_log):
+    fleet = routers_and_log
+    paused = fleet.routers[5]
+    connection = OpenConnection(paused)
+    assert connection.status() == 200
+    paused.signal(signal.SIGSTOP)
+    time.sleep(2.0)
+    assert withdraw(fleet.routers[0]).status == 200
+    with ThreadPoolExecutor(1) as pool:
+        early = pool.submit(connection.status)
+        time.sleep(0.5)
+        paused.signal(signal.SIGCONT)
+        assert early.result() in (401, 503)
+    statuses = set()
+    poll(lambda: statuses.add(connection.status()) or 401 in statuses)
+    assert statuses <= {401, 503}
+
+
+def test_herd_of_restarts_while_the_log_is_down(routers_and_log):
+    fleet = routers_and_log
+    fleet.log.fault(outage=True)
+    before = offset_of(fleet.routers[0])
+    for id_ in fleet.router_ids[1:]:
+        fleet.routers_by_id[id_].kill()
+    for id_ in fleet.router_ids[1:]:
+        fleet.start_router(id_)
+    wait_ready(fleet.routers)
+    assert {offset_of(router) for router in fleet.routers} == {before}
+
+
+def test_all_restarted_while_the_log_is_down_refuse_until_it_is_back(routers_and_log):
+    fleet = routers_and_log
+    fleet.log.fault(outage=True)
+    for router in fleet.routers:
+        router.kill()
+    for id_ in fleet.router_ids:
+        fleet.start_router(id_)
+    answer = fleet.routers[0].request(
+        "GET", "/v1/models", headers={"Authorization": f"Bearer {KEY}"}
+    )
+    assert answer.status == 503
+    assert answer.json()["error"]["ran"] == "not_run"
+    assert "Retry-After" in answer.headers
+    fleet.log.fault(outage=None)
+    wait_ready(fleet.routers)
+    assert {offset_of(router) for router in fleet.routers} == {fleet.offset}
+
+
+def test_no_router_goes_to_a_lower_offset(shared_fleet):
+    fleet = shared_fleet
+    base = current_base(fleet)
+    seen_by_id = {id_: [] for id_ in fleet.router_ids}
+
+    def observe():
+        for id_, router in fleet.routers_by_id.items():
+            seen_by_id[id_].append(offset_of(router))
+
+    for step in range(12):
+        fleet.log.fault(delay=100 * (step % 3), lose_answers=step % 2)
+        base = fleet.apply(base, step, fleet.routers[step % ROUTERS]) or base
+        observe()
+    fleet.log.fault(delay=None, lose_answers=None)
+    poll(lambda: {offset_of(router) for router in fleet.routers} == {base})
+    observe()
+    for offsets in seen_by_id.values():
+        assert offsets == sorted(offsets)
+
+
+def test_operator_keys(routers_and_log):
+    router = routers_and_log.routers[0]
+    for path in ("/admin/status", "/admin/fleet", "/admin/configuration"):
+        assert admin(router, "GET", path).status == 200
+        assert admin(router, "GET", path, key=KEY).status == 403
+        assert router.request("GET", path).status == 403
+    assert admin(router, "POST", "/admin/inventory?base=x", body=b"{}").status == 400
+    answer = admin(router, "POST", "/admin/inventory?base=0", body=b'{"vms": 1}')
+    assert answer.status == 422
+    assert answer.json()["findings"][0]["path"] == "$.vms"
+    operator = json.dumps({"hash": key_hash(OPERATOR_KEY)})
+    assert admin(router, "POST", "/admin/keys/withdraw", body=operator).status == 200
+    assert admin(router, "GET", "/admin/fleet").status == 403
