Add the command-line tool: check, apply, show, status, key add and withdraw

Cause: operators need a tool that waits until a change is in force and says where it is not.

Ruled out: asking each router from the tool (operators reach the balancer, not every VM); sending keys in clear (only hashes leave the tool, a new key is printed once); success when the fleet's report cannot be read (it counts as not in force).

Shown to fail first: with no router counted as missing, test_apply_says_where_a_change_is_not_in_force fails.

--- /dev/null
+++ b/libs/cli/src/mulberryhub/cli/__main__.py
@@ -0,0 +1,35 @@
+"""Entry point of `mulberryhub`."""
+
+import sys
+
+import defopt
+
+from mulberryhub.cli.apply import apply
+from mulberryhub.cli.check import check
+from mulberryhub.cli.failures import CallFailed
+from mulberryhub.cli.key import add, withdraw
+from mulberryhub.cli.output import report_failure
+from mulberryhub.cli.show import show
+from mulberryhub.cli.status import status
+
+COMMANDS = {
+    "check": check,
+    "apply": apply,
+    "show": show,
+    "status": status,
+    "key": {"add": add, "withdraw": withdraw},
+}
+
+
+def main():
+    """Run a command and exit with its code."""
+    command = defopt.bind(COMMANDS, no_negated_flags=True)
+    try:
+        code = command()
+    except CallFailed as error:
+        code = report_failure(error, "--json" in sys.argv)
+    sys.exit(code)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/libs/cli/src/mulberryhub/cli/check.py
@@ -0,0 +1,22 @@
+"""The command `check`."""
+
+from mulberryhub.cli.files import read_file
+from mulberryhub.cli.output import OK, REFUSED, write_json
+from mulberryhub.config.administration import FindingsAnswer
+from mulberryhub.config.validation import validate_inventory
+
+
+def check(file: str, *, json: bool = False):
+    """Check an inventory and print all findings; exits with 1 on errors.
+
+    :param file: path of the inventory
+    :param json: print JSON
+    """
+    _, findings = validate_inventory(read_file(file))
+    if json:
+        write_json(FindingsAnswer(findings.items))
+    else:
+        for finding in findings.items:
+            print(finding)
+        print(f"{len(findings.errors)} errors")
+    return REFUSED if findings.errors else OK
--- /dev/null
+++ b/tests/cli/test_commands.py
@@ -0,0 +1,114 @@
+import json
+import os
+import signal
+import subprocess
+import sys
+
+import pytest
+
+from benchmarks.topology import OPERATOR_KEY
+from tests.support.config_fleet import ConfigFleet, admin, poll, rate_of, status_of
+
+TIMEOUT = 60.0  # s
+
+
+def run(router, *arguments, key=OPERATOR_KEY, given=""):
+    environ = {**os.environ, "MULBERRYHUB_OPERATOR_KEY": key}
+    if router is not None:
+        environ["MULBERRYHUB_ROUTER"] = router.address
+    command = [sys.executable, "-m", "mulberryhub.cli", *map(str, arguments)]
+    return subprocess.run(
+        command,
+        env=environ,
+        input=given,
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT,
+    )
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    with ConfigFleet(3) as fleet:
+        yield fleet
+
+
+@pytest.fixture
+def write(fleet):
+    def write(rate):
+        document = fleet.inventory()
+        document["workspaces"][0]["rate"] = rate
+        return fleet.write("inventory.json", document)
+
+    return write
+
+
+def test_check(write):
+    assert run(None, "check", write(1)).returncode == 0
+    bad = run(None, "check", write(-1))
+    assert bad.returncode == 1
+    assert "$.workspaces[0].rate: must not be negative" in bad.stdout
+    report = json.loads(run(None, "check", write("x"), "--json").stdout)
+    assert report["findings"][0]["path"] == "$.workspaces[0].rate"
+    assert run(None, "check", "/nowhere/inventory.json").returncode == 2
+    assert run(None, "status").returncode == 2
+
+
+def test_apply_waits_for_all_routers(fleet, write):
+    done = run(fleet.routers[0], "apply", write(41))
+    assert done.returncode == 0, done.stderr
+    assert {rate_of(router) for router in fleet.routers} == {41}
+    assert "in force on 3 of 3 live routers" in done.stderr
+    stale = run(fleet.routers[0], "apply", write(42), "--base", -1)
+    assert stale.returncode == 1
+    assert "stale_base" in stale.stderr
+    invalid = run(fleet.routers[0], "apply", write(-1), "--json")
+    assert invalid.returncode == 1
+    assert json.loads(invalid.stdout)["findings"]
+
+
+def test_apply_says_where_a_change_is_not_in_force(fleet, write):
+    paused = fleet.routers[2]
+    paused.signal(signal.SIGSTOP)
+    try:
+        arguments = ("apply", write(43), "--timeout", 4, "--json")
+        done = run(fleet.routers[0], *arguments)
+    finally:
+        paused.signal(signal.SIGCONT)
+    assert done.returncode == 3, done.stderr
+    missing = json.loads(done.stdout)["not_in_force"]
+    assert [report["vm"] for report in missing] == [fleet.router_ids[2]]
+    poll(lambda: admin(paused, "GET", "/admin/configuration").status == 200)
+    poll(lambda: rate_of(paused) == 43)
+
+
+def test_show_and_status(fleet):
+    shown = json.loads(run(fleet.routers[1], "show", "--json").stdout)
+    assert shown["inventory"]["models"]
+    assert shown["history"][0]["author"] == "first-operator"
+    status = run(fleet.routers[1], "status")
+    assert status.returncode == 0, status.stderr
+    assert all(f"{id_}: offset" in status.stdout for id_ in fleet.router_ids)
+    assert run(fleet.routers[1], "show", key="wrong").returncode == 1
+
+
+def test_key_is_added_and_withdrawn(fleet):
+    added = run(fleet.routers[0], "key", "add", "hotels")
+    assert added.returncode == 0, added.stderr
+    key = added.stdout.strip()
+    assert {status_of(router, key) for router in fleet.routers} == {200}
+    fleet.log.fault(outage=True)
+    try:
+        withdrawn = run(fleet.routers[1], "key", "withdraw", given=f"{key}\n")
+    finally:
+        fleet.log.fault(outage=None)
+    assert withdrawn.returncode == 0, withdrawn.stderr
+    assert "withdrawn, not kept yet" in withdrawn.stdout
+    assert {status_of(router, key) for router in fleet.routers} == {401}
+    assert not any(key in router.stderr() for router in fleet.routers)
+    assert run(fleet.routers[0], "key", "add", "nowhere").returncode == 1
+
+
+def test_unreachable_router(fleet):
+    log = fleet.log
+    assert run(log, "status").returncode == 4
