--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -1,10 +1,12 @@
 """The composition root: the only place that wires the parts of a router."""
 
+import msgspec
+
 from mulberryhub.base.clock import Clock
 from mulberryhub.base.counters import statsd_counters
 from mulberryhub.daemon.daemon import Daemon, Lifecycle
 from mulberryhub.daemon.plain_services import PlainServices
-from mulberryhub.gateway.admin import apply_inventory
+from mulberryhub.gateway.admin import Administration, apply_inventory
 from mulberryhub.gateway.app import Endpoint, Gateway
 from mulberryhub.gateway.attempts import RelayServices
 from mulberryhub.gateway.completions import Completions
@@ -26,6 +28,13 @@
 from mulberryhub.upstream.watcher import Watcher
 
 
+class MembersReport(msgspec.Struct):
+    """What `status` shows of the membership."""
+
+    vms: list[str]
+    holds_shares: bool
+
+
 def build(settings, secrets):
     """Return the daemon for `settings` and `secrets`, not yet started."""
     clock = Clock()
@@ -33,12 +42,21 @@
     lifecycle = Lifecycle()
     log = LogClient(settings.log_address)
     peer_server = PeerServer(settings.peer_address, secrets.peer_key, counters)
-    replica = ConfigReplica(log, clock, counters)
+    peers = PeerClient(secrets.peer_key, clock, counters)
+    replica = ConfigReplica(
+        log,
+        clock,
+        counters,
+        call=peers.call,
+        peer_addresses=lambda: peer_addresses(settings, replica),
+        vm=settings.vm,
+        live_vms=lambda: live_vms(membership),
+    )
+    replica.register(peer_server)
     policy = make_policy(settings.policy, clock)
     health = Health(clock, counters)
     watcher = Watcher(replica, policy, health, clock, counters)
     engines = EngineClient(counters)
-    peers = PeerClient(secrets.peer_key, clock, counters)
     router = Router(settings.vm, settings.data_centre, settings.peer_address)
     limiter = Limiter(router, replica, peers, peer_server, clock, counters)
     membership = build_membership(settings, router, log, clock, counters, limiter)
@@ -58,10 +76,20 @@
     plain_services = PlainServices(
         log, replica, health, budget, clock, counters, settings
     )
+    administration = Administration(
+        replica,
+        counters,
+        secrets.operator_key_hash,
+        reports_by_part={
+            "members": lambda: members_report(membership, limiter),
+            "allowances": limiter.allowance,
+            "failing_upstreams": lambda: sorted(health.failing_by_id),
+        },
+    )
     gateway = Gateway(
         {
             **completion_endpoints(completions, replica),
-            **admin_endpoints(replica, secrets),
+            **administration.endpoints(),
         },
         plain_services.handle,
         lambda: replica.current() is not None and limiter.is_ready,
@@ -92,6 +120,31 @@
     return membership
 
 
+def members_report(membership, limiter):
+    """Return the members' VMs and whether this router holds its shares."""
+    members = membership.current()
+    vms = [] if members is None else sorted(members.members_by_vm)
+    return MembersReport(vms, limiter.holds_shares)
+
+
+def live_vms(membership):
+    """Return the ids of the member VMs, or None while they are not known."""
+    members = membership.current()
+    return None if members is None else set(members.members_by_vm)
+
+
+def peer_addresses(settings, replica):
+    """Return the peer addresses of the other VMs: the inventory's, else the settings'.
+
+    The settings count until an inventory is in force.
+    """
+    view = replica.last_view
+    if view is None or not view.inventory.vms:
+        return settings.peers
+    vms = view.inventory.vms
+    return [vm.peer_address for vm in vms if vm.id != settings.vm]
+
+
 def completion_endpoints(completions, replica):
     """Return the endpoints of the completions interface by path."""
 
@@ -112,3 +165,8 @@
         return apply_inventory(call, replica, secrets.operator_key_hash)
 
     return {"/admin/inventory": Endpoint("POST", inventory)}
+
+
+def refuse_unknown_route(call):
+    """Refuse a call on a path that nothing serves."""
+    raise HubError(Code.UNKNOWN_ROUTE, "nothing serves this path")
