Set priorities in the cost policy

Cause: callers of a policy would have had to know of the use of workspaces.

Change: the cost policy notes the tokens of each workspace when a request starts and gives its decisions a priority; weights come from weight_of.

Ruled out: to note tokens at the choice (a request that is refused after it would count).

Conclusion: decision.priority goes to the engine as it is.

--- a/benchmarks/routing/__main__.py
+++ b/benchmarks/routing/__main__.py
@@ -35,11 +35,14 @@
         def rules():
             return profile.rules
 
+        def weight_of(workspace):
+            return profile.shares[int(workspace)]
+
         name, *without = policy.split("-")
         if without:
             elements = Elements(**dict.fromkeys(without, False))
-            return make_cost_policy(model.clock, rules, elements)
-        return make_policy(name, model.clock, seed * 100 + number, rules)
+            return make_cost_policy(model.clock, rules, weight_of, elements)
+        return make_policy(name, model.clock, seed * 100 + number, rules, weight_of)
 
     return Model(profile, make, seed, **fairness)
 
--- a/benchmarks/routing/fairness.py
+++ b/benchmarks/routing/fairness.py
@@ -16,7 +16,6 @@
 from benchmarks.routing.profiles import PROFILES_BY_NAME, make_calls
 from mulberryhub.base.counters import Counters
 from mulberryhub.routing.gate import FairGate
-from mulberryhub.routing.usage import Usage
 
 ALLOWANCE = 1.25  # of the usual rate
 BURST_TIME = 4_000  # ms of the allowance
@@ -57,16 +56,7 @@
     return make
 
 
-def usage_maker(profile):
-    """Return a function that makes the Usage of one router."""
-
-    def make(model):
-        return Usage(model.clock, lambda workspace: profile.shares[workspace])
-
-    return make
-
-
-def measure(profile, policy, seed, noisy, window_time, limited=True, priorities=True):
+def measure(profile, policy, seed, noisy, window_time, limited=True):
     """Return the Row of each workspace but `noisy`."""
     p95s, refusals = [], {}
     for noise in (None, noisy):
@@ -74,8 +64,7 @@
         if limited:
             calls = within_allowance(calls, profile)
         gates = gate_maker(profile, window_time) if window_time else None
-        usages = usage_maker(profile) if priorities else None
-        model = make_model(profile, policy, seed, gates=gates, usages=usages)
+        model = make_model(profile, policy, seed, gates=gates)
         results = model.run(calls)
         p95s.append(p95_by_workspace([r for r in results if r.call.at >= WARM_UP]))
         for call in model.refused if noise is not None else []:
@@ -95,22 +84,18 @@
     noisy: int = 1,
     window_time: int = 0,
     unlimited: bool = False,
-    no_priorities: bool = False,
 ):
     """Measure the time to first token of the other workspaces.
 
     :param profile: prasertkit or kowhai
     :param seed: seed of the workload
-    :param policy: policy of all routers
+    :param policy: policy of all routers; cost-priorities is without priorities
     :param noisy: the workspace that sends five times its rate
     :param window_time: ms of prefill that the fair gates let pass; 0 for no gates
     :param unlimited: leave out the allowances
-    :param no_priorities: send all requests with one priority
     """
     chosen = PROFILES_BY_NAME[profile]
-    rows = measure(
-        chosen, policy, seed, noisy, window_time, not unlimited, not no_priorities
-    )
+    rows = measure(chosen, policy, seed, noisy, window_time, not unlimited)
     print(msgspec.json.encode(rows).decode())
     for row in rows:
         ratio = row.beside_noise / row.alone
--- a/benchmarks/routing/model.py
+++ b/benchmarks/routing/model.py
@@ -68,7 +68,7 @@
 class Model:
     """Routers with a policy each, before engines that they share."""
 
-    def __init__(self, profile, make, seed, routers=ROUTERS, gates=None, usages=None):
+    def __init__(self, profile, make, seed, routers=ROUTERS, gates=None):
         self.clock = ModelClock()
         self.random = Random(seed)
         self.engines = [
@@ -81,7 +81,6 @@
         self.make = make
         self.policies = [make(self, i) for i in range(routers)]
         self.gates = [gates(self) for _ in range(routers)] if gates else None
-        self.usages = [usages(self) for _ in range(routers)] if usages else None
         self.results = []
         self.refused = []
         self._agenda = []
@@ -124,7 +123,8 @@
         tokens = ends[-1] + call.question
         chain = self._shared_chain(call.workspace, call.path, blocks)
         own = f"{call.at}/{call.workspace}".encode()
-        return RouteRequest(None, [*chain, own], [*ends, tokens], levels, tokens)
+        scope = Scope(str(call.workspace), "model", "1")
+        return RouteRequest(scope, [*chain, own], [*ends, tokens], levels, tokens)
 
     def _shared_chain(self, workspace, path, blocks):
         key = workspace, path
@@ -139,10 +139,6 @@
         request = self.request_of(call)
         decision = policy.choose(request, self.live, int(now))
         attempt = Attempt(call, decision, policy, now if since is None else since)
-        if self.usages is not None:
-            usage = self.usages[number]
-            decision.priority = usage.priority(call.workspace)
-            usage.add(call.workspace, request.tokens)
         if self.gates is None:
             self._send(attempt)
             return
@@ -152,10 +148,8 @@
 
     def _enter(self, attempt, deadline):
         def start():
-            old = attempt.decision
-            now = int(self.clock.time)
-            attempt.decision = attempt.policy.choose(old.request, self.live, now)
-            attempt.decision.priority = old.priority
+            request, now = attempt.decision.request, int(self.clock.time)
+            attempt.decision = attempt.policy.choose(request, self.live, now)
             self._send(attempt)
 
         arguments = attempt.call.workspace, attempt.cost, deadline, start
--- a/libs/routing/src/mulberryhub/routing/cost.py
+++ b/libs/routing/src/mulberryhub/routing/cost.py
@@ -9,6 +9,7 @@
 from mulberryhub.routing.news import RoutingNews, Sighting
 from mulberryhub.routing.policy import Policy, PolicyState
 from mulberryhub.routing.request import Decision
+from mulberryhub.routing.usage import Usage, same_weight
 
 HOME_ENGINES = 2
 ORDER_LENGTH = 8  # engines
@@ -27,6 +28,7 @@
     `away_cost`: count a copy on another than the first engine as recomputation.
     `peer_load` and `peer_sightings`: use what peers tell.
     `reports`: use the load that engines report.
+    `priorities`: let workspaces beyond their share wait for the others.
     """
 
     levels: bool = True
@@ -36,6 +38,7 @@
     peer_load: bool = True
     peer_sightings: bool = True
     reports: bool = True
+    priorities: bool = True
 
 
 class CostState(PolicyState):
@@ -46,17 +49,19 @@
         "retention",
         "rules",
         "elements",
+        "usage",
         "_sightings",
         "_sighted",
         "_told_by_peer",
     )
 
-    def __init__(self, rules, elements):
+    def __init__(self, rules, elements, usage):
         super().__init__()
         self.knowledge = Knowledge()
         self.retention = Retention()
         self.rules = rules
         self.elements = elements
+        self.usage = usage
         self._sightings = deque(maxlen=SIGHTINGS_KEPT)
         self._sighted = 0
         self._told_by_peer = {}
@@ -85,8 +90,10 @@
     def started(self, decision, engine_id):
         """Note that the request was sent; its prefix is presumed to get there."""
         super().started(decision, engine_id)
+        request = decision.request
+        self.state.usage.add(request.scope.workspace, request.tokens)
         if self.state.elements.presumption:
-            self._record(engine_id, level_digests(decision.request))
+            self._record(engine_id, level_digests(request))
 
     def answered(self, decision, engine_id, cached_tokens, first_token_time):
         """Note the first token and what the engine had cached."""
@@ -124,9 +131,13 @@
             self.state.knowledge.record(digest, engine_id, now)
 
 
-def make_cost_policy(clock, rules, elements=Elements()):  # noqa: B008
-    """Return a cost policy with state of its own; `rules()` returns the Rules."""
-    state = CostState(rules, elements)
+def make_cost_policy(clock, rules, weight_of=same_weight, elements=Elements()):  # noqa: B008
+    """Return a cost policy with state of its own.
+
+    `rules()` returns the Rules and `weight_of(workspace)` the weight of a workspace
+    in its use of engines, such as its rate.
+    """
+    state = CostState(rules, elements, Usage(clock, weight_of))
     return CostPolicy("cost", state, cost_rank(state), clock)
 
 
@@ -147,6 +158,8 @@
         decision.order = sorted(cost_by_id, key=cost_by_id.get)
         decision.order.extend(e.id for e in order if e.id not in cost_by_id)
         decision.cost_by_id = cost_by_id
+        if state.elements.priorities:
+            decision.priority = state.usage.priority(request.scope.workspace)
         return decision
 
     return rank
--- a/libs/routing/src/mulberryhub/routing/policies.py
+++ b/libs/routing/src/mulberryhub/routing/policies.py
@@ -6,18 +6,19 @@
 from mulberryhub.routing.cost import make_cost_policy
 from mulberryhub.routing.policy import Policy, PolicyState
 from mulberryhub.routing.request import Decision
+from mulberryhub.routing.usage import same_weight
 
 ORDER_LENGTH = 8  # engines
 
 
-def make_policy(name, clock, seed=0, rules=None):
+def make_policy(name, clock, seed=0, rules=Rules, weight_of=same_weight):
     """Return the policy `name` with state of its own; KeyError if there is none.
 
-    `rules()` returns the Rules in force; by default they are the usual ones.
+    `rules()` returns the Rules in force, `weight_of(workspace)` the weight of a
+    workspace in its use of engines.
     """
-    rules = rules or Rules
     if name == "cost":
-        return make_cost_policy(clock, rules)
+        return make_cost_policy(clock, rules, weight_of)
     make_rank = RANKS_BY_NAME[name]
     state = PolicyState()
     return Policy(name, state, make_rank(state, Random(seed)), clock)
--- a/libs/routing/src/mulberryhub/routing/usage.py
+++ b/libs/routing/src/mulberryhub/routing/usage.py
@@ -8,6 +8,11 @@
 LEAST_WEIGHT = 0.01
 
 
+def same_weight(workspace):
+    """Return the same weight for all workspaces."""
+    return 1.0
+
+
 class Usage:
     """Tokens that workspaces had computed lately, for their weights.
 
