--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -3,7 +3,6 @@
 import json
 import sys
 import time
-from uuid import uuid4
 
 import urllib3
 
@@ -14,6 +13,7 @@
     ORDER_PATH,
     Topology,
 )
+from mulberryhub.orders.idempotency import new_key
 
 PREFIX_WORDS = 6_000
 READY_TIMEOUT = 20.0  # s
@@ -58,15 +58,21 @@
 
 
 def wait_ready(routers):
-    """Wait until all `routers` serve."""
+    """Wait until all `routers` serve from their own shares."""
     deadline = time.monotonic() + READY_TIMEOUT
     for router in routers:
-        while router.request("GET", "/readyz").status != 200:
+        while not is_ready(router):
             if time.monotonic() > deadline:
                 raise DemoFailed(f"{router.address} did not become ready")
             time.sleep(0.05)
 
 
+def is_ready(router):
+    """Return whether `router` serves and holds its shares."""
+    answer = router.request("GET", "/readyz")
+    return answer.status == 200 and answer.json()["holds_shares"]
+
+
 def chat(router, question):
     """Stream one chat with the shared prefix through `router`."""
     catalogue = " ".join(f"part-{index}" for index in range(PREFIX_WORDS))
@@ -118,7 +124,10 @@
     answer = router.request(
         "POST",
         ORDER_PATH,
-        headers={"Authorization": f"Bearer {KEY}", "Idempotency-Key": uuid4().hex},
+        headers={
+            "Authorization": f"Bearer {KEY}",
+            "Idempotency-Key": new_key(time.time_ns() // 1_000_000),
+        },
         json={"part": "seal-17", "quantity": 2},
     )
     if answer.status >= 300:
--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -2,8 +2,8 @@
 
 from mulberryhub.base.clock import Clock
 from mulberryhub.base.counters import statsd_counters
-from mulberryhub.base.errors import Code, HubError
 from mulberryhub.daemon.daemon import Daemon, Lifecycle
+from mulberryhub.daemon.plain_services import PlainServices
 from mulberryhub.gateway.admin import apply_inventory
 from mulberryhub.gateway.app import Endpoint, Gateway
 from mulberryhub.gateway.attempts import RelayServices
@@ -42,31 +42,42 @@
     router = Router(settings.vm, settings.data_centre, settings.peer_address)
     limiter = Limiter(router, replica, peers, peer_server, clock, counters)
     membership = build_membership(settings, router, log, clock, counters, limiter)
+    budget = RetryBudget()
     services = RelayServices(
         engines,
         policy,
         health,
         watcher,
-        RetryBudget(),
+        budget,
         TokenSigner(secrets.token_key),
         replica.current,
         counters,
         clock,
     )
     completions = Completions(replica, limiter, services)
+    plain_services = PlainServices(
+        log, replica, health, budget, clock, counters, settings
+    )
     gateway = Gateway(
         {
             **completion_endpoints(completions, replica),
             **admin_endpoints(replica, secrets),
         },
-        refuse_unknown_route,
+        plain_services.handle,
         lambda: replica.current() is not None and limiter.is_ready,
         lambda: lifecycle.stopping,
+        lambda: limiter.holds_shares,
         counters,
     )
     http = HttpServer(settings.address, gateway)
-    on_start = [replica.start, watcher.start, limiter.start, membership.start]
-    on_stop = [limiter.close, membership.close]
+    on_start = [
+        replica.start,
+        watcher.start,
+        limiter.start,
+        membership.start,
+        plain_services.start,
+    ]
+    on_stop = [plain_services.stop, limiter.close, membership.close, peers.close]
     return Daemon(settings, lifecycle, http, peer_server, on_start, on_stop)
 
 
@@ -101,8 +112,3 @@
         return apply_inventory(call, replica, secrets.operator_key_hash)
 
     return {"/admin/inventory": Endpoint("POST", inventory)}
-
-
-def refuse_unknown_route(call):
-    """Refuse a call on a path that nothing serves."""
-    raise HubError(Code.UNKNOWN_ROUTE, "nothing serves this path")
