--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -18,6 +18,7 @@
 from mulberryhub.platform.log import LogClient
 from mulberryhub.platform.vm_list import VmListClient
 from mulberryhub.replica.config import ConfigReplica
+from mulberryhub.replica.member_seeds import MemberSeeds
 from mulberryhub.replica.membership import Membership
 from mulberryhub.routing.policies import make_policy
 from mulberryhub.upstream.budget import RetryBudget
@@ -41,7 +42,11 @@
     peers = PeerClient(secrets.peer_key, clock, counters)
     router = Router(settings.vm, settings.data_centre, settings.peer_address)
     limiter = Limiter(router, replica, peers, peer_server, clock, counters)
-    membership = build_membership(settings, router, log, clock, counters, limiter)
+    seeds = MemberSeeds(peers, settings.peers)
+    membership = build_membership(
+        settings, router, log, clock, counters, limiter, seeds
+    )
+    seeds.serve(peer_server, membership.current)
     budget = RetryBudget()
     services = RelayServices(
         engines,
@@ -81,12 +86,12 @@
     return Daemon(settings, lifecycle, http, peer_server, on_start, on_stop)
 
 
-def build_membership(settings, router, log, clock, counters, limiter):
+def build_membership(settings, router, log, clock, counters, limiter, seeds):
     """Return the membership, which tells `limiter` who shares the allowances."""
     address = settings.vm_list_address
     vm_list = VmListClient(address) if address else None
     membership = Membership(
-        router, log, vm_list, clock, counters, release=limiter.release
+        router, log, vm_list, clock, counters, limiter.release, seeds=seeds
     )
     membership.on_change(limiter.follow)
     return membership
--- a/libs/replica/src/mulberryhub/replica/membership.py
+++ b/libs/replica/src/mulberryhub/replica/membership.py
@@ -42,7 +42,7 @@
 
     `release(view)` is called until it returns True: the shares of this router
     then fit the view and stay so. `vm_list` may be None; no VM is then taken
-    for gone.
+    for gone. `seeds` are asked for the members while the log is out at the start.
     """
 
     __slots__ = (
@@ -62,6 +62,8 @@
         "_present_since_by_vm",
         "_leaving",
         "_was_member",
+        "_seeds",
+        "_seeded",
         "_random",
     )
 
@@ -74,6 +76,7 @@
         counters=None,
         release=lambda view: True,
         settle_time=SETTLE_TIME,
+        seeds=None,
     ):
         self.router = router
         self._log = log_client
@@ -91,12 +94,18 @@
         self._present_since_by_vm = {}
         self._leaving = False
         self._was_member = False
+        self._seeds = seeds
+        self._seeded = None
         self._random = Random(router.incarnation)
 
     def current(self):
         """Return the Members, or None until they are known."""
         table = self._stream.table
-        return None if table is None else table.members()
+        if table is None:
+            return None
+        if self._seeded is not None and not self._stream.caught_up:
+            return self._seeded
+        return table.members()
 
     def is_member(self):
         """Tell whether the log shows this run of the router as a member."""
@@ -146,11 +155,21 @@
                 changed = self._stream.read(READ_WAIT)
             except LogUnavailable:
                 self._counters.add("retry.members_read")
+                self._ask_seeds()
                 sleep(self._jittered(RETRY_DELAY) / 1000)
                 continue
             if changed or self._stream.table is None:
                 self._notify()
 
+    def _ask_seeds(self):
+        """Learn the members from a peer when the log was out from the start."""
+        if self._stream.caught_up or self._seeded or self._seeds is None:
+            return
+        self._seeded = self._seeds.ask(self._random)
+        if self._seeded is not None:
+            log.warning("the log is out; a peer told the members")
+            self._notify()
+
     def _notify(self):
         members = self.current()
         for listener in self._listeners:
--- a/tests/replica/test_membership.py
+++ b/tests/replica/test_membership.py
@@ -1,10 +1,13 @@
 import pytest
 
 from mulberryhub.base.green import sleep
+from mulberryhub.peers.client import PeerClient
 from mulberryhub.peers.members import Router
+from mulberryhub.peers.server import PeerServer
 from mulberryhub.platform.log import LogClient
 from mulberryhub.platform.vm_list import VmListClient
 from mulberryhub.replica import membership as module
+from mulberryhub.replica.member_seeds import MemberSeeds
 from mulberryhub.replica.membership import Membership
 
 POLLS = 300
@@ -110,6 +113,21 @@
     wait_for_view([a, b, c], "a", "b", "c")
 
 
+def test_start_while_the_log_is_out(start, log):
+    a = start("a")
+    wait_for_view([a], "a")
+    server = PeerServer("127.0.0.1:0", "secret")
+    MemberSeeds(None, []).serve(server, a.current)
+    server.start()
+    log.fault(outage=True)
+    b = start("b", seeds=MemberSeeds(PeerClient("secret"), [server.address]))
+    wait_for_view([b], "a")
+    assert not b.current().includes(b.router)
+    log.fault(outage=None)
+    wait_for_view([a, b], "a", "b")
+    server.stop(0)
+
+
 def test_router_taken_for_gone_joins_again(start, vm_list):
     for vm in "abc":
         vm_list.request("POST", "/vms", json={"id": vm})
