--- a/benchmarks/routing/__main__.py
+++ b/benchmarks/routing/__main__.py
@@ -23,7 +23,7 @@
 COLUMNS = ("hit_rate", "wasted_share", "p50", "p95", "p99", "worst_p95", "busy_share")
 
 
-def make_model(profile, policy, seed):
+def make_model(profile, policy, seed, **fairness):
     """Return a model whose routers run the policy named `policy`."""
 
     def make(model, number):
@@ -35,24 +35,32 @@
         def rules():
             return profile.rules
 
+        def weight_of(workspace):
+            return profile.shares[int(workspace)]
+
         name, *without = policy.split("-")
         if without:
             elements = Elements(**dict.fromkeys(without, False))
-            return make_cost_policy(model.clock, rules, elements)
-        return make_policy(name, model.clock, seed * 100 + number, rules)
+            return make_cost_policy(model.clock, rules, weight_of, elements)
+        return make_policy(name, model.clock, seed * 100 + number, rules, weight_of)
 
-    return Model(profile, make, seed)
+    return Model(profile, make, seed, **fairness)
 
 
-def run_once(profile, policy, seed, load=1.0, fault=None):
-    """Return the Figures of one run."""
+def run_results(profile, policy, seed, load=1.0, fault=None):
+    """Return the results of one run, and its model."""
     calls = make_calls(profile, seed, DURATION, load)
     if fault == "shift":
         calls = with_shift(calls, profile, FAULT_AT)
     if fault == "hot":
         calls = with_hot_prefix(calls, profile, FAULT_AT, seed)
     model = make_model(profile, policy, seed)
-    results = model.run(calls, FAULTS_BY_NAME.get(fault))
+    return model.run(calls, FAULTS_BY_NAME.get(fault)), model
+
+
+def run_once(profile, policy, seed, load=1.0, fault=None):
+    """Return the Figures of one run."""
+    results, model = run_results(profile, policy, seed, load, fault)
     start = FAULT_AT if fault else WARM_UP
     end = FAULT_AT + FAULT_WINDOW if fault else DURATION
     return figures_of(results, model, (start, end))
