Quarantine requests that crash engines

Cause: a request that crashes each engine which runs it was continued on the next engine until none was left, and again when its caller sent it through another router.

Change: an engine lost with a request makes it a suspect on all routers; a suspect runs again only as the one suspect on its engine, in a turn that a router chosen by rendezvous hashing gives; an engine lost under the turn quarantines the request everywhere before its caller is told. The stand-in tells its incarnation when it does not keep a stream.

--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -11,6 +11,7 @@
 from mulberryhub.gateway.models import list_models
 from mulberryhub.gateway.resume_token import TokenSigner
 from mulberryhub.gateway.server import HttpServer
+from mulberryhub.gateway.suspects import Suspects
 from mulberryhub.limits.limiter import Limiter
 from mulberryhub.peers.client import PeerClient
 from mulberryhub.peers.members import Router
@@ -42,6 +43,9 @@
     router = Router(settings.vm, settings.data_centre, settings.peer_address)
     limiter = Limiter(router, replica, peers, peer_server, clock, counters)
     membership = build_membership(settings, router, log, clock, counters, limiter)
+    suspects = Suspects(
+        settings.vm, membership.current, peers, peer_server, counters, clock
+    )
     budget = RetryBudget()
     services = RelayServices(
         engines,
@@ -50,6 +54,7 @@
         watcher,
         budget,
         TokenSigner(secrets.token_key),
+        suspects,
         replica.current,
         counters,
         clock,
--- a/libs/gateway/src/mulberryhub/gateway/attempts.py
+++ b/libs/gateway/src/mulberryhub/gateway/attempts.py
@@ -12,11 +12,13 @@
     StreamCut,
     StreamUnknown,
 )
-from mulberryhub.upstream.messages import Token
+from mulberryhub.upstream.messages import End, Token
 
 FAILED_RETRY = 1_000  # ms
 BAD_REQUEST_STATUSES = frozenset({400, 413, 422})
 MAX_TRIES = 3  # on one engine
+TURN_TIMEOUT = 60_000  # ms
+CLEARING_TOKENS = 8  # new tokens after which a suspect is cleared
 MAX_STALLS = 2  # resumptions without a new token, once there was a first one
 
 # Failures of a connection after which the engine may well be working on the request.
@@ -33,6 +35,7 @@
         "watcher",
         "budget",
         "signer",
+        "suspects",
         "current_view",
         "counters",
         "clock",
@@ -46,6 +49,7 @@
         watcher,
         budget,
         signer,
+        suspects,
         current_view,
         counters,
         clock,
@@ -56,6 +60,7 @@
         self.watcher = watcher
         self.budget = budget
         self.signer = signer
+        self.suspects = suspects
         self.current_view = current_view
         self.counters = counters
         self.clock = clock
@@ -87,6 +92,10 @@
         "_stalls",
         "_stalled_at",
         "_retries",
+        "_fingerprint",
+        "_reached",
+        "_turn",
+        "_cleared_at",
     )
 
     def __init__(self, services, decision, call):
@@ -106,6 +115,10 @@
         self._stalls = 0
         self._stalled_at = -1
         self._retries = 0
+        self._fingerprint = decision.request.chain[-1].hex()
+        self._reached = False
+        self._turn = None
+        self._cleared_at = 0
 
     def open(self):
         """Open the stream on the first engine that takes it or raise HubError."""
@@ -154,6 +167,14 @@
             if isinstance(item, Token):
                 self._texts.append(item.text)
                 self.tokens += 1
+        if self._turn is not None:
+            self._check_cleared(items)
+
+    def _check_cleared(self, items):
+        """Give the turn back once the request has shown that it crashes nothing."""
+        if self.tokens >= self._cleared_at or isinstance(items[-1], End):
+            self._services.suspects.cleared(self._fingerprint)
+            self._release_turn()
 
     def _note_answer(self):
         self._answered = True
@@ -167,7 +188,7 @@
 
     def _open_first(self, upstream_ids):
         failure = None
-        for upstream in self._upstreams(upstream_ids):
+        for upstream in self._in_turn(list(self._upstreams(upstream_ids))):
             if not self._may_try():
                 break
             self._begin(upstream.id)
@@ -186,6 +207,51 @@
             if upstream is not None:
                 yield upstream
 
+    def _in_turn(self, upstreams):
+        """Yield each upstream, for a suspect when it has its turn there."""
+        deadline = self._services.clock.now() + TURN_TIMEOUT
+        while upstreams:
+            for upstream in list(upstreams):
+                self._refuse_quarantined()
+                if self._may_run_on(upstream):
+                    upstreams.remove(upstream)
+                    yield upstream
+            if self._services.clock.now() > deadline:
+                return
+            if upstreams:
+                self._services.suspects.pause()
+
+    def _may_run_on(self, upstream):
+        suspects = self._services.suspects
+        if not suspects.is_suspect(self._fingerprint):
+            return True
+        if not suspects.acquire(upstream.id, self._call.request_id):
+            return False
+        self._turn = upstream.id
+        self._cleared_at = self.tokens + CLEARING_TOKENS
+        return True
+
+    def _release_turn(self):
+        engine_id, self._turn = self._turn, None
+        if engine_id is not None:
+            self._services.suspects.release(engine_id, self._call.request_id)
+
+    def _refuse_quarantined(self):
+        """Raise HubError for a request that has crashed two engines."""
+        if not self._services.suspects.is_quarantined(self._fingerprint):
+            return
+        ran = Ran.RAN if self.sent else Ran.NOT_RUN
+        raise HubError(Code.QUARANTINED, "the request crashes engines", ran)
+
+    def _note_crash(self, failure):
+        """Report the request where the engine that it had reached is gone."""
+        is_gone = isinstance(failure, ConnectFailed)
+        if isinstance(failure, StreamUnknown) and failure.incarnation:
+            is_gone = failure.incarnation != self.incarnation
+        if is_gone and self._reached:
+            alone = self._turn is not None
+            self._services.suspects.crashed(self._fingerprint, alone)
+
     def _may_try(self):
         """Pause before a retry; False when the budget for retries is used up."""
         if not self.sent:
@@ -206,6 +272,7 @@
                 return
             except CONNECTION_FAILURES as failure:
                 self.sent = True
+                self._reached = True
                 if not tries_left or self._is_dead(failure, tries_left):
                     raise
                 self._count(failure)
@@ -226,6 +293,7 @@
     def _take(self, stream):
         self.sent = True
         self.opened = True
+        self._reached = True
         self._stream = stream
         self.incarnation = stream.incarnation
         self._services.watcher.note_incarnation(self.upstream_id, stream.incarnation)
@@ -233,6 +301,7 @@
     def _abandon(self, upstream, failure):
         """Give up on one engine that did not take the call."""
         self._count(failure)
+        self._note_crash(failure)
         self.sent = self.sent or failure.sent
         if not isinstance(failure, EngineRefused):
             self._leave(upstream, failure)
@@ -249,11 +318,13 @@
 
     def _begin(self, upstream_id):
         self.upstream_id = upstream_id
+        self._reached = False
         self._started = self._services.clock.now()
         self._answered = False
         self._services.policy.started(self._decision, upstream_id)
 
     def _end(self):
+        self._release_turn()
         if self.upstream_id is not None:
             self._services.policy.ended(self._decision, self.upstream_id)
             self.upstream_id = None
@@ -309,12 +380,14 @@
         stream = self._services.engines.resume(upstream, self._call)
         if stream.incarnation != self.incarnation:
             stream.close()
-            raise StreamUnknown("the engine is a new incarnation")
+            raise StreamUnknown("the engine has restarted", stream.incarnation)
         self.sent = True
+        self._reached = True
         self._stream = stream
 
     def _continue_elsewhere(self, upstream, failure):
         """Continue from what was delivered; the same engine comes last."""
+        self._note_crash(failure)
         current = self.upstream_id
         order = [id_ for id_ in self._decision.order if id_ != current]
         if upstream is not None:
--- a/libs/standins/src/mulberryhub/standins/engine.py
+++ b/libs/standins/src/mulberryhub/standins/engine.py
@@ -164,7 +164,8 @@
         sequence = self.sequences_by_id.get(request.path[len(STREAMS_PATH) :])
         start = int(request.query.get("from", 0))
         if sequence is None or sequence.broken or start < sequence.start:
-            return Answer({"error": "unknown stream"}, status=404)
+            headers = [("X-Incarnation", self.incarnation)]
+            return Answer({"error": "unknown stream"}, status=404, headers=headers)
         self.totals_by_name["resumed"] += 1
         chat = request.query.get("chat", "1") == "1"
         return self._stream(sequence, start, chat, connection)
--- a/libs/upstream/src/mulberryhub/upstream/engine.py
+++ b/libs/upstream/src/mulberryhub/upstream/engine.py
@@ -313,7 +313,8 @@
 def _check_answer(method, call, response):
     """Raise EngineFailure unless `response` is the answer to `call`."""
     if response.status == 404 and method == "GET":
-        raise StreamUnknown("the engine does not keep this stream")
+        incarnation = response.headers.get("X-Incarnation", "")
+        raise StreamUnknown("the engine does not keep this stream", incarnation)
     if response.status != 200:
         message = response.read(ERROR_LENGTH).decode(errors="replace")
         raise EngineRefused(response.status, message)
--- a/libs/upstream/src/mulberryhub/upstream/errors.py
+++ b/libs/upstream/src/mulberryhub/upstream/errors.py
@@ -55,10 +55,17 @@
 
 
 class StreamUnknown(EngineFailure):
-    """The engine no longer keeps the stream that was to be resumed."""
+    """The engine no longer keeps the stream that was to be resumed.
+
+    `incarnation` is the engine's present one where it told it, else empty.
+    """
 
     reason = "unknown_stream"
 
+    def __init__(self, message, incarnation=""):
+        super().__init__(message)
+        self.incarnation = incarnation
+
 
 class WrongVersion(EngineFailure):
     """The engine answers with other weights than those asked for."""
