--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -6,7 +6,7 @@
 from mulberryhub.base.counters import statsd_counters
 from mulberryhub.daemon.daemon import Daemon, Lifecycle
 from mulberryhub.daemon.plain_services import PlainServices
-from mulberryhub.gateway.admin import Administration, apply_inventory
+from mulberryhub.gateway.admin import Administration
 from mulberryhub.gateway.app import Endpoint, Gateway
 from mulberryhub.gateway.attempts import RelayServices
 from mulberryhub.gateway.completions import Completions
@@ -161,17 +161,3 @@
         "/v1/completions": Endpoint("POST", completions.complete),
         "/v1/models": Endpoint("GET", models),
     }
-
-
-def admin_endpoints(replica, secrets):
-    """Return the endpoints of the administration API by path."""
-
-    def inventory(call):
-        return apply_inventory(call, replica, secrets.operator_key_hash)
-
-    return {"/admin/inventory": Endpoint("POST", inventory)}
-
-
-def refuse_unknown_route(call):
-    """Refuse a call on a path that nothing serves."""
-    raise HubError(Code.UNKNOWN_ROUTE, "nothing serves this path")
