--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -13,6 +13,7 @@
 from mulberryhub.gateway.models import list_models
 from mulberryhub.gateway.resume_token import TokenSigner
 from mulberryhub.gateway.server import HttpServer
+from mulberryhub.gateway.suspects import Suspects
 from mulberryhub.limits.limiter import Limiter
 from mulberryhub.peers.client import PeerClient
 from mulberryhub.peers.members import Router
@@ -65,6 +66,9 @@
         settings, router, log, clock, counters, limiter, seeds
     )
     seeds.serve(peer_server, membership.current)
+    suspects = Suspects(
+        settings.vm, membership.current, peers, peer_server, counters, clock
+    )
     budget = RetryBudget()
     services = RelayServices(
         engines,
@@ -73,6 +77,7 @@
         watcher,
         budget,
         TokenSigner(secrets.token_key),
+        suspects,
         replica.current,
         counters,
         clock,
