Explain how a request would be routed, and drain a router, from the tool

Both are calls of the administration API on one router and change nothing in the configuration. 'explain' prints each candidate with its cost and what it is expected to compute, in the order in which they would be tried.

--- a/libs/cli/src/mulberryhub/cli/__main__.py
+++ b/libs/cli/src/mulberryhub/cli/__main__.py
@@ -6,6 +6,8 @@
 
 from mulberryhub.cli.apply import apply
 from mulberryhub.cli.check import check
+from mulberryhub.cli.drain import drain
+from mulberryhub.cli.explain import explain
 from mulberryhub.cli.failures import CallFailed
 from mulberryhub.cli.key import add, withdraw
 from mulberryhub.cli.output import report_failure
@@ -17,6 +19,8 @@
     "apply": apply,
     "show": show,
     "status": status,
+    "explain": explain,
+    "drain": drain,
     "key": {"add": add, "withdraw": withdraw},
 }
 
--- /dev/null
+++ b/libs/cli/src/mulberryhub/cli/drain.py
@@ -0,0 +1,29 @@
+"""The command `drain`."""
+
+import msgspec
+
+from mulberryhub.cli.client import connect
+from mulberryhub.cli.output import OK, write_json
+from mulberryhub.config.administration import DrainAnswer, DrainBody
+
+
+def drain(
+    *, undo: bool = False, router: str = "", key_file: str = "", json: bool = False
+):
+    """Make a router fail readiness, so that the balancer sends it no new calls.
+
+    Calls that run go on. The router serves again after `drain --undo`.
+
+    :param undo: let the router be ready again
+    :param router: address of the router, or MULBERRYHUB_ROUTER
+    :param key_file: file with the operator key, or MULBERRYHUB_OPERATOR_KEY
+    :param json: print JSON
+    """
+    client = connect(router, key_file)
+    body = msgspec.json.encode(DrainBody(not undo))
+    answer = client.post("/admin/drain", body, DrainAnswer)
+    if json:
+        write_json(answer)
+    else:
+        print("draining" if answer.draining else "ready again")
+    return OK
--- a/libs/config/src/mulberryhub/config/administration.py
+++ b/libs/config/src/mulberryhub/config/administration.py
@@ -99,6 +99,53 @@
     offset: int | None
 
 
+class DrainBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Whether the router is to fail readiness, so that no new calls are sent to it."""
+
+    draining: bool
+
+
+class DrainAnswer(msgspec.Struct, frozen=True):
+    """Whether the router fails readiness on request."""
+
+    draining: bool
+
+
+class ExplainBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A completions request to explain, as if `workspace` had sent it."""
+
+    workspace: str
+    request: msgspec.Raw
+    chat: bool = True
+
+
+class Candidate(msgspec.Struct, frozen=True):
+    """One engine in the order in which it would be tried.
+
+    `cost` is the policy's weighed cost in ms, and `missing_tokens` what the engine
+    is expected to compute; both are None where the policy did not weigh the engine.
+    `failing` engines are tried after all others.
+    """
+
+    engine: str
+    data_centre: str
+    cost: float | None
+    missing_tokens: int | None
+    own_tokens: int
+    reported_tokens: int
+    failing: bool
+
+
+class ExplainAnswer(msgspec.Struct, frozen=True):
+    """How a router would route a request now; nothing is sent."""
+
+    policy: str
+    prompt_tokens: int
+    reserved_tokens: int
+    candidates: list[Candidate]
+    reason: str
+
+
 class FindingsAnswer(msgspec.Struct, frozen=True):
     """All findings of a check."""
 
--- a/libs/daemon/src/mulberryhub/daemon/daemon.py
+++ b/libs/daemon/src/mulberryhub/daemon/daemon.py
@@ -9,12 +9,18 @@
 
 
 class Lifecycle:
-    """Whether the router is about to stop."""
+    """Whether the router is about to stop, or fails readiness on request."""
 
-    __slots__ = ("stopping",)
+    __slots__ = ("stopping", "draining")
 
     def __init__(self):
         self.stopping = False
+        self.draining = False
+
+    @property
+    def is_ending(self):
+        """Return whether the balancer is to send no new calls."""
+        return self.stopping or self.draining
 
 
 class Daemon:
--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -11,6 +11,7 @@
 from mulberryhub.gateway.attempts import RelayServices
 from mulberryhub.gateway.completions import Completions
 from mulberryhub.gateway.models import list_models
+from mulberryhub.gateway.operations import Operations
 from mulberryhub.gateway.resume_token import TokenSigner
 from mulberryhub.gateway.server import HttpServer
 from mulberryhub.gateway.suspects import Suspects
@@ -96,14 +97,16 @@
             "failing_upstreams": lambda: sorted(health.failing_by_id),
         },
     )
+    operations = Operations(administration, replica, policy, health, lifecycle, clock)
     gateway = Gateway(
         {
             **completion_endpoints(completions, replica),
             **administration.endpoints(),
+            **operations.endpoints(),
         },
         plain_services.handle,
         lambda: replica.current() is not None and limiter.is_ready,
-        lambda: lifecycle.stopping,
+        lambda: lifecycle.is_ending,
         lambda: limiter.holds_shares,
         counters,
     )
--- a/libs/gateway/src/mulberryhub/gateway/admin.py
+++ b/libs/gateway/src/mulberryhub/gateway/admin.py
@@ -52,6 +52,10 @@
             "/admin/keys/withdraw": Endpoint("POST", self._withdraw_key),
         }
 
+    def require_operator(self, call):
+        """Return the id of the operator of `call`, or raise HubError."""
+        return self._operator(call)
+
     def _check(self, call):
         self._operator(call)
         _, findings = validate_inventory(call.read_body())
@@ -87,14 +91,14 @@
 
     def _add_key(self, call):
         author = self._changing_operator(call)
-        body = _decode(call, AddKeyBody)
+        body = decode_body(call, AddKeyBody)
         _require_hash(body.hash)
         offset = self._replica.add_key(body.base, author, body.hash, body.workspace)
         return json_reply(ChangeAnswer(offset))
 
     def _withdraw_key(self, call):
         author = self._changing_operator(call)
-        body = _decode(call, WithdrawKeyBody)
+        body = decode_body(call, WithdrawKeyBody)
         _require_hash(body.hash)
         withdrawal = self._replica.withdraw_key(author, body.hash)
         status = 200 if withdrawal.is_kept else 202
@@ -144,7 +148,8 @@
         raise HubError(Code.BAD_REQUEST, "the query must name the base offset")
 
 
-def _decode(call, type_):
+def decode_body(call, type_):
+    """Return the body of `call` as `type_`, or raise HubError."""
     try:
         return msgspec.json.decode(call.read_body(), type=type_)
     except msgspec.ValidationError as error:
--- a/libs/gateway/src/mulberryhub/gateway/completions.py
+++ b/libs/gateway/src/mulberryhub/gateway/completions.py
@@ -60,7 +60,7 @@
                 retry_after=NO_UPSTREAM_RETRY,
             )
         point = self._resume_point(call, body, workspace)
-        request = self._route_request(body, workspace, model, is_chat)
+        request = route_request(body, workspace, model, is_chat)
         now = self._clock.now()
         deadline = now + view.inventory.rules.first_token_deadline
         cost = request.tokens + body.output_tokens
@@ -94,12 +94,14 @@
             return None
         return self._services.signer.check(token, workspace.id)
 
-    def _route_request(self, body, workspace, model, is_chat):
-        scope = Scope(workspace.id, model.id, model.version)
-        if not is_chat:
-            return text_request(scope, body.prompt)
-        messages = [(item.role, content_text(item.content)) for item in body.messages]
-        return chat_request(scope, messages)
+
+def route_request(body, workspace, model, is_chat):
+    """Return the RouteRequest of a checked body."""
+    scope = Scope(workspace.id, model.id, model.version)
+    if not is_chat:
+        return text_request(scope, body.prompt)
+    messages = [(item.role, content_text(item.content)) for item in body.messages]
+    return chat_request(scope, messages)
 
 
 def _bounded(document, body):
--- /dev/null
+++ b/libs/gateway/src/mulberryhub/gateway/operations.py
@@ -0,0 +1,100 @@
+"""Operators' calls that change nothing in the configuration: explain and drain."""
+
+from mulberryhub.base.errors import Code, HubError
+from mulberryhub.config.administration import (
+    Candidate,
+    DrainAnswer,
+    DrainBody,
+    ExplainAnswer,
+    ExplainBody,
+)
+from mulberryhub.gateway.admin import decode_body
+from mulberryhub.gateway.app import Endpoint
+from mulberryhub.gateway.completion_body import check_model, parse_body
+from mulberryhub.gateway.completions import route_request
+from mulberryhub.gateway.replies import json_reply
+
+
+class Operations:
+    """Handlers of `/admin/explain` and `/admin/drain` on one router."""
+
+    __slots__ = (
+        "_administration",
+        "_replica",
+        "_policy",
+        "_health",
+        "_lifecycle",
+        "_clock",
+    )
+
+    def __init__(self, administration, replica, policy, health, lifecycle, clock):
+        self._administration = administration
+        self._replica = replica
+        self._policy = policy
+        self._health = health
+        self._lifecycle = lifecycle
+        self._clock = clock
+
+    def endpoints(self):
+        """Return the endpoints by path."""
+        return {
+            "/admin/explain": Endpoint("POST", self._explain),
+            "/admin/drain": Endpoint("POST", self._drain),
+        }
+
+    def _drain(self, call):
+        self._administration.require_operator(call)
+        self._lifecycle.draining = decode_body(call, DrainBody).draining
+        return json_reply(DrainAnswer(self._lifecycle.draining))
+
+    def _explain(self, call):
+        self._administration.require_operator(call)
+        asked = decode_body(call, ExplainBody)
+        view = self._replica.current()
+        workspace = view.workspaces_by_id.get(asked.workspace) if view else None
+        if workspace is None:
+            raise HubError(
+                Code.BAD_REQUEST, f"the workspace {asked.workspace!r} is not known"
+            )
+        body = parse_body(bytes(asked.request), asked.chat)
+        model = check_model(body, workspace, view)
+        request = route_request(body, workspace, model, asked.chat)
+        engines = view.engines_for(model.id)
+        decision = self._policy.choose(request, engines, self._clock.now())
+        candidates = [
+            self._candidate(view.upstreams_by_id[id_], decision)
+            for id_ in self._health.ordered(decision.order)
+        ]
+        return json_reply(
+            ExplainAnswer(
+                self._policy.name,
+                request.tokens,
+                body.output_tokens,
+                candidates,
+                reason_of(candidates),
+            )
+        )
+
+    def _candidate(self, engine, decision):
+        load = self._policy.state.loads.get(engine.id)
+        return Candidate(
+            engine=engine.id,
+            data_centre=engine.data_centre,
+            cost=decision.cost_by_id.get(engine.id),
+            missing_tokens=decision.missing_by_id.get(engine.id),
+            own_tokens=load.own_tokens,
+            reported_tokens=load.reported_tokens,
+            failing=self._health.is_avoided(engine.id),
+        )
+
+
+def reason_of(candidates):
+    """Return in words why the first candidate is chosen."""
+    if not candidates:
+        return "no engine serves the model"
+    first = candidates[0]
+    if first.failing:
+        return f"{first.engine}: all candidates are failing"
+    if first.cost is None:
+        return f"{first.engine}: first in the policy's order"
+    return f"{first.engine}: lowest cost, {first.cost:.0f} ms"
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -112,3 +112,25 @@
 def test_unreachable_router(fleet):
     log = fleet.log
     assert run(log, "status").returncode == 4
+
+
+def test_explain_and_drain(fleet):
+    document = fleet.inventory()
+    engine = {"id": "engine-1", "kind": "engine", "data_centre": "bangkok-1"}
+    engine |= {"address": "127.0.0.1:1", "models": ["parts-match"]}
+    document["upstreams"].append(engine)
+    run(fleet.routers[0], "apply", fleet.write("inventory.json", document))
+    request = {"model": "parts-match", "messages": [{"role": "user", "content": "x"}]}
+    path = fleet.write("request.json", request)
+    workspace = fleet.inventory()["workspaces"][0]["id"]
+    explained = run(fleet.routers[0], "explain", path, "--workspace", workspace)
+    assert explained.returncode == 0, explained.stderr
+    assert "engine-" in explained.stdout.splitlines()[-1]
+    other = run(fleet.routers[0], "explain", path, "--workspace", "nobody")
+    assert other.returncode == 1
+    assert run(fleet.routers[1], "drain", key="other").returncode == 1
+    assert run(fleet.routers[1], "drain").stdout == "draining\n"
+    answer = fleet.routers[1].request("GET", "/readyz")
+    assert (answer.status, answer.json()["error"]["code"]) == (503, "stopping")
+    assert run(fleet.routers[1], "drain", "--undo").stdout == "ready again\n"
+    assert fleet.routers[1].request("GET", "/readyz").status == 200
