Try the limiter over real calls between two routers

Cause: the waiting line, the return of unused tokens and the drain were tried only through whole routers.

--- /dev/null
+++ b/tests/limits/test_limiter.py
@@ -0,0 +1,127 @@
+import pytest
+
+from mulberryhub.base.clock import Clock
+from mulberryhub.base.counters import Counters
+from mulberryhub.base.errors import Code, HubError
+from mulberryhub.base.green import sleep, spawn
+from mulberryhub.config.inventory import Inventory, Workspace
+from mulberryhub.config.view import ConfigView
+from mulberryhub.limits.limiter import Limiter
+from mulberryhub.peers.client import PeerClient
+from mulberryhub.peers.members import Member, Members, Router, View
+from mulberryhub.peers.server import PeerServer
+
+WORKSPACE = Workspace("w", rate=1_000, burst=2_000)
+FILL_TIME = 3.5  # s
+DEADLINE = 60_000  # ms
+
+
+class Config:
+    def __init__(self, workspace=WORKSPACE):
+        self.view = ConfigView(0, Inventory(workspaces=[workspace]))
+
+    def current(self):
+        return self.view
+
+
+class Node:
+    def __init__(self, vm):
+        self.clock = Clock()
+        self.counters = Counters()
+        self.server = PeerServer("127.0.0.1:0", "secret")
+        client = PeerClient("secret")
+        self.router = Router(vm, "dc", "")
+        self.limiter = Limiter(
+            self.router, Config(), client, self.server, self.clock, self.counters
+        )
+        self.server.start()
+        self.limiter.start()
+
+    def admit(self, cost, wait=DEADLINE):
+        return self.limiter.admit(WORKSPACE, cost, self.clock.now() + wait)
+
+    def refusal(self, cost, wait=DEADLINE):
+        with pytest.raises(HubError) as raised:
+            self.admit(cost, wait)
+        return raised.value
+
+    def level(self):
+        return self.limiter.allowance()["w"]
+
+
+@pytest.fixture
+def nodes():
+    nodes = [Node("a"), Node("b")]
+    members = [
+        Member(
+            node.router.vm,
+            node.router.incarnation,
+            "dc",
+            node.server.address,
+            adopted=1,
+        )
+        for node in nodes
+    ]
+    view = View(1, ("a", "b"))
+    for node in nodes:
+        node.limiter.follow(Members({item.vm: item for item in members}, (view,)))
+    sleep(FILL_TIME)
+    yield nodes
+    for node in nodes:
+        node.limiter.close()
+        node.server.stop(0)
+
+
+def test_refused_while_the_routers_are_unknown():
+    node = Node("a")
+    assert node.refusal(1).code is Code.NOT_READY
+    node.limiter.close()
+    node.server.stop(0)
+
+
+def test_borrows_what_the_own_share_lacks(nodes):
+    a, b = nodes
+    assert (a.level(), b.level()) == (1_000, 1_000)
+    assert a.refusal(2_001).code is Code.OVER_BURST
+    assert a.admit(1_990).cost == 1_990
+    assert b.level() < 900
+
+
+def test_unused_tokens_return_to_the_lender(nodes):
+    a, b = nodes
+    grant = a.admit(2_000)
+    grant.settle(0)
+    grant.settle(0)
+    for _ in range(100):
+        if a.level() + b.level() >= 1_990:
+            break
+        sleep(0.02)
+    assert a.level() + b.level() >= 1_990
+    assert a.admit(1_900)
+    assert a.refusal(1_900, wait=50).code is Code.OVER_RATE
+
+
+def test_refusal_tells_when_to_come_back(nodes):
+    a = nodes[0]
+    a.admit(2_000)
+    error = a.refusal(2_000, wait=50)
+    assert error.code is Code.OVER_RATE
+    assert 1_000 <= error.retry_after <= 2_000
+    assert a.admit(100).cost == 100
+
+
+def test_caller_that_goes_leaves_the_line(nodes):
+    a = nodes[0]
+    a.admit(2_000)
+    waiting = spawn(a.admit, 2_000)
+    sleep(0.05)
+    waiting.kill()
+    assert a.admit(200).cost == 200
+
+
+def test_release_and_drain(nodes):
+    a, b = nodes
+    assert a.limiter.release(View(1, ("a", "b")))
+    assert not a.limiter.release(View(2, ("a", "b", "c")))
+    assert a.limiter.drain(5_000)
+    assert b.refusal(2_000, wait=100).code is Code.OVER_RATE
