--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -5,6 +5,7 @@
 from mulberryhub.base.clock import Clock
 from mulberryhub.base.counters import statsd_counters
 from mulberryhub.daemon.daemon import Daemon, Lifecycle
+from mulberryhub.daemon.engine_orders import build_engine_orders
 from mulberryhub.daemon.plain_services import PlainServices
 from mulberryhub.gateway.admin import Administration
 from mulberryhub.gateway.app import Endpoint, Gateway
@@ -97,6 +98,7 @@
             "failing_upstreams": lambda: sorted(health.failing_by_id),
         },
     )
+    engine_orders = build_engine_orders(settings, log, replica, clock, counters)
     operations = Operations(administration, replica, policy, health, lifecycle, clock)
     gateway = Gateway(
         {
@@ -117,6 +119,7 @@
         limiter.start,
         membership.start,
         plain_services.start,
+        engine_orders.start,
     ]
     on_stop = [plain_services.stop, limiter.close, membership.close, peers.close]
     return Daemon(settings, lifecycle, http, peer_server, on_start, on_stop)
