Take ports of test fleets from below the range of outgoing connections

Cause: tests/system/test_demo.py failed once and 'make demo' once after it: a router's port had been taken by an outgoing connection of another process between the choice and the listen. Ruled out: a retry of the start, which would hide real failures. Ports now lie from 10,000 to 32,000; the system's range starts at 32,768.

--- a/benchmarks/topology.py
+++ b/benchmarks/topology.py
@@ -1,6 +1,7 @@
 """A small fleet on loopback: stand-ins of the platform, upstreams and routers."""
 
 import json
+import random
 import socket
 import tempfile
 from pathlib import Path
@@ -16,13 +17,24 @@
     "hotels": "caller-key-of-hotels",
 }
 ORDER_PATH = "/orders"
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
 
 
 def free_port():
-    """Return a loopback port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a loopback port that was free a moment ago.
+
+    It lies below the range from which the system takes ports of outgoing
+    connections, which could take it before the program listens.
+    """
+    while True:
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 def loopback():
