--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -35,6 +35,8 @@
 SCENARIOS = [
     Scenario("even", 0.8),
     Scenario("one VM", 0.8, on_one=True),
+    Scenario("even, near", 0.95),
+    Scenario("one VM, near", 0.95, on_one=True),
     Scenario("even, over", 3.0),
     Scenario("one VM, over", 3.0, on_one=True),
     Scenario("one VM, over, refunds", 3.0, on_one=True, used_share=0.2),
