--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -5,14 +5,17 @@
 from mulberryhub.base.clock import Clock
 from mulberryhub.base.counters import statsd_counters
 from mulberryhub.daemon.daemon import Daemon, Lifecycle
+from mulberryhub.daemon.engine_orders import build_engine_orders
 from mulberryhub.daemon.plain_services import PlainServices
 from mulberryhub.gateway.admin import Administration
 from mulberryhub.gateway.app import Endpoint, Gateway
 from mulberryhub.gateway.attempts import RelayServices
 from mulberryhub.gateway.completions import Completions
 from mulberryhub.gateway.models import list_models
+from mulberryhub.gateway.operations import Operations
 from mulberryhub.gateway.resume_token import TokenSigner
 from mulberryhub.gateway.server import HttpServer
+from mulberryhub.gateway.suspects import Suspects
 from mulberryhub.limits.limiter import Limiter
 from mulberryhub.peers.client import PeerClient
 from mulberryhub.peers.members import Router
@@ -65,6 +68,9 @@
         settings, router, log, clock, counters, limiter, seeds
     )
     seeds.serve(peer_server, membership.current)
+    suspects = Suspects(
+        settings.vm, membership.current, peers, peer_server, counters, clock
+    )
     budget = RetryBudget()
     services = RelayServices(
         engines,
@@ -73,6 +79,7 @@
         watcher,
         budget,
         TokenSigner(secrets.token_key),
+        suspects,
         replica.current,
         counters,
         clock,
@@ -91,14 +98,17 @@
             "failing_upstreams": lambda: sorted(health.failing_by_id),
         },
     )
+    engine_orders = build_engine_orders(settings, log, replica, clock, counters)
+    operations = Operations(administration, replica, policy, health, lifecycle, clock)
     gateway = Gateway(
         {
             **completion_endpoints(completions, replica),
             **administration.endpoints(),
+            **operations.endpoints(),
         },
         plain_services.handle,
         lambda: replica.current() is not None and limiter.is_ready,
-        lambda: lifecycle.stopping,
+        lambda: lifecycle.is_ending,
         lambda: limiter.holds_shares,
         counters,
     )
@@ -109,6 +119,7 @@
         limiter.start,
         membership.start,
         plain_services.start,
+        engine_orders.start,
     ]
     on_stop = [plain_services.stop, limiter.close, membership.close, peers.close]
     return Daemon(settings, lifecycle, http, peer_server, on_start, on_stop)
