--- a/libs/routing/src/mulberryhub/routing/cost.py
+++ b/libs/routing/src/mulberryhub/routing/cost.py
@@ -1,16 +1,21 @@
 """The cost policy: expected time to first token and tokens recomputed, weighed."""
 
+from collections import deque
+from itertools import islice
+
 import msgspec
 
 from mulberryhub.routing.knowledge import Knowledge, Retention
 from mulberryhub.routing.news import RoutingNews, Sighting
 from mulberryhub.routing.policy import Policy, PolicyState
 from mulberryhub.routing.request import Decision
+from mulberryhub.routing.usage import Usage, same_weight
 
 HOME_ENGINES = 2
 ORDER_LENGTH = 8  # engines
 AWAY_SHARE = 0.25  # of the prefill of the whole prompt
-SIGHTINGS_KEPT = 64
+SIGHTINGS_KEPT = 128
+PEERS_KEPT = 64
 DIGEST_BYTES = 8
 
 
@@ -23,6 +28,7 @@
     `away_cost`: count a copy on another than the first engine as recomputation.
     `peer_load` and `peer_sightings`: use what peers tell.
     `reports`: use the load that engines report.
+    `priorities`: let workspaces beyond their share wait for the others.
     """
 
     levels: bool = True
@@ -32,20 +38,48 @@
     peer_load: bool = True
     peer_sightings: bool = True
     reports: bool = True
+    priorities: bool = True
 
 
 class CostState(PolicyState):
     """What the cost policy keeps besides loads."""
 
-    __slots__ = ("knowledge", "retention", "rules", "elements", "news")
-
-    def __init__(self, rules, elements):
+    __slots__ = (
+        "knowledge",
+        "retention",
+        "rules",
+        "elements",
+        "usage",
+        "_sightings",
+        "_sighted",
+        "_told_by_peer",
+    )
+
+    def __init__(self, rules, elements, usage):
         super().__init__()
         self.knowledge = Knowledge()
         self.retention = Retention()
         self.rules = rules
         self.elements = elements
-        self.news = []
+        self.usage = usage
+        self._sightings = deque(maxlen=SIGHTINGS_KEPT)
+        self._sighted = 0
+        self._told_by_peer = {}
+
+    def sighted(self, sighting):
+        """Keep `sighting` for the peers."""
+        self._sightings.append(sighting)
+        self._sighted += 1
+
+    def sightings_for(self, peer):
+        """Return the sightings that `peer` was not told of."""
+        told = self._told_by_peer.pop(peer, 0)
+        count = min(self._sighted - told, len(self._sightings))
+        self._told_by_peer[peer] = self._sighted
+        if len(self._told_by_peer) > PEERS_KEPT:
+            del self._told_by_peer[next(iter(self._told_by_peer))]
+        start = len(self._sightings) - count
+        return list(islice(self._sightings, start, None))
 
 
 class CostPolicy(Policy):
@@ -56,8 +90,10 @@
     def started(self, decision, engine_id):
         """Note that the request was sent; its prefix is presumed to get there."""
         super().started(decision, engine_id)
+        request = decision.request
+        self.state.usage.add(request.scope.workspace, request.tokens)
         if self.state.elements.presumption:
-            self._record(engine_id, level_digests(decision.request))
+            self._record(engine_id, level_digests(request))
 
     def answered(self, decision, engine_id, cached_tokens, first_token_time):
         """Note the first token and what the engine had cached."""
@@ -69,18 +105,17 @@
             self.state.retention.learn(sighting, was_held)
         digests = level_digests(request)
         self._record(engine_id, digests)
-        if len(self.state.news) < SIGHTINGS_KEPT:
-            self.state.news.append(Sighting(engine_id, digests))
+        self.state.sighted(Sighting(engine_id, digests))
 
     def forgotten(self, engine_id):
         """Drop the reports and sightings of an incarnation that is gone."""
         super().forgotten(engine_id)
         self.state.knowledge.forget_engine(engine_id)
 
-    def news(self):
-        """Return work outstanding now and what was seen since the last call."""
-        sightings, self.state.news = self.state.news, []
-        return RoutingNews(self.state.loads.outstanding(), sightings)
+    def news(self, peer):
+        """Return work outstanding now and the sightings that `peer` has not had."""
+        outstanding = self.state.loads.outstanding()
+        return RoutingNews(outstanding, self.state.sightings_for(peer))
 
     def heard(self, peer, news):
         """Take in the RoutingNews of the router named `peer`."""
@@ -96,9 +131,13 @@
             self.state.knowledge.record(digest, engine_id, now)
 
 
-def make_cost_policy(clock, rules, elements=Elements()):  # noqa: B008
-    """Return a cost policy with state of its own."""
-    state = CostState(rules, elements)
+def make_cost_policy(clock, rules, weight_of=same_weight, elements=Elements()):  # noqa: B008
+    """Return a cost policy with state of its own.
+
+    `rules()` returns the Rules and `weight_of(workspace)` the weight of a workspace
+    in its use of engines, such as its rate.
+    """
+    state = CostState(rules, elements, Usage(clock, weight_of))
     return CostPolicy("cost", state, cost_rank(state), clock)
 
 
@@ -119,6 +158,8 @@
         decision.order = sorted(cost_by_id, key=cost_by_id.get)
         decision.order.extend(e.id for e in order if e.id not in cost_by_id)
         decision.cost_by_id = cost_by_id
+        if state.elements.priorities:
+            decision.priority = state.usage.priority(request.scope.workspace)
         return decision
 
     return rank
@@ -154,7 +195,7 @@
     missing = expected_missing(state, decision, is_first, engine, now)
     prefill = missing * engine.prefill_cost
     wait = expected_wait(state, engine, now)
-    rules = state.rules
+    rules = state.rules()
     total = rules.latency_weight * (wait + prefill)
     total += rules.recomputation_weight * prefill
     if state.elements.away_cost and not is_first:
