Take idempotency keys without a time, for a window of an hour

Cause: a key that was not a UUID of version 7 was refused, so that clients with keys of their own form could not place an order at all. Ruled out: no window at all (nothing can be known past the log's retention), and a sliding window (a losing claim would stand for the first call and hide its answer). Change: such a key is looked up over the last hour of its stream; a router refuses where that hour is not all there.

--- a/libs/orders/src/mulberryhub/orders/idempotency.py
+++ b/libs/orders/src/mulberryhub/orders/idempotency.py
@@ -7,6 +7,8 @@
 from mulberryhub.base.errors import Code, HubError
 
 KEY_VERSION = 7
+NO_TIME = 0
+MAX_KEY_LENGTH = 255  # characters
 TIMESTAMP_SHIFT = 80  # bits below the timestamp of a UUID of version 7
 VERSION_SHIFT = 76  # bits
 VARIANT_SHIFT = 62  # bits
@@ -16,14 +18,14 @@
 def key_time(key):
     """Return the creation time in a UUID of version 7, in ms since the Unix epoch.
 
-    Raise HubError(BAD_REQUEST) for any other text.
+    Return NO_TIME for other keys. Raise HubError(BAD_REQUEST) where `key` is too
+    long or not printable ASCII.
     """
-    try:
-        parsed = UUID(key)
-    except ValueError as error:
-        raise _bad_key() from error
-    if parsed.version != KEY_VERSION:
+    if not 1 <= len(key) <= MAX_KEY_LENGTH or not (key.isascii() and key.isprintable()):
         raise _bad_key()
+    parsed = _parse(key)
+    if parsed is None:
+        return NO_TIME
     return parsed.int >> TIMESTAMP_SHIFT
 
 
@@ -37,7 +39,8 @@
 
 def scoped_digest(workspace_id, route, key):
     """Return the digest of a key within its workspace and route."""
-    return _digest(workspace_id, route, str(UUID(key)))
+    parsed = _parse(key)
+    return _digest(workspace_id, route, key if parsed is None else str(parsed))
 
 
 def request_fingerprint(method, path, body):
@@ -45,6 +48,15 @@
     return _digest(method, path, body)
 
 
+def _parse(key):
+    """Return the UUID of version 7 in `key`, or None."""
+    try:
+        parsed = UUID(key)
+    except ValueError:
+        return None
+    return parsed if parsed.version == KEY_VERSION else None
+
+
 def _digest(*parts):
     digest = blake2b(digest_size=DIGEST_BYTES)
     for part in parts:
@@ -57,5 +69,5 @@
 def _bad_key():
     return HubError(
         Code.BAD_REQUEST,
-        "Idempotency-Key must be a UUID of version 7, made when the call is first sent",
+        f"Idempotency-Key must be 1 to {MAX_KEY_LENGTH} printable ASCII characters",
     )
--- a/libs/orders/src/mulberryhub/orders/once.py
+++ b/libs/orders/src/mulberryhub/orders/once.py
@@ -10,7 +10,7 @@
 
 from mulberryhub.base.errors import Code, HubError, Ran
 from mulberryhub.base.green import Event, Timeout, sleep, spawn_n
-from mulberryhub.orders.idempotency import key_time, scoped_digest
+from mulberryhub.orders.idempotency import NO_TIME, key_time, scoped_digest
 from mulberryhub.orders.keeper import Keeper
 from mulberryhub.orders.outcome import NotSent, Outcome
 from mulberryhub.orders.partition import HistoryExpired, Partition
@@ -151,7 +151,11 @@
         standing = standing_of(entries)
         if standing.claim is None:
             self._refuse_invalid(entries, claim)
-        return standing.held_by(claim.nonce), standing
+        won = standing.held_by(claim.nonce)
+        if not won and claim.key_time == NO_TIME:
+            # Else it would stand for the first call once that is out of the window.
+            self._keeper.keep(partition, Release(claim.key, claim.nonce))
+        return won, standing
 
     def _require_present(self, entries, claim):
         if all(entry.record.nonce != claim.nonce for entry in entries):
--- a/libs/orders/src/mulberryhub/orders/partition.py
+++ b/libs/orders/src/mulberryhub/orders/partition.py
@@ -10,7 +10,7 @@
 
 from mulberryhub.base.green import Event, Semaphore, sleep, spawn_n
 from mulberryhub.orders.records import Mark, Result, decode_record, encode_record
-from mulberryhub.orders.standing import Entry
+from mulberryhub.orders.standing import KEY_WINDOW, MAX_LOG_STEP, Entry
 from mulberryhub.platform.log import LogUnavailable, OffsetExpired
 
 BATCH_LIMIT = 200  # records
@@ -70,16 +70,24 @@
     def history(self, key, since, end=None):
         """Return the entries of `key` in offset order, all that the log took since.
 
-        `since` is a log time in ms. The entries reach to the offset `end`, or
-        to the end of the stream. Raise HistoryExpired, or LogUnavailable.
+        `since` is a log time in ms, or None for KEY_WINDOW before the newest
+        record. The entries reach to the offset `end`, or to the end of the
+        stream. Raise HistoryExpired, or LogUnavailable.
         """
         with self._reading:
             self._read_forward(end)
-            self._read_back(since)
+            start = self._window_start() if since is None else since
+            self._read_back(start)
             entries = list(self._entries_by_key.get(key, ()))
+            if since is None:
+                entries = [entry for entry in entries if entry.time >= start]
             self._trim()
             return entries
 
+    def _window_start(self):
+        newest = self._entries[-1].time if self._entries else 0
+        return newest - KEY_WINDOW - MAX_LOG_STEP
+
     def result(self, entry):
         """Read the whole Result of a cached entry.
 
--- a/libs/orders/src/mulberryhub/orders/standing.py
+++ b/libs/orders/src/mulberryhub/orders/standing.py
@@ -4,6 +4,7 @@
 the same result whenever they read.
 """
 
+from mulberryhub.orders.idempotency import NO_TIME
 from mulberryhub.orders.records import Claim, Release, Result
 
 MAX_CLOCK_LEAD = 30_000  # ms that a caller's clock may be ahead of the log's
@@ -37,18 +38,25 @@
 
 
 def history_start(key_time):
-    """Return the log time from which records may concern a key of this time."""
+    """Return the log time from which records may concern a key of this time.
+
+    Return None for a key without a time: its window ends with the newest record.
+    """
+    if key_time == NO_TIME:
+        return None
     return key_time - MAX_CLOCK_LEAD - MAX_LOG_STEP
 
 
 def is_early(entry):
     """Return whether the claim came before its key's time, by the log's clock."""
-    return entry.time < entry.record.key_time - MAX_CLOCK_LEAD
+    created = entry.record.key_time
+    return created != NO_TIME and entry.time < created - MAX_CLOCK_LEAD
 
 
 def is_late(entry):
     """Return whether the claim came after the window of its key."""
-    return entry.time > entry.record.key_time + KEY_WINDOW
+    created = entry.record.key_time
+    return created != NO_TIME and entry.time > created + KEY_WINDOW
 
 
 def standing_of(entries):
