--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -4,6 +4,7 @@
 from mulberryhub.base.counters import statsd_counters
 from mulberryhub.daemon.daemon import Daemon, Lifecycle
 from mulberryhub.daemon.plain_services import PlainServices
+from mulberryhub.daemon.routing import build_exchange, build_policy
 from mulberryhub.gateway.admin import apply_inventory
 from mulberryhub.gateway.app import Endpoint, Gateway
 from mulberryhub.gateway.attempts import RelayServices
@@ -19,7 +20,6 @@
 from mulberryhub.platform.vm_list import VmListClient
 from mulberryhub.replica.config import ConfigReplica
 from mulberryhub.replica.membership import Membership
-from mulberryhub.routing.policies import make_policy
 from mulberryhub.upstream.budget import RetryBudget
 from mulberryhub.upstream.engine import EngineClient
 from mulberryhub.upstream.health import Health
@@ -34,7 +34,7 @@
     log = LogClient(settings.log_address)
     peer_server = PeerServer(settings.peer_address, secrets.peer_key, counters)
     replica = ConfigReplica(log, clock, counters)
-    policy = make_policy(settings.policy, clock)
+    policy = build_policy(settings, clock, replica)
     health = Health(clock, counters)
     watcher = Watcher(replica, policy, health, clock, counters)
     engines = EngineClient(counters)
@@ -42,6 +42,9 @@
     router = Router(settings.vm, settings.data_centre, settings.peer_address)
     limiter = Limiter(router, replica, peers, peer_server, clock, counters)
     membership = build_membership(settings, router, log, clock, counters, limiter)
+    start_exchange = build_exchange(
+        settings.vm, policy, membership, peers, peer_server, counters
+    )
     budget = RetryBudget()
     services = RelayServices(
         engines,
@@ -76,6 +79,7 @@
         limiter.start,
         membership.start,
         plain_services.start,
+        start_exchange,
     ]
     on_stop = [plain_services.stop, limiter.close, membership.close, peers.close]
     return Daemon(settings, lifecycle, http, peer_server, on_start, on_stop)
--- a/libs/routing/src/mulberryhub/routing/cost.py
+++ b/libs/routing/src/mulberryhub/routing/cost.py
@@ -159,7 +159,8 @@
         decision.order.extend(e.id for e in order if e.id not in cost_by_id)
         decision.cost_by_id = cost_by_id
         if state.elements.priorities:
-            decision.priority = state.usage.priority(request.scope.workspace)
+            workspace = request.scope.workspace
+            decision.priority = state.usage.priority(workspace, request.tokens)
         return decision
 
     return rank
--- a/libs/routing/src/mulberryhub/routing/usage.py
+++ b/libs/routing/src/mulberryhub/routing/usage.py
@@ -5,6 +5,7 @@
 USAGE_LIFETIME = 20_000  # ms
 STEPS = 1  # priorities for each doubling
 LEAST_PRIORITY = -8
+GRACE_REQUESTS = 3
 LEAST_WEIGHT = 0.01
 
 
@@ -31,8 +32,11 @@
         now = self._clock.now()
         self._used_by_workspace[workspace] = (self._used(workspace, now) + tokens, now)
 
-    def priority(self, workspace):
-        """Return the priority of a request: 0, or less if beyond its share."""
+    def priority(self, workspace, tokens):
+        """Return the priority of a request of `tokens`: 0, or less beyond its share.
+
+        A few requests are not held against a workspace that seldom sends any.
+        """
         now = self._clock.now()
         used = weight = 0.0
         for other in list(self._used_by_workspace):
@@ -42,9 +46,10 @@
                 continue
             used += other_used
             weight += self._weight(other)
-        own = self._used(workspace, now) / self._weight(workspace)
-        if not own or not used:
+        own = self._used(workspace, now) - GRACE_REQUESTS * tokens
+        if own <= 0:
             return 0
+        own /= self._weight(workspace)
         steps = int(STEPS * log2(own * weight / used))
         return max(LEAST_PRIORITY, min(0, -steps))
 
