--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -7,6 +7,7 @@
 from mulberryhub.daemon.daemon import Daemon, Lifecycle
 from mulberryhub.daemon.engine_orders import build_engine_orders
 from mulberryhub.daemon.plain_services import PlainServices
+from mulberryhub.daemon.routing import build_exchange, build_policy
 from mulberryhub.gateway.admin import Administration
 from mulberryhub.gateway.app import Endpoint, Gateway
 from mulberryhub.gateway.attempts import RelayServices
@@ -25,7 +26,6 @@
 from mulberryhub.replica.config import ConfigReplica
 from mulberryhub.replica.member_seeds import MemberSeeds
 from mulberryhub.replica.membership import Membership
-from mulberryhub.routing.policies import make_policy
 from mulberryhub.upstream.budget import RetryBudget
 from mulberryhub.upstream.engine import EngineClient
 from mulberryhub.upstream.health import Health
@@ -57,7 +57,7 @@
         live_vms=lambda: live_vms(membership),
     )
     replica.register(peer_server)
-    policy = make_policy(settings.policy, clock)
+    policy = build_policy(settings, clock, replica)
     health = Health(clock, counters)
     watcher = Watcher(replica, policy, health, clock, counters)
     engines = EngineClient(counters)
@@ -71,6 +71,9 @@
     suspects = Suspects(
         settings.vm, membership.current, peers, peer_server, counters, clock
     )
+    start_exchange = build_exchange(
+        settings.vm, policy, membership, peers, peer_server, counters
+    )
     budget = RetryBudget()
     services = RelayServices(
         engines,
@@ -120,6 +123,7 @@
         membership.start,
         plain_services.start,
         engine_orders.start,
+        start_exchange,
     ]
     on_stop = [plain_services.stop, limiter.close, membership.close, peers.close]
     return Daemon(settings, lifecycle, http, peer_server, on_start, on_stop)
