--- a/libs/routing/src/mulberryhub/routing/cost.py
+++ b/libs/routing/src/mulberryhub/routing/cost.py
@@ -158,6 +158,7 @@
         decision.order = sorted(cost_by_id, key=cost_by_id.get)
         decision.order.extend(e.id for e in order if e.id not in cost_by_id)
         decision.cost_by_id = cost_by_id
+        decision.first_token_time = first_token_time(state, decision, candidates, now)
         if state.elements.priorities:
             workspace = request.scope.workspace
             decision.priority = state.usage.priority(workspace, request.tokens)
@@ -166,6 +167,13 @@
     return rank
 
 
+def first_token_time(state, decision, candidates, now):
+    """Return the expected time in ms to the first token on the first engine."""
+    engine = candidates[decision.order[0]]
+    prefill = decision.missing(engine.id) * engine.prefill_cost
+    return expected_wait(state, engine, now) + prefill
+
+
 def level_digests(request):
     """Return the short digests of the levels of `request`."""
     return [request.chain[index][:DIGEST_BYTES] for index in request.levels]
--- a/libs/routing/src/mulberryhub/routing/request.py
+++ b/libs/routing/src/mulberryhub/routing/request.py
@@ -39,6 +39,8 @@
     """The engines to try in order.
 
     `cost_by_id` holds the weighed cost in ms of each engine that was weighed.
+    `first_token_time` is the expected time in ms to the first token on the first
+    engine, None if it was not weighed.
     `missing_by_id` holds the tokens that each weighed engine is expected to
     compute; an engine that was not weighed is expected to compute all of them.
     `sightings_by_id` holds, for each level, the class of what was seen of it on
@@ -50,6 +52,7 @@
         "request",
         "order",
         "cost_by_id",
+        "first_token_time",
         "missing_by_id",
         "sightings_by_id",
         "priority",
@@ -60,6 +63,7 @@
         self.request = request
         self.order = order
         self.cost_by_id = {}
+        self.first_token_time = None
         self.missing_by_id = missing_by_id or {}
         self.priority = priority
         self.sightings_by_id = {}
