--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -1,17 +1,22 @@
 """The composition root: the only place that wires the parts of a router."""
 
+import msgspec
+
 from mulberryhub.base.clock import Clock
 from mulberryhub.base.counters import statsd_counters
 from mulberryhub.daemon.daemon import Daemon, Lifecycle
+from mulberryhub.daemon.engine_orders import build_engine_orders
 from mulberryhub.daemon.plain_services import PlainServices
 from mulberryhub.daemon.routing import build_exchange, build_policy
-from mulberryhub.gateway.admin import apply_inventory
+from mulberryhub.gateway.admin import Administration
 from mulberryhub.gateway.app import Endpoint, Gateway
 from mulberryhub.gateway.attempts import RelayServices
 from mulberryhub.gateway.completions import Completions
 from mulberryhub.gateway.models import list_models
+from mulberryhub.gateway.operations import Operations
 from mulberryhub.gateway.resume_token import TokenSigner
 from mulberryhub.gateway.server import HttpServer
+from mulberryhub.gateway.suspects import Suspects
 from mulberryhub.limits.limiter import Limiter
 from mulberryhub.peers.client import PeerClient
 from mulberryhub.peers.members import Router
@@ -19,6 +24,7 @@
 from mulberryhub.platform.log import LogClient
 from mulberryhub.platform.vm_list import VmListClient
 from mulberryhub.replica.config import ConfigReplica
+from mulberryhub.replica.member_seeds import MemberSeeds
 from mulberryhub.replica.membership import Membership
 from mulberryhub.upstream.budget import RetryBudget
 from mulberryhub.upstream.engine import EngineClient
@@ -26,6 +32,13 @@
 from mulberryhub.upstream.watcher import Watcher
 
 
+class MembersReport(msgspec.Struct):
+    """What `status` shows of the membership."""
+
+    vms: list[str]
+    holds_shares: bool
+
+
 def build(settings, secrets):
     """Return the daemon for `settings` and `secrets`, not yet started."""
     clock = Clock()
@@ -33,15 +46,31 @@
     lifecycle = Lifecycle()
     log = LogClient(settings.log_address)
     peer_server = PeerServer(settings.peer_address, secrets.peer_key, counters)
-    replica = ConfigReplica(log, clock, counters)
+    peers = PeerClient(secrets.peer_key, clock, counters)
+    replica = ConfigReplica(
+        log,
+        clock,
+        counters,
+        call=peers.call,
+        peer_addresses=lambda: peer_addresses(settings, replica),
+        vm=settings.vm,
+        live_vms=lambda: live_vms(membership),
+    )
+    replica.register(peer_server)
     policy = build_policy(settings, clock, replica)
     health = Health(clock, counters)
     watcher = Watcher(replica, policy, health, clock, counters)
     engines = EngineClient(counters)
-    peers = PeerClient(secrets.peer_key, clock, counters)
     router = Router(settings.vm, settings.data_centre, settings.peer_address)
     limiter = Limiter(router, replica, peers, peer_server, clock, counters)
-    membership = build_membership(settings, router, log, clock, counters, limiter)
+    seeds = MemberSeeds(peers, settings.peers)
+    membership = build_membership(
+        settings, router, log, clock, counters, limiter, seeds
+    )
+    seeds.serve(peer_server, membership.current)
+    suspects = Suspects(
+        settings.vm, membership.current, peers, peer_server, counters, clock
+    )
     start_exchange = build_exchange(
         settings.vm, policy, membership, peers, peer_server, counters
     )
@@ -53,6 +82,7 @@
         watcher,
         budget,
         TokenSigner(secrets.token_key),
+        suspects,
         replica.current,
         counters,
         clock,
@@ -61,14 +91,27 @@
     plain_services = PlainServices(
         log, replica, health, budget, clock, counters, settings
     )
+    administration = Administration(
+        replica,
+        counters,
+        secrets.operator_key_hash,
+        reports_by_part={
+            "members": lambda: members_report(membership, limiter),
+            "allowances": limiter.allowance,
+            "failing_upstreams": lambda: sorted(health.failing_by_id),
+        },
+    )
+    engine_orders = build_engine_orders(settings, log, replica, clock, counters)
+    operations = Operations(administration, replica, policy, health, lifecycle, clock)
     gateway = Gateway(
         {
             **completion_endpoints(completions, replica),
-            **admin_endpoints(replica, secrets),
+            **administration.endpoints(),
+            **operations.endpoints(),
         },
         plain_services.handle,
         lambda: replica.current() is not None and limiter.is_ready,
-        lambda: lifecycle.stopping,
+        lambda: lifecycle.is_ending,
         lambda: limiter.holds_shares,
         counters,
     )
@@ -79,23 +122,49 @@
         limiter.start,
         membership.start,
         plain_services.start,
+        engine_orders.start,
         start_exchange,
     ]
     on_stop = [plain_services.stop, limiter.close, membership.close, peers.close]
     return Daemon(settings, lifecycle, http, peer_server, on_start, on_stop)
 
 
-def build_membership(settings, router, log, clock, counters, limiter):
+def build_membership(settings, router, log, clock, counters, limiter, seeds):
     """Return the membership, which tells `limiter` who shares the allowances."""
     address = settings.vm_list_address
     vm_list = VmListClient(address) if address else None
     membership = Membership(
-        router, log, vm_list, clock, counters, release=limiter.release
+        router, log, vm_list, clock, counters, limiter.release, seeds=seeds
     )
     membership.on_change(limiter.follow)
     return membership
 
 
+def members_report(membership, limiter):
+    """Return the members' VMs and whether this router holds its shares."""
+    members = membership.current()
+    vms = [] if members is None else sorted(members.members_by_vm)
+    return MembersReport(vms, limiter.holds_shares)
+
+
+def live_vms(membership):
+    """Return the ids of the member VMs, or None while they are not known."""
+    members = membership.current()
+    return None if members is None else set(members.members_by_vm)
+
+
+def peer_addresses(settings, replica):
+    """Return the peer addresses of the other VMs: the inventory's, else the settings'.
+
+    The settings count until an inventory is in force.
+    """
+    view = replica.last_view
+    if view is None or not view.inventory.vms:
+        return settings.peers
+    vms = view.inventory.vms
+    return [vm.peer_address for vm in vms if vm.id != settings.vm]
+
+
 def completion_endpoints(completions, replica):
     """Return the endpoints of the completions interface by path."""
 
@@ -107,12 +176,3 @@
         "/v1/completions": Endpoint("POST", completions.complete),
         "/v1/models": Endpoint("GET", models),
     }
-
-
-def admin_endpoints(replica, secrets):
-    """Return the endpoints of the administration API by path."""
-
-    def inventory(call):
-        return apply_inventory(call, replica, secrets.operator_key_hash)
-
-    return {"/admin/inventory": Endpoint("POST", inventory)}
