--- a/benchmarks/routing/model.py
+++ b/benchmarks/routing/model.py
@@ -6,14 +6,16 @@
 
 from benchmarks.routing.engines import Engine, Job
 from benchmarks.routing.profiles import BLOCK
+from mulberryhub.base.errors import HubError
 from mulberryhub.routing.chain import prefix_chain
+from mulberryhub.routing.exchange import PERIOD, called_peers
 from mulberryhub.routing.request import RouteRequest, Scope
 
 ROUTERS = 6
 REPORT_PERIOD = 1_000  # ms
 REPORT_LAG = (1_000, 3_000)  # ms
-EXCHANGE_PERIOD = 200  # ms
 EXCHANGE_DELAY = 1  # ms
+DEADLINE = 30_000  # ms
 RETRY_DELAY = 200  # ms
 FAULT_AT = 30_000  # ms
 CUT_TIME = 10_000  # ms
@@ -44,10 +46,29 @@
         self.engine = engine
 
 
+class Attempt:
+    """One call on its way through a router; `since` is when it came first."""
+
+    __slots__ = ("call", "decision", "policy", "since", "gate", "cost")
+
+    def __init__(self, call, decision, policy, since):
+        self.call = call
+        self.decision = decision
+        self.policy = policy
+        self.since = since
+        self.gate = None
+        self.cost = 0
+
+    def leave(self):
+        """Tell the gate that the first token has come or never will."""
+        if self.gate is not None:
+            self.gate.leave(self.cost)
+
+
 class Model:
     """Routers with a policy each, before engines that they share."""
 
-    def __init__(self, profile, make, seed, routers=ROUTERS):
+    def __init__(self, profile, make, seed, routers=ROUTERS, gates=None, usages=None):
         self.clock = ModelClock()
         self.random = Random(seed)
         self.engines = [
@@ -59,7 +80,10 @@
         self.profile = profile
         self.make = make
         self.policies = [make(self, i) for i in range(routers)]
+        self.gates = [gates(self) for _ in range(routers)] if gates else None
+        self.usages = [usages(self) for _ in range(routers)] if usages else None
         self.results = []
+        self.refused = []
         self._agenda = []
         self._sequence = count()
         self._digests_by_path = {}
@@ -76,10 +100,10 @@
         for engine in self.engines:
             self.later(self.random.uniform(0, REPORT_PERIOD), self._report, engine)
         for i in range(len(self.policies)):
-            self.later(self.random.uniform(0, EXCHANGE_PERIOD), self._exchange, i)
+            self.later(self.random.uniform(0, PERIOD), self._exchange, i)
         if fault:
             self.later(FAULT_AT, fault, self)
-        while len(self.results) < len(calls):
+        while len(self.results) + len(self.refused) < len(calls):
             self.clock.time, _, function, arguments = heappop(self._agenda)
             function(self.clock.time, *arguments)
         return self.results
@@ -110,38 +134,73 @@
         return self._digests_by_path[key]
 
     def _arrive(self, now, call, since=None):
-        since = now if since is None else since
-        policy = self.random.choice(self.policies)
+        number = self.random.randrange(len(self.policies))
+        policy = self.policies[number]
         request = self.request_of(call)
         decision = policy.choose(request, self.live, int(now))
+        attempt = Attempt(call, decision, policy, now if since is None else since)
+        if self.usages is not None:
+            usage = self.usages[number]
+            decision.priority = usage.priority(call.workspace)
+            usage.add(call.workspace, request.tokens)
+        if self.gates is None:
+            self._send(attempt)
+            return
+        attempt.gate = self.gates[number]
+        attempt.cost = decision.missing(decision.order[0])
+        self._enter(attempt, int(attempt.since) + DEADLINE)
+
+    def _enter(self, attempt, deadline):
+        def start():
+            old = attempt.decision
+            now = int(self.clock.time)
+            attempt.decision = attempt.policy.choose(old.request, self.live, now)
+            attempt.decision.priority = old.priority
+            self._send(attempt)
+
+        arguments = attempt.call.workspace, attempt.cost, deadline, start
+        try:
+            if attempt.gate.submit(*arguments) is None:
+                start()
+        except HubError:
+            self.refused.append(attempt.call)
+
+    def _send(self, attempt):
+        decision, policy = attempt.decision, attempt.policy
         engine = self.engines_by_id[decision.order[0]]
+        sent_at = self.clock.time
         policy.started(decision, engine.id)
 
         def first(at, job):
-            duration = int(at - now)
-            policy.answered(decision, engine.id, job.cached, duration)
-            self.results.append(Result(call, request.tokens, job, at - since, engine))
+            attempt.leave()
+            policy.answered(decision, engine.id, job.cached, int(at - sent_at))
+            tokens, duration = decision.request.tokens, at - attempt.since
+            self.results.append(Result(attempt.call, tokens, job, duration, engine))
 
         def end(at, job):
             policy.ended(decision, engine.id)
 
         def lost(at):
+            attempt.leave()
             policy.ended(decision, engine.id)
-            self.later(RETRY_DELAY, self._arrive, call, since)
+            self.later(RETRY_DELAY, self._arrive, attempt.call, attempt.since)
 
-        engine.send(Job(request, call, first, end, lost, decision.priority), now)
+        priority = decision.priority
+        job = Job(decision.request, attempt.call, first, end, lost, priority)
+        engine.send(job, self.clock.time)
 
     def _exchange(self, now, number):
-        """Send the news of one router to all others."""
-        policy = self.policies[number]
-        news = policy.news()
-        for peer in self.policies:
-            if peer is not policy:
-                self.later(EXCHANGE_DELAY, self._heard, peer, number, news)
-        self.later(EXCHANGE_PERIOD, self._exchange, number)
-
-    def _heard(self, now, peer, number, news):
-        peer.heard(f"router-{number}", news)
+        """Exchange news of one router with the peers that it calls."""
+        policy, name = self.policies[number], router_name(number)
+        policies_by_name = {router_name(i): p for i, p in enumerate(self.policies)}
+        for peer in called_peers(name, policies_by_name):
+            other = policies_by_name[peer]
+            self.later(EXCHANGE_DELAY, self._heard, other, name, policy.news(peer))
+            self.later(EXCHANGE_DELAY, self._heard, policy, peer, other.news(name))
+        self.later(PERIOD, self._exchange, number)
+
+    def _heard(self, now, policy, peer, news):
+        policy.heard(peer, news)
 
     def _report(self, now, engine):
         report, incarnation = engine.report(), engine.incarnation
@@ -155,6 +214,11 @@
             policy.reported(engine.id, report, int(now - at))
 
 
+def router_name(number):
+    """Return the name of a router."""
+    return f"router-{number}"
+
+
 def crash_fault(now, model):
     """Crash one engine, which comes back empty at once."""
     engine = model.engines[0]
--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -2,8 +2,8 @@
 
 from mulberryhub.base.clock import Clock
 from mulberryhub.base.counters import statsd_counters
-from mulberryhub.base.errors import Code, HubError
 from mulberryhub.daemon.daemon import Daemon, Lifecycle
+from mulberryhub.daemon.plain_services import PlainServices
 from mulberryhub.gateway.admin import Administration
 from mulberryhub.gateway.app import Endpoint, Gateway
 from mulberryhub.gateway.attempts import RelayServices
@@ -51,33 +51,49 @@
     router = Router(settings.vm, settings.data_centre, settings.peer_address)
     limiter = Limiter(router, replica, peers, peer_server, clock, counters)
     membership = build_membership(settings, router, log, clock, counters, limiter)
+    budget = RetryBudget()
     services = RelayServices(
         engines,
         policy,
         health,
         watcher,
-        RetryBudget(),
+        budget,
         TokenSigner(secrets.token_key),
         replica.current,
         counters,
         clock,
     )
     completions = Completions(replica, limiter, services)
+    plain_services = PlainServices(
+        log, replica, health, budget, clock, counters, settings
+    )
     administration = Administration(replica, counters, secrets.operator_key_hash)
     gateway = Gateway(
         {
             **completion_endpoints(completions, replica),
             **administration.endpoints(),
         },
-        refuse_unknown_route,
+        plain_services.handle,
         lambda: replica.current() is not None and limiter.is_ready,
         lambda: lifecycle.stopping,
         lambda: limiter.holds_shares,
         counters,
     )
     http = HttpServer(settings.address, gateway)
-    on_start = [replica.start, watcher.start, limiter.start, membership.start]
-    on_stop = [limiter.close, membership.close, peers.close]
+    on_start = [
+        replica.start,
+        watcher.start,
+        limiter.start,
+        membership.start,
+        plain_services.start,
+    ]
+    on_stop = [
+        plain_services.stop,
+        limiter.close,
+        membership.close,
+        replica.stop,
+        peers.close,
+    ]
     return Daemon(settings, lifecycle, http, peer_server, on_start, on_stop)
 
 
@@ -121,8 +137,3 @@
         "/v1/completions": Endpoint("POST", completions.complete),
         "/v1/models": Endpoint("GET", models),
     }
-
-
-def refuse_unknown_route(call):
-    """Refuse a call on a path that nothing serves."""
-    raise HubError(Code.UNKNOWN_ROUTE, "nothing serves this path")
