--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -125,7 +125,13 @@
         engine_orders.start,
         start_exchange,
     ]
-    on_stop = [plain_services.stop, limiter.close, membership.close, peers.close]
+    on_stop = [
+        plain_services.stop,
+        limiter.close,
+        membership.close,
+        replica.stop,
+        peers.close,
+    ]
     return Daemon(settings, lifecycle, http, peer_server, on_start, on_stop)
 
 
