Choose engines by cost by default, refuse early, and give the grant back then

Found on the way: a failure between admission and relay kept the grant; it is settled now. The unused secret scope_key is gone, and a router warns of secrets that have their defaults. test_bad_calls_are_refused takes a key of 256 characters in place of 'a', which is now a key like any other.

--- a/libs/config/src/mulberryhub/config/settings.py
+++ b/libs/config/src/mulberryhub/config/settings.py
@@ -26,7 +26,7 @@
     peers: list[str] = []
     log_level: str = "INFO"
     log_json: bool = False
-    policy: str = "rendezvous"
+    policy: str = "cost"
     drain_delay: int = 0
     stop_timeout: int = 600_000
 
@@ -34,13 +34,12 @@
 class Secrets(msgspec.Struct, forbid_unknown_fields=True):
     """Secrets shared by all routers.
 
-    `token_key` signs resume tokens, `scope_key` salts cache scopes and
-    `peer_key` authenticates routers to one another. `operator_key_hash` is the
-    SHA-256 of the operator key that holds until an inventory names operators.
+    `token_key` signs resume tokens and `peer_key` authenticates routers to one
+    another. `operator_key_hash` is the SHA-256 of the operator key that holds
+    until an inventory names operators.
     """
 
     token_key: str = "development"
-    scope_key: str = "development"
     peer_key: str = "development"
     operator_key_hash: str = ""
 
--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -4,6 +4,8 @@
 
 from mulberryhub.base.clock import Clock
 from mulberryhub.base.counters import statsd_counters
+from mulberryhub.base.logs import module_logger
+from mulberryhub.config.settings import Secrets
 from mulberryhub.daemon.daemon import Daemon, Lifecycle
 from mulberryhub.daemon.engine_orders import build_engine_orders
 from mulberryhub.daemon.plain_services import PlainServices
@@ -31,6 +33,8 @@
 from mulberryhub.upstream.health import Health
 from mulberryhub.upstream.watcher import Watcher
 
+log = module_logger(__name__)
+
 
 class MembersReport(msgspec.Struct):
     """What `status` shows of the membership."""
@@ -41,14 +45,15 @@
 
 def build(settings, secrets):
     """Return the daemon for `settings` and `secrets`, not yet started."""
+    warn_of_development_secrets(secrets)
     clock = Clock()
     counters = statsd_counters(settings.statsd_address)
     lifecycle = Lifecycle()
-    log = LogClient(settings.log_address)
+    log_client = LogClient(settings.log_address)
     peer_server = PeerServer(settings.peer_address, secrets.peer_key, counters)
     peers = PeerClient(secrets.peer_key, clock, counters)
     replica = ConfigReplica(
-        log,
+        log_client,
         clock,
         counters,
         call=peers.call,
@@ -65,7 +70,7 @@
     limiter = Limiter(router, replica, peers, peer_server, clock, counters)
     seeds = MemberSeeds(peers, settings.peers)
     membership = build_membership(
-        settings, router, log, clock, counters, limiter, seeds
+        settings, router, log_client, clock, counters, limiter, seeds
     )
     seeds.serve(peer_server, membership.current)
     suspects = Suspects(
@@ -89,19 +94,17 @@
     )
     completions = Completions(replica, limiter, services)
     plain_services = PlainServices(
-        log, replica, health, budget, clock, counters, settings
+        log_client, replica, health, budget, clock, counters, settings
     )
+    reports_by_part = {
+        "members": lambda: members_report(membership, limiter),
+        "allowances": limiter.allowance,
+        "failing_upstreams": lambda: sorted(health.failing_by_id),
+    }
     administration = Administration(
-        replica,
-        counters,
-        secrets.operator_key_hash,
-        reports_by_part={
-            "members": lambda: members_report(membership, limiter),
-            "allowances": limiter.allowance,
-            "failing_upstreams": lambda: sorted(health.failing_by_id),
-        },
+        replica, counters, secrets.operator_key_hash, reports_by_part
     )
-    engine_orders = build_engine_orders(settings, log, replica, clock, counters)
+    engine_orders = build_engine_orders(settings, log_client, replica, clock, counters)
     operations = Operations(administration, replica, policy, health, lifecycle, clock)
     gateway = Gateway(
         {
@@ -135,12 +138,12 @@
     return Daemon(settings, lifecycle, http, peer_server, on_start, on_stop)
 
 
-def build_membership(settings, router, log, clock, counters, limiter, seeds):
+def build_membership(settings, router, log_client, clock, counters, limiter, seeds):
     """Return the membership, which tells `limiter` who shares the allowances."""
     address = settings.vm_list_address
     vm_list = VmListClient(address) if address else None
     membership = Membership(
-        router, log, vm_list, clock, counters, limiter.release, seeds=seeds
+        router, log_client, vm_list, clock, counters, limiter.release, seeds=seeds
     )
     membership.on_change(limiter.follow)
     return membership
@@ -153,6 +156,14 @@
     return MembersReport(vms, limiter.holds_shares)
 
 
+def warn_of_development_secrets(secrets):
+    """Log a warning where a secret has its default, which everybody knows."""
+    defaults = Secrets()
+    for name in ("token_key", "peer_key"):
+        if getattr(secrets, name) == getattr(defaults, name):
+            log.warning("the secret {} has its default; set it in secrets_file", name)
+
+
 def live_vms(membership):
     """Return the ids of the member VMs, or None while they are not known."""
     members = membership.current()
--- a/libs/gateway/src/mulberryhub/gateway/completion_body.py
+++ b/libs/gateway/src/mulberryhub/gateway/completion_body.py
@@ -57,6 +57,18 @@
     return body
 
 
+def parse_document(data):
+    """Return the whole JSON object of a body that parse_body has taken.
+
+    Fields that routing does not look at are parsed here for the first time, so
+    this can refuse too.
+    """
+    try:
+        return msgspec.json.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise HubError(Code.MALFORMED_JSON, "the body is not valid JSON") from error
+
+
 def check_model(body, workspace, view):
     """Return the model that `body` names or raise HubError."""
     model = view.models_by_id.get(body.model)
--- a/libs/gateway/src/mulberryhub/gateway/completions.py
+++ b/libs/gateway/src/mulberryhub/gateway/completions.py
@@ -2,14 +2,18 @@
 
 from uuid import uuid4
 
-import msgspec
-
 from mulberryhub.base.errors import Code, HubError
 from mulberryhub.gateway.auth import authenticate
 from mulberryhub.gateway.chunks import AnswerShape
-from mulberryhub.gateway.completion_body import check_model, content_text, parse_body
+from mulberryhub.gateway.completion_body import (
+    check_model,
+    content_text,
+    parse_body,
+    parse_document,
+)
 from mulberryhub.gateway.relay import Relay
 from mulberryhub.routing.chain import chat_request, scope_salt, text_request
+from mulberryhub.routing.refusal import refuse_if_late
 from mulberryhub.routing.request import Scope
 from mulberryhub.upstream.messages import EngineCall
 
@@ -51,6 +55,7 @@
         workspace = authenticate(call, view)
         data = call.read_body()
         body = parse_body(data, is_chat)
+        document = _bounded(parse_document(data), body)
         model = check_model(body, workspace, view)
         candidates = view.engines_for(model.id)
         if not candidates:
@@ -61,20 +66,20 @@
             )
         point = self._resume_point(call, body, workspace)
         request = route_request(body, workspace, model, is_chat)
-        now = self._clock.now()
-        deadline = now + view.inventory.rules.first_token_deadline
+        rules = view.inventory.rules
+        deadline = self._clock.now() + rules.first_token_deadline
         cost = request.tokens + body.output_tokens
         grant = self._limiter.admit(workspace, cost, deadline)
-        decision = self._policy.choose(request, candidates, now)
+        decision = self._decide(request, candidates, deadline, grant)
         engine_call = EngineCall(
             request_id=f"{call.request_id}.{uuid4().hex[:12]}",
-            body=_bounded(msgspec.json.decode(data), body),
+            body=document,
             chat=is_chat,
             scope=scope_salt(request.scope).hex(),
             model_version=model.version,
             priority=decision.priority,
-            idle_timeout=view.inventory.rules.idle_timeout,
-            first_token_timeout=view.inventory.rules.first_token_deadline,
+            idle_timeout=rules.idle_timeout,
+            first_token_timeout=rules.first_token_deadline,
         )
         relay = Relay(self._services, decision, grant, workspace.id)
         if point is None:
@@ -87,6 +92,17 @@
             return relay.streamed(call, shape)
         return relay.whole(call, shape)
 
+    def _decide(self, request, candidates, deadline, grant):
+        """Return the Decision, or give the grant back and raise HubError."""
+        now = self._clock.now()
+        try:
+            decision = self._policy.choose(request, candidates, now)
+            refuse_if_late(decision, now, deadline)
+        except BaseException:
+            grant.settle(0)
+            raise
+        return decision
+
     def _resume_point(self, call, body, workspace):
         """Return where a caller that reconnects wants to go on, or None."""
         token = call.header("Last-Event-ID")
--- a/tests/gateway/test_completion_body.py
+++ b/tests/gateway/test_completion_body.py
@@ -1,7 +1,7 @@
 import pytest
 
 from mulberryhub.base.errors import Code, HubError
-from mulberryhub.gateway.completion_body import content_text, parse_body
+from mulberryhub.gateway.completion_body import content_text, parse_body, parse_document
 
 DEEP = b'{"model":"m","messages":[{"role":"user","content":' + b"[" * 100_000
 
@@ -39,3 +39,11 @@
     parts = [{"type": "text", "text": "a"}, {"type": "text", "text": "b"}, 3]
     assert content_text(parts) == "a\nb"
     assert content_text(None) == ""
+
+
+def test_deep_field_that_routing_does_not_read_is_refused():
+    data = b'{"model":"m","prompt":"x","other":%s%s}' % (b"[" * 5_000, b"]" * 5_000)
+    with pytest.raises(HubError) as raised:
+        parse_body(data, is_chat=False)
+        parse_document(data)
+    assert raised.value.code is Code.MALFORMED_JSON
--- a/tests/gateway/test_services.py
+++ b/tests/gateway/test_services.py
@@ -97,7 +97,7 @@
     [
         ("/orders", [], Code.MISSING_IDEMPOTENCY_KEY),
         ("/orders", ["a", "b"], Code.MISSING_IDEMPOTENCY_KEY),
-        ("/orders", ["a"], Code.BAD_REQUEST),
+        ("/orders", ["x" * 256], Code.BAD_REQUEST),
         ("/nowhere", [], Code.UNKNOWN_ROUTE),
         ("/orders/../stock", [], Code.BAD_REQUEST),
         ("/empty", [], Code.UPSTREAM_FAILED),
--- a/tests/routing/test_refusal.py
+++ b/tests/routing/test_refusal.py
@@ -1,7 +1,6 @@
 import pytest
 
 from mulberryhub.base.clock import ManualClock
-from mulberryhub.base.counters import Counters
 from mulberryhub.base.errors import Code, HubError, Ran
 from mulberryhub.config.inventory import Rules, Upstream
 from mulberryhub.routing.chain import text_request
@@ -23,19 +22,17 @@
 
 
 def test_request_that_would_be_late_is_refused_as_not_run():
-    counters = Counters()
     with pytest.raises(HubError) as caught:
-        refuse_if_late(busy_decision(1_000_000), 0, 30_000, counters)
+        refuse_if_late(busy_decision(1_000_000), 0, 30_000)
     assert caught.value.code is Code.QUEUE_FULL
     assert caught.value.ran is Ran.NOT_RUN
     assert 20_000 <= caught.value.retry_after <= 20_300
-    assert counters.by_name["refusal.queue_full"] == 1
 
 
 def test_request_in_time_passes():
-    refuse_if_late(busy_decision(500_000), 0, 30_000, Counters())
+    refuse_if_late(busy_decision(500_000), 0, 30_000)
 
 
 def test_policy_that_does_not_weigh_refuses_nothing():
     decision = make_policy("random", ManualClock()).choose(REQUEST, ENGINES, 0)
-    refuse_if_late(decision, 0, -1, Counters())
+    refuse_if_late(decision, 0, -1)
