--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -15,10 +15,15 @@
 BASE64 = 4 / 3  # bytes on the wire for each byte of a record
 HOLDERS = 9  # routers that hold one workspace
 KEYS_PER_WORKSPACE = 3
+ENTRIES_PER_SIZE = 2.25  # a workspace, a key and a quarter of an engine
 CHANGE_BYTES = 202  # bytes of a record that changes one entry
 MEMBER_RECORD_BYTES = 63  # bytes of an adoption, nearly all of the stream
 POLLS = 10  # a second
 POLL_BYTES = 367  # bytes both ways, without those of TCP and IP
+PEER_CALL_BYTES = 1_200  # bytes both ways, TCP and IP included (docs/design/limits.md)
+NEWS_CALLS = 8  # calls a second that a router makes
+ORDERS = 150  # calls a second that run at most once, over the fleet
+CLAIM_READ_BYTES = 15_000  # bytes read back for a claim (docs/design/at-most-once.md)
 TAIL_INTERVAL = 2.0  # s of one long poll of the log
 TAIL_BYTES = 400  # bytes of an empty answer and its request
 
@@ -67,7 +72,7 @@
     )
     entries = size.workspaces + keys + size.workers
     rate = size.changes / SECONDS_PER_DAY
-    load = slopes["view.load"].per_item * entries / 3
+    load = slopes["view.load"].per_item * entries / ENTRIES_PER_SIZE
     return Line(
         "configuration in force",
         "log tail; records of what changed; a view rebuilt at each change",
@@ -131,6 +136,48 @@
     )
 
 
+def borrowing_line(size, slopes):
+    """Return the cost of borrowing, if each request borrows for itself."""
+    calls = size.requests / size.nodes * (1 - HOLDERS / size.nodes)
+    return Line(
+        "borrowing, a call for each request",
+        "asks to holders, in one call for each holder and round",
+        cpu=2 * calls * slopes["peers.call"].per_item / 10,
+        traffic=2 * calls * PEER_CALL_BYTES / 2,
+    )
+
+
+def news_line(size, slopes):
+    """Return the cost of routing news between neighbours."""
+    return Line(
+        "routing news",
+        "8 calls a second made and 8 answered, whatever the number of routers",
+        cpu=2 * NEWS_CALLS * slopes["peers.call"].per_item / 10,
+        traffic=2 * NEWS_CALLS * PEER_CALL_BYTES / 2,
+    )
+
+
+def synchronization_line(size, slopes):
+    """Return the cost of comparing configurations with one peer a second."""
+    return Line(
+        "comparison of configurations and withdrawn keys",
+        "one call a second to a random peer, one answered",
+        cpu=2 * slopes["peers.call"].per_item / 10,
+        traffic=2 * PEER_CALL_BYTES / 2,
+    )
+
+
+def orders_line(size, slopes):
+    """Return the cost of calls that run at most once, at a given rate."""
+    calls = ORDERS / size.nodes
+    return Line(
+        f"{ORDERS} orders a second over the fleet",
+        "claims in 256 streams of the log, read back on demand",
+        traffic=calls * CLAIM_READ_BYTES,
+        appends=2 * ORDERS,
+    )
+
+
 def decision_line(size, slopes):
     """Return the cost of choosing engines."""
     slope = slopes["decision.rendezvous"]
@@ -149,6 +196,10 @@
     whole_inventory_line,
     membership_line,
     allowance_line,
+    borrowing_line,
+    news_line,
+    synchronization_line,
+    orders_line,
     watch_line,
     decision_line,
 )
