Append only what a change of the inventory changes

Ruled out: compressing the whole document (453,381 bytes, 14 KB/s); operators sending edits themselves (the asset register exports whole documents).

Change: edit_inventory holds the items that differ from the inventory at its base. The router that makes it waits until it has read the log past the base; anything set later makes the edit stale, so it is never put into another inventory. Records of unknown kinds that have a base count as changes, so that versions agree on what is stale.

--- a/libs/replica/src/mulberryhub/replica/commit.py
+++ b/libs/replica/src/mulberryhub/replica/commit.py
@@ -1,7 +1,5 @@
 """Appends changes to the log; a change counts once it was read back."""
 
-from uuid import uuid4
-
 from mulberryhub.base.errors import Code, HubError, Ran
 from mulberryhub.base.green import Event, sleep
 from mulberryhub.platform.log import LogUnavailable
@@ -9,16 +7,13 @@
 
 APPEND_TIMEOUT = 5_000  # ms
 READ_BACK_TIMEOUT = 1_000  # ms
+BASE_TIMEOUT = 2_000  # ms
+BASE_POLL = 20  # ms
 RETRY_AFTER = 1_000  # ms
 FLUSH_INTERVAL = 500  # ms
 FLUSH_BATCH = 100
 
 
-def new_change():
-    """Return a unique id for a change."""
-    return uuid4().hex
-
-
 class Committer:
     """Appends records and waits until they are read back; `timeout` is in ms."""
 
@@ -31,6 +26,18 @@
         self._in_force = in_force
         self._timeout = timeout
 
+    def wait_for_base(self, base):
+        """Wait until the log was read past the offset `base`, or raise HubError."""
+        deadline = self._clock.now() + BASE_TIMEOUT
+        while self._in_force.state.position <= base:
+            if self._clock.now() >= deadline:
+                raise HubError(
+                    Code.NOT_READY,
+                    f"this router has not read the log up to offset {base}",
+                    retry_after=RETRY_AFTER,
+                )
+            sleep(BASE_POLL / 1000)
+
     def commit(self, record):
         """Append `record` and return its offset, or raise HubError."""
         if not self._in_force.is_caught_up:
--- a/libs/replica/src/mulberryhub/replica/config.py
+++ b/libs/replica/src/mulberryhub/replica/config.py
@@ -1,17 +1,16 @@
 """The replicated configuration of this router and the way to change it everywhere."""
 
-import msgspec
-
 from mulberryhub.base.errors import Code, HubError
 from mulberryhub.base.green import spawn
 from mulberryhub.config.administration import RouterReport, RouterStatus
 from mulberryhub.config.validation import validate_inventory
-from mulberryhub.replica.commit import Committer, new_change
+from mulberryhub.replica.changes import inventory_change, new_change
+from mulberryhub.replica.commit import Committer
 from mulberryhub.replica.fleet import collect_reports
 from mulberryhub.replica.in_force import InForce
 from mulberryhub.replica.messages import STATUS, StatusRequest
 from mulberryhub.replica.peer_sync import PeerSync
-from mulberryhub.replica.records import AddKey, SetInventory, WithdrawKey
+from mulberryhub.replica.records import AddKey, WithdrawKey
 from mulberryhub.replica.snapshots import SnapshotWriter
 from mulberryhub.replica.tail import Tail
 from mulberryhub.replica.ticker import run_ticker
@@ -178,8 +177,9 @@
         inventory, findings = validate_inventory(inventory_bytes)
         if inventory is None:
             raise HubError(Code.INVALID_INVENTORY, "; ".join(map(str, findings.errors)))
-        document = msgspec.Raw(msgspec.json.encode(inventory))
-        record = SetInventory(new_change(), author, base, document)
+        self._committer.wait_for_base(base)
+        state = self._in_force.state
+        record = inventory_change(state, base, author, inventory)
         return self._committer.commit(record)
 
     def add_key(self, base, author, key_hash, workspace):
--- a/libs/replica/src/mulberryhub/replica/records.py
+++ b/libs/replica/src/mulberryhub/replica/records.py
@@ -26,6 +26,23 @@
     format: int = FORMAT
 
 
+class EditInventory(
+    msgspec.Struct, frozen=True, tag="edit_inventory", tag_field="kind"
+):
+    """Change items of the inventory, if no inventory or key was set after `base`.
+
+    `replaced` is an inventory of the new and changed items with all rules;
+    `removed` holds ids by collection.
+    """
+
+    change: str
+    author: str
+    base: int
+    replaced: msgspec.Raw
+    removed: dict[str, list[str]]
+    format: int = FORMAT
+
+
 class AddKey(msgspec.Struct, frozen=True, tag="add_key", tag_field="kind"):
     """Add a caller's key by its hash, if nothing was set after `base`."""
 
@@ -67,12 +84,19 @@
 
 
 class Unknown:
-    """A record of a kind that only newer routers know."""
+    """A record of a kind that only newer routers know.
+
+    With a `base` it is a change that is compared as others are, so that routers
+    of all versions agree which of the later changes are stale.
+    """
 
-    __slots__ = ("kind",)
+    __slots__ = ("kind", "change", "author", "base")
 
-    def __init__(self, kind):
-        self.kind = kind
+    def __init__(self, header):
+        self.kind = header.kind
+        self.change = header.change
+        self.author = header.author
+        self.base = header.base
 
 
 class Outcome(Enum):
@@ -84,11 +108,16 @@
     IGNORED = auto()
 
 
-class _Kind(msgspec.Struct):
+class _Header(msgspec.Struct):
     kind: str
+    change: str = ""
+    author: str = ""
+    base: int | None = None
 
 
-KINDS = frozenset({"set_inventory", "add_key", "withdraw_key", "snapshot"})
+RECORD_TYPES = (SetInventory, EditInventory, AddKey, WithdrawKey, Snapshot)
+KINDS = frozenset(type_.__struct_config__.tag for type_ in RECORD_TYPES)
+AnyRecord = SetInventory | EditInventory | AddKey | WithdrawKey | Snapshot
 
 
 def encode(record):
@@ -99,16 +128,14 @@
 def decode(payload):
     """Return the record in `payload`, Unknown, or None where it is malformed."""
     try:
-        return msgspec.json.decode(
-            payload, type=SetInventory | AddKey | WithdrawKey | Snapshot
-        )
+        return msgspec.json.decode(payload, type=AnyRecord)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return _unknown(payload)
 
 
 def _unknown(payload):
     try:
-        kind = msgspec.json.decode(payload, type=_Kind).kind
+        header = msgspec.json.decode(payload, type=_Header)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return None
-    return None if kind in KINDS else Unknown(kind)
+    return None if header.kind in KINDS else Unknown(header)
--- a/libs/replica/src/mulberryhub/replica/state.py
+++ b/libs/replica/src/mulberryhub/replica/state.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from mulberryhub.config.administration import Change
+from mulberryhub.config.difference import Difference, merge_difference
 from mulberryhub.config.inventory import Key
 from mulberryhub.config.reading import read_inventory
 from mulberryhub.config.view import ConfigView
@@ -14,6 +15,7 @@
     FORMAT,
     NO_INVENTORY,
     AddKey,
+    EditInventory,
     Outcome,
     SetInventory,
     Snapshot,
@@ -56,12 +58,14 @@
         match record:
             case SetInventory():
                 return self._set_inventory(offset, record)
+            case EditInventory():
+                return self._edit_inventory(offset, record)
             case AddKey():
                 return self._add_key(offset, record)
             case WithdrawKey():
                 return self._withdraw_key(offset, record)
             case Unknown():
-                self.complete = False
+                return self._pass_unknown(offset, record)
         return Outcome.IGNORED
 
     def is_stale(self, base):
@@ -76,13 +80,37 @@
         inventory, is_whole = read_inventory(record.inventory)
         if inventory is None:
             return Outcome.REFUSED
-        self.inventory = inventory
         self.unread = None
+        return self._take_inventory(offset, record, inventory, is_whole)
+
+    def _edit_inventory(self, offset, record):
+        if self.is_stale(record.base) or record.base >= offset:
+            return Outcome.STALE
+        if record.format > FORMAT or self.unread is not None:
+            return self._pass_unread(offset, record)
+        replaced, is_whole = read_inventory(record.replaced)
+        if replaced is None or self.inventory is None:
+            return Outcome.REFUSED
+        difference = Difference(replaced, record.removed)
+        inventory = merge_difference(self.inventory, difference)
+        return self._take_inventory(offset, record, inventory, is_whole)
+
+    def _take_inventory(self, offset, record, inventory, is_whole):
+        self.inventory = inventory
         self.complete = self.complete and is_whole
         self.compared = offset
         self._accept(offset, record, "set_inventory")
         return Outcome.ACCEPTED
 
+    def _pass_unknown(self, offset, record):
+        """Pass over a record of a newer kind, but count it where it is a change."""
+        self.complete = False
+        if record.base is None:
+            return Outcome.IGNORED
+        if self.is_stale(record.base) or record.base >= offset:
+            return Outcome.STALE
+        return self._pass_unread(offset, record)
+
     def _pass_unread(self, offset, record):
         """Accept an inventory that only newer routers can read."""
         if self.unread is None:
--- a/tests/replica/test_config.py
+++ b/tests/replica/test_config.py
@@ -3,7 +3,7 @@
 from mulberryhub.base.clock import Clock
 from mulberryhub.base.counters import Counters
 from mulberryhub.base.errors import Code, HubError
-from mulberryhub.base.green import spawn
+from mulberryhub.base.green import sleep, spawn
 from mulberryhub.platform.log import LogClient
 from mulberryhub.replica.config import ConfigReplica
 from tests.support.inventories import document
@@ -85,3 +85,36 @@
         replica.apply(0, "ana", document(rate=8))
     assert raised.value.code is Code.LOG_UNAVAILABLE
     assert rate(replica) == 7
+
+
+class HeldLog:
+    """A log client whose reads wait while `is_held`."""
+
+    def __init__(self, client):
+        self.client = client
+        self.append = client.append
+        self.is_held = False
+
+    def read(self, *arguments, **options):
+        page = self.client.read(*arguments, **options)
+        while self.is_held:
+            sleep(0.01)
+        return page
+
+
+def test_router_behind_its_base_sets_the_whole_document(log):
+    ahead = start_replica(log)
+    held = HeldLog(LogClient(log.address))
+    behind = ConfigReplica(held, Clock(), Counters())
+    behind.start()
+    wait_ready(ahead)
+    first = ahead.apply(-1, "ana", document(rate=1))
+    wait_for(behind.current)
+    held.is_held = True
+    base = ahead.apply(first, "ana", document(rate=2))
+    thread = spawn(behind.apply, base, "ben", document(rate=1))
+    sleep(0.3)
+    held.is_held = False
+    offset = thread.wait()
+    wait_for(lambda: ahead.offset == offset)
+    assert rate(ahead) == rate(behind) == 1
--- a/tests/replica/test_replay.py
+++ b/tests/replica/test_replay.py
@@ -1,8 +1,11 @@
 import msgspec
 from hypothesis import given, settings, strategies as st
 
+from mulberryhub.base.digest import key_hash
+from mulberryhub.replica.changes import inventory_change
 from mulberryhub.replica.records import (
     AddKey,
+    EditInventory,
     Outcome,
     SetInventory,
     WithdrawKey,
@@ -10,7 +13,7 @@
 )
 from mulberryhub.replica.replay import Replayer
 from mulberryhub.replica.state import State
-from tests.support.inventories import document
+from tests.support.inventories import document, small_inventory
 
 HASHES = [str(digit) * 64 for digit in range(4)]
 
@@ -29,6 +32,10 @@
         if kind == "set":
             data = msgspec.Raw(document(rate=choice))
             return encode(SetInventory(change, "a", base, data))
+        if kind == "edit":
+            replaced = msgspec.Raw(document(rate=choice, keys=(str(choice % 3),)))
+            removed = {"keys": [key_hash(str(choice % 5))]}
+            return encode(EditInventory(change, "a", base, replaced, removed))
         if kind == "add":
             return encode(AddKey(change, "a", base, HASHES[choice % 4], "w"))
         if kind == "withdraw":
@@ -41,6 +48,8 @@
             return self._snapshot(choice)
         if kind == "newer":
             return msgspec.json.encode({"kind": "newer", "x": choice})
+        if kind == "newer change":
+            return msgspec.json.encode({"kind": "newer", "base": base})
         return bytes([choice]) * choice
 
     def _snapshot(self, lag):
@@ -62,7 +71,8 @@
     return encode(replayer.state.to_snapshot())
 
 
-KINDS = ["set", "add", "withdraw", "repeat", "cut", "snapshot", "newer", "garbage"]
+KINDS = ["set", "edit", "add", "withdraw", "repeat", "cut", "snapshot", "newer"]
+KINDS += ["newer change", "garbage"]
 STEP = st.tuples(
     st.sampled_from(KINDS), st.integers(-1, 40), st.integers(min_value=0, max_value=60)
 )
@@ -177,3 +187,26 @@
     replayed = replayer.take(0, encode(SetInventory("a", "ana", -1, raw)))
     assert replayed[0].outcome is Outcome.REFUSED
     assert replayer.state.view() is None
+
+
+def test_newer_change_makes_older_bases_stale_for_all_versions():
+    replayer = read(
+        [
+            encode(SetInventory("a", "ana", -1, msgspec.Raw(document(rate=1)))),
+            msgspec.json.encode({"kind": "newer", "change": "b", "base": 0}),
+        ]
+    )
+    late = encode(SetInventory("c", "ana", 0, msgspec.Raw(document(rate=2))))
+    assert replayer.take(2, late)[0].outcome is Outcome.STALE
+    assert replayer.state.view().offset == 0
+
+
+def test_change_of_a_few_items_is_small_and_gives_the_whole_inventory():
+    old = small_inventory(keys=[str(i) for i in range(1_000)])
+    new = small_inventory(rate=5, keys=[str(i) for i in range(1, 1_001)])
+    first = SetInventory("a", "ana", -1, msgspec.Raw(msgspec.json.encode(old)))
+    replayer = read([encode(first)])
+    payload = encode(inventory_change(replayer.state, 0, "ana", new))
+    replayer.take(1, payload)
+    assert replayer.state.inventory == new
+    assert len(payload) < 1_500
