--- a/benchmarks/routing/model.py
+++ b/benchmarks/routing/model.py
@@ -9,6 +9,7 @@
 from mulberryhub.base.errors import HubError
 from mulberryhub.routing.chain import prefix_chain
 from mulberryhub.routing.exchange import PERIOD, called_peers
+from mulberryhub.routing.refusal import refuse_if_late
 from mulberryhub.routing.request import RouteRequest, Scope
 
 ROUTERS = 6
@@ -49,26 +50,19 @@
 class Attempt:
     """One call on its way through a router; `since` is when it came first."""
 
-    __slots__ = ("call", "decision", "policy", "since", "gate", "cost")
+    __slots__ = ("call", "decision", "policy", "since")
 
     def __init__(self, call, decision, policy, since):
         self.call = call
         self.decision = decision
         self.policy = policy
         self.since = since
-        self.gate = None
-        self.cost = 0
-
-    def leave(self):
-        """Tell the gate that the first token has come or never will."""
-        if self.gate is not None:
-            self.gate.leave(self.cost)
 
 
 class Model:
     """Routers with a policy each, before engines that they share."""
 
-    def __init__(self, profile, make, seed, routers=ROUTERS, gates=None, usages=None):
+    def __init__(self, profile, make, seed, routers=ROUTERS):
         self.clock = ModelClock()
         self.random = Random(seed)
         self.engines = [
@@ -80,8 +74,6 @@
         self.profile = profile
         self.make = make
         self.policies = [make(self, i) for i in range(routers)]
-        self.gates = [gates(self) for _ in range(routers)] if gates else None
-        self.usages = [usages(self) for _ in range(routers)] if usages else None
         self.results = []
         self.refused = []
         self._agenda = []
@@ -124,7 +116,8 @@
         tokens = ends[-1] + call.question
         chain = self._shared_chain(call.workspace, call.path, blocks)
         own = f"{call.at}/{call.workspace}".encode()
-        return RouteRequest(None, [*chain, own], [*ends, tokens], levels, tokens)
+        scope = Scope(str(call.workspace), "model", "1")
+        return RouteRequest(scope, [*chain, own], [*ends, tokens], levels, tokens)
 
     def _shared_chain(self, workspace, path, blocks):
         key = workspace, path
@@ -139,31 +132,13 @@
         request = self.request_of(call)
         decision = policy.choose(request, self.live, int(now))
         attempt = Attempt(call, decision, policy, now if since is None else since)
-        if self.usages is not None:
-            usage = self.usages[number]
-            decision.priority = usage.priority(call.workspace)
-            usage.add(call.workspace, request.tokens)
-        if self.gates is None:
-            self._send(attempt)
-            return
-        attempt.gate = self.gates[number]
-        attempt.cost = decision.missing(decision.order[0])
-        self._enter(attempt, int(attempt.since) + DEADLINE)
-
-    def _enter(self, attempt, deadline):
-        def start():
-            old = attempt.decision
-            now = int(self.clock.time)
-            attempt.decision = attempt.policy.choose(old.request, self.live, now)
-            attempt.decision.priority = old.priority
-            self._send(attempt)
-
-        arguments = attempt.call.workspace, attempt.cost, deadline, start
         try:
-            if attempt.gate.submit(*arguments) is None:
-                start()
+            deadline = int(attempt.since) + DEADLINE
+            refuse_if_late(decision, int(now), deadline)
         except HubError:
-            self.refused.append(attempt.call)
+            self.refused.append(call)
+        else:
+            self._send(attempt)
 
     def _send(self, attempt):
         decision, policy = attempt.decision, attempt.policy
@@ -172,7 +147,6 @@
         policy.started(decision, engine.id)
 
         def first(at, job):
-            attempt.leave()
             policy.answered(decision, engine.id, job.cached, int(at - sent_at))
             tokens, duration = decision.request.tokens, at - attempt.since
             self.results.append(Result(attempt.call, tokens, job, duration, engine))
@@ -181,7 +155,6 @@
             policy.ended(decision, engine.id)
 
         def lost(at):
-            attempt.leave()
             policy.ended(decision, engine.id)
             self.later(RETRY_DELAY, self._arrive, attempt.call, attempt.since)
 
--- a/tests/routing/test_cost.py
+++ b/tests/routing/test_cost.py
@@ -122,6 +122,19 @@
     assert (chosen == first) == (weight > 0)
 
 
+def test_workspace_beyond_its_share_gets_a_lower_priority(clock, policy):
+    requests = [
+        chat_request(Scope(workspace, "small", "1"), [("user", "which seal?")])
+        for workspace in ["noisy"] * 40 + ["a", "b", "c"]
+    ]
+    for one in requests:
+        policy.started(policy.choose(one, ENGINES, clock.now()), "engine-1")
+    noisy, quiet = (
+        policy.choose(one, ENGINES, clock.now()) for one in (requests[0], requests[-1])
+    )
+    assert noisy.priority < quiet.priority == 0
+
+
 def test_other_documents_have_other_engines(clock, policy):
     firsts = {
         policy.choose(request(document=f"{i} " * 4_500), ENGINES, 0).order[0]
