--- a/libs/upstream/src/mulberryhub/upstream/engine.py
+++ b/libs/upstream/src/mulberryhub/upstream/engine.py
@@ -72,7 +72,7 @@
 class EngineStream:
     """Iterator of `Token` and one `End`; raises EngineFailure on any other end.
 
-    `ready()` returns what has already arrived, so that it can be sent in one write.
+    `batch()` returns all that has arrived, so that it can be sent in one write.
     """
 
     __slots__ = (
