--- a/libs/cli/src/mulberryhub/cli/client.py
+++ b/libs/cli/src/mulberryhub/cli/client.py
@@ -3,9 +3,9 @@
 import os
 
 import msgspec
-import urllib3
 
 from mulberryhub.base.findings import Finding
+from mulberryhub.base.green import urllib3
 from mulberryhub.cli.failures import USAGE_CODE, CallFailed, Failure
 from mulberryhub.cli.files import read_file
 
--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -4,13 +4,18 @@
 
 from mulberryhub.base.clock import Clock
 from mulberryhub.base.counters import statsd_counters
+from mulberryhub.base.logs import module_logger
+from mulberryhub.config.settings import Secrets
 from mulberryhub.daemon.daemon import Daemon, Lifecycle
+from mulberryhub.daemon.engine_orders import build_engine_orders
 from mulberryhub.daemon.plain_services import PlainServices
+from mulberryhub.daemon.routing import build_exchange, build_policy
 from mulberryhub.gateway.admin import Administration
 from mulberryhub.gateway.app import Endpoint, Gateway
 from mulberryhub.gateway.attempts import RelayServices
 from mulberryhub.gateway.completions import Completions
 from mulberryhub.gateway.models import list_models
+from mulberryhub.gateway.operations import Operations
 from mulberryhub.gateway.resume_token import TokenSigner
 from mulberryhub.gateway.server import HttpServer
 from mulberryhub.gateway.suspects import Suspects
@@ -21,13 +26,15 @@
 from mulberryhub.platform.log import LogClient
 from mulberryhub.platform.vm_list import VmListClient
 from mulberryhub.replica.config import ConfigReplica
+from mulberryhub.replica.member_seeds import MemberSeeds
 from mulberryhub.replica.membership import Membership
-from mulberryhub.routing.policies import make_policy
 from mulberryhub.upstream.budget import RetryBudget
 from mulberryhub.upstream.engine import EngineClient
 from mulberryhub.upstream.health import Health
 from mulberryhub.upstream.watcher import Watcher
 
+log = module_logger(__name__)
+
 
 class MembersReport(msgspec.Struct):
     """What `status` shows of the membership."""
@@ -38,14 +45,15 @@
 
 def build(settings, secrets):
     """Return the daemon for `settings` and `secrets`, not yet started."""
+    warn_of_development_secrets(secrets)
     clock = Clock()
     counters = statsd_counters(settings.statsd_address)
     lifecycle = Lifecycle()
-    log = LogClient(settings.log_address)
+    log_client = LogClient(settings.log_address)
     peer_server = PeerServer(settings.peer_address, secrets.peer_key, counters)
     peers = PeerClient(secrets.peer_key, clock, counters)
     replica = ConfigReplica(
-        log,
+        log_client,
         clock,
         counters,
         call=peers.call,
@@ -54,16 +62,23 @@
         live_vms=lambda: live_vms(membership),
     )
     replica.register(peer_server)
-    policy = make_policy(settings.policy, clock)
+    policy = build_policy(settings, clock, replica)
     health = Health(clock, counters)
     watcher = Watcher(replica, policy, health, clock, counters)
     engines = EngineClient(counters)
     router = Router(settings.vm, settings.data_centre, settings.peer_address)
     limiter = Limiter(router, replica, peers, peer_server, clock, counters)
-    membership = build_membership(settings, router, log, clock, counters, limiter)
+    seeds = MemberSeeds(peers, settings.peers)
+    membership = build_membership(
+        settings, router, log_client, clock, counters, limiter, seeds
+    )
+    seeds.serve(peer_server, membership.current)
     suspects = Suspects(
         settings.vm, membership.current, peers, peer_server, counters, clock
     )
+    start_exchange = build_exchange(
+        settings.vm, policy, membership, peers, peer_server, counters
+    )
     budget = RetryBudget()
     services = RelayServices(
         engines,
@@ -79,26 +94,27 @@
     )
     completions = Completions(replica, limiter, services)
     plain_services = PlainServices(
-        log, replica, health, budget, clock, counters, settings
+        log_client, replica, health, budget, clock, counters, settings
     )
+    reports_by_part = {
+        "members": lambda: members_report(membership, limiter),
+        "allowances": limiter.allowance,
+        "failing_upstreams": lambda: sorted(health.failing_by_id),
+    }
     administration = Administration(
-        replica,
-        counters,
-        secrets.operator_key_hash,
-        reports_by_part={
-            "members": lambda: members_report(membership, limiter),
-            "allowances": limiter.allowance,
-            "failing_upstreams": lambda: sorted(health.failing_by_id),
-        },
+        replica, counters, secrets.operator_key_hash, reports_by_part
     )
+    engine_orders = build_engine_orders(settings, log_client, replica, clock, counters)
+    operations = Operations(administration, replica, policy, health, lifecycle, clock)
     gateway = Gateway(
         {
             **completion_endpoints(completions, replica),
             **administration.endpoints(),
+            **operations.endpoints(),
         },
         plain_services.handle,
         lambda: replica.current() is not None and limiter.is_ready,
-        lambda: lifecycle.stopping,
+        lambda: lifecycle.is_ending,
         lambda: limiter.holds_shares,
         counters,
     )
@@ -109,17 +125,25 @@
         limiter.start,
         membership.start,
         plain_services.start,
+        engine_orders.start,
+        start_exchange,
+    ]
+    on_stop = [
+        plain_services.stop,
+        limiter.close,
+        membership.close,
+        replica.stop,
+        peers.close,
     ]
-    on_stop = [plain_services.stop, limiter.close, membership.close, peers.close]
     return Daemon(settings, lifecycle, http, peer_server, on_start, on_stop)
 
 
-def build_membership(settings, router, log, clock, counters, limiter):
+def build_membership(settings, router, log_client, clock, counters, limiter, seeds):
     """Return the membership, which tells `limiter` who shares the allowances."""
     address = settings.vm_list_address
     vm_list = VmListClient(address) if address else None
     membership = Membership(
-        router, log, vm_list, clock, counters, release=limiter.release
+        router, log_client, vm_list, clock, counters, limiter.release, seeds=seeds
     )
     membership.on_change(limiter.follow)
     return membership
@@ -132,6 +156,14 @@
     return MembersReport(vms, limiter.holds_shares)
 
 
+def warn_of_development_secrets(secrets):
+    """Log a warning where a secret has its default, which everybody knows."""
+    defaults = Secrets()
+    for name in ("token_key", "peer_key"):
+        if getattr(secrets, name) == getattr(defaults, name):
+            log.warning("the secret {} has its default; set it in secrets_file", name)
+
+
 def live_vms(membership):
     """Return the ids of the member VMs, or None while they are not known."""
     members = membership.current()
