Owe the tokens that a request used beyond its reservation

Cause: the router reserves a prompt by its words; an engine that counts more tokens let a workspace use more than its rate for good. Ruled out: refusing or cutting the answer, which was accepted; a level below zero in the bucket, whose refunds and loans rest on levels from zero up. Change: the engine's count of the prompt settles the grant; what is lacking is debited before the next request of the workspace on that router is admitted.

--- a/libs/gateway/src/mulberryhub/gateway/relay.py
+++ b/libs/gateway/src/mulberryhub/gateway/relay.py
@@ -21,6 +21,7 @@
     __slots__ = (
         "_services",
         "_decision",
+        "_prompt_tokens",
         "_grant",
         "_workspace",
         "_attempts",
@@ -34,6 +35,7 @@
     def __init__(self, services, decision, grant, workspace):
         self._services = services
         self._decision = decision
+        self._prompt_tokens = decision.request.tokens
         self._grant = grant
         self._workspace = workspace
         self._attempts = None
@@ -76,7 +78,7 @@
             return
         attempts, self._attempts = self._attempts, None
         attempts.close()
-        used = self._decision.request.tokens + attempts.tokens
+        used = self._prompt_tokens + attempts.tokens
         self._grant.settle(used if attempts.opened else 0)
 
     @property
@@ -101,6 +103,7 @@
         parts = []
         for item in items:
             if isinstance(item, End):
+                self._note_usage(item.usage)
                 parts.append(shape.chunk("", item.finish_reason, item.usage))
                 parts.append(DONE)
                 return b"".join(parts), True
@@ -109,6 +112,11 @@
                 parts.append(shape.chunk(item.text))
         return b"".join(parts), False
 
+    def _note_usage(self, usage):
+        """Take the engine's count of the prompt in place of the router's words."""
+        if usage.prompt_tokens:
+            self._prompt_tokens = usage.prompt_tokens
+
     def _token_series(self):
         """Return the tokens of the stream, which change with its engine."""
         attempts = self._attempts
@@ -133,6 +141,7 @@
             while True:
                 for item in self._attempts.batch():
                     if isinstance(item, End):
+                        self._note_usage(item.usage)
                         body = shape.whole(
                             "".join(texts), item.finish_reason, item.usage
                         )
--- a/libs/limits/src/mulberryhub/limits/account.py
+++ b/libs/limits/src/mulberryhub/limits/account.py
@@ -43,7 +43,8 @@
     """The allowance of one workspace as one router sees it.
 
     `rate` (tokens per ms) and `burst` are those of the whole fleet. The own share
-    fills from the time `start` in ms on.
+    fills from the time `start` in ms on. `owed` are tokens that requests used
+    beyond what they had reserved.
     """
 
     __slots__ = (
@@ -53,6 +54,7 @@
         "holding",
         "borrowings",
         "demand",
+        "owed",
         "waiters",
         "waiting_cost",
     )
@@ -64,6 +66,7 @@
         self.holding = Holding(start)
         self.borrowings = Borrowings(workspace)
         self.demand = Demand(now)
+        self.owed = 0.0
         self.waiters = deque()
         self.waiting_cost = 0
 
@@ -88,9 +91,24 @@
         return self.holding.bucket.level + self.borrowings.available(now)
 
     def take(self, cost, now):
-        """Debit `cost` tokens and return their parts, or None where they lack."""
+        """Debit `cost` tokens and return their parts, or None where they lack.
+
+        What is owed goes first, as far as there are tokens.
+        """
+        self._pay(now)
         if self.available(now) + ROUNDING < cost:
             return None
+        return self._debit(cost, now)
+
+    def _pay(self, now):
+        if not self.owed:
+            return
+        amount = min(self.owed, self.available(now))
+        if amount > 0:
+            self._debit(amount, now)
+            self.owed -= amount
+
+    def _debit(self, cost, now):
         parts = [
             Part(amount, lot=lot) for lot, amount in self.borrowings.take(cost, now)
         ]
@@ -113,6 +131,10 @@
             else:
                 self.borrowings.give_back(part.lot, returned)
 
+    def owe(self, amount):
+        """Note tokens that a request used beyond what it had reserved."""
+        self.owed += amount
+
     def add_waiter(self, cost):
         """Let a request wait for its tokens, behind those that wait already."""
         waiter = Waiter(cost)
--- a/libs/limits/src/mulberryhub/limits/grant.py
+++ b/libs/limits/src/mulberryhub/limits/grant.py
@@ -4,7 +4,8 @@
 class Grant:
     """Tokens debited for one request at `time` in ms.
 
-    `give_back(parts, unused)` returns unused tokens to where they came from.
+    `give_back(parts, unused)` returns unused tokens to where they came from; where
+    `unused` is negative, more were used than reserved, and they are owed.
     """
 
     __slots__ = ("cost", "time", "_parts", "_give_back")
@@ -16,8 +17,8 @@
         self._give_back = give_back
 
     def settle(self, used):
-        """Return the tokens beyond `used`; later calls change nothing."""
+        """Return the tokens beyond `used`, or owe them; later calls change nothing."""
         parts, self._parts = self._parts, []
         unused = int(self.cost - used)
-        if parts and unused > 0:
+        if parts and unused:
             self._give_back(parts, unused)
--- a/libs/limits/src/mulberryhub/limits/limiter.py
+++ b/libs/limits/src/mulberryhub/limits/limiter.py
@@ -222,12 +222,15 @@
     def _give_back(self, account, parts, unused):
         now = self._clock.now()
         self._busy_workspaces.add(account.workspace)
-        account.give_back(parts, unused, now)
+        if unused < 0:
+            account.owe(-unused)
+        else:
+            account.give_back(parts, unused, now)
         account.serve_waiters(now)
 
     def _over_rate(self, account, cost):
         lacking = max(cost, account.waiting_cost)
-        lacking -= account.available(self._clock.now())
+        lacking += account.owed - account.available(self._clock.now())
         pause = int(lacking / account.rate) if account.rate else 0
         return HubError(
             Code.OVER_RATE,
