Tell the truth in a refusal that follows a try which may have run

Cause: an engine's refusal of a request as bad was passed on as 'not run' also where an earlier try on another engine had gone silent after the request was sent and may well have run. Found by reading; shown by a new table test, which failed in that one case of five (not_run in place of unknown). Change: one method tells for all refusals whether any try may have run; the quarantine's refusal now says 'unknown' where no token had come, not 'ran'.

--- a/libs/gateway/src/mulberryhub/gateway/attempts.py
+++ b/libs/gateway/src/mulberryhub/gateway/attempts.py
@@ -240,8 +240,8 @@
         """Raise HubError for a request that has crashed two engines."""
         if not self._services.suspects.is_quarantined(self._fingerprint):
             return
-        ran = Ran.RAN if self.sent else Ran.NOT_RUN
-        raise HubError(Code.QUARANTINED, "the request crashes engines", ran)
+        message = "the request crashes engines"
+        raise HubError(Code.QUARANTINED, message, self._ran())
 
     def _note_crash(self, failure):
         """Report the request where the engine that it had reached is gone."""
@@ -306,7 +306,7 @@
         if not isinstance(failure, EngineRefused):
             self._leave(upstream, failure)
         elif failure.status in BAD_REQUEST_STATUSES:
-            raise HubError(Code.BAD_REQUEST, str(failure))
+            raise HubError(Code.BAD_REQUEST, str(failure), self._ran())
         self._end()
 
     def _leave(self, upstream, failure):
@@ -396,15 +396,18 @@
         self._end()
         self._open_first(order)
 
+    def _ran(self):
+        """Tell whether any try, on any engine, may have run."""
+        if not self.sent:
+            return Ran.NOT_RUN
+        return Ran.RAN if self.tokens else Ran.UNKNOWN
+
     def _given_up(self, failure):
-        ran = Ran.NOT_RUN
-        if self.sent:
-            ran = Ran.RAN if self.tokens else Ran.UNKNOWN
         code = Code.UPSTREAM_FAILED
         if isinstance(failure, EngineSilent):
             code = Code.UPSTREAM_SILENT
         message = f"no engine could answer: {failure or 'none is left'}"
-        return HubError(code, message, ran, FAILED_RETRY)
+        return HubError(code, message, self._ran(), FAILED_RETRY)
 
     def _count(self, failure):
         self._services.counters.add(f"retry.{failure.reason}")
--- /dev/null
+++ b/tests/gateway/test_attempts.py
@@ -0,0 +1,80 @@
+from types import SimpleNamespace
+
+import pytest
+
+from mulberryhub.base.clock import Clock
+from mulberryhub.base.counters import Counters
+from mulberryhub.base.errors import Code, HubError, Ran
+from mulberryhub.config.inventory import Upstream
+from mulberryhub.gateway.attempts import Attempts, RelayServices
+from mulberryhub.routing.chain import text_request
+from mulberryhub.routing.policies import make_policy
+from mulberryhub.routing.request import Decision, Scope
+from mulberryhub.upstream.budget import RetryBudget
+from mulberryhub.upstream.errors import ConnectFailed, EngineRefused, EngineSilent
+from mulberryhub.upstream.health import Health
+from mulberryhub.upstream.messages import EngineCall
+
+ENGINES = ("engine-1", "engine-2")
+
+
+class FailingEngines:
+    """Raises the failures of each engine in turn."""
+
+    def __init__(self, failures_by_id):
+        self.failures_by_id = failures_by_id
+
+    def open(self, upstream, call):
+        raise self.failures_by_id[upstream.id]
+
+    resume = open
+
+    def cancel(self, upstream, request_id):
+        pass
+
+
+class NoSuspects:
+    def is_suspect(self, fingerprint):
+        return False
+
+    is_quarantined = is_suspect
+
+    def crashed(self, fingerprint, alone):
+        pass
+
+
+def refusal(**failures_by_id):
+    failures_by_id = dict(zip(ENGINES, failures_by_id.values()))
+    clock, counters = Clock(), Counters()
+    upstreams_by_id = {id_: Upstream(id_, "engine", "dc", "") for id_ in ENGINES}
+    services = RelayServices(
+        engines=FailingEngines(failures_by_id),
+        policy=make_policy("random", clock),
+        health=Health(clock, counters),
+        watcher=None,
+        budget=RetryBudget(),
+        signer=None,
+        suspects=NoSuspects(),
+        current_view=lambda: SimpleNamespace(upstreams_by_id=upstreams_by_id),
+        counters=counters,
+        clock=clock,
+    )
+    request = text_request(Scope("w", "m", "1"), "a prompt")
+    attempts = Attempts(services, Decision(request, list(ENGINES)), EngineCall("r", {}))
+    with pytest.raises(HubError) as raised:
+        attempts.open()
+    return raised.value.code, raised.value.ran
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "code", "ran"),
+    [
+        (ConnectFailed(""), ConnectFailed(""), Code.UPSTREAM_FAILED, Ran.NOT_RUN),
+        (ConnectFailed(""), EngineRefused(400, ""), Code.BAD_REQUEST, Ran.NOT_RUN),
+        (EngineSilent(""), EngineRefused(400, ""), Code.BAD_REQUEST, Ran.UNKNOWN),
+        (EngineSilent(""), ConnectFailed(""), Code.UPSTREAM_FAILED, Ran.UNKNOWN),
+        (ConnectFailed(""), EngineSilent(""), Code.UPSTREAM_SILENT, Ran.UNKNOWN),
+    ],
+)
+def test_refusal_tells_whether_any_try_may_have_run(first, second, code, ran):
+    assert refusal(first=first, second=second) == (code, ran)
