Wait for a confirmed configuration in the middle of a stream

Cause: a router that was paused for more than 1.5 s has no configuration in force until it is confirmed; a stream that broke in that moment met None, and the caller got a cut connection without an error event. Found by reading. Shown to fail first: tests/system/test_streams.py, router paused while its engine dies, gave 'Response ended prematurely'; after the change the stream is complete. Change: one call that waits up to 5 s for a confirmed view serves streams, calls and the listing. A reconnect that is refused says that its stream has run.

--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -88,7 +88,7 @@
         budget,
         TokenSigner(secrets.token_key),
         suspects,
-        replica.current,
+        replica.confirmed,
         counters,
         clock,
     )
@@ -186,7 +186,7 @@
     """Return the endpoints of the completions interface by path."""
 
     def models(call):
-        return list_models(call, replica.current())
+        return list_models(call, replica.confirmed())
 
     return {
         "/v1/chat/completions": Endpoint("POST", completions.chat),
--- a/libs/gateway/src/mulberryhub/gateway/attempts.py
+++ b/libs/gateway/src/mulberryhub/gateway/attempts.py
@@ -36,7 +36,7 @@
         "budget",
         "signer",
         "suspects",
-        "current_view",
+        "confirmed_view",
         "counters",
         "clock",
     )
@@ -50,7 +50,7 @@
         budget,
         signer,
         suspects,
-        current_view,
+        confirmed_view,
         counters,
         clock,
     ):
@@ -61,7 +61,7 @@
         self.budget = budget
         self.signer = signer
         self.suspects = suspects
-        self.current_view = current_view
+        self.confirmed_view = confirmed_view
         self.counters = counters
         self.clock = clock
 
@@ -131,7 +131,7 @@
         So its text is known, should it have to be continued elsewhere. Raise
         EngineFailure where the engine does not keep it.
         """
-        upstream = self._services.current_view().upstreams_by_id.get(upstream_id)
+        upstream = self._upstream(upstream_id)
         if upstream is None:
             raise StreamUnknown("the engine has left")
         self.incarnation = incarnation
@@ -203,10 +203,19 @@
     def _upstreams(self, upstream_ids):
         """Yield the upstreams that are still in the inventory, the healthy first."""
         for id_ in self._services.health.ordered(upstream_ids):
-            upstream = self._services.current_view().upstreams_by_id.get(id_)
+            upstream = self._upstream(id_)
             if upstream is not None:
                 yield upstream
 
+    def _upstream(self, upstream_id):
+        """Return the upstream while the inventory in force has it, else None."""
+        try:
+            view = self._services.confirmed_view()
+        except HubError as error:
+            error.ran = self._ran()
+            raise
+        return view.upstreams_by_id.get(upstream_id)
+
     def _in_turn(self, upstreams):
         """Yield each upstream, for a suspect when it has its turn there."""
         deadline = self._services.clock.now() + TURN_TIMEOUT
@@ -338,8 +347,7 @@
         self._check_deadline()
         self._call.tokens = self.tokens
         self._call.text = "".join(self._texts)
-        view = self._services.current_view()
-        upstream = view.upstreams_by_id.get(self.upstream_id)
+        upstream = self._upstream(self.upstream_id)
         if upstream is not None and self._may_resume(failure):
             failure = self._resume_or_failure(upstream)
             if failure is None:
--- a/libs/gateway/src/mulberryhub/gateway/completions.py
+++ b/libs/gateway/src/mulberryhub/gateway/completions.py
@@ -2,7 +2,7 @@
 
 from uuid import uuid4
 
-from mulberryhub.base.errors import Code, HubError
+from mulberryhub.base.errors import Code, HubError, Ran
 from mulberryhub.gateway.auth import authenticate
 from mulberryhub.gateway.chunks import AnswerShape
 from mulberryhub.gateway.completion_body import (
@@ -51,37 +51,25 @@
         return self._serve(call, is_chat=False)
 
     def _serve(self, call, is_chat):
-        view = self._replica.current()
+        view = self._replica.confirmed()
         workspace = authenticate(call, view)
         data = call.read_body()
         body = parse_body(data, is_chat)
         document = _bounded(parse_document(data), body)
         model = check_model(body, workspace, view)
-        candidates = view.engines_for(model.id)
-        if not candidates:
-            raise HubError(
-                Code.NO_UPSTREAM,
-                f"no engine serves {model.id!r}",
-                retry_after=NO_UPSTREAM_RETRY,
-            )
         point = self._resume_point(call, body, workspace)
         request = route_request(body, workspace, model, is_chat)
-        rules = view.inventory.rules
-        deadline = self._clock.now() + rules.first_token_deadline
-        cost = request.tokens + body.output_tokens
-        grant = self._limiter.admit(workspace, cost, deadline)
-        decision = self._decide(request, candidates, deadline, grant)
+        relay = self._relay(view, workspace, request, body.output_tokens, point)
         engine_call = EngineCall(
             request_id=f"{call.request_id}.{uuid4().hex[:12]}",
             body=document,
             chat=is_chat,
             scope=scope_salt(request.scope).hex(),
             model_version=model.version,
-            priority=decision.priority,
-            idle_timeout=rules.idle_timeout,
-            first_token_timeout=rules.first_token_deadline,
+            priority=relay.decision.priority,
+            idle_timeout=view.inventory.rules.idle_timeout,
+            first_token_timeout=view.inventory.rules.first_token_deadline,
         )
-        relay = Relay(self._services, decision, grant, workspace.id)
         if point is None:
             relay.open(engine_call)
         else:
@@ -92,6 +80,31 @@
             return relay.streamed(call, shape)
         return relay.whole(call, shape)
 
+    def _relay(self, view, workspace, request, output_tokens, point):
+        """Return the relay of a request that is admitted and has its engines."""
+        try:
+            return self._admitted(view, workspace, request, output_tokens)
+        except HubError as error:
+            if point is not None:
+                # The stream that the caller wants to go on with has run.
+                error.ran = Ran.RAN
+            raise
+
+    def _admitted(self, view, workspace, request, output_tokens):
+        model_id = request.scope.model
+        candidates = view.engines_for(model_id)
+        if not candidates:
+            raise HubError(
+                Code.NO_UPSTREAM,
+                f"no engine serves {model_id!r}",
+                retry_after=NO_UPSTREAM_RETRY,
+            )
+        deadline = self._clock.now() + view.inventory.rules.first_token_deadline
+        cost = request.tokens + output_tokens
+        grant = self._limiter.admit(workspace, cost, deadline)
+        decision = self._decide(request, candidates, deadline, grant)
+        return Relay(self._services, decision, grant, workspace.id)
+
     def _decide(self, request, candidates, deadline, grant):
         """Return the Decision, or give the grant back and raise HubError."""
         now = self._clock.now()
--- a/libs/gateway/src/mulberryhub/gateway/relay.py
+++ b/libs/gateway/src/mulberryhub/gateway/relay.py
@@ -14,13 +14,14 @@
 class Relay:
     """One answer on its way from an engine to a caller.
 
-    `grant` is settled once, however the answer ends. `position` is the number of
-    tokens that the caller has got already and does not get again.
+    `decision` names the engines to try. `grant` is settled once, however the
+    answer ends. `position` is the number of tokens that the caller has got already
+    and does not get again.
     """
 
     __slots__ = (
         "_services",
-        "_decision",
+        "decision",
         "_prompt_tokens",
         "_grant",
         "_workspace",
@@ -34,7 +35,7 @@
 
     def __init__(self, services, decision, grant, workspace):
         self._services = services
-        self._decision = decision
+        self.decision = decision
         self._prompt_tokens = decision.request.tokens
         self._grant = grant
         self._workspace = workspace
@@ -48,7 +49,7 @@
     def open(self, engine_call):
         """Open the stream on an engine or raise HubError."""
         self._engine_call = engine_call
-        self._attempts = Attempts(self._services, self._decision, engine_call)
+        self._attempts = Attempts(self._services, self.decision, engine_call)
         try:
             self._attempts.open()
         except BaseException:
@@ -59,7 +60,7 @@
         """Go on with a stream that another router had opened or raise HubError."""
         self._position = point.position
         self._engine_call = engine_call
-        self._attempts = Attempts(self._services, self._decision, engine_call)
+        self._attempts = Attempts(self._services, self.decision, engine_call)
         origin = point.origin
         try:
             self._attempts.reopen(origin.engine, origin.incarnation)
--- a/libs/gateway/src/mulberryhub/gateway/services.py
+++ b/libs/gateway/src/mulberryhub/gateway/services.py
@@ -44,7 +44,7 @@
 
     def handle(self, call):
         """Answer a call on a route of the configuration."""
-        view = self._replica.current()
+        view = self._replica.confirmed()
         route = find_route(view.routes_by_path, call.path)
         if route is None:
             raise HubError(Code.UNKNOWN_ROUTE, "nothing serves this path")
--- a/libs/replica/src/mulberryhub/replica/config.py
+++ b/libs/replica/src/mulberryhub/replica/config.py
@@ -1,7 +1,7 @@
 """The replicated configuration of this router and the way to change it everywhere."""
 
 from mulberryhub.base.errors import Code, HubError
-from mulberryhub.base.green import spawn
+from mulberryhub.base.green import sleep, spawn
 from mulberryhub.config.administration import RouterReport, RouterStatus
 from mulberryhub.config.validation import validate_inventory
 from mulberryhub.replica.changes import inventory_change, new_change
@@ -17,6 +17,8 @@
 
 COMMIT_TIMEOUT = 10_000  # ms
 KEEP_TIMEOUT = 2_000  # ms
+VIEW_TIMEOUT = 5_000  # ms
+VIEW_POLL = 50  # ms
 
 
 class Withdrawal:
@@ -43,6 +45,7 @@
 
     __slots__ = (
         "_vm",
+        "_clock",
         "_call",
         "_live_vms",
         "_in_force",
@@ -64,6 +67,7 @@
         commit_timeout=COMMIT_TIMEOUT,
     ):
         self._vm = vm
+        self._clock = clock
         self._call = call
         self._live_vms = live_vms
         self._in_force = InForce(clock, counters)
@@ -106,6 +110,21 @@
         """
         return self._in_force.view()
 
+    def confirmed(self):
+        """Return the ConfigView in force, waiting while it is being confirmed.
+
+        Raise HubError with NOT_READY where that takes longer than VIEW_TIMEOUT.
+        """
+        deadline = self._clock.now() + VIEW_TIMEOUT
+        while True:
+            view = self.current()
+            if view is not None:
+                return view
+            if self._clock.now() >= deadline:
+                message = "what is in force is not known now"
+                raise HubError(Code.NOT_READY, message, retry_after=VIEW_POLL)
+            sleep(VIEW_POLL / 1000)
+
     @property
     def last_view(self):
         """Return the ConfigView even while it is not confirmed, to find peers."""
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -55,7 +55,7 @@
         budget=RetryBudget(),
         signer=None,
         suspects=NoSuspects(),
-        current_view=lambda: SimpleNamespace(upstreams_by_id=upstreams_by_id),
+        confirmed_view=lambda: SimpleNamespace(upstreams_by_id=upstreams_by_id),
         counters=counters,
         clock=clock,
     )
--- a/tests/gateway/test_services.py
+++ b/tests/gateway/test_services.py
@@ -28,7 +28,7 @@
 
 class Replica:
     def __init__(self, view):
-        self.current = lambda: view
+        self.confirmed = lambda: view
 
 
 @pytest.fixture
--- a/tests/system/test_streams.py
+++ b/tests/system/test_streams.py
@@ -14,6 +14,7 @@
 )
 
 LEAVE_TIME = 2  # s
+PAUSE = 2.5  # s
 
 
 @pytest.fixture(scope="module")
@@ -237,3 +238,14 @@
             body = request_body(2, f"question {index}")
             check_complete(CallerStream(router(fleet, index % 2), body).read())
         assert report(leaving)["totals"]["runs"] == runs
+
+
+def test_router_paused_while_its_engine_dies():
+    with StreamFleet() as fleet:
+        stream = CallerStream(router(fleet), request_body(60)).read(5)
+        router(fleet).signal(signal.SIGSTOP)
+        fleet.engine_of(stream).kill()
+        time.sleep(PAUSE)
+        router(fleet).signal(signal.SIGCONT)
+        check_complete(stream.read())
+        assert "Traceback" not in router(fleet).stderr()
