Check the key again once the body has arrived

Cause: a key was checked before the body was read, and a sender may take 10 s for it, so a withdrawn key could still place a call after the promised 5 s. One function now reads an authenticated call for completions and services both.

--- a/libs/gateway/src/mulberryhub/gateway/auth.py
+++ b/libs/gateway/src/mulberryhub/gateway/auth.py
@@ -46,6 +46,18 @@
     raise HubError(Code.UNKNOWN_KEY, "the key is not known")
 
 
+def read_authenticated(call, replica):
+    """Return the view in force, the workspace of the key and the body of `call`.
+
+    The key is checked before the body is read, and again after it: a slow sender
+    may outlast the withdrawal of its key. Raise HubError.
+    """
+    authenticate(call, replica.confirmed())
+    data = call.read_body()
+    view = replica.confirmed()
+    return view, authenticate(call, view), data
+
+
 def authenticate_operator(call, view):
     """Return the operator of the key that came with `call`, or raise HubError."""
     key = presented_key(call)
--- a/libs/gateway/src/mulberryhub/gateway/completions.py
+++ b/libs/gateway/src/mulberryhub/gateway/completions.py
@@ -3,7 +3,7 @@
 from uuid import uuid4
 
 from mulberryhub.base.errors import Code, HubError, Ran
-from mulberryhub.gateway.auth import authenticate
+from mulberryhub.gateway.auth import read_authenticated
 from mulberryhub.gateway.chunks import AnswerShape
 from mulberryhub.gateway.completion_body import (
     check_model,
@@ -51,9 +51,7 @@
         return self._serve(call, is_chat=False)
 
     def _serve(self, call, is_chat):
-        view = self._replica.confirmed()
-        workspace = authenticate(call, view)
-        data = call.read_body()
+        view, workspace, data = read_authenticated(call, self._replica)
         body = parse_body(data, is_chat)
         document = _bounded(parse_document(data), body)
         model = check_model(body, workspace, view)
--- a/libs/gateway/src/mulberryhub/gateway/services.py
+++ b/libs/gateway/src/mulberryhub/gateway/services.py
@@ -5,7 +5,7 @@
 
 from mulberryhub.base.errors import Code, HubError, Ran
 from mulberryhub.base.green import sleep
-from mulberryhub.gateway.auth import authenticate
+from mulberryhub.gateway.auth import read_authenticated
 from mulberryhub.gateway.call import Reply
 from mulberryhub.gateway.forwarding import (
     forwarded_headers,
@@ -48,13 +48,17 @@
         route = find_route(view.routes_by_path, call.path)
         if route is None:
             raise HubError(Code.UNKNOWN_ROUTE, "nothing serves this path")
-        workspace_id = OPEN_WORKSPACE if route.open else authenticate(call, view).id
+        if route.open:
+            workspace_id, body = OPEN_WORKSPACE, call.read_body()
+        else:
+            view, workspace, body = read_authenticated(call, self._replica)
+            workspace_id = workspace.id
         headers = forwarded_headers(call, workspace_id)
         service_call = ServiceCall(
             method=call.method,
             target=forwarded_target(call),
             headers=headers,
-            body=call.read_body(),
+            body=body,
             request_id=headers["X-Request-Id"],
             timeout=view.inventory.rules.idle_timeout,
         )
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -1,13 +1,14 @@
 import http.client
 import json
 import signal
+import socket
 import time
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
 from benchmarks.demo import wait_ready
-from benchmarks.topology import OPERATOR_KEY
+from benchmarks.topology import MODEL, OPERATOR_KEY
 from mulberryhub.base.digest import key_hash
 from tests.support.config_fleet import (
     KEY,
@@ -79,6 +80,22 @@
     assert [item.status() for item in connections] == [401] * ROUTERS
 
 
+def test_key_withdrawn_while_a_body_arrives(routers_and_log):
+    router = routers_and_log.routers[0]
+    body = json.dumps({"model": MODEL, "prompt": "a seal"}).encode()
+    head = (
+        f"POST /v1/completions HTTP/1.1\r\nHost: x\r\nX-Api-Key: {KEY}\r\n"
+        f"Connection: close\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    host, port = router.address.split(":")
+    with socket.create_connection((host, int(port)), TIMEOUT) as connection:
+        connection.sendall(head.encode() + body[:5])
+        assert withdraw(router).status == 200
+        connection.sendall(body[5:])
+        answer = b"".join(iter(lambda: connection.recv(65_536), b""))
+    assert b'"code":"withdrawn_key"' in answer
+
+
 def test_withdrawal_is_kept_after_the_outage_and_a_restart_of_all(routers_and_log):
     fleet = routers_and_log
     fleet.log.fault(outage=True)
