--- a/libs/config/src/mulberryhub/config/validation.py
+++ b/libs/config/src/mulberryhub/config/validation.py
@@ -23,6 +23,9 @@
     except RecursionError:
         findings.error("$", "the document is nested too deeply")
         return None, findings
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        findings.error("$", f"malformed JSON: {error}")
+        return None, findings
     if inventory is not None:
         check_consistency(inventory, findings)
     return (None if findings.errors else inventory), findings
@@ -32,9 +35,8 @@
     try:
         return msgspec.json.decode(data, type=Inventory)
     except msgspec.ValidationError as error:
+        # Decoding stops at the first wrong type; what follows may be malformed.
         _report_types(data, error, findings)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        findings.error("$", f"malformed JSON: {error}")
     return None
 
 
