Check operators by one method in the administration API

require_operator only passed its call on to a private twin; the private one now has its name and the copy is gone. Behaviour is the same: lint is clean, tests/cli and tests/base give 22 passed. The whole suite was not run on this commit.

--- a/libs/gateway/src/mulberryhub/gateway/admin.py
+++ b/libs/gateway/src/mulberryhub/gateway/admin.py
@@ -52,12 +52,8 @@
             "/admin/keys/withdraw": Endpoint("POST", self._withdraw_key),
         }
 
-    def require_operator(self, call):
-        """Return the id of the operator of `call`, or raise HubError."""
-        return self._operator(call)
-
     def _check(self, call):
-        self._operator(call)
+        self.require_operator(call)
         _, findings = validate_inventory(call.read_body())
         return json_reply(FindingsAnswer(findings.items))
 
@@ -71,7 +67,7 @@
         return json_reply(ChangeAnswer(self._replica.apply(base, author, data)))
 
     def _configuration(self, call):
-        self._operator(call)
+        self.require_operator(call)
         view = self._replica.current()
         inventory = None if view is None else view.inventory
         replica = self._replica
@@ -79,13 +75,13 @@
         return json_reply(answer)
 
     def _status(self, call):
-        self._operator(call)
+        self.require_operator(call)
         parts = {name: report() for name, report in self._reports_by_part.items()}
         counters = dict(self._counters.by_name)
         return json_reply(StatusAnswer(self._replica.status(), counters, parts))
 
     def _fleet(self, call):
-        self._operator(call)
+        self.require_operator(call)
         wanted = dict(call.query).get("key_hash", "")
         return json_reply(FleetAnswer(self._replica.fleet(wanted)))
 
@@ -104,8 +100,8 @@
         status = 200 if withdrawal.is_kept else 202
         return json_reply(WithdrawalAnswer(withdrawal.offset), status)
 
-    def _operator(self, call):
-        """Return the id of the operator whose key came with `call`."""
+    def require_operator(self, call):
+        """Return the id of the operator of `call`, or raise HubError."""
         if not self._replica.names_operators:
             return self._first_operator(call)
         view = self._replica.current()
@@ -115,7 +111,7 @@
 
     def _changing_operator(self, call):
         """Return the operator; refuse while it is unknown who the operators are."""
-        author = self._operator(call)
+        author = self.require_operator(call)
         if not self._replica.is_known:
             raise _not_ready()
         return author
