Place requests by the work in flight of all routers

Ruled out: slow routers (0.04 of a core). Old weights now cost 0.4 of the latency target in a choice by expected delay.

--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -7,7 +7,7 @@
 from mulberryhub.fleet.records import Configuration, Member, Upstream
 from mulberryhub.http.sockets import open_listener, tune
 
-HEARTBEAT = 400  # ms between two messages without a change
+HEARTBEAT = 250  # ms between two messages without a change
 GATHERING = 10  # ms in which changes are gathered into one message
 TOPIC_BY_TYPE = {Upstream: "upstreams", Member: "members"}
 
--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -163,22 +163,23 @@
 
 
 class Use(msgspec.Struct):
-    """What routers did lately: tokens and requests in flight.
+    """What routers did lately: tokens admitted, and work in flight.
 
     `window_by_workspace` is what was admitted in the quota window, in the unit of
     each workspace, `rate_by_workspace` the same per s over the last moments.
+    `work_by_upstream` is the delay in ms that requests in flight cause there.
     """
 
     window_by_workspace: dict[str, float] = {}
     rate_by_workspace: dict[str, float] = {}
-    running_by_upstream: dict[str, int] = {}
+    work_by_upstream: dict[str, float] = {}
     routers: int = 1
 
     def add(self, other):
         """Add the use of other routers to this."""
         _add_values(self.window_by_workspace, other.window_by_workspace)
         _add_values(self.rate_by_workspace, other.rate_by_workspace)
-        _add_values(self.running_by_upstream, other.running_by_upstream)
+        _add_values(self.work_by_upstream, other.work_by_upstream)
         self.routers += other.routers
 
 
--- a/libs/fleet/src/mulberryhub/fleet/subscription.py
+++ b/libs/fleet/src/mulberryhub/fleet/subscription.py
@@ -6,7 +6,7 @@
 from mulberryhub.fleet.beliefs import Topic
 from mulberryhub.fleet.channel import Channel, ChannelBroken, Hello, News, Report
 
-REPORT_PERIOD = 400  # ms
+REPORT_PERIOD = 250  # ms
 SILENCE = 1_300  # ms without news after which the publisher counts as lost
 
 log = module_logger(__name__)
--- a/libs/fleet/src/mulberryhub/fleet/use.py
+++ b/libs/fleet/src/mulberryhub/fleet/use.py
@@ -119,7 +119,7 @@
         rest = Use(routers=self.use.routers - self.counted.routers)
         rest.window_by_workspace = _less(self.use, self.counted, "window_by_workspace")
         rest.rate_by_workspace = _less(self.use, self.counted, "rate_by_workspace")
-        rest.running_by_upstream = _less(self.use, self.counted, "running_by_upstream")
+        rest.work_by_upstream = _less(self.use, self.counted, "work_by_upstream")
         return rest
 
 
--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -7,6 +7,7 @@
 from mulberryhub.forward.exchange import open_exchange
 from mulberryhub.forward.job import LEAST_TIME
 from mulberryhub.forward.refusal import Reason, Refusal
+from mulberryhub.forward.work import work_of
 from mulberryhub.http.messages import AnswerBroken, AnswerTimeout, ConnectFailed
 
 MAX_SENDS = 4  # sends of one request, those that did not run included
@@ -66,7 +67,7 @@
         dials = 0
         while True:
             self._check_time(job)
-            choice = self._placer.choose(job.call, job.service, job.tried)
+            choice = self._place(job)
             if choice is None:
                 raise self._no_upstream(job)
             if job.sends and not self._budget.spend(job.service.name):
@@ -95,6 +96,9 @@
         self._note_failed(job, exchange.attempt.upstream, "midway", error)
         return job.may_run_again and job.sends < MAX_SENDS
 
+    def _place(self, job):
+        return self._placer.choose(job.call, job.route, job.service, job.tried)
+
     def _check_time(self, job):
         if job.end - self._clock.now() >= LEAST_TIME:
             return
@@ -110,8 +114,9 @@
         if choice.version is not None:
             self._caching.prepare(attempt, call, choice.version)
         request = self._dialect.attempt_request(call, attempt)
+        work = work_of(call, choice.upstream, choice.version is not None)
         return open_exchange(
-            attempt, request, self._pool, self._loads, job.is_repeatable
+            attempt, request, work, self._pool, self._loads, job.is_repeatable
         )
 
     def _takes(self, job, exchange):
@@ -155,7 +160,7 @@
             job.may_run_again
             and job.sends < MAX_SENDS
             and job.end - self._clock.now() > job.route.target_latency
-            and self._placer.choose(job.call, job.service, job.tried) is not None
+            and self._place(job) is not None
         )
 
     def _patience(self, job, left):
--- a/libs/forward/src/mulberryhub/forward/exchange.py
+++ b/libs/forward/src/mulberryhub/forward/exchange.py
@@ -15,20 +15,22 @@
         "head",
         "facts",
         "_request",
+        "_work",
         "_connection",
         "_pool",
         "_loads",
     )
 
-    def __init__(self, attempt, request, connection, pool, loads):
+    def __init__(self, attempt, request, work, connection, pool, loads):
         self.attempt = attempt
         self.head = None
         self.facts = None
         self._request = request
+        self._work = work
         self._connection = connection
         self._pool = pool
         self._loads = loads
-        loads.started(attempt.upstream.id)
+        loads.started(attempt.upstream.id, work)
 
     def send(self, time_left):
         """Send the request or raise AnswerBroken."""
@@ -40,7 +42,9 @@
             self.head = self._connection.read_head(timeout)
             self.facts = read_answer(self.head, self.attempt)
             if self.facts.request_id in (None, request_id):
+                self._loads.answering(self.attempt.upstream.id, self._work)
                 return
+            self.head = None
             self._connection.skip_answer(self._request, timeout)
         raise AnswerBroken("only answers to other requests came")
 
@@ -60,17 +64,21 @@
         if self._connection is not None:
             connection, self._connection = self._connection, None
             self._pool.give_back(connection)
-            self._loads.ended(self.attempt.upstream.id)
+            self._note_end()
 
     def cancel(self):
         """Close the connection, so that the upstream ends its work."""
         if self._connection is not None:
             connection, self._connection = self._connection, None
             connection.close()
-            self._loads.ended(self.attempt.upstream.id)
+            self._note_end()
 
+    def _note_end(self):
+        is_answering = self.head is not None
+        self._loads.ended(self.attempt.upstream.id, self._work, is_answering)
 
-def open_exchange(attempt, request, pool, loads, is_repeatable):
+
+def open_exchange(attempt, request, work, pool, loads, is_repeatable):
     """Return an Exchange over a kept or new connection or raise ConnectFailed."""
     address = attempt.upstream.address
     connection = None
@@ -80,4 +88,4 @@
         connection = pool.take_idle(address, ONCE_MAX_IDLE)
     if connection is None:
         connection = pool.open(address, CONNECT_TIMEOUT)
-    return Exchange(attempt, request, connection, pool, loads)
+    return Exchange(attempt, request, work, connection, pool, loads)
--- a/libs/forward/src/mulberryhub/forward/placing.py
+++ b/libs/forward/src/mulberryhub/forward/placing.py
@@ -10,12 +10,10 @@
 from mulberryhub.fleet.records import State
 from mulberryhub.routing.placement import Placement
 
-FULL_COST = 300  # ms of delay that as many requests as slots cause
-DEFAULT_SLOTS = 6
 REMOTE_COST = 3  # ms for each KB of body that goes to another data centre
 MISS_COST = 0.004  # ms for each shared token that is fetched or read again
 AVOIDED_COST = 10_000  # ms
-NEWEST_ROOM = 0.4  # of the slots with newest weights that may be taken before others
+OLD_WEIGHTS_COST = 0.4  # of the latency target, where newer weights are in use
 RANKED = 3  # upstreams that hold shared parts of the same prompt at most
 
 
@@ -61,54 +59,46 @@
         self._revision = None
         self._placements_by_ids = {}
 
-    def choose(self, call, service, tried):
+    def choose(self, call, route, service, tried):
         """Return a Choice among upstreams whose id is not in `tried`, or None."""
         ready = [item for item in self._ready(service.name) if item.id not in tried]
         if not ready:
             return None
         if call.model is None or not service.models:
-            return Choice(self._cheapest(call, ready))
-        return self._choose_engine(call, service, ready)
+            costs = self._costs(call, ready)
+            return Choice(min(ready, key=lambda item: costs[item.id]))
+        return self._choose_engine(call, route, ready)
 
-    def is_full(self, service):
-        """Tell whether half of the service's slots or more are taken."""
-        ready = self._ready(service.name)
-        slots = sum(_slots(item) for item in ready)
-        running = sum(self._loads.running(item.id) for item in ready)
-        return running * 2 >= slots
-
-    def _choose_engine(self, call, service, ready):
+    def _choose_engine(self, call, route, ready):
         loading = self._beliefs.loading_ids()
-        open_ = [item for item in ready if item.id not in loading] or ready
+        candidates = [item for item in ready if item.id not in loading] or ready
         model = call.model
-        versions = {item.id: self._beliefs.version_at(item.id, model) for item in open_}
+        versions = {
+            item.id: self._beliefs.version_at(item.id, model) for item in candidates
+        }
         newest = max(versions.values())
-        current = [item for item in open_ if versions[item.id] == newest]
-        if len(current) < len(open_) and not self._has_room(current):
-            current = open_
-        upstream = self._cheapest(call, current)
+        costs = self._costs(call, candidates)
+        for id, version in versions.items():
+            if version < newest:
+                costs[id] += OLD_WEIGHTS_COST * route.target_latency
+        upstream = min(candidates, key=lambda item: costs[item.id])
         return Choice(upstream, versions[upstream.id])
 
-    def _has_room(self, upstreams):
-        running = sum(self._loads.running(item.id) for item in upstreams)
-        slots = sum(_slots(item) for item in upstreams)
-        return running < NEWEST_ROOM * slots
-
-    def _cheapest(self, call, upstreams):
+    def _costs(self, call, upstreams):
+        """Return the expected delay by the id of each upstream."""
         ranked = self._ranks(call, upstreams)
         shared_tokens = sum(part.tokens for part in call.shared_parts)
         body_kb = len(call.request.body) / 1024
-
-        def cost(upstream):
-            total = FULL_COST * self._loads.running(upstream.id) / _slots(upstream)
+        costs = {}
+        for upstream in upstreams:
+            cost = self._loads.work(upstream.id) + random()
             if upstream.data_centre != self._data_centre:
-                total += REMOTE_COST * body_kb
-            total += MISS_COST * shared_tokens * ranked.get(upstream.id, RANKED)
+                cost += REMOTE_COST * body_kb
+            cost += MISS_COST * shared_tokens * ranked.get(upstream.id, RANKED)
             if self._health.is_avoided(upstream.id):
-                total += AVOIDED_COST
-            return total + random()
-
-        return min(upstreams, key=cost)
+                cost += AVOIDED_COST
+            costs[upstream.id] = cost
+        return costs
 
     def _ranks(self, call, upstreams):
         """Return the ranks by id of the upstreams where the prompt is kept first."""
@@ -139,7 +129,3 @@
                     ready = self._ready_by_service.setdefault(upstream.service, [])
                     ready.append(upstream)
         return self._ready_by_service.get(service_name, ())
-
-
-def _slots(upstream):
-    return upstream.slots or DEFAULT_SLOTS
--- a/libs/forward/src/mulberryhub/forward/quotas.py
+++ b/libs/forward/src/mulberryhub/forward/quotas.py
@@ -12,6 +12,7 @@
 
 RATE_TIME = 2_000  # ms over which demand is measured
 REFRESH = 200  # ms for which the sum over other routers is kept
+TOLERANCE_USED = 0.6  # of what may go beyond the limit, while routers hear each other
 SHARE_MARGIN = 1.3  # by which a share may exceed the demand's
 SHORTEST_RETRY = 200  # ms
 LONGEST_RETRY = 4_000  # ms
@@ -30,9 +31,10 @@
         self.overage = overage
         self.slack = slack
 
-    def limit(self, workspace):
-        """Return what a workspace may use in a window."""
-        return workspace.rate * self.window / 1000 + workspace.burst
+    def limit(self, workspace, tolerance):
+        """Return what a workspace may use in a window, with a part of the tolerance."""
+        limit = workspace.rate * self.window / 1000 + workspace.burst
+        return limit + tolerance * (limit * self.overage + self.slack)
 
 
 class Account:
@@ -119,15 +121,13 @@
         own = account.admitted.at(now)
         others = self._read_others()
         routers = max(self._count_routers(), 1)
-        limit = self._rule.limit(workspace)
         if others is None and routers > 1:
-            whole = limit * (1 + self._rule.overage) + self._rule.slack
-            account.share = whole / routers - own
+            account.share = self._rule.limit(workspace, 1) / routers - own
             return
         used = (
             0 if others is None else others.window_by_workspace.get(workspace.name, 0)
         )
-        room = limit - own - used
+        room = self._rule.limit(workspace, TOLERANCE_USED) - own - used
         account.share = room * self._demand_share(account, workspace, others, now)
 
     def _demand_share(self, account, workspace, others, now):
--- /dev/null
+++ b/libs/forward/src/mulberryhub/forward/work.py
@@ -0,0 +1,28 @@
+"""How much delay a request causes at an upstream, from what it declares."""
+
+TOKENS_PER_MS = 90  # prompt tokens that an engine reads in a ms
+ANSWERING = 4  # ms by which a running answer delays the start of another
+FULL_COST = 300  # ms of delay at a plain service whose slots are all taken
+DEFAULT_SLOTS = 6
+MISS_SHARE = 0.25  # of the shared tokens that are read where they are usually kept
+
+
+class Work:
+    """Delay in ms for others: until the answer begins, and while it goes on."""
+
+    __slots__ = ("before_answer", "answering")
+
+    def __init__(self, before_answer, answering):
+        self.before_answer = before_answer
+        self.answering = answering
+
+
+def work_of(call, upstream, is_model):
+    """Return the Work of `call` at `upstream`."""
+    if not is_model or call.prompt_tokens is None:
+        delay = FULL_COST / (upstream.slots or DEFAULT_SLOTS)
+        return Work(delay, delay)
+    shared = sum(part.tokens for part in call.shared_parts)
+    own = max(0, call.prompt_tokens - shared)
+    read = (own + MISS_SHARE * shared) / TOKENS_PER_MS
+    return Work(read + ANSWERING, ANSWERING)
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -179,7 +179,7 @@
         lease,
         ports.read_report,
         ports.send_order,
-        loads.running,
+        loads.work,
         settings.bounds.lease_time,
         clock,
         counters,
--- a/libs/weights/src/mulberryhub/weights/manager.py
+++ b/libs/weights/src/mulberryhub/weights/manager.py
@@ -26,7 +26,7 @@
     """Orders the loads.
 
     `read_report(upstream)` returns an EngineReport or None, `send_order(upstream,
-    order)` an OrderResult; `running(id)` the requests in flight at an upstream.
+    order)` an OrderResult; `work(id)` the work in flight at an upstream.
     `settle_time` is the ms that must lie between the orders of two routers.
     """
 
@@ -36,7 +36,7 @@
         "_lease",
         "_read_report",
         "_send_order",
-        "_running",
+        "_work",
         "_settle_time",
         "_clock",
         "_counters",
@@ -58,7 +58,7 @@
         lease,
         read_report,
         send_order,
-        running,
+        work,
         settle_time,
         clock,
         counters,
@@ -68,7 +68,7 @@
         self._lease = lease
         self._read_report = read_report
         self._send_order = send_order
-        self._running = running
+        self._work = work
         self._settle_time = settle_time
         self._clock = clock
         self._counters = counters
@@ -158,7 +158,7 @@
                 for item in items
                 if self._not_before_by_id.get(item.upstream.id, 0) <= now
             ]
-            for item in choose_next(due, loading, len(pool), self._running):
+            for item in choose_next(due, loading, len(pool), self._work):
                 self._loading_by_id[item.upstream.id] = item.upstream
                 spawn_task(self._load, item)
             if len(loading) != len(self._loading_by_id):
--- a/libs/weights/src/mulberryhub/weights/plan.py
+++ b/libs/weights/src/mulberryhub/weights/plan.py
@@ -42,10 +42,10 @@
     return max(1, int(pool_size * LOADING_SHARE))
 
 
-def choose_next(outdated, loading, pool_size, running):
+def choose_next(outdated, loading, pool_size, work):
     """Return the items of one pool that are to start now.
 
-    `loading` are upstreams that load already, `running(id)` the requests in flight.
+    `loading` are upstreams that load already, `work(id)` the work in flight.
     """
     room = loads_at_once(pool_size) - len(loading)
     taken = Counter(upstream.data_centre for upstream in loading)
@@ -57,7 +57,7 @@
             waiting,
             key=lambda item: (
                 taken[item.upstream.data_centre],
-                running(item.upstream.id),
+                work(item.upstream.id),
                 item.upstream.id,
             ),
         )
