--- a/libs/fleet/src/mulberryhub/fleet/beliefs.py
+++ b/libs/fleet/src/mulberryhub/fleet/beliefs.py
@@ -7,6 +7,7 @@
 
 from collections import OrderedDict
 from enum import StrEnum
+from math import inf
 
 from mulberryhub.base.green import Event
 from mulberryhub.base.logs import module_logger
@@ -54,6 +55,7 @@
         "_removed_by_id",
         "_removed_at_by_id",
         "_versions_by_id",
+        "_namings_by_model",
         "_changes",
         "_rollout_at",
         "_clock",
@@ -73,6 +75,7 @@
         self._removed_by_id = {}
         self._removed_at_by_id = {}
         self._versions_by_id = {}
+        self._namings_by_model = {}
         self._changes = ChangeLog()
         self._rollout_at = None
         self._clock = clock
@@ -112,7 +115,10 @@
         """Take the version that the operator named if it is newer."""
         if weights.version <= self.version_by_model.get(weights.model, 0):
             return
+        is_first = weights.model not in self.version_by_model
         self.version_by_model[weights.model] = weights.version
+        naming = Naming(weights.version, None if is_first else self._clock.now())
+        self._namings_by_model.setdefault(weights.model, []).append(naming)
         log.info("weights named", model=weights.model, version=weights.version)
         self._note_change(f"weights/{weights.model}", weights)
 
@@ -191,6 +197,18 @@
         known = self._versions_by_id.get(id)
         return 0 if known is None else known.by_model.get(model, 0)
 
+    def superseded_for(self, model, version):
+        """Return the ms for which a newer version than `version` has been named.
+
+        Return None where none is named, and inf where it was before this start.
+        """
+        for naming in self._namings_by_model.get(model, ()):
+            if naming.version > version:
+                if naming.at is None:
+                    return inf
+                return self._clock.now() - naming.at
+        return None
+
     def learn(self, record):
         """Take a record of any type."""
         LEARN_BY_TYPE[type(record)](self, record)
@@ -248,6 +266,19 @@
         return records
 
 
+class Naming:
+    """A version that the operator named, and the ms at which that was learned.
+
+    `at` is None for what had been named before this process started.
+    """
+
+    __slots__ = ("version", "at")
+
+    def __init__(self, version, at):
+        self.version = version
+        self.at = at
+
+
 class Change:
     """A record and the revision at which it was learned."""
 
--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -167,22 +167,37 @@
 
     `window_by_workspace` is what was admitted in the quota window, in the unit of
     each workspace, `rate_by_workspace` the same per s over the last moments.
-    `work_by_upstream` is the delay in ms that requests in flight cause there.
+    `work_by_upstream` is the delay in ms that requests in flight cause there, and
+    `bound_by_upstream` counts those that no other upstream can go on with.
     """
 
     window_by_workspace: dict[str, float] = {}
     rate_by_workspace: dict[str, float] = {}
     work_by_upstream: dict[str, float] = {}
+    bound_by_upstream: dict[str, int] = {}
     routers: int = 1
 
     def add(self, other):
         """Add the use of other routers to this."""
-        _add_values(self.window_by_workspace, other.window_by_workspace)
-        _add_values(self.rate_by_workspace, other.rate_by_workspace)
-        _add_values(self.work_by_upstream, other.work_by_upstream)
+        for name in SUMMED:
+            totals = getattr(self, name)
+            for key, value in getattr(other, name).items():
+                totals[key] = totals.get(key, 0) + value
         self.routers += other.routers
 
-
-def _add_values(totals, values):
-    for key, value in values.items():
-        totals[key] = totals.get(key, 0) + value
+    def less(self, other):
+        """Return this use without a part of it; nothing falls below 0."""
+        rest = Use(routers=self.routers - other.routers)
+        for name in SUMMED:
+            part = getattr(other, name)
+            for key, value in getattr(self, name).items():
+                getattr(rest, name)[key] = max(0, value - part.get(key, 0))
+        return rest
+
+
+SUMMED = (
+    "window_by_workspace",
+    "rate_by_workspace",
+    "work_by_upstream",
+    "bound_by_upstream",
+)
--- a/libs/fleet/src/mulberryhub/fleet/use.py
+++ b/libs/fleet/src/mulberryhub/fleet/use.py
@@ -1,5 +1,6 @@
 """The use that routers make of workspaces' rates and upstreams, summed over them."""
 
+from mulberryhub.fleet.floors import Floors
 from mulberryhub.fleet.records import Use
 
 FRESH = 2_000  # ms for which a router's last report counts
@@ -15,28 +16,52 @@
         self.at = at
 
 
+class Told:
+    """The use of a data centre with this router's part in it."""
+
+    __slots__ = ("use", "counted", "at")
+
+    def __init__(self, use, counted, at):
+        self.use = use
+        self.counted = counted
+        self.at = at
+
+    def without_own(self):
+        """Return the use of the other routers of the data centre."""
+        if self.counted is None:
+            return self.use
+        return self.use.less(self.counted)
+
+
 class UseTable:
     """The use of this router, of its subscribers, and of other data centres.
 
-    `measure()` returns the Use of this router itself.
+    `measure()` returns the Use of this router itself, `window` is the ms in which
+    what was admitted counts.
     """
 
     __slots__ = (
         "_measure",
         "_clock",
         "_data_centre",
+        "_window",
         "_reported_by_name",
         "_told",
-        "_by_centre",
+        "_reported_by_data_centre",
+        "_floors_here",
+        "_floors_of_others",
     )
 
-    def __init__(self, measure, data_centre, clock):
+    def __init__(self, measure, data_centre, window, clock):
         self._measure = measure
         self._clock = clock
         self._data_centre = data_centre
+        self._window = window
         self._reported_by_name = {}
         self._told = None
-        self._by_centre = {}
+        self._reported_by_data_centre = {}
+        self._floors_here = Floors(window, clock)
+        self._floors_of_others = Floors(window, clock)
 
     def own(self):
         """Return the use of this router."""
@@ -61,6 +86,7 @@
         total.add(self.own())
         for reported in self._fresh(self._reported_by_name.values()):
             total.add(reported.use)
+        total.window_by_workspace = self._floors_here.raised(total.window_by_workspace)
         return total
 
     def note_told(self, use, counted):
@@ -69,17 +95,19 @@
         `counted` is the part of it that is this router's own.
         """
         self._told = Told(use, counted, self._clock.now())
+        self._floors_here.raised(use.window_by_workspace)
 
     def note_elsewhere(self, data_centre, use):
         """Take the use of another data centre."""
         if data_centre != self._data_centre:
-            self._by_centre[data_centre] = Reported(use, self._clock.now())
+            reported = Reported(use, self._clock.now())
+            self._reported_by_data_centre[data_centre] = reported
 
     def elsewhere(self):
         """Return the fresh use of other data centres by their name."""
         return {
             name: reported.use
-            for name, reported in self._by_centre.items()
+            for name, reported in self._reported_by_data_centre.items()
             if self._is_fresh(reported)
         }
 
@@ -91,41 +119,16 @@
         else:
             for reported in self._fresh(self._reported_by_name.values()):
                 total.add(reported.use)
-        for reported in self._fresh(self._by_centre.values()):
+        for reported in self._fresh(self._reported_by_data_centre.values()):
             total.add(reported.use)
-        return total if total.routers else None
+        if not total.routers:
+            return None
+        windows = self._floors_of_others.raised(total.window_by_workspace)
+        total.window_by_workspace = windows
+        return total
 
     def _fresh(self, items):
         return [item for item in items if self._is_fresh(item)]
 
     def _is_fresh(self, item):
         return self._clock.now() - item.at <= FRESH
-
-
-class Told:
-    """The use of a data centre with this router's part in it."""
-
-    __slots__ = ("use", "counted", "at")
-
-    def __init__(self, use, counted, at):
-        self.use = use
-        self.counted = counted
-        self.at = at
-
-    def without_own(self):
-        """Return the use of the other routers of the data centre."""
-        if self.counted is None:
-            return self.use
-        rest = Use(routers=self.use.routers - self.counted.routers)
-        rest.window_by_workspace = _less(self.use, self.counted, "window_by_workspace")
-        rest.rate_by_workspace = _less(self.use, self.counted, "rate_by_workspace")
-        rest.work_by_upstream = _less(self.use, self.counted, "work_by_upstream")
-        return rest
-
-
-def _less(use, counted, name):
-    own = getattr(counted, name)
-    return {
-        key: max(0, value - own.get(key, 0))
-        for key, value in getattr(use, name).items()
-    }
--- a/libs/forward/src/mulberryhub/forward/placing.py
+++ b/libs/forward/src/mulberryhub/forward/placing.py
@@ -5,6 +5,7 @@
 than the next; newest weights first, as long as the upstreams that have them have room.
 """
 
+from math import inf
 from random import random
 
 from mulberryhub.fleet.records import State
@@ -38,23 +39,28 @@
 
 
 class Placer:
-    """Places requests on the upstreams that `beliefs` lists."""
+    """Places requests on the upstreams that `beliefs` lists.
+
+    `version_time` is the ms for which weights serve after newer ones were named.
+    """
 
     __slots__ = (
         "_beliefs",
         "_loads",
         "_health",
         "_data_centre",
+        "_version_time",
         "_ready_by_service",
         "_revision",
         "_placements_by_ids",
     )
 
-    def __init__(self, beliefs, loads, health, data_centre):
+    def __init__(self, beliefs, loads, health, data_centre, version_time):
         self._beliefs = beliefs
         self._loads = loads
         self._health = health
         self._data_centre = data_centre
+        self._version_time = version_time
         self._ready_by_service = {}
         self._revision = None
         self._placements_by_ids = {}
@@ -77,13 +83,31 @@
             item.id: self._beliefs.version_at(item.id, model) for item in candidates
         }
         newest = max(versions.values())
+        allowed = [
+            item
+            for item in candidates
+            if versions[item.id] == newest
+            or not self._is_expired(model, versions[item.id])
+        ]
+        if self._is_known_expired(model, newest):
+            return None
         costs = self._costs(call, candidates)
         for id, version in versions.items():
             if version < newest:
                 costs[id] += OLD_WEIGHTS_COST * route.target_latency
-        upstream = min(candidates, key=lambda item: costs[item.id])
+        upstream = min(allowed, key=lambda item: costs[item.id])
         return Choice(upstream, versions[upstream.id])
 
+    def _is_expired(self, model, version):
+        """Tell whether weights may no longer be used, as newer ones are in use."""
+        age = self._beliefs.superseded_for(model, version)
+        return age is not None and age >= self._version_time
+
+    def _is_known_expired(self, model, version):
+        """Tell whether weights may no longer be used though none newer are in use."""
+        age = self._beliefs.superseded_for(model, version)
+        return age is not None and self._version_time <= age < inf
+
     def _costs(self, call, upstreams):
         """Return the expected delay by the id of each upstream."""
         ranked = self._ranks(call, upstreams)
--- a/libs/forward/src/mulberryhub/forward/quotas.py
+++ b/libs/forward/src/mulberryhub/forward/quotas.py
@@ -12,7 +12,7 @@
 
 RATE_TIME = 2_000  # ms over which demand is measured
 REFRESH = 200  # ms for which the sum over other routers is kept
-TOLERANCE_USED = 0.6  # of what may go beyond the limit, while routers hear each other
+TOLERANCE_USED = 0.4  # of what may go beyond the limit, while routers hear each other
 SHARE_MARGIN = 1.3  # by which a share may exceed the demand's
 SHORTEST_RETRY = 200  # ms
 LONGEST_RETRY = 4_000  # ms
@@ -57,6 +57,7 @@
     """
 
     __slots__ = (
+        "_started",
         "_rule",
         "_read_others",
         "_count_routers",
@@ -65,6 +66,7 @@
     )
 
     def __init__(self, rule, read_others, count_routers, clock):
+        self._started = clock.now()
         self._rule = rule
         self._read_others = read_others
         self._count_routers = count_routers
@@ -124,12 +126,20 @@
         if others is None and routers > 1:
             account.share = self._rule.limit(workspace, 1) / routers - own
             return
-        used = (
-            0 if others is None else others.window_by_workspace.get(workspace.name, 0)
-        )
-        room = self._rule.limit(workspace, TOLERANCE_USED) - own - used
+        used = 0
+        if others is not None:
+            used = others.window_by_workspace.get(workspace.name, 0)
+        limit = self._rule.limit(workspace, TOLERANCE_USED)
+        room = limit - own - max(used, limit * self._unknown_share(now))
         account.share = room * self._demand_share(account, workspace, others, now)
 
+    def _unknown_share(self, now):
+        """Return the share of the window before the start, of which nothing is known.
+
+        Others that were restarted too may have used up the limit in it.
+        """
+        return max(0, 1 - (now - self._started) / self._rule.window)
+
     def _demand_share(self, account, workspace, others, now):
         if others is None:
             return 1
--- a/libs/forward/src/mulberryhub/forward/work.py
+++ b/libs/forward/src/mulberryhub/forward/work.py
@@ -8,21 +8,25 @@
 
 
 class Work:
-    """Delay in ms for others: until the answer begins, and while it goes on."""
+    """Delay in ms for others: until the answer begins, and while it goes on.
 
-    __slots__ = ("before_answer", "answering")
+    `is_bound` tells that no other upstream can go on with the request.
+    """
 
-    def __init__(self, before_answer, answering):
+    __slots__ = ("before_answer", "answering", "is_bound")
+
+    def __init__(self, before_answer, answering, is_bound):
         self.before_answer = before_answer
         self.answering = answering
+        self.is_bound = is_bound
 
 
-def work_of(call, upstream, is_model):
+def work_of(call, upstream, is_model, is_bound):
     """Return the Work of `call` at `upstream`."""
     if not is_model or call.prompt_tokens is None:
         delay = FULL_COST / (upstream.slots or DEFAULT_SLOTS)
-        return Work(delay, delay)
+        return Work(delay, delay, is_bound)
     shared = sum(part.tokens for part in call.shared_parts)
     own = max(0, call.prompt_tokens - shared)
     read = (own + MISS_SHARE * shared) / TOKENS_PER_MS
-    return Work(read + ANSWERING, ANSWERING)
+    return Work(read + ANSWERING, ANSWERING, is_bound)
--- a/libs/http/src/mulberryhub/http/inbound.py
+++ b/libs/http/src/mulberryhub/http/inbound.py
@@ -28,12 +28,22 @@
 class InboundConnection:
     """The server's end of a connection with at most one request at a time."""
 
-    __slots__ = ("inbox", "started", "closing", "_sock", "_clock", "_limits", "_http")
+    __slots__ = (
+        "inbox",
+        "started",
+        "closing",
+        "closed",
+        "_sock",
+        "_clock",
+        "_limits",
+        "_http",
+    )
 
     def __init__(self, sock, limits, clock):
         self.inbox = Inbox(sock)
         self.started = False
         self.closing = False
+        self.closed = False
         self._sock = sock
         self._clock = clock
         self._limits = limits
@@ -89,12 +99,16 @@
         """Tell whether the protocol still allows the head of an answer."""
         return self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE)
 
-    def is_idle(self):
-        """Tell whether no request has begun to arrive."""
-        return self._http.their_state is h11.IDLE and not self._http.trailing_data[0]
+    def close_if_idle(self):
+        """Close where no request has begun to arrive; else close after its answer."""
+        self.closing = True
+        has_begun = self._http.their_state is not h11.IDLE
+        if not has_begun and not self._http.trailing_data[0] and self.inbox.is_empty():
+            self.close()
 
     def close(self):
         """Close after what was sent."""
+        self.closed = True
         self._sock.close()
 
     def abort(self):
--- a/libs/http/src/mulberryhub/http/inbox.py
+++ b/libs/http/src/mulberryhub/http/inbox.py
@@ -26,6 +26,10 @@
         self._arrived = None
         self._room = None
 
+    def is_empty(self):
+        """Tell whether no bytes wait to be taken."""
+        return not self._chunks
+
     def start(self):
         """Begin to read."""
         spawn_task(self._run)
--- a/libs/http/src/mulberryhub/http/server.py
+++ b/libs/http/src/mulberryhub/http/server.py
@@ -53,9 +53,7 @@
     def close_idle(self):
         """Close the connections on which no request has begun."""
         for connection in list(self._connections):
-            connection.closing = True
-            if connection.is_idle():
-                connection.close()
+            connection.close_if_idle()
 
     def stop_listening(self):
         """Refuse new connections."""
@@ -102,7 +100,7 @@
     def _serve_requests(self, connection):
         while True:
             request = connection.read_request()
-            if request is None:
+            if request is None or connection.closed:
                 return
             if self.draining:
                 connection.closing = True
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -28,7 +28,9 @@
 
 OPERATOR_WAIT = 5_000  # ms that a read of the operator's records waits at the store
 MEMBERS_WAIT = 10_000  # ms
-UPSTREAMS_PAUSE = 700  # ms between reads, as upstreams write all the time
+READ_PAUSE = 20  # ms between reads, in which records gather
+UPSTREAMS_WAIT = 700  # ms; also tells how long ago the store was reached
+VERSION_MARGIN = 700  # ms before the bound at which old weights serve no more
 LEASE_NAME = "orders"
 LEASE_DURATION = 2_000  # ms
 LEASE_MARGIN = 300  # ms
@@ -48,7 +50,13 @@
     parts.publisher = Publisher(settings.peer_address, beliefs, use_table)
     _add_followers(parts, ports, beliefs, use_table, counters, clock)
     health = Health(clock, counters)
-    placer = Placer(beliefs, loads, health, settings.data_centre)
+    placer = Placer(
+        beliefs,
+        loads,
+        health,
+        settings.data_centre,
+        settings.bounds.version_time - VERSION_MARGIN,
+    )
     budget = _build_budget(settings, beliefs, clock)
     caching = Caching(lambda: _cache_address(parts, settings), clock)
     attempts = Attempts(
@@ -86,10 +94,12 @@
 
 def _build_use(settings, beliefs, clock):
     def measure():
-        return Use(quotas.windows(), quotas.rates(), loads.own())
+        return Use(
+            quotas.windows(), quotas.rates(), loads.own_work(), loads.own_bound()
+        )
 
-    use_table = UseTable(measure, settings.data_centre, clock)
     bounds = settings.bounds
+    use_table = UseTable(measure, settings.data_centre, bounds.quota_window, clock)
     rule = QuotaRule(bounds.quota_window, bounds.quota_overage, bounds.quota_slack)
     quotas = Quotas(rule, use_table.others, lambda: len(beliefs.members_by_name), clock)
     loads = Loads(use_table.others, clock)
@@ -139,8 +149,8 @@
         ),
         TopicPlan(
             Topic.UPSTREAMS,
-            0,
-            UPSTREAMS_PAUSE,
+            UPSTREAMS_WAIT,
+            READ_PAUSE,
             apply_upstream,
             removals.remove_unlisted,
             removals.note_read,
@@ -179,7 +189,7 @@
         lease,
         ports.read_report,
         ports.send_order,
-        loads.work,
+        loads,
         settings.bounds.lease_time,
         clock,
         counters,
--- a/libs/node/src/mulberryhub/node/settings.py
+++ b/libs/node/src/mulberryhub/node/settings.py
@@ -9,12 +9,14 @@
     """What the operator asks for; durations are ms.
 
     `stop_time` is between the request to stop and the end by force, `lease_time` the
-    time that must lie between orders of two routers.
+    time that must lie between orders of two routers, `version_time` how long weights
+    may serve after newer ones were named.
     """
 
     stop_time: int = 8_000
     drain_time: int = 2_000
     lease_time: int = 3_000
+    version_time: int = 12_000
     retry_ratio: float = 0.2
     retry_window: int = 10_000
     retry_slack: float = 50
--- a/libs/weights/src/mulberryhub/weights/manager.py
+++ b/libs/weights/src/mulberryhub/weights/manager.py
@@ -13,7 +13,8 @@
 MAX_RANK = 6
 RENEWAL = 700  # ms between renewals of the lease
 HEARTBEAT = 1_000  # ms between two tellings of a rollout without progress
-EMPTYING_TIME = 150  # ms in which routers hear that an upstream is about to load
+EMPTYING_TIME = 400  # ms in which routers hear of a load and tell what they run
+LONGEST_EMPTYING = 1_200  # ms
 FIRST_LOOK = 900  # ms after an order before its upstream is asked
 LOOK_PAUSE = 150  # ms between two looks
 LOAD_TIMEOUT = 10_000  # ms
@@ -26,7 +27,7 @@
     """Orders the loads.
 
     `read_report(upstream)` returns an EngineReport or None, `send_order(upstream,
-    order)` an OrderResult; `work(id)` the work in flight at an upstream.
+    order)` an OrderResult; `loads` has the work in flight at upstreams.
     `settle_time` is the ms that must lie between the orders of two routers.
     """
 
@@ -36,7 +37,7 @@
         "_lease",
         "_read_report",
         "_send_order",
-        "_work",
+        "_loads",
         "_settle_time",
         "_clock",
         "_counters",
@@ -58,7 +59,7 @@
         lease,
         read_report,
         send_order,
-        work,
+        loads,
         settle_time,
         clock,
         counters,
@@ -68,7 +69,7 @@
         self._lease = lease
         self._read_report = read_report
         self._send_order = send_order
-        self._work = work
+        self._loads = loads
         self._settle_time = settle_time
         self._clock = clock
         self._counters = counters
@@ -158,7 +159,7 @@
                 for item in items
                 if self._not_before_by_id.get(item.upstream.id, 0) <= now
             ]
-            for item in choose_next(due, loading, len(pool), self._work):
+            for item in choose_next(due, loading, len(pool), self._loads.work):
                 self._loading_by_id[item.upstream.id] = item.upstream
                 spawn_task(self._load, item)
             if len(loading) != len(self._loading_by_id):
@@ -167,7 +168,7 @@
     def _load(self, item):
         upstream = item.upstream
         try:
-            sleep(EMPTYING_TIME / 1000)
+            self._empty(upstream)
             if self._order(item) and self._wait_until_loaded(item):
                 versions = self._versions_by_id.setdefault(upstream.id, {})
                 versions[item.model] = item.version
@@ -179,6 +180,15 @@
             self._loading_by_id.pop(upstream.id, None)
             self._tell()
 
+    def _empty(self, upstream):
+        """Wait until no request runs that another upstream could not go on with."""
+        began = self._clock.now()
+        sleep(EMPTYING_TIME / 1000)
+        while self._clock.now() - began < LONGEST_EMPTYING:
+            if not self._loads.bound(upstream.id):
+                return
+            sleep(TICK / 1000)
+
     def _order(self, item):
         """Give the order; tell whether the upstream carries it out or has done so."""
         report = self._read_report(item.upstream)
@@ -190,7 +200,14 @@
         if not self.may_order():
             return False
         fence = self._lease.offset
-        order = LoadOrder(item.model, item.version, self._name, fence, report.orders)
+        order = LoadOrder(
+            item.model,
+            item.version,
+            self._name,
+            fence,
+            report.orders,
+            ends_runs=not self._loads.bound(item.upstream.id),
+        )
         result = self._send_order(item.upstream, order)
         self._counters.add(f"order.{result.value}")
         log.info(
--- a/libs/weights/src/mulberryhub/weights/messages.py
+++ b/libs/weights/src/mulberryhub/weights/messages.py
@@ -16,19 +16,21 @@
 
 
 class LoadOrder:
-    """An order to load a version of a model once the runs of the model have ended.
+    """An order to load a version of a model.
 
-    `orders_before` is the number of orders that the upstream must have accepted.
+    With `ends_runs` the streams of running requests are cut, so that routers resume
+    them elsewhere; else the load begins once they have ended. `orders_before` is the number of orders that the upstream must have accepted.
     """
 
-    __slots__ = ("model", "version", "holder", "fence", "orders_before")
+    __slots__ = ("model", "version", "holder", "fence", "orders_before", "ends_runs")
 
-    def __init__(self, model, version, holder, fence, orders_before):
+    def __init__(self, model, version, holder, fence, orders_before, ends_runs):
         self.model = model
         self.version = version
         self.holder = holder
         self.fence = fence
         self.orders_before = orders_before
+        self.ends_runs = ends_runs
 
 
 class EngineReport:
