--- a/libs/fleet/src/mulberryhub/fleet/beliefs.py
+++ b/libs/fleet/src/mulberryhub/fleet/beliefs.py
@@ -11,8 +11,10 @@
 
 from mulberryhub.base.green import Event
 from mulberryhub.base.logs import module_logger
+from mulberryhub.fleet.kept import KeptParts
 from mulberryhub.fleet.records import (
     Configuration,
+    KeptPart,
     Member,
     Removal,
     Rollout,
@@ -23,6 +25,7 @@
 
 REMOVALS_KEPT = 120_000  # ms
 ROLLOUT_TIME = 4_000  # ms without progress after which a rollout counts as left
+MOST_CHANGES = 30_000  # records
 UNKNOWN = -1  # position of a topic of which nothing is known
 
 log = module_logger(__name__)
@@ -49,6 +52,7 @@
         "upstreams_by_id",
         "members_by_name",
         "rollout",
+        "kept",
         "position_by_topic",
         "as_of_by_topic",
         "revision",
@@ -69,6 +73,7 @@
         self.upstreams_by_id = {}
         self.members_by_name = {}
         self.rollout = Rollout()
+        self.kept = KeptParts(clock)
         self.position_by_topic = dict.fromkeys(Topic, UNKNOWN)
         self.as_of_by_topic = dict.fromkeys(Topic, UNKNOWN)
         self.revision = 0
@@ -162,6 +167,11 @@
         log.info("member known", member=member.name, address=member.address)
         self._note_change(f"member/{member.name}", member)
 
+    def learn_kept(self, part):
+        """Take what a store of kept KV cache holds."""
+        if self.kept.learn(part):
+            self._note_record(f"kept/{part.salt}/{part.id}", part)
+
     def learn_rollout(self, rollout):
         """Take the progress of new weights if it is newer."""
         if rollout.order <= self.rollout.order:
@@ -232,10 +242,13 @@
                 del self._removed_at_by_id[id]
                 self._removed_by_id.pop(id, None)
 
-    def _note_change(self, key=None, record=None):
+    def _note_record(self, key, record):
         self.revision += 1
         if record is not None:
             self._changes.note(key, self.revision, record)
+
+    def _note_change(self, key=None, record=None):
+        self._note_record(key, record)
         for listener in self._listeners:
             listener()
         changed, self._changed = self._changed, Event()
@@ -252,9 +265,20 @@
 
     def note(self, key, revision, record):
         """Note that `record` was learned at `revision`."""
+        if (
+            key not in self._changes_by_key
+            and len(self._changes_by_key) >= MOST_CHANGES
+        ):
+            self._drop_oldest_kept()
         self._changes_by_key[key] = Change(revision, record)
         self._changes_by_key.move_to_end(key)
 
+    def _drop_oldest_kept(self):
+        for key, change in self._changes_by_key.items():
+            if isinstance(change.record, KeptPart):
+                del self._changes_by_key[key]
+                return
+
     def since(self, revision):
         """Return the records learned after `revision`, the oldest first."""
         records = []
@@ -327,4 +351,5 @@
     Upstream: Beliefs.learn_upstream,
     Removal: Beliefs.learn_removal,
     Member: Beliefs.learn_member,
+    KeptPart: Beliefs.learn_kept,
 }
--- a/libs/fleet/src/mulberryhub/fleet/channel.py
+++ b/libs/fleet/src/mulberryhub/fleet/channel.py
@@ -43,7 +43,7 @@
 class News(msgspec.Struct, tag=True):
     """What a publisher tells: new records and how current they are.
 
-    `age_by_topic` is in ms. `use` is that of the publisher's data centre, of which
+    `age_by_topic` and `kept_age`, that of the parts of kept cache, are in ms. `use` is that of the publisher's data centre, of which
     `counted` is what it has counted for the receiver; `use_by_data_centre` is that of
     the others.
     """
@@ -51,6 +51,7 @@
     records: list[Record] = []
     position_by_topic: dict[str, int] = {}
     age_by_topic: dict[str, int] = {}
+    kept_age: int | None = None
     use: Use | None = None
     counted: Use | None = None
     use_by_data_centre: dict[str, Use] = {}
--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -106,6 +106,7 @@
             age = beliefs.age(topic)
             if age is not None:
                 news.age_by_topic[str(topic)] = age
+        news.kept_age = beliefs.kept.age()
         records = beliefs.changes_since(revision)
         if revision == 0:
             records = [record for record in records if _is_new(record, hello)]
--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -141,7 +141,20 @@
     offset: int
 
 
-Record = Configuration | Weights | Upstream | Removal | Member
+class KeptPart(msgspec.Struct, frozen=True, tag=True):
+    """A part that a store of kept KV cache holds; with 0 tokens, holds no more.
+
+    `number` orders the changes in one `epoch`, the time between two starts.
+    """
+
+    salt: str
+    id: str
+    tokens: int
+    epoch: int
+    number: int
+
+
+Record = Configuration | Weights | Upstream | Removal | Member | KeptPart
 
 
 class Rollout(msgspec.Struct, frozen=True):
--- a/libs/fleet/src/mulberryhub/fleet/subscription.py
+++ b/libs/fleet/src/mulberryhub/fleet/subscription.py
@@ -91,6 +91,8 @@
             age = news.age_by_topic.get(topic)
             if age is not None:
                 beliefs.read_up_to(Topic(topic), position, now - age)
+        if news.kept_age is not None:
+            beliefs.kept.heard(now - news.kept_age)
         if news.rollout is not None:
             beliefs.learn_rollout(news.rollout)
         if not self._wants_records:
--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -114,9 +114,8 @@
         if choice.version is not None:
             self._caching.prepare(attempt, call, choice.version)
         request = self._dialect.attempt_request(call, attempt)
-        is_model = choice.version is not None
         is_bound = not (job.is_repeatable and job.runs + 1 < job.route.max_attempts)
-        work = work_of(call, choice.upstream, is_model, is_bound)
+        work = work_of(call, job.service, choice.upstream, is_bound)
         return open_exchange(
             attempt, request, work, self._pool, self._loads, job.is_repeatable
         )
--- a/libs/forward/src/mulberryhub/forward/quotas.py
+++ b/libs/forward/src/mulberryhub/forward/quotas.py
@@ -5,14 +5,14 @@
 next report. Without reports, a router keeps to an equal share of the whole limit.
 """
 
-from random import uniform
+from random import random, uniform
 
 from mulberryhub.forward.refusal import Reason, Refusal
 from mulberryhub.forward.windows import SlidingSum
 
 RATE_TIME = 2_000  # ms over which demand is measured
 REFRESH = 200  # ms for which the sum over other routers is kept
-TOLERANCE_USED = 0.4  # of what may go beyond the limit, while routers hear each other
+TOLERANCE_USED = 0.3  # of what may go beyond the limit, while routers hear each other
 SHARE_MARGIN = 1.3  # by which a share may exceed the demand's
 SHORTEST_RETRY = 200  # ms
 LONGEST_RETRY = 4_000  # ms
@@ -81,7 +81,9 @@
         account = self._account(workspace)
         if account.refreshed_at is None or now - account.refreshed_at >= REFRESH:
             self._refresh(account, workspace, now)
-        if account.spent >= account.share:
+        left = account.share - account.spent
+        # What is larger than the rest is admitted with the chance that suits it.
+        if left <= 0 or cost * random() > left:
             raise Refusal(Reason.OVER_QUOTA, self._pause(account, workspace, cost))
         account.spent += cost
         account.admitted.add(cost, now)
--- a/libs/forward/src/mulberryhub/forward/work.py
+++ b/libs/forward/src/mulberryhub/forward/work.py
@@ -2,7 +2,8 @@
 
 TOKENS_PER_MS = 90  # prompt tokens that an engine reads in a ms
 ANSWERING = 4  # ms by which a running answer delays the start of another
-FULL_COST = 300  # ms of delay at a plain service whose slots are all taken
+FULL_MEMORY = 300  # ms of delay where running requests take the whole memory
+FULL_SLOTS = 300  # ms of delay at a plain service whose slots are all taken
 DEFAULT_SLOTS = 6
 MISS_SHARE = 0.25  # of the shared tokens that are read where they are usually kept
 
@@ -21,12 +22,16 @@
         self.is_bound = is_bound
 
 
-def work_of(call, upstream, is_model, is_bound):
-    """Return the Work of `call` at `upstream`."""
-    if not is_model or call.prompt_tokens is None:
-        delay = FULL_COST / (upstream.slots or DEFAULT_SLOTS)
+def work_of(call, service, upstream, is_bound):
+    """Return the Work of `call` at an upstream of `service`."""
+    if not service.models or call.prompt_tokens is None:
+        delay = FULL_SLOTS / (upstream.slots or DEFAULT_SLOTS)
         return Work(delay, delay, is_bound)
     shared = sum(part.tokens for part in call.shared_parts)
     own = max(0, call.prompt_tokens - shared)
-    read = (own + MISS_SHARE * shared) / TOKENS_PER_MS
-    return Work(read + ANSWERING, ANSWERING, is_bound)
+    reading = (own + MISS_SHARE * shared) / TOKENS_PER_MS
+    answering = ANSWERING
+    if service.kv_capacity:
+        tokens = call.prompt_tokens + call.output_tokens
+        answering += FULL_MEMORY * tokens / service.kv_capacity
+    return Work(reading + answering, answering, is_bound)
--- a/libs/node/src/mulberryhub/node/ports.py
+++ b/libs/node/src/mulberryhub/node/ports.py
@@ -9,7 +9,9 @@
     `read` HistoryLost. `read_operator(entry)`, `read_upstream(entry)` and
     `read_member(entry)` return a record, or None where the entry holds none.
     `log` is a log as `external.LogClient` is, for leases. `read_report(upstream)` and
-    `send_order(upstream, order)` speak to upstreams that serve models.
+    `send_order(upstream, order)` speak to upstreams that serve models,
+    `read_kept_events(address, since)` and `read_all_kept(address)` to a store of kept
+    KV cache.
     """
 
     __slots__ = (
@@ -21,6 +23,8 @@
         "dialect",
         "read_report",
         "send_order",
+        "read_kept_events",
+        "read_all_kept",
         "ready_path",
     )
 
@@ -34,6 +38,8 @@
         dialect,
         read_report,
         send_order,
+        read_kept_events,
+        read_all_kept,
         ready_path,
     ):
         self.store = store
@@ -44,4 +50,6 @@
         self.dialect = dialect
         self.read_report = read_report
         self.send_order = send_order
+        self.read_kept_events = read_kept_events
+        self.read_all_kept = read_all_kept
         self.ready_path = ready_path
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -2,6 +2,7 @@
 
 from mulberryhub.fleet.beliefs import Beliefs, Topic
 from mulberryhub.fleet.follower import TopicFollower, TopicPlan
+from mulberryhub.fleet.kept_watcher import KeptWatcher
 from mulberryhub.fleet.publisher import Publisher
 from mulberryhub.fleet.records import Member, Use
 from mulberryhub.fleet.removals import Removals
@@ -28,8 +29,7 @@
 
 OPERATOR_WAIT = 5_000  # ms that a read of the operator's records waits at the store
 MEMBERS_WAIT = 10_000  # ms
-READ_PAUSE = 20  # ms between reads, in which records gather
-UPSTREAMS_WAIT = 700  # ms; also tells how long ago the store was reached
+UPSTREAMS_PAUSE = 700  # ms between reads, as upstreams write all the time
 VERSION_MARGIN = 700  # ms before the bound at which old weights serve no more
 LEASE_NAME = "orders"
 LEASE_DURATION = 2_000  # ms
@@ -58,7 +58,19 @@
         settings.bounds.version_time - VERSION_MARGIN,
     )
     budget = _build_budget(settings, beliefs, clock)
-    caching = Caching(lambda: _cache_address(parts, settings), clock)
+
+    def find_cache():
+        return _cache_address(parts, settings)
+
+    caching = Caching(find_cache, beliefs.kept, clock)
+    parts.kept_watcher = KeptWatcher(
+        find_cache,
+        ports.read_kept_events,
+        ports.read_all_kept,
+        beliefs,
+        parts.sources.is_leader,
+        clock,
+    )
     attempts = Attempts(
         ports.dialect,
         placer,
@@ -149,8 +161,8 @@
         ),
         TopicPlan(
             Topic.UPSTREAMS,
-            UPSTREAMS_WAIT,
-            READ_PAUSE,
+            0,
+            UPSTREAMS_PAUSE,
             apply_upstream,
             removals.remove_unlisted,
             removals.note_read,
@@ -191,6 +203,7 @@
         ports.send_order,
         loads,
         settings.bounds.lease_time,
+        settings.bounds.version_time,
         clock,
         counters,
     )
--- a/libs/node/src/mulberryhub/node/router.py
+++ b/libs/node/src/mulberryhub/node/router.py
@@ -42,6 +42,7 @@
         spawn_task(self._register)
         spawn_task(self._expire_connections)
         parts.front.start()
+        parts.kept_watcher.start()
         parts.manager.start()
         log.info("started", router=self._settings.name)
 
@@ -94,6 +95,7 @@
         "sources",
         "followers",
         "manager",
+        "kept_watcher",
         "forwarder",
         "front",
         "readiness",
--- a/libs/weights/src/mulberryhub/weights/manager.py
+++ b/libs/weights/src/mulberryhub/weights/manager.py
@@ -6,7 +6,7 @@
 from mulberryhub.base.tasks import spawn_task
 from mulberryhub.fleet.records import Rollout
 from mulberryhub.weights.messages import LoadOrder, OrderResult
-from mulberryhub.weights.plan import choose_next, find_outdated
+from mulberryhub.weights.plan import Pool, choose_next, find_outdated
 
 TICK = 50  # ms
 RANK_PAUSE = 600  # ms by which each further router waits before it steps in
@@ -28,7 +28,8 @@
 
     `read_report(upstream)` returns an EngineReport or None, `send_order(upstream,
     order)` an OrderResult; `loads` has the work in flight at upstreams.
-    `settle_time` is the ms that must lie between the orders of two routers.
+    `settle_time` is the ms that must lie between the orders of two routers,
+    `version_time` that in which new weights are due everywhere.
     """
 
     __slots__ = (
@@ -39,6 +40,7 @@
         "_send_order",
         "_loads",
         "_settle_time",
+        "_version_time",
         "_clock",
         "_counters",
         "_work_since",
@@ -61,6 +63,7 @@
         send_order,
         loads,
         settle_time,
+        version_time,
         clock,
         counters,
     ):
@@ -71,6 +74,7 @@
         self._send_order = send_order
         self._loads = loads
         self._settle_time = settle_time
+        self._version_time = version_time
         self._clock = clock
         self._counters = counters
         self._work_since = None
@@ -141,29 +145,40 @@
         self._lease.step()
 
     def _start_loads(self, outdated):
+        started = False
         by_service = {}
         for item in outdated:
             by_service.setdefault(item.upstream.service, []).append(item)
         for service, items in by_service.items():
-            pool = [
-                upstream
-                for upstream in self._beliefs.upstreams_by_id.values()
-                if upstream.service == service
-            ]
-            loading = [
-                item for item in self._loading_by_id.values() if item.service == service
-            ]
+            pool = self._pool(service)
             now = self._clock.now()
             due = [
                 item
                 for item in items
                 if self._not_before_by_id.get(item.upstream.id, 0) <= now
             ]
-            for item in choose_next(due, loading, len(pool), self._loads.work):
+            for item in choose_next(due, pool, self._loads.work):
                 self._loading_by_id[item.upstream.id] = item.upstream
                 spawn_task(self._load, item)
-            if len(loading) != len(self._loading_by_id):
-                self._tell()
+                started = True
+        if started:
+            self._tell()
+
+    def _pool(self, service):
+        upstreams = [
+            upstream
+            for upstream in self._beliefs.upstreams_by_id.values()
+            if upstream.service == service
+        ]
+        loading = [
+            upstream
+            for upstream in self._loading_by_id.values()
+            if upstream.service == service
+        ]
+        serving = [item for item in upstreams if item.id not in self._loading_by_id]
+        work = sum(self._loads.work(item.id) for item in serving)
+        busy = work / max(1, len(serving))
+        return Pool(len(upstreams), loading, busy, self._version_time)
 
     def _load(self, item):
         upstream = item.upstream
--- a/libs/weights/src/mulberryhub/weights/plan.py
+++ b/libs/weights/src/mulberryhub/weights/plan.py
@@ -1,8 +1,9 @@
 """Which upstreams load new weights next.
 
 Answers the load of a pool that serves while it changes: at most a share of the pool
-loads at once, spread over data centres, the least busy first, so that the rest
-carries the traffic until the first ones are back with the newest weights.
+loads at once, and fewer the busier the rest is, spread over data centres, the least
+busy first. So the rest carries the traffic until the first ones are back with the
+newest weights. What must be done in time is done whatever the load.
 """
 
 from collections import Counter
@@ -10,17 +11,40 @@
 from mulberryhub.fleet.records import State
 
 LOADING_SHARE = 0.4  # of a pool that may load at once
+BUSY = 120  # ms of work at each other upstream from which fewer load at once
+OVERLOADED = 350  # ms from which none is started
+LOAD_TIME = 2_500  # ms from the choice of an upstream to its return
+URGENT_MARGIN = 2_000  # ms before the bound
 
 
 class Outdated:
-    """An upstream with a model whose newest version it lacks."""
+    """An upstream with a model whose newest version it lacks.
 
-    __slots__ = ("upstream", "model", "version")
+    `age` is the ms since a version newer than its own was named.
+    """
+
+    __slots__ = ("upstream", "model", "version", "age")
 
-    def __init__(self, upstream, model, version):
+    def __init__(self, upstream, model, version, age):
         self.upstream = upstream
         self.model = model
         self.version = version
+        self.age = age
+
+
+class Pool:
+    """The upstreams of one service; `busy` is the mean work of those that serve.
+
+    `version_time` is the ms in which new weights are due everywhere.
+    """
+
+    __slots__ = ("size", "loading", "busy", "version_time")
+
+    def __init__(self, size, loading, busy, version_time):
+        self.size = size
+        self.loading = loading
+        self.busy = busy
+        self.version_time = version_time
 
 
 def find_outdated(beliefs):
@@ -31,26 +55,42 @@
             continue
         for model in upstream.versions_by_model:
             newest = beliefs.version_by_model.get(model, 0)
-            if beliefs.version_at(upstream.id, model) < newest:
-                items.append(Outdated(upstream, model, newest))
+            version = beliefs.version_at(upstream.id, model)
+            if version < newest:
+                age = beliefs.superseded_for(model, version)
+                items.append(Outdated(upstream, model, newest, age))
                 break
     return items
 
 
-def loads_at_once(pool_size):
-    """Return how many upstreams of a pool may load at the same time."""
-    return max(1, int(pool_size * LOADING_SHARE))
+def loads_at_once(pool, waiting):
+    """Return how many upstreams may load at the same time.
+
+    `waiting` are the items that do not load yet.
+    """
+    most = max(1, int(pool.size * LOADING_SHARE))
+    age = max((item.age for item in waiting), default=0)
+    left = pool.version_time - URGENT_MARGIN - age
+    rounds = max(1, left // LOAD_TIME)
+    needed = min(most, -(-len(waiting) // rounds))
+    if left <= 0:
+        return most
+    if pool.busy >= OVERLOADED:
+        return needed if left < len(waiting) * LOAD_TIME else 0
+    if pool.busy >= BUSY:
+        return max(1, needed)
+    return most
 
 
-def choose_next(outdated, loading, pool_size, work):
-    """Return the items of one pool that are to start now.
+def choose_next(outdated, pool, work):
+    """Return the items of `pool` that are to start now.
 
-    `loading` are upstreams that load already, `work(id)` the work in flight.
+    `work(id)` is the work in flight at an upstream.
     """
-    room = loads_at_once(pool_size) - len(loading)
-    taken = Counter(upstream.data_centre for upstream in loading)
-    loading_ids = {upstream.id for upstream in loading}
+    taken = Counter(upstream.data_centre for upstream in pool.loading)
+    loading_ids = {upstream.id for upstream in pool.loading}
     waiting = [item for item in outdated if item.upstream.id not in loading_ids]
+    room = loads_at_once(pool, waiting) - len(pool.loading)
     chosen = []
     while room > len(chosen) and waiting:
         item = min(
