--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -52,7 +52,8 @@
     """A pool of upstreams; `slots` and `models` are set where it serves models.
 
     `cache_address` is set for a store of kept KV cache, which serves no requests.
-    `event_reads` is how many reads of cache events one upstream serves at once.
+    `event_reads` is how many reads of cache events one upstream serves at once,
+    `link_rate` the bytes per ms that its link carries.
     """
 
     name: str
@@ -61,6 +62,7 @@
     kv_capacity: int = 0
     kv_token_bytes: int = 0
     event_reads: int = 0
+    link_rate: float = 0
     cache_address: str = ""
     cache_data_centre: str = ""
 
--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -3,7 +3,9 @@
 from random import uniform
 
 from mulberryhub.base.logs import module_logger
+from mulberryhub.fleet.records import Removal
 from mulberryhub.forward.call import Attempt
+from mulberryhub.forward.delay import is_too_late, stream_patience
 from mulberryhub.forward.exchange import open_exchange
 from mulberryhub.forward.job import LEAST_TIME
 from mulberryhub.forward.refusal import Reason, Refusal
@@ -16,6 +18,7 @@
 PATIENCE_SHARE = 0.45  # of the time left that one of several attempts may take
 FIRST_RETRY_AFTER = 100  # ms
 LAST_RETRY_AFTER = 400  # ms
+LEAST_BUSY_PAUSE = 200  # ms
 SERVER_ERROR = 500
 SUCCESS = range(200, 300)
 
@@ -70,6 +73,9 @@
             choice = self._place(job)
             if choice is None:
                 raise self._no_upstream(job)
+            if is_too_late(job, choice.delay):
+                self._counters.add("refusal.delay")
+                raise self._too_busy(job, choice.delay)
             if job.sends and not self._budget.spend(job.service.name):
                 self._counters.add("retry.no_budget")
                 raise self._give_up(job)
@@ -126,6 +132,8 @@
         job.runs += 1  # until the upstream promises that it has not run
         upstream = exchange.attempt.upstream
         left = job.end - self._clock.now()
+        if job.is_stream and not job.is_started:
+            left = min(left, stream_patience(job.route))
         try:
             exchange.send(left)
             exchange.read_head(
@@ -180,7 +188,7 @@
         if facts.version is not None and job.call.model is not None:
             self._beliefs.learn_version(upstream.id, job.call.model, facts.version)
         if facts.other_id is not None and facts.other_id != upstream.id:
-            self._health.failed(upstream.id)
+            self._beliefs.learn(Removal(upstream.id, upstream.offset))
         self._note_retry(job, upstream, "not_run", exchange.head.status)
         if job.failure is None:
             job.failure = Reason.UPSTREAMS_FULL
@@ -211,6 +219,13 @@
             return self._give_up(job)
         return Refusal(Reason.NO_UPSTREAM, _retry_after())
 
+    def _too_busy(self, job, delay):
+        """Return the Refusal of a job whose answer would come too late."""
+        if job.runs:
+            return self._give_up(job)
+        pause = uniform(LEAST_BUSY_PAUSE, max(LEAST_BUSY_PAUSE, delay))
+        return Refusal(Reason.UPSTREAMS_FULL, pause)
+
     def _give_up(self, job):
         """Return the Refusal of a job; it promises only what holds."""
         if job.runs:
--- a/libs/forward/src/mulberryhub/forward/caching.py
+++ b/libs/forward/src/mulberryhub/forward/caching.py
@@ -9,8 +9,8 @@
 class Caching:
     """Sets salt, version and the store of kept KV cache on attempts.
 
-    `find_store()` returns the address of the store or None; `kept` has the parts that
-    it holds.
+    `find_store()` returns the store's Service or None; `kept` has the parts that it
+    holds.
     """
 
     __slots__ = ("_find_store", "_kept", "_clock", "_saved_at_by_key")
@@ -27,25 +27,24 @@
         attempt.salt = salt(call.model, version, attempt.workspace)
         if not call.shared_parts or not self._kept.is_reachable():
             return
-        address = self._find_store()
-        if address is None:
+        store = self._find_store()
+        if store is None:
             return
-        held = [self._kept.holds(attempt.salt, part.id) for part in call.shared_parts]
-        if any(held):
-            attempt.fetch_from = address
-        if not held[-1] and self._is_due((attempt.salt, call.shared_parts[-1].id)):
-            attempt.save_to = address
+        attempt.fetch_from = store.cache_address
+        last = (attempt.salt, call.shared_parts[-1].id)
+        if not self._kept.holds(*last) and self._is_due(last):
+            self._note_save(last)
+            attempt.save_to = store.cache_address
 
     def _is_due(self, key):
-        now = self._clock.now()
         saved_at = self._saved_at_by_key.get(key)
-        if saved_at is not None and now - saved_at < SAVE_AGAIN:
-            return False
-        self._saved_at_by_key[key] = now
+        return saved_at is None or self._clock.now() - saved_at >= SAVE_AGAIN
+
+    def _note_save(self, key):
+        self._saved_at_by_key[key] = self._clock.now()
         self._saved_at_by_key.move_to_end(key)
         if len(self._saved_at_by_key) > SAVES_KEPT:
             self._saved_at_by_key.popitem(last=False)
-        return True
 
 
 def salt(model, version, workspace):
--- a/libs/forward/src/mulberryhub/forward/placing.py
+++ b/libs/forward/src/mulberryhub/forward/placing.py
@@ -19,12 +19,16 @@
 
 
 class Choice:
-    """An upstream and the version that its weights have, None for plain services."""
+    """An upstream, the ms of delay expected there, and the version of its weights.
 
-    __slots__ = ("upstream", "version")
+    The version is None for plain services.
+    """
+
+    __slots__ = ("upstream", "delay", "version")
 
-    def __init__(self, upstream, version=None):
+    def __init__(self, upstream, delay, version=None):
         self.upstream = upstream
+        self.delay = delay
         self.version = version
 
 
@@ -72,7 +76,8 @@
             return None
         if call.model is None or not service.models:
             costs = self._costs(call, ready)
-            return Choice(min(ready, key=lambda item: costs[item.id]))
+            upstream = min(ready, key=lambda item: costs[item.id])
+            return Choice(upstream, self._loads.work(upstream.id))
         return self._choose_engine(call, route, ready)
 
     def _choose_engine(self, call, route, ready):
@@ -96,7 +101,8 @@
             if version < newest:
                 costs[id] += OLD_WEIGHTS_COST * route.target_latency
         upstream = min(allowed, key=lambda item: costs[item.id])
-        return Choice(upstream, versions[upstream.id])
+        delay = self._loads.work(upstream.id)
+        return Choice(upstream, delay, versions[upstream.id])
 
     def _is_expired(self, model, version):
         """Tell whether weights may no longer be used, as newer ones are in use."""
--- a/libs/forward/src/mulberryhub/forward/quotas.py
+++ b/libs/forward/src/mulberryhub/forward/quotas.py
@@ -13,6 +13,7 @@
 RATE_TIME = 2_000  # ms over which demand is measured
 REFRESH = 200  # ms for which the sum over other routers is kept
 TOLERANCE_USED = 0.3  # of what may go beyond the limit, while routers hear each other
+REPORT_AGE = 400  # ms by which what is known of other routers is behind
 SHARE_MARGIN = 1.3  # by which a share may exceed the demand's
 SHORTEST_RETRY = 200  # ms
 LONGEST_RETRY = 4_000  # ms
@@ -125,14 +126,14 @@
         own = account.admitted.at(now)
         others = self._read_others()
         routers = max(self._count_routers(), 1)
+        unknown = self._unknown_share(now)
         if others is None and routers > 1:
-            account.share = self._rule.limit(workspace, 1) / routers - own
+            whole = self._rule.limit(workspace, 1) * (1 - unknown)
+            account.share = whole / routers - own
             return
-        used = 0
-        if others is not None:
-            used = others.window_by_workspace.get(workspace.name, 0)
         limit = self._rule.limit(workspace, TOLERANCE_USED)
-        room = limit - own - max(used, limit * self._unknown_share(now))
+        used = max(_used_by(others, workspace.name), limit * unknown)
+        room = limit - own - used
         account.share = room * self._demand_share(account, workspace, others, now)
 
     def _unknown_share(self, now):
@@ -159,3 +160,11 @@
         missing = account.spent - account.share + cost
         needed = missing * 1000 / workspace.rate
         return min(LONGEST_RETRY, max(SHORTEST_RETRY, needed) * uniform(1, 1.5))
+
+
+def _used_by(others, name):
+    """Return what others admitted, with what they did since they told of it."""
+    if others is None:
+        return 0
+    rate = others.rate_by_workspace.get(name, 0)
+    return others.window_by_workspace.get(name, 0) + rate * REPORT_AGE / 1000
--- a/libs/http/src/mulberryhub/http/sockets.py
+++ b/libs/http/src/mulberryhub/http/sockets.py
@@ -7,7 +7,7 @@
 KEEPALIVE_IDLE = 1  # s
 KEEPALIVE_INTERVAL = 1  # s
 KEEPALIVE_PROBES = 2
-UNACKNOWLEDGED = 1_500  # ms until data that the peer's host leaves unacknowledged fails
+UNACKNOWLEDGED = 900  # ms until data that the peer's host leaves unacknowledged fails
 
 
 def split_address(address):
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -60,11 +60,16 @@
     budget = _build_budget(settings, beliefs, clock)
 
     def find_cache():
-        return _cache_address(parts, settings)
+        view = parts.forwarder.view()
+        return None if view is None else view.cache_service(settings.data_centre)
+
+    def find_cache_address():
+        service = find_cache()
+        return None if service is None else service.cache_address
 
     caching = Caching(find_cache, beliefs.kept, clock)
     parts.kept_watcher = KeptWatcher(
-        find_cache,
+        find_cache_address,
         ports.read_kept_events,
         ports.read_all_kept,
         beliefs,
@@ -209,12 +214,6 @@
     )
 
 
-def _cache_address(parts, settings):
-    view = parts.forwarder.view()
-    service = None if view is None else view.cache_service(settings.data_centre)
-    return None if service is None else service.cache_address
-
-
 def _limits(beliefs):
     if beliefs.configuration is None:
         return DEFAULT_LIMITS
--- a/libs/weights/src/mulberryhub/weights/manager.py
+++ b/libs/weights/src/mulberryhub/weights/manager.py
@@ -4,7 +4,7 @@
 from mulberryhub.base.green import sleep
 from mulberryhub.base.logs import module_logger
 from mulberryhub.base.tasks import spawn_task
-from mulberryhub.fleet.records import Rollout
+from mulberryhub.fleet.records import Removal, Rollout
 from mulberryhub.weights.messages import LoadOrder, OrderResult
 from mulberryhub.weights.plan import Pool, choose_next, find_outdated
 
@@ -18,7 +18,7 @@
 FIRST_LOOK = 900  # ms after an order before its upstream is asked
 LOOK_PAUSE = 150  # ms between two looks
 LOAD_TIMEOUT = 10_000  # ms
-FAILURE_PAUSE = 1_000  # ms before an upstream is tried again
+FAILURE_PAUSE = 300  # ms before an upstream is tried again
 
 log = module_logger(__name__)
 
@@ -224,18 +224,34 @@
             ends_runs=not self._loads.bound(item.upstream.id),
         )
         result = self._send_order(item.upstream, order)
+        self._note_result(item.upstream, order, result)
+        if result is OrderResult.UNKNOWN:
+            return self._carries_out(item)
+        return result in (OrderResult.ACCEPTED, OrderResult.HOLDS)
+
+    def _carries_out(self, item):
+        """Tell whether an upstream carries out an order that it did not answer."""
+        report = self._read_report(item.upstream)
+        if report is None:
+            return False
+        loaded = report.versions_by_model.get(item.model, 0) >= item.version
+        return loaded or report.is_busy
+
+    def _note_result(self, upstream, order, result):
         self._counters.add(f"order.{result.value}")
         log.info(
             "load ordered",
-            upstream=item.upstream.id,
-            version=item.version,
-            fence=fence,
-            orders_before=report.orders,
+            upstream=upstream.id,
+            version=order.version,
+            fence=order.fence,
+            orders_before=order.orders_before,
+            ends_runs=order.ends_runs,
             result=result.value,
         )
         if result is OrderResult.FENCED:
-            self._fenced_at = fence
-        return result in (OrderResult.ACCEPTED, OrderResult.HOLDS, OrderResult.UNKNOWN)
+            self._fenced_at = order.fence
+        if result is OrderResult.OTHER_UPSTREAM:
+            self._beliefs.learn(Removal(upstream.id, upstream.offset))
 
     def _wait_until_loaded(self, item):
         end = self._clock.now() + LOAD_TIMEOUT
