--- a/Makefile
+++ b/Makefile
@@ -1,17 +1,21 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
-LIBS := $(sort $(wildcard libs/*))
+SOURCES := $(sort $(wildcard libs/*/src)) platform/src
+PROGRAMS := libs/cli libs/daemon
 
 .PHONY: setup demo test lint format
 
 setup: $(VENV)/.stamp
 
-$(VENV)/.stamp: requirements/run.txt requirements/dev.txt $(wildcard libs/*/pyproject.toml)
+$(VENV)/.stamp: requirements/run.txt requirements/dev.txt Makefile
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements/dev.txt
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps \
-		$(foreach lib,$(LIBS),-e $(lib))
+		$(foreach program,$(PROGRAMS),-e $(program))
+	$(BIN)/python -c "import sys, sysconfig; \
+		open(sysconfig.get_path('purelib') + '/mulberryhub.pth', 'w') \
+		.write('\n'.join(sys.argv[1:]))" $(abspath $(SOURCES))
 	touch $@
 
 demo: setup
--- a/libs/fleet/src/mulberryhub/fleet/follower.py
+++ b/libs/fleet/src/mulberryhub/fleet/follower.py
@@ -62,10 +62,7 @@
         plan = self._plan
         position = self._beliefs.position_by_topic[plan.topic]
         asked = self._clock.now()
-        if position == UNKNOWN:
-            end = self._list()
-        else:
-            end = self._read(position)
+        end = self._list() if position == UNKNOWN else self._read(position)
         plan.answered()
         self._beliefs.read_up_to(plan.topic, end, asked)
 
--- a/libs/http/src/mulberryhub/http/server.py
+++ b/libs/http/src/mulberryhub/http/server.py
@@ -23,7 +23,7 @@
     __slots__ = (
         "busy",
         "draining",
-        "_address",
+        "address",
         "_handle",
         "_read_limits",
         "_clock",
@@ -34,7 +34,7 @@
     def __init__(self, address, handle, read_limits, clock):
         self.busy = 0
         self.draining = False
-        self._address = address
+        self.address = address
         self._handle = handle
         self._read_limits = read_limits
         self._clock = clock
@@ -43,7 +43,7 @@
 
     def start(self):
         """Listen and accept in the background."""
-        self._listener = open_listener(self._address)
+        self._listener = open_listener(self.address)
         spawn_task(self._accept)
 
     def drain(self):
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -27,7 +27,7 @@
 from mulberryhub.upstream.health import Health
 from mulberryhub.weights.manager import Manager
 
-OPERATOR_WAIT = 5_000  # ms that a read of the operator's records waits at the store
+OPERATOR_WAIT = 10_000  # ms that a read of the operator's records waits at the store
 MEMBERS_WAIT = 10_000  # ms
 UPSTREAMS_PAUSE = 700  # ms between reads, as upstreams write all the time
 VERSION_MARGIN = 700  # ms before the bound at which old weights serve no more
@@ -182,9 +182,20 @@
         ),
     )
     parts.sources = Sources(parts.me, beliefs, subscribe, reads_fail, clock)
+    should_read_by_topic = {
+        # What the operator writes is rare, and all routers must have it in time.
+        Topic.OPERATOR: lambda: True,
+        Topic.UPSTREAMS: parts.sources.should_read,
+        Topic.MEMBERS: parts.sources.should_read,
+    }
     parts.followers = [
         TopicFollower(
-            plan, ports.store, beliefs, parts.sources.should_read, clock, counters
+            plan,
+            ports.store,
+            beliefs,
+            should_read_by_topic[plan.topic],
+            clock,
+            counters,
         )
         for plan in plans
     ]
--- /dev/null
+++ b/tests/http/support.py
@@ -0,0 +1,85 @@
+from contextlib import contextmanager
+
+from mulberryhub.base.clock import Clock
+from mulberryhub.base.green import Timeout, listen, socket, spawn
+from mulberryhub.http.inbound import Limits
+from mulberryhub.http.messages import Headers
+from mulberryhub.http.server import HttpServer
+
+WAIT = 5  # s
+LIMITS = Limits(header_bytes=2_000, body_bytes=10_000, header_time=300, idle_time=500)
+
+
+def free_address():
+    listener = listen(("127.0.0.1", 0))
+    host, port = listener.getsockname()
+    listener.close()
+    return f"{host}:{port}"
+
+
+def echo(request, connection):
+    body = request.method + b" " + request.target + b" " + request.body
+    connection.start_answer(200, Headers(), len(body))
+    connection.write(body)
+    return connection.finish_answer()
+
+
+@contextmanager
+def serving(handle=echo, limits=LIMITS):
+    server = HttpServer(free_address(), handle, lambda: limits, Clock())
+    server.start()
+    try:
+        yield server
+    finally:
+        server.stop_listening()
+
+
+def connect(address):
+    host, port = address.rsplit(":", 1)
+    sock = socket.create_connection((host, int(port)))
+    sock.settimeout(WAIT)
+    return sock
+
+
+def read_all(sock):
+    data = b""
+    with Timeout(WAIT):
+        try:
+            while piece := sock.recv(65_536):
+                data += piece
+        except ConnectionResetError:
+            return data
+    return data
+
+
+def exchange(address, data):
+    sock = connect(address)
+    sock.sendall(data)
+    return read_all(sock)
+
+
+class ScriptedPeer:
+    """Accepts connections; each is served by the next of `scripts`, `script(sock)`."""
+
+    def __init__(self, *scripts):
+        self.listener = listen(("127.0.0.1", 0))
+        host, port = self.listener.getsockname()
+        self.address = f"{host}:{port}"
+        self.received = []
+        self._scripts = list(scripts)
+        spawn(self._run)
+
+    def _run(self):
+        for script in self._scripts:
+            sock, _ = self.listener.accept()
+            spawn(script, sock, self)
+
+    def read_head(self, sock):
+        data = b""
+        while b"\r\n\r\n" not in data:
+            piece = sock.recv(65_536)
+            if not piece:
+                return data
+            data += piece
+        self.received.append(data)
+        return data
--- /dev/null
+++ b/tests/http/test_fuzz.py
@@ -0,0 +1,78 @@
+"""Both parsers take any bytes without a crash, and pass no request on twice."""
+
+from hypothesis import given, settings, strategies as st
+
+from mulberryhub.base.green import spawn
+from mulberryhub.http.inbound import Limits
+from mulberryhub.http.messages import AnswerBroken, Headers, Request
+from mulberryhub.http.outbound import OutboundConnection
+from tests.http.support import ScriptedPeer, exchange, serving
+
+TOKENS = [
+    b"POST /a HTTP/1.1\r\n",
+    b"GET /b HTTP/1.1\r\n",
+    b"HTTP/1.1 200 OK\r\n",
+    b"Host: x\r\n",
+    b"Content-Length: 3\r\n",
+    b"Content-Length: 5\r\n",
+    b"Content-Length: +3\r\n",
+    b"Content-Length:3\n",
+    b"Transfer-Encoding: chunked\r\n",
+    b"Transfer-Encoding: xchunked\r\n",
+    b" folded\r\n",
+    b"Connection: close\r\n",
+    b"\r\n",
+    b"3\r\nabc\r\n",
+    b"0\r\n\r\n",
+    b"abc",
+    b"\x00",
+    b"\n",
+]
+HASTY = Limits(header_bytes=2_000, body_bytes=10_000, header_time=20, idle_time=20)
+STREAMS = st.lists(st.sampled_from(TOKENS) | st.binary(max_size=8), max_size=14)
+
+
+@given(STREAMS)
+@settings(max_examples=150, deadline=None)
+def test_any_bytes_of_a_client(pieces):
+    data = b"".join(pieces)
+    handled = []
+
+    def handle(request, connection):
+        handled.append(request)
+        connection.start_answer(200, Headers(), 0)
+        return connection.finish_answer()
+
+    with serving(handle, HASTY) as server:
+        answer = exchange(server.address, data)
+    assert len(handled) <= data.count(b"HTTP/1.1")
+    assert answer.count(b"HTTP/1.1 200") == len(handled)
+    for request in handled:
+        assert len(request.headers.get_all(b"content-length")) <= 1
+
+
+@given(STREAMS)
+@settings(max_examples=150, deadline=None)
+def test_any_bytes_of_an_upstream(pieces):
+    def script(sock, peer):
+        peer.read_head(sock)
+        sock.sendall(b"".join(pieces))
+        sock.close()
+
+    peer = ScriptedPeer(script)
+    connection = OutboundConnection.open(peer.address, 1_000)
+    request = Request(b"GET", b"/", Headers.from_pairs([(b"Host", b"x")]))
+
+    def ask():
+        connection.send(request, 1_000)
+        connection.read_head(1_000)
+        while connection.read_data(1_000) is not None:
+            pass
+        return connection.release(0)
+
+    try:
+        spawn(ask).wait()
+    except AnswerBroken:
+        pass
+    finally:
+        connection.close()
--- a/tests/system/test_bad_input.py
+++ b/tests/system/test_bad_input.py
@@ -58,6 +58,12 @@
             b"400",
             None,
         ),
+        (
+            [AUTHORIZED, b"Content-Length: 2", b"Content-Length: 9"],
+            b"{}GET / H",
+            b"400",
+            b"bad_request",
+        ),
         ([AUTHORIZED, b"X-Api-Key: other"], b"", b"400", b"duplicate_key"),
         ([AUTHORIZED, AUTHORIZED + b"x"], b"", b"400", b"duplicate_key"),
         ([b"X-Long: " + b"a" * 70_000], b"", b"400", None),
@@ -72,6 +78,15 @@
     assert router.request("GET", "/healthz").status == 200
 
 
+def test_conflicting_lengths_end_the_connection(router):
+    lengths = [b"Content-Length: 0", b"Content-Length: 34"]
+    lines = [b"POST " + PATH + b" HTTP/1.1", b"Host: x", AUTHORIZED, *lengths, b"", b""]
+    smuggled = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
+    answer = exchange(router, b"\r\n".join(lines) + smuggled)
+    assert answer.startswith(b"HTTP/1.1 400")
+    assert answer.count(b"HTTP/1.1") == 1
+
+
 def test_garbage_closes_the_connection_only(router):
     exchange(router, b"\x00\xff garbage\r\n\r\n")
     assert router.request("GET", "/healthz").status == 200
