--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -183,7 +183,8 @@
     `window_by_workspace` is what was admitted in the quota window, in the unit of
     each workspace, `rate_by_workspace` the same per s over the last moments.
     `work_by_upstream` is the delay in ms that requests in flight cause there, and
-    `bound_by_upstream` counts those that no other upstream can go on with.
+    `bound_by_upstream` counts those that no other upstream can go on with. `uptime`
+    is the ms for which the oldest of the routers has run.
     """
 
     window_by_workspace: dict[str, float] = {}
@@ -191,6 +192,7 @@
     work_by_upstream: dict[str, float] = {}
     bound_by_upstream: dict[str, int] = {}
     routers: int = 1
+    uptime: int = 0
 
     def add(self, other):
         """Add the use of other routers to this."""
@@ -199,10 +201,11 @@
             for key, value in getattr(other, name).items():
                 totals[key] = totals.get(key, 0) + value
         self.routers += other.routers
+        self.uptime = max(self.uptime, other.uptime)
 
     def less(self, other):
         """Return this use without a part of it; nothing falls below 0."""
-        rest = Use(routers=self.routers - other.routers)
+        rest = Use(routers=self.routers - other.routers, uptime=self.uptime)
         for name in SUMMED:
             part = getattr(other, name)
             for key, value in getattr(self, name).items():
--- a/libs/forward/src/mulberryhub/forward/quotas.py
+++ b/libs/forward/src/mulberryhub/forward/quotas.py
@@ -7,9 +7,12 @@
 
 from random import random, uniform
 
+from mulberryhub.base.logs import module_logger
 from mulberryhub.forward.refusal import Reason, Refusal
 from mulberryhub.forward.windows import SlidingSum
 
+log = module_logger(__name__)
+
 RATE_TIME = 2_000  # ms over which demand is measured
 REFRESH = 200  # ms for which the sum over other routers is kept
 TOLERANCE_USED = 0.3  # of what may go beyond the limit, while routers hear each other
@@ -39,12 +42,16 @@
 
 
 class Account:
-    """What one workspace was admitted here, and its share until the next report."""
+    """What one workspace was admitted here, and its share until the next report.
+
+    `used` is what the others admitted in the window, as far as it is known.
+    """
 
-    __slots__ = ("admitted", "spent", "share", "refreshed_at")
+    __slots__ = ("admitted", "used", "spent", "share", "refreshed_at")
 
     def __init__(self, window):
         self.admitted = SlidingSum(window)
+        self.used = 0
         self.spent = 0
         self.share = 0
         self.refreshed_at = None
@@ -85,6 +92,7 @@
         left = account.share - account.spent
         # What is larger than the rest is admitted with the chance that suits it.
         if left <= 0 or cost * random() > left:
+            self._note_refusal(account, workspace, cost, now)
             raise Refusal(Reason.OVER_QUOTA, self._pause(account, workspace, cost))
         account.spent += cost
         account.admitted.add(cost, now)
@@ -126,32 +134,52 @@
         own = account.admitted.at(now)
         others = self._read_others()
         routers = max(self._count_routers(), 1)
-        unknown = self._unknown_share(now)
+        unknown = self._unknown_share(others, now)
         if others is None and routers > 1:
             whole = self._rule.limit(workspace, 1) * (1 - unknown)
             account.share = whole / routers - own
             return
         limit = self._rule.limit(workspace, TOLERANCE_USED)
-        used = max(_used_by(others, workspace.name), limit * unknown)
-        room = limit - own - used
-        account.share = room * self._demand_share(account, workspace, others, now)
+        account.used = _used_by(others, workspace.name) + limit * unknown
+        room = limit - own - account.used
+        account.share = room * self._share(account, workspace, others, unknown, now)
+
+    def uptime(self):
+        """Return the ms since the start."""
+        return self._clock.now() - self._started
 
-    def _unknown_share(self, now):
-        """Return the share of the window before the start, of which nothing is known.
+    def _unknown_share(self, others, now):
+        """Return the share of the window of which no router knows anything.
 
-        Others that were restarted too may have used up the limit in it.
+        Where all were restarted, they may have used up the limit before.
         """
-        return max(0, 1 - (now - self._started) / self._rule.window)
+        known = now - self._started
+        if others is not None:
+            known = max(known, others.uptime)
+        return max(0, 1 - known / self._rule.window)
 
-    def _demand_share(self, account, workspace, others, now):
+    def _share(self, account, workspace, others, unknown, now):
+        """Return the share of the room that this router may use."""
         if others is None:
             return 1
+        equal = 1 / max(others.routers + 1, self._count_routers())
         own_rate = account.admitted.recent(RATE_TIME, now) * 1000 / RATE_TIME
         other_rate = others.rate_by_workspace.get(workspace.name, 0)
-        least = 1 / (others.routers + 1)
-        if own_rate + other_rate <= 0:
-            return least
-        return min(1, max(least, SHARE_MARGIN * own_rate / (own_rate + other_rate)))
+        if unknown or own_rate + other_rate <= 0:
+            return equal
+        return min(1, max(equal, SHARE_MARGIN * own_rate / (own_rate + other_rate)))
+
+    def _note_refusal(self, account, workspace, cost, now):
+        log.info(
+            "over quota",
+            workspace=workspace.name,
+            cost=cost,
+            admitted_here=account.admitted.at(now),
+            used_elsewhere=round(account.used),
+            share=round(account.share),
+            spent=account.spent,
+            age_ms=now - account.refreshed_at,
+        )
 
     def _pause(self, account, workspace, cost):
         """Return the ms after which the rate has room again, spread over callers."""
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -112,7 +112,11 @@
 def _build_use(settings, beliefs, clock):
     def measure():
         return Use(
-            quotas.windows(), quotas.rates(), loads.own_work(), loads.own_bound()
+            quotas.windows(),
+            quotas.rates(),
+            loads.own_work(),
+            loads.own_bound(),
+            uptime=quotas.uptime(),
         )
 
     bounds = settings.bounds
--- a/libs/weights/src/mulberryhub/weights/plan.py
+++ b/libs/weights/src/mulberryhub/weights/plan.py
@@ -11,8 +11,8 @@
 from mulberryhub.fleet.records import State
 
 LOADING_SHARE = 0.4  # of a pool that may load at once
-BUSY = 120  # ms of work at each other upstream from which fewer load at once
-OVERLOADED = 350  # ms from which none is started
+CALM = 40  # ms of work at each other upstream up to which the whole share loads
+OVERLOADED = 250  # ms from which none is started
 LOAD_TIME = 2_500  # ms from the choice of an upstream to its return
 URGENT_MARGIN = 2_000  # ms before the bound
 
@@ -75,11 +75,11 @@
     needed = min(most, -(-len(waiting) // rounds))
     if left <= 0:
         return most
-    if pool.busy >= OVERLOADED:
-        return needed if left < len(waiting) * LOAD_TIME else 0
-    if pool.busy >= BUSY:
-        return max(1, needed)
-    return most
+    headroom = (OVERLOADED - pool.busy) / (OVERLOADED - CALM)
+    room = round(most * min(1, max(0, headroom)))
+    if left < len(waiting) * LOAD_TIME:
+        room = max(room, needed)
+    return room
 
 
 def choose_next(outdated, pool, work):
