--- a/libs/fleet/src/mulberryhub/fleet/channel.py
+++ b/libs/fleet/src/mulberryhub/fleet/channel.py
@@ -34,18 +34,23 @@
 
 
 class Report(msgspec.Struct, tag=True):
-    """What a subscriber tells: its own use, and the rollout as it knows it."""
+    """What a subscriber tells: its own use, and the rollout as it knows it.
+
+    `remembered` is what it knows of the windows of its data centre, by workspace.
+    """
 
     use: Use
+    remembered: dict[str, float] = {}
     rollout: Rollout | None = None
 
 
 class News(msgspec.Struct, tag=True):
     """What a publisher tells: new records and how current they are.
 
-    `age_by_topic` and `kept_age`, that of the parts of kept cache, are in ms. `use` is that of the publisher's data centre, of which
-    `counted` is what it has counted for the receiver; `use_by_data_centre` is that of
-    the others.
+    `age_by_topic` and `kept_age`, that of the parts of kept cache, are in ms. `use` is
+    that of the publisher's data centre, of which `counted` is what it has counted for
+    the receiver; `use_by_data_centre` is that of the others, or where no records are
+    wanted, what is known of the receiver's.
     """
 
     records: list[Record] = []
--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -68,7 +68,7 @@
 
     def _take(self, name, hello, report):
         if hello.wants_records:
-            self._use_table.note_report(name, report.use)
+            self._use_table.note_report(name, report.use, report.remembered)
         if report.rollout is not None:
             self._beliefs.learn_rollout(report.rollout)
 
@@ -94,6 +94,8 @@
     def _news(self, hello, revision):
         news = News(use=self._use_table.here())
         if not hello.wants_records:
+            known = self._use_table.known_of(hello.data_centre)
+            news.use_by_data_centre = {hello.data_centre: known}
             return news
         beliefs = self._beliefs
         news.counted = self._use_table.counted_for(hello.name)
--- a/libs/fleet/src/mulberryhub/fleet/subscription.py
+++ b/libs/fleet/src/mulberryhub/fleet/subscription.py
@@ -97,8 +97,7 @@
             beliefs.learn_rollout(news.rollout)
         if not self._wants_records:
             self._use_table.note_elsewhere(self.member.data_centre, news.use)
-            return
-        if self.member.data_centre == self._me.data_centre:
+        elif self.member.data_centre == self._me.data_centre:
             self._use_table.note_told(news.use, news.counted)
         for data_centre, use in news.use_by_data_centre.items():
             self._use_table.note_elsewhere(data_centre, use)
@@ -107,7 +106,7 @@
         sent_order = None
         try:
             while not self.ended:
-                report = Report(self._use_table.own())
+                report = Report(self._use_table.own(), self._use_table.remembered())
                 if self._beliefs.rollout.order != sent_order:
                     sent_order = self._beliefs.rollout.order
                     report.rollout = self._beliefs.rollout
--- a/libs/fleet/src/mulberryhub/fleet/use.py
+++ b/libs/fleet/src/mulberryhub/fleet/use.py
@@ -48,8 +48,7 @@
         "_reported_by_name",
         "_told",
         "_reported_by_data_centre",
-        "_floors_here",
-        "_floors_of_others",
+        "_floors_by_data_centre",
     )
 
     def __init__(self, measure, data_centre, window, clock):
@@ -60,16 +59,23 @@
         self._reported_by_name = {}
         self._told = None
         self._reported_by_data_centre = {}
-        self._floors_here = Floors(window, clock)
-        self._floors_of_others = Floors(window, clock)
+        self._floors_by_data_centre = {data_centre: Floors(window, clock)}
 
     def own(self):
         """Return the use of this router."""
         return self._measure()
 
-    def note_report(self, name, use):
-        """Take what the subscriber `name` reported."""
+    def note_report(self, name, use, remembered):
+        """Take what the subscriber `name` reported.
+
+        `remembered` is what it knows of the windows of this data centre.
+        """
         self._reported_by_name[name] = Reported(use, self._clock.now())
+        self._floors(self._data_centre).raised(remembered)
+
+    def remembered(self):
+        """Return what must count of the windows of this data centre."""
+        return self._floors(self._data_centre).raised({})
 
     def forget(self, name):
         """Drop what the subscriber `name` reported."""
@@ -86,7 +92,9 @@
         total.add(self.own())
         for reported in self._fresh(self._reported_by_name.values()):
             total.add(reported.use)
-        total.window_by_workspace = self._floors_here.raised(total.window_by_workspace)
+        total.window_by_workspace = self._floors(self._data_centre).raised(
+            total.window_by_workspace
+        )
         return total
 
     def note_told(self, use, counted):
@@ -95,37 +103,53 @@
         `counted` is the part of it that is this router's own.
         """
         self._told = Told(use, counted, self._clock.now())
-        self._floors_here.raised(use.window_by_workspace)
+        self._floors(self._data_centre).raised(use.window_by_workspace)
 
     def note_elsewhere(self, data_centre, use):
-        """Take the use of another data centre."""
+        """Take what is known of a data centre's use; of this one, only what must count.
+
+        Others remember this data centre's use where its routers were restarted.
+        """
+        self._floors(data_centre).raised(use.window_by_workspace)
         if data_centre != self._data_centre:
             reported = Reported(use, self._clock.now())
             self._reported_by_data_centre[data_centre] = reported
 
     def elsewhere(self):
-        """Return the fresh use of other data centres by their name."""
+        """Return the use of other data centres by their name."""
         return {
-            name: reported.use
-            for name, reported in self._reported_by_data_centre.items()
-            if self._is_fresh(reported)
+            name: self.known_of(name)
+            for name in self._floors_by_data_centre
+            if name != self._data_centre
         }
 
+    def known_of(self, data_centre):
+        """Return the use of another data centre, and what must still count of it."""
+        use = Use(routers=0)
+        reported = self._reported_by_data_centre.get(data_centre)
+        if reported is not None and self._is_fresh(reported):
+            use.add(reported.use)
+        floors = self._floors(data_centre)
+        use.window_by_workspace = floors.raised(use.window_by_workspace)
+        return use
+
     def others(self):
         """Return the use of all other routers, or None where it is not known."""
         total = Use(routers=0)
         if self._told is not None and self._is_fresh(self._told):
             total.add(self._told.without_own())
         else:
-            for reported in self._fresh(self._reported_by_name.values()):
-                total.add(reported.use)
-        for reported in self._fresh(self._reported_by_data_centre.values()):
-            total.add(reported.use)
-        if not total.routers:
-            return None
-        windows = self._floors_of_others.raised(total.window_by_workspace)
-        total.window_by_workspace = windows
-        return total
+            total.add(self.here().less(self.own()))
+        for use in self.elsewhere().values():
+            total.add(use)
+        return total if total.routers else None
+
+    def _floors(self, data_centre):
+        floors = self._floors_by_data_centre.get(data_centre)
+        if floors is None:
+            floors = Floors(self._window, self._clock)
+            self._floors_by_data_centre[data_centre] = floors
+        return floors
 
     def _fresh(self, items):
         return [item for item in items if self._is_fresh(item)]
--- a/libs/forward/src/mulberryhub/forward/call.py
+++ b/libs/forward/src/mulberryhub/forward/call.py
@@ -88,7 +88,8 @@
 
     `request_id` is that of the request it answers, None where it names none.
     `not_run` promises that the request did not run; `other_id` is the id of the
-    upstream that has the address now, None where it is the one expected. `version` is that of the weights, None where not told.
+    upstream that has the address now, None where it is the one expected. `version` is
+    that of the weights, None where not told.
     """
 
     __slots__ = ("request_id", "not_run", "other_id", "is_sealed", "version")
--- a/libs/http/src/mulberryhub/http/sockets.py
+++ b/libs/http/src/mulberryhub/http/sockets.py
@@ -17,7 +17,7 @@
 
 
 def dial(address, timeout, unacknowledged=UNACKNOWLEDGED):
-    """Return a connection to `address`, opened within `timeout` ms, or raise OSError."""
+    """Return a connection to `address`, made within `timeout` ms, or raise OSError."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.settimeout(timeout / 1000)
--- a/libs/weights/src/mulberryhub/weights/messages.py
+++ b/libs/weights/src/mulberryhub/weights/messages.py
@@ -19,7 +19,8 @@
     """An order to load a version of a model.
 
     With `ends_runs` the streams of running requests are cut, so that routers resume
-    them elsewhere; else the load begins once they have ended. `orders_before` is the number of orders that the upstream must have accepted.
+    them elsewhere; else the load begins once they have ended. `orders_before` is the
+    number of orders that the upstream must have accepted.
     """
 
     __slots__ = ("model", "version", "holder", "fence", "orders_before", "ends_runs")
--- /dev/null
+++ b/tests/forward/fakes.py
@@ -0,0 +1,72 @@
+from mulberryhub.base.counters import Counters
+from mulberryhub.fleet.records import (
+    ClientLimits,
+    Configuration,
+    Kind,
+    Route,
+    Service,
+    State,
+    Target,
+    Upstream,
+    Workspace,
+)
+from mulberryhub.forward.call import Call, Part
+from mulberryhub.http.messages import Headers, Request
+
+MODEL = "m"
+
+
+def make_upstream(id, offset=1, state=State.READY, data_centre="a", version=1, **more):
+    values = {
+        "service": "llm",
+        "address": f"10.0.0.{offset}:80",
+        "slots": 64,
+        "versions_by_model": {MODEL: version},
+    }
+    values.update(more)
+    return Upstream(
+        id=id, offset=offset, state=state, data_centre=data_centre, **values
+    )
+
+
+def make_route(kind=Kind.STREAMING, **more):
+    values = {
+        "name": "r",
+        "host": "h",
+        "path_prefix": "/p/",
+        "targets": [Target("llm", 1)],
+        "timeout": 4_000,
+        "target_latency": 500,
+    }
+    values.update(more)
+    return Route(kind=kind, **values)
+
+
+def make_service(**more):
+    values = {"name": "llm", "slots": 64, "models": [MODEL], "kv_capacity": 100_000}
+    values.update(more)
+    return Service(**values)
+
+
+def make_configuration(version=1, routes=None, services=None, workspaces=None):
+    return Configuration(
+        version=version,
+        routes=[make_route()] if routes is None else routes,
+        services=[make_service()] if services is None else services,
+        workspaces=[Workspace("w", ["k"])] if workspaces is None else workspaces,
+        limits=ClientLimits(),
+    )
+
+
+def make_call(parts=(("top", 2_000), ("key", 4_000), ("own", 3_000)), body=b""):
+    request = Request(b"POST", b"/p/x", Headers(), body, arrived=0)
+    call = Call(request, "id-1", "h", "/p/x", key="k")
+    call.model = MODEL
+    call.parts = [Part(id, tokens) for id, tokens in parts]
+    call.prompt_tokens = sum(part.tokens for part in call.parts)
+    call.output_tokens = 60
+    return call
+
+
+def no_counters():
+    return Counters()
--- /dev/null
+++ b/tests/forward/test_events.py
@@ -0,0 +1,19 @@
+from hypothesis import given, strategies as st
+
+from mulberryhub.forward.events import EventSplitter
+
+STREAM = (
+    b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid:3\ndata: c\n\nid: 4\nda"
+)
+
+
+@given(st.lists(st.integers(0, len(STREAM)), max_size=12))
+def test_pieces_of_any_size_give_the_same_events(cuts):
+    places = sorted({0, len(STREAM), *cuts})
+    splitter = EventSplitter()
+    events = []
+    for start, end in zip(places, places[1:]):
+        events += splitter.feed(STREAM[start:end])
+    assert [event.id for event in events] == [b"1", b"2", None, b"3"]
+    assert b"".join(event.data for event in events) + splitter.rest == STREAM
+    assert splitter.rest == b"id: 4\nda"
--- /dev/null
+++ b/tests/forward/test_quotas.py
@@ -0,0 +1,161 @@
+"""Quotas over routers that hear of one another late, against a sliding window."""
+
+from collections import deque
+from itertools import permutations
+
+import pytest
+
+from mulberryhub.base.clock import ManualClock
+from mulberryhub.fleet.records import Use, Workspace
+from mulberryhub.fleet.use import UseTable
+from mulberryhub.forward.quotas import QuotaRule, Quotas
+from mulberryhub.forward.refusal import Refusal
+
+WINDOW = 8_000  # ms
+RATE = 55_000  # tokens per s
+RULE = QuotaRule(WINDOW, overage=0.1, slack=110_000)
+WORKSPACE = Workspace("w", ["k"], rate=RATE, burst=RATE, counts_tokens=True)
+ALLOWED = RULE.limit(WORKSPACE, 1)
+REPORT_PERIOD = 300  # ms
+DATA_CENTRES = ("a", "b", "c")
+STEP = 20  # ms
+COST = 6_000  # tokens of a request
+
+
+class Node:
+    """A router's quotas with the table of others' use that feeds them."""
+
+    def __init__(self, name, data_centre, fleet):
+        self.name = name
+        self.data_centre = data_centre
+        self.table = UseTable(self._measure, data_centre, WINDOW, fleet.clock)
+        self.quotas = Quotas(
+            RULE, self.table.others, lambda: len(fleet.nodes), fleet.clock
+        )
+
+    def _measure(self):
+        quotas = self.quotas
+        return Use(quotas.windows(), quotas.rates(), uptime=quotas.uptime())
+
+
+class Fleet:
+    """Routers in data centres that tell one another of their use as in production."""
+
+    def __init__(self, routers):
+        self.clock = ManualClock()
+        self.admitted = deque()
+        self.asked = 0
+        self.refused = 0
+        self.nodes = []
+        self.nodes = [self._make(index) for index in range(routers)]
+
+    def _make(self, index):
+        return Node(f"n{index}", DATA_CENTRES[index % len(DATA_CENTRES)], self)
+
+    def restart(self, indices):
+        for index in indices:
+            self.nodes[index] = self._make(index)
+
+    def run(self, duration, tokens_per_s):
+        end = self.clock.now() + duration
+        due = 0.0
+        turn = 0
+        while self.clock.now() < end:
+            due += tokens_per_s * STEP / 1000
+            while due >= COST:
+                due -= COST
+                turn += 1
+                self._ask(self.nodes[turn % len(self.nodes)])
+            if self.clock.now() % REPORT_PERIOD == 0:
+                self._tell()
+            self.clock.advance(STEP)
+
+    def _ask(self, node):
+        self.asked += 1
+        try:
+            node.quotas.admit(WORKSPACE, COST)
+        except Refusal:
+            self.refused += 1
+        else:
+            self.admitted.append(self.clock.now())
+
+    def _tell(self):
+        """Report to each data centre's first router, and pass the sums on."""
+        leaders = {}
+        for node in self.nodes:
+            leaders.setdefault(node.data_centre, node)
+        for node in self.nodes:
+            leader = leaders[node.data_centre]
+            if node is not leader:
+                own, remembered = node.table.own(), node.table.remembered()
+                leader.table.note_report(node.name, own, remembered)
+        for leader, other in permutations(leaders.values(), 2):
+            other.table.note_elsewhere(leader.data_centre, leader.table.here())
+            known = leader.table.known_of(other.data_centre)
+            other.table.note_elsewhere(other.data_centre, known)
+        for node in self.nodes:
+            table = leaders[node.data_centre].table
+            if table is not node.table:
+                node.table.note_told(table.here(), table.counted_for(node.name))
+                for data_centre, use in table.elsewhere().items():
+                    node.table.note_elsewhere(data_centre, use)
+
+    def largest_window(self):
+        times = list(self.admitted)
+        return max(
+            COST * sum(1 for time in times if start <= time < start + WINDOW)
+            for start in times
+        )
+
+
+@pytest.mark.parametrize("routers", [1, 6, 9])
+def test_a_workspace_over_its_rate_stays_within_the_window(routers):
+    fleet = Fleet(routers)
+    fleet.run(10_000, RATE * 0.5)
+    fleet.run(20_000, RATE * 4)
+    assert fleet.largest_window() <= ALLOWED
+
+
+@pytest.mark.parametrize("routers", [1, 6, 9])
+def test_what_lies_within_the_rate_is_hardly_refused(routers):
+    fleet = Fleet(routers)
+    fleet.run(8_000, RATE * 0.5)
+    fleet.asked = fleet.refused = 0
+    fleet.run(20_000, RATE * 0.55)
+    assert fleet.refused <= fleet.asked / 100
+
+
+@pytest.mark.parametrize(
+    "restarted", [(0,), (0, 1, 2), (0, 3), (1, 2, 4, 5), tuple(range(6))]
+)
+def test_restarted_routers_do_not_start_a_new_window(restarted):
+    fleet = Fleet(6)
+    fleet.run(12_000, RATE * 4)
+    fleet.restart(restarted)
+    fleet.run(12_000, RATE * 4)
+    assert fleet.largest_window() <= ALLOWED
+
+
+def test_one_restarted_router_goes_on_to_admit():
+    fleet = Fleet(6)
+    fleet.run(12_000, RATE * 0.5)
+    fleet.restart([2])
+    fleet.asked = fleet.refused = 0
+    fleet.run(4_000, RATE * 0.5)
+    assert fleet.refused <= fleet.asked / 20
+
+
+def test_a_workspace_without_a_rate_has_no_limit():
+    clock = ManualClock()
+    quotas = Quotas(RULE, lambda: None, lambda: 1, clock)
+    for _ in range(1_000):
+        quotas.admit(Workspace("free", []), 1_000_000)
+
+
+def test_a_refusal_tells_when_to_come_back():
+    fleet = Fleet(1)
+    with pytest.raises(Refusal) as refused:
+        for _ in range(1_000):
+            fleet.nodes[0].quotas.admit(WORKSPACE, COST)
+    assert 0 < refused.value.retry_after <= 6_000
+    assert refused.value.reason.status == 429
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -131,12 +131,13 @@
 def test_request_that_was_read_is_served_though_idle_connections_close():
     """A request in the inbox that the parser has not seen yet is no idle connection."""
     with serving() as server:
-        sock = connect(server.address)
+        client = connect(server.address)
         sleep(0.05)
         connection = next(iter(server._connections))
         connection.inbox._chunks.append(head(b"Content-Length: 0"))
         server.close_idle()
         assert not connection.closed
+        client.close()
 
 
 def test_idle_connection_closes_after_its_time():
--- a/tests/orders/test_once.py
+++ b/tests/orders/test_once.py
@@ -6,12 +6,12 @@
 from mulberryhub.base.counters import Counters
 from mulberryhub.base.errors import Code, HubError, Ran
 from mulberryhub.base.green import sleep, spawn
+from mulberryhub.external.log import LogClient
 from mulberryhub.orders.idempotency import new_key
 from mulberryhub.orders.once import MAX_KEPT_BODY, OnceCaller
 from mulberryhub.orders.outcome import NotSent, Outcome
 from mulberryhub.orders.records import Claim, decode_record
 from mulberryhub.orders.standing import KEY_WINDOW, MAX_CLOCK_LEAD, MAX_LOG_STEP
-from mulberryhub.external.log import LogClient
 from tests.support.memory_log import MemoryLog
 
 PRINT = b"fingerprint"
--- a/tests/replica/test_membership.py
+++ b/tests/replica/test_membership.py
@@ -1,11 +1,11 @@
 import pytest
 
 from mulberryhub.base.green import sleep
+from mulberryhub.external.log import LogClient
+from mulberryhub.external.vm_list import VmListClient
 from mulberryhub.peers.client import PeerClient
 from mulberryhub.peers.members import Router
 from mulberryhub.peers.server import PeerServer
-from mulberryhub.external.log import LogClient
-from mulberryhub.external.vm_list import VmListClient
 from mulberryhub.replica import membership as module
 from mulberryhub.replica.member_seeds import MemberSeeds
 from mulberryhub.replica.membership import Membership
