--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
-SOURCES := $(sort $(wildcard libs/*/src)) platform/src
+SOURCES := $(sort $(wildcard libs/*/src)) platform/src platform/standins/src
 PROGRAMS := libs/cli libs/daemon
 
 .PHONY: setup demo test lint format
--- /dev/null
+++ b/tests/adapter/platform_fleet.py
@@ -0,0 +1,192 @@
+"""Routers with the platform's adapter, over stand-ins, as separate processes."""
+
+import os
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import msgspec
+import urllib3
+
+from benchmarks.processes import Fleet
+
+MODEL = "m1"
+HOST = "h.example"
+KEY = "key-1"
+READY_TIMEOUT = 20  # s
+TIMEOUT = 10  # s
+SETTINGS = """
+nodeName = "{name}"
+zone = "{zone}"
+ip = "127.0.0.1"
+portRange = [{metrics}, {metrics}]
+seeds = []
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+control = "127.0.0.1:{control}"
+[platform]
+address = "{store}"
+[bounds]
+graceS = 4
+quotaWindowS = 8
+quotaOverage = 0.1
+quotaSlack = 0
+"""
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+def make_config(version=1, **more):
+    routes = [
+        route("stream", "/s/", "streaming", "llm", maxAttempts=2, canResume=True),
+        route("order", "/o/", "non_idempotent", "desk"),
+        route("read", "/r/", "idempotent", "desk", maxAttempts=2),
+    ]
+    config = {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "llm", "engine": {"slots": 8, "models": [{"name": MODEL}]}},
+            {"name": "desk"},
+        ],
+        "limits": {"idleTimeoutMs": 15_000},
+        "tenants": [{"name": "t1", "apiKeys": [KEY], "isolated": True}],
+    }
+    config.update(more)
+    return config
+
+
+def route(name, prefix, kind, service, **more):
+    fields = {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": prefix,
+        "type": kind,
+        "timeoutMs": 4_000,
+        "targetLatencyMs": 500,
+        "service": service,
+        "maxAttempts": 1,
+        "targetGapMs": 300,
+    }
+    fields.update(more)
+    return fields
+
+
+class RouterProcess:
+    def __init__(self, name, zone, store, folder):
+        ports = free_ports(4)
+        self.name = name
+        self.front = f"127.0.0.1:{ports[0]}"
+        self.ready = f"127.0.0.1:{ports[1]}"
+        self.metrics = f"127.0.0.1:{ports[3]}"
+        path = Path(folder) / f"{name}.toml"
+        fields = dict(zip(("front", "ready", "control", "metrics"), ports))
+        path.write_text(SETTINGS.format(name=name, zone=zone, store=store, **fields))
+        self.log_path = Path(folder) / f"{name}.log"
+        self.popen = subprocess.Popen(
+            [sys.executable, "-m", "mulberryhub.adapter"],
+            env={**os.environ, "MULBERRYHUB_SETTINGS": str(path)},
+            stdout=self.log_path.open("ab"),
+            stderr=subprocess.STDOUT,
+        )
+
+    def is_ready(self):
+        try:
+            url = f"http://{self.ready}/api/readiness"
+            return urllib3.request("GET", url, retries=False, timeout=1).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def ask(self, path, method="POST", key=KEY, id="id-1", **headers):
+        fields = {"Host": HOST, "X-Mulberryhub-Attempt-Id": id}
+        if key is not None:
+            fields["Authorization"] = f"Bearer {key}"
+        fields.update(
+            {name.replace("_", "-"): value for name, value in headers.items()}
+        )
+        return urllib3.request(
+            method,
+            f"http://{self.front}{path}",
+            headers=fields,
+            retries=False,
+            timeout=TIMEOUT,
+        )
+
+    def ask_model(self, id="id-1", **headers):
+        headers.setdefault("X_Mulberryhub_Model", MODEL)
+        headers.setdefault("X_Mulberryhub_Token_Count", "300,60")
+        headers.setdefault("X_Mulberryhub_Prompt_Prefix", "aa:100,bb:100,cc:100")
+        headers.setdefault("X_Mulberryhub_Deadline_Ms", "5000")
+        return self.ask("/s/x", id=id, **headers)
+
+    def lines(self):
+        lines = self.log_path.read_bytes().splitlines()
+        return [msgspec.json.decode(line) for line in lines if line.startswith(b"{")]
+
+
+class PlatformFleet:
+    """A store, two workers with weights, two plain ones, and routers."""
+
+    def __init__(self, folder, routers=2):
+        self._folder = folder
+        self._programs = Fleet()
+        self.store = self._programs.start("mulberryhub.adapter_standins.store")
+        self.workers_by_id = {}
+        for id, zone in (("w1", "a"), ("w2", "b")):
+            self.start_worker(id, "llm", zone, model=MODEL, version=1)
+        for id, zone in (("p1", "a"), ("p2", "b")):
+            self.start_worker(id, "desk", zone)
+        self.routers = [self.start_router(index) for index in range(routers)]
+
+    def start_worker(self, id, service, zone, **more):
+        address = f"127.0.0.1:{free_ports(1)[0]}"
+        entry = {"id": id, "service": service, "zone": zone, **more}
+        self.workers_by_id[id] = self._programs.start(
+            "mulberryhub.adapter_standins.worker",
+            address,
+            self.store.address,
+            msgspec.json.encode(entry).decode(),
+        )
+
+    def start_router(self, index):
+        zone = "ab"[index % 2]
+        return RouterProcess(f"r{index}", zone, self.store.address, self._folder)
+
+    def write(self, key, document):
+        body = msgspec.json.encode(document)
+        assert self.store.request("POST", f"/operator/{key}", body=body).status == 200
+
+    def configure(self, config=None):
+        self.write("config", config or make_config())
+        wait_until(lambda: all(router.is_ready() for router in self.routers))
+
+    def runs(self, *ids):
+        runs = []
+        for id in ids or self.workers_by_id:
+            runs += self.workers_by_id[id].request("GET", "/runs").json()
+        return runs
+
+    def close(self):
+        for router in self.routers:
+            if router.popen.poll() is None:
+                router.popen.kill()
+            router.popen.wait()
+        self._programs.__exit__()
+
+
+def wait_until(condition, timeout=READY_TIMEOUT):
+    end = time.monotonic() + timeout
+    while not condition():
+        assert time.monotonic() < end, "not in time"
+        time.sleep(0.05)
--- /dev/null
+++ b/tests/adapter/test_path.py
@@ -0,0 +1,202 @@
+import re
+import signal
+import threading
+
+import pytest
+import urllib3
+
+from tests.adapter.platform_fleet import (
+    KEY,
+    MODEL,
+    PlatformFleet,
+    make_config,
+    wait_until,
+)
+
+WHOLE = list(range(1, 7))  # ids of the events of a stream
+
+
+@pytest.fixture(scope="module")
+def platform(tmp_path_factory):
+    fleet = PlatformFleet(tmp_path_factory.mktemp("platform"))
+    try:
+        assert not fleet.routers[0].is_ready()
+        fleet.configure()
+        wait_until(lambda: fleet.routers[0].ask_model(id="warm").status == 200)
+        wait_until(lambda: fleet.routers[1].ask("/r/x", "GET", id="warm").status == 200)
+        yield fleet
+    finally:
+        fleet.close()
+
+
+def event_ids(answer):
+    return [int(id) for id in re.findall(rb"id: (\d+)\n", answer.data)]
+
+
+def test_a_stream_arrives_whole_for_the_workspace_of_its_key(platform):
+    answer = platform.routers[0].ask_model(
+        X_Mulberryhub_Tenant="other", X_Mulberryhub_Cache_Salt="mine"
+    )
+    assert answer.status == 200
+    assert event_ids(answer) == WHOLE
+    assert answer.headers["X-Mulberryhub-Response-Seal"] in ("w1", "w2")
+    assert answer.headers["X-Tenant-Seen"] == "t1"
+    assert answer.headers["X-Salt-Seen"] == f"{MODEL}:1:t1"
+
+
+@pytest.mark.parametrize("key, status", [(None, 401), ("nobody", 401)])
+def test_a_wrong_key_runs_nothing(platform, key, status):
+    assert platform.routers[0].ask("/o/x", key=key, id="denied").status == status
+    assert "denied" not in platform.runs()
+
+
+def test_an_unknown_route_is_not_found(platform):
+    assert platform.routers[0].ask("/none/").status == 404
+
+
+def test_a_stream_that_is_cut_goes_on_at_another_worker(platform):
+    for id in ("w1", "w2"):
+        platform.workers_by_id[id].fault(cut=1)
+        answers = [platform.routers[0].ask_model(id=f"cut-{id}-{n}") for n in range(4)]
+        platform.workers_by_id[id].fault(cut=None)
+        assert [event_ids(answer) for answer in answers] == [WHOLE] * 4
+
+
+def test_a_stream_that_every_worker_cuts_does_not_look_complete(platform):
+    for id in ("w1", "w2"):
+        platform.workers_by_id[id].fault(cut=9)
+    with pytest.raises(urllib3.exceptions.ProtocolError):
+        platform.routers[0].ask_model(id="torn")
+    for id in ("w1", "w2"):
+        platform.workers_by_id[id].fault(cut=None)
+    assert platform.runs().count("torn") == 2
+
+
+def test_what_is_not_idempotent_runs_once_whatever_fails(platform):
+    for id in ("p1", "p2"):
+        platform.workers_by_id[id].fault(error=1)
+    answer = platform.routers[1].ask("/o/x", id="order")
+    for id in ("p1", "p2"):
+        platform.workers_by_id[id].fault(error=None)
+    assert answer.status == 500
+    assert platform.runs().count("order") == 1
+
+
+def test_an_idempotent_request_is_tried_again(platform):
+    for id in ("p1", "p2"):
+        platform.workers_by_id[id].fault(error=1)
+    answer = platform.routers[1].ask("/r/x", "GET", id="read")
+    for id in ("p1", "p2"):
+        platform.workers_by_id[id].fault(error=None)
+    assert platform.runs().count("read") == 2
+    assert answer.status == 500
+
+
+def test_a_request_that_was_not_run_goes_to_another_worker(platform):
+    platform.workers_by_id["p1"].fault(shed=1)
+    platform.workers_by_id["p2"].fault(shed=1)
+    statuses = {platform.routers[0].ask("/o/x", id=f"s{n}").status for n in range(4)}
+    for id in ("p1", "p2"):
+        platform.workers_by_id[id].fault(shed=None)
+    assert statuses <= {200, 503}
+    assert len(set(platform.runs("p1", "p2"))) == len(platform.runs("p1", "p2")) - 1
+
+
+def test_a_quota_refuses_with_the_time_to_come_back(platform):
+    tenants = [
+        {
+            "name": "t1",
+            "apiKeys": [KEY, "key-2"],
+            "billingUnit": "token_stream",
+            "ratePerS": 500,
+            "burst": 500,
+        }
+    ]
+    platform.write("config", make_config(version=5, tenants=tenants))
+    wait_until(lambda: platform.routers[0].ask("/r/x", "GET", "key-2").status == 200)
+    answers = [platform.routers[0].ask_model(id=f"q{n}") for n in range(30)]
+    refused = [answer for answer in answers if answer.status == 429]
+    assert refused
+    assert all(float(answer.headers["Retry-After"]) > 0 for answer in refused)
+    platform.write("config", make_config(version=9))
+    wait_until(lambda: platform.routers[0].ask("/r/x", "GET", "key-2").status == 401)
+
+
+def test_new_weights_are_brought_to_all_workers_while_requests_go_on(platform):
+    platform.write(f"version/{MODEL}", {"model": MODEL, "version": 2})
+    statuses = []
+    answers = []
+
+    def is_done():
+        answer = platform.routers[1].ask_model(id=f"v{len(answers)}")
+        answers.append(answer)
+        statuses.append(answer.status)
+        reports = [
+            platform.workers_by_id[id].request("GET", "/api/report").json()
+            for id in ("w1", "w2")
+        ]
+        return all(report["models"][0]["version"] == 2 for report in reports)
+
+    wait_until(is_done)
+    assert set(statuses) == {200}
+    wait_until(
+        lambda: (
+            platform.routers[1].ask_model(id="after").headers["X-Salt-Seen"]
+            == f"{MODEL}:2:t1"
+        )
+    )
+
+
+def test_the_store_may_be_away(platform):
+    platform.store.fault(refuse=True)
+    try:
+        for n in range(20):
+            assert platform.routers[n % 2].ask("/r/x", "GET", id=f"a{n}").status == 200
+    finally:
+        platform.store.fault(refuse=None)
+
+
+def test_history_that_is_lost_is_read_anew(platform):
+    assert platform.store.request("POST", "/forget").status == 200
+    platform.write("config", make_config(version=20, tenants=[]))
+    wait_until(lambda: platform.routers[0].ask("/r/x", "GET", None).status == 200)
+    platform.write("config", make_config(version=21))
+    wait_until(lambda: platform.routers[0].ask("/r/x", "GET", None).status == 401)
+    assert platform.routers[0].ask("/r/x", "GET").status == 200
+
+
+def test_a_reload_signal_changes_nothing_and_metrics_are_served(platform):
+    router = platform.routers[0]
+    router.popen.send_signal(signal.SIGHUP)
+    wait_until(
+        lambda: any(line["message"] == "reload asked for" for line in router.lines())
+    )
+    assert router.ask("/r/x", "GET").status == 200
+    text = urllib3.request("GET", f"http://{router.metrics}/metrics").data.decode()
+    assert "mulberryhub_events_total" in text
+    assert "mulberryhub_duration_ms_bucket" in text
+
+
+def test_no_key_stands_in_a_line(platform):
+    platform.routers[0].ask("/o/x", key="secret-key")
+    text = b"".join(router.log_path.read_bytes() for router in platform.routers)
+    assert KEY.encode() not in text
+    assert b"secret-key" not in text
+
+
+def test_a_stop_lets_the_running_stream_end(platform):
+    router = platform.start_router(2)
+    platform.routers.append(router)
+    wait_until(router.is_ready)
+    wait_until(lambda: router.ask_model(id="before").status == 200)
+    answers = []
+    thread = threading.Thread(
+        target=lambda: answers.append(router.ask_model(id="last"))
+    )
+    thread.start()
+    router.popen.terminate()
+    thread.join()
+    assert event_ids(answers[0]) == WHOLE
+    assert not router.is_ready()
+    assert router.popen.wait(6) == 0
+    assert router.lines()[-1]["message"] == "stopped"
