--- a/libs/weights/src/mulberryhub/weights/plan.py
+++ b/libs/weights/src/mulberryhub/weights/plan.py
@@ -13,8 +13,8 @@
 LOADING_SHARE = 0.4  # of a pool that may load at once
 CALM = 40  # ms of work at each other upstream up to which the whole share loads
 OVERLOADED = 250  # ms from which none is started
-LOAD_TIME = 2_500  # ms from the choice of an upstream to its return
-URGENT_MARGIN = 2_000  # ms before the bound
+LOAD_TIME = 2_000  # ms from the choice of an upstream to its return
+URGENT_MARGIN = 1_000  # ms before the bound
 
 
 class Outdated:
--- /dev/null
+++ b/tests/fleet/test_exchange.py
@@ -0,0 +1,105 @@
+"""Publisher and subscription over a real connection."""
+
+import pytest
+
+from mulberryhub.base.clock import Clock
+from mulberryhub.base.green import Timeout, sleep
+from mulberryhub.fleet.beliefs import Beliefs, Topic
+from mulberryhub.fleet.publisher import Publisher
+from mulberryhub.fleet.records import Configuration, Member, Rollout, Use
+from mulberryhub.fleet.subscription import Subscription
+from mulberryhub.fleet.use import UseTable
+from tests.fleet.test_beliefs import make_upstream
+from tests.http.support import free_address
+
+WINDOW = 8_000  # ms
+
+
+class Node:
+    def __init__(self, name, data_centre="d", use=None):
+        self.clock = Clock()
+        self.beliefs = Beliefs(self.clock)
+        self.me = Member(name, free_address(), data_centre, 0)
+        self.use_table = UseTable(lambda: use or Use(), data_centre, WINDOW, self.clock)
+        self.publisher = Publisher(self.me.address, self.beliefs, self.use_table)
+        self.publisher.start()
+
+    def subscribe(self, other, wants_records=True):
+        subscription = Subscription(
+            other.me, self.me, wants_records, self.beliefs, self.use_table, self.clock
+        )
+        subscription.start()
+        return subscription
+
+
+def wait_until(condition):
+    with Timeout(3):
+        while not condition():
+            sleep(0.01)
+
+
+@pytest.fixture
+def pair():
+    leader, follower = Node("n1", use=Use({"w": 10.0})), Node("n2", use=Use({"w": 3.0}))
+    yield leader, follower
+    leader.publisher.stop()
+    follower.publisher.stop()
+
+
+def configuration(version):
+    return Configuration(version, [], [], [])
+
+
+def test_a_router_without_the_store_hears_of_changes(pair):
+    leader, follower = pair
+    leader.beliefs.learn(configuration(1))
+    leader.beliefs.learn(make_upstream("u1", 4))
+    leader.beliefs.read_up_to(Topic.UPSTREAMS, 5, leader.clock.now())
+    subscription = follower.subscribe(leader)
+    wait_until(lambda: "u1" in follower.beliefs.upstreams_by_id)
+    assert follower.beliefs.configuration.version == 1
+    assert follower.beliefs.position_by_topic[Topic.UPSTREAMS] == 5
+    assert follower.beliefs.age(Topic.UPSTREAMS) < 500
+    leader.beliefs.learn(configuration(2))
+    wait_until(lambda: follower.beliefs.configuration.version == 2)
+    subscription.close()
+
+
+def test_rollouts_go_both_ways(pair):
+    leader, follower = pair
+    subscription = follower.subscribe(leader)
+    sleep(0.1)
+    follower.beliefs.learn_rollout(Rollout(fence=1, revision=1, loading=["u1"]))
+    wait_until(lambda: leader.beliefs.loading_ids() == ["u1"])
+    leader.beliefs.learn_rollout(Rollout(fence=1, revision=2))
+    wait_until(lambda: not follower.beliefs.loading_ids())
+    subscription.close()
+
+
+def test_use_is_summed_and_each_knows_that_of_the_others(pair):
+    leader, follower = pair
+    subscription = follower.subscribe(leader)
+    wait_until(lambda: leader.use_table.others() is not None)
+    assert leader.use_table.others().window_by_workspace == {"w": 3.0}
+    wait_until(lambda: follower.use_table.others() is not None)
+    wait_until(lambda: follower.use_table.others().window_by_workspace == {"w": 10.0})
+    subscription.close()
+
+
+def test_a_subscription_to_nobody_ends(pair):
+    leader, follower = pair
+    leader.publisher.stop()
+    subscription = follower.subscribe(leader)
+    wait_until(lambda: subscription.ended)
+
+
+def test_other_data_centres_get_use_but_no_records(pair):
+    leader, _ = pair
+    leader.beliefs.learn(configuration(1))
+    remote = Node("n3", data_centre="e")
+    subscription = remote.subscribe(leader, wants_records=False)
+    wait_until(lambda: remote.use_table.others() is not None)
+    assert remote.beliefs.configuration is None
+    assert remote.use_table.others().window_by_workspace == {"w": 10.0}
+    subscription.close()
+    remote.publisher.stop()
--- /dev/null
+++ b/tests/fleet/test_removals.py
@@ -0,0 +1,59 @@
+from mulberryhub.base.clock import ManualClock
+from mulberryhub.fleet.beliefs import Beliefs
+from mulberryhub.fleet.removals import RETURN_TIME, Removals
+from mulberryhub.fleet.store import Entry, Listing
+from tests.fleet.test_beliefs import make_upstream
+
+
+class World:
+    def __init__(self):
+        self.clock = ManualClock(now=1_000)
+        self.beliefs = Beliefs(self.clock)
+        self.removals = Removals(self.beliefs, self.clock)
+        self.beliefs.learn(make_upstream("u1", 1))
+        self.removals.note_read()
+
+    def run(self, duration):
+        for _ in range(duration // 500):
+            self.clock.advance(500)
+            self.removals.note_read()
+
+    def has_upstream(self):
+        return "u1" in self.beliefs.upstreams_by_id
+
+
+def test_a_removal_takes_effect_at_once():
+    world = World()
+    world.run(1_000)
+    world.removals.remove("u1", 2)
+    assert not world.has_upstream()
+
+
+def test_a_removal_seen_after_an_outage_waits_for_the_upstream_to_return():
+    world = World()
+    world.clock.advance(5_000)
+    world.removals.remove("u1", 2)
+    world.removals.note_read()
+    assert world.has_upstream()
+    world.run(RETURN_TIME - 500)
+    assert world.has_upstream()
+    world.run(1_000)
+    assert not world.has_upstream()
+
+
+def test_an_upstream_that_is_listed_again_stays():
+    world = World()
+    world.clock.advance(5_000)
+    world.removals.remove("u1", 2)
+    world.removals.note_read()
+    world.beliefs.learn(make_upstream("u1", 3))
+    world.run(2 * RETURN_TIME)
+    assert world.has_upstream()
+
+
+def test_what_a_whole_listing_lacks_is_gone():
+    world = World()
+    world.beliefs.learn(make_upstream("u2", 2))
+    world.run(500)
+    world.removals.remove_unlisted(Listing([Entry("u2", 2, b"x")], end=3))
+    assert set(world.beliefs.upstreams_by_id) == {"u2"}
--- /dev/null
+++ b/tests/fleet/test_sources.py
@@ -0,0 +1,121 @@
+"""Who reads the store, and whom the others follow, as routers come and go."""
+
+import pytest
+
+from mulberryhub.base.clock import ManualClock
+from mulberryhub.fleet.beliefs import Beliefs, Topic
+from mulberryhub.fleet.records import Member
+from mulberryhub.fleet.sources import FRESH, Sources
+
+MEMBERS = [Member(f"a{n}", f"a{n}:1", "a", n) for n in range(3)]
+MEMBERS += [Member(f"b{n}", f"b{n}:1", "b", 3 + n) for n in range(2)]
+
+
+class FakeSubscription:
+    def __init__(self, member, wants_records, opened_at):
+        self.member = member
+        self.wants_records = wants_records
+        self.opened_at = opened_at
+        self.ended = False
+        self.closed = False
+
+    def start(self):
+        pass
+
+    def close(self):
+        self.ended = True
+        self.closed = True
+
+
+class World:
+    def __init__(self, name):
+        self.clock = ManualClock(now=10_000)
+        self.beliefs = Beliefs(self.clock)
+        self.opened = []
+        self.reads_fail = False
+        me = next(member for member in MEMBERS if member.name == name)
+        self.sources = Sources(
+            me, self.beliefs, self._subscribe, lambda: self.reads_fail, self.clock
+        )
+        for member in MEMBERS:
+            self.beliefs.learn(member)
+        self.note_fresh()
+
+    def _subscribe(self, member, wants_records):
+        subscription = FakeSubscription(member, wants_records, self.clock.now())
+        self.opened.append(subscription)
+        return subscription
+
+    def note_fresh(self):
+        self.beliefs.read_up_to(Topic.UPSTREAMS, 1, self.clock.now())
+
+    def live(self, wants_records=True):
+        return [
+            item.member.name
+            for item in self.opened
+            if not item.ended and item.wants_records is wants_records
+        ]
+
+
+def test_the_first_of_a_data_centre_reads_and_follows_the_other_firsts():
+    world = World("a0")
+    world.sources.step()
+    assert world.sources.should_read()
+    assert world.live() == []
+    assert world.live(wants_records=False) == ["b0"]
+
+
+def test_the_others_follow_the_first_and_read_nothing():
+    world = World("a2")
+    world.sources.step()
+    assert world.live() == ["a0"]
+    assert not world.sources.should_read()
+
+
+def test_a_router_whose_news_grow_old_reads_itself():
+    world = World("a2")
+    world.sources.step()
+    world.clock.advance(FRESH + 1)
+    assert world.sources.should_read()
+    world.note_fresh()
+    assert not world.sources.should_read()
+
+
+def test_the_next_takes_over_where_the_first_fails():
+    world = World("a1")
+    world.sources.step()
+    assert world.live() == ["a0"]
+    world.opened[-1].ended = True
+    world.sources.step()
+    assert world.sources.is_leader()
+    world.clock.advance(60_000)
+    world.sources.step()
+    assert not world.sources.is_leader()
+
+
+@pytest.mark.parametrize("name", ["a0", "a2"])
+def test_a_router_cut_off_from_the_store_asks_one_member_after_the_other(name):
+    world = World(name)
+    world.sources.step()
+    world.reads_fail = True
+    asked = set()
+    for _ in range(200):
+        world.clock.advance(400)
+        world.sources.step()
+        asked.update(world.live())
+    assert asked >= {member.name for member in MEMBERS} - {name}
+    world.reads_fail = False
+    world.sources.step()
+    assert world.live() == ([] if name == "a0" else ["a0"])
+
+
+def test_a_helper_with_fresh_news_is_kept():
+    world = World("a0")
+    world.reads_fail = True
+    world.sources.step()
+    helper = world.live()
+    for _ in range(20):
+        world.clock.advance(400)
+        world.note_fresh()
+        world.sources.step()
+    assert world.live() == helper
