--- a/libs/forward/src/mulberryhub/forward/relay.py
+++ b/libs/forward/src/mulberryhub/forward/relay.py
@@ -71,7 +71,8 @@
     @staticmethod
     def _start(job, exchange, connection, length):
         headers = exchange.head.headers.without_hop_by_hop()
-        connection.start_answer(exchange.head.status, headers, length)
+        head = exchange.head
+        connection.start_answer(head.status, headers, length, head.is_framed)
         job.is_started = True
 
     def _time_left(self, job):
--- a/libs/http/src/mulberryhub/http/inbound.py
+++ b/libs/http/src/mulberryhub/http/inbound.py
@@ -69,8 +69,15 @@
         body = self._read_body()
         return Request(head.method, head.target, headers, body, arrived)
 
-    def start_answer(self, status, headers, length=None):
-        """Send the head of the answer; without `length` it is sent in chunks."""
+    def start_answer(self, status, headers, length=None, is_framed=True):
+        """Send the head of the answer; without `length` it is sent in chunks.
+
+        One that is not framed ends with the connection, as its upstream's did.
+        """
+        if not is_framed:
+            # The parser frames all answers but those to clients of version 1.0.
+            self._http.their_http_version = b"1.0"
+            length = None
         fields = headers.without((b"content-length",))
         if length is not None:
             fields.add(b"Content-Length", b"%d" % length)
--- a/libs/http/src/mulberryhub/http/messages.py
+++ b/libs/http/src/mulberryhub/http/messages.py
@@ -15,6 +15,9 @@
 )
 
 
+WITHOUT_BODY = (204, 304)  # statuses
+
+
 class HttpError(Exception):
     """A message cannot be read or written."""
 
@@ -125,12 +128,18 @@
 
 
 class AnswerHead:
-    """Status and headers of an answer; `length` is None where it has none."""
+    """Status and headers of an answer; `length` is None where it has none.
+
+    An answer that is not framed ends with its connection, so that nobody can tell
+    whether it is whole.
+    """
 
-    __slots__ = ("status", "headers", "length")
+    __slots__ = ("status", "headers", "length", "is_framed")
 
     def __init__(self, status, headers):
         self.status = status
         self.headers = headers
         length = headers.get(b"content-length")
         self.length = None if length is None else int(length)
+        has_coding = headers.get(b"transfer-encoding") is not None
+        self.is_framed = has_coding or length is not None or status in WITHOUT_BODY
--- a/tests/fleet/test_beliefs.py
+++ b/tests/fleet/test_beliefs.py
@@ -34,7 +34,7 @@
 
 
 class Merging(RuleBasedStateMachine):
-    """A store's log, told to two routers in parts, twice, in any order, or by a peer."""
+    """A store's log, told to two routers in any order, twice, or by a peer."""
 
     def __init__(self):
         super().__init__()
--- a/tests/http/test_outbound.py
+++ b/tests/http/test_outbound.py
@@ -55,8 +55,9 @@
 
 def test_answer_without_length_ends_with_its_connection():
     peer = ScriptedPeer(answering(b"HTTP/1.1 200 OK\r\n\r\nwhole"))
-    connection, _, body = ask(peer)
+    connection, head, body = ask(peer)
     assert body == b"whole"
+    assert not head.is_framed
     assert not connection.release(0)
 
 
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -94,6 +94,19 @@
     assert answer.endswith(b"5\r\npiece\r\n0\r\n\r\n")
 
 
+def test_answer_that_is_not_framed_ends_with_the_connection():
+    def handle(request, connection):
+        connection.start_answer(200, Headers(), 5, is_framed=False)
+        connection.write(b"piece")
+        return connection.finish_answer()
+
+    with serving(handle) as server:
+        answer = exchange(server.address, head())
+    assert answer.endswith(b"\r\n\r\npiece")
+    assert b"Content-Length" not in answer and b"chunked" not in answer
+    assert b"Connection: close" in answer
+
+
 def test_aborted_answer_does_not_look_complete():
     def handle(request, connection):
         connection.start_answer(200, Headers())
