--- a/libs/forward/src/mulberryhub/forward/quotas.py
+++ b/libs/forward/src/mulberryhub/forward/quotas.py
@@ -1,8 +1,9 @@
 """Rates and bursts of workspaces, kept over all routers together.
 
-Each router knows what the others admitted in the window as of their last report. The
-room that is left is shared by demand, and each router admits from its share until the
-next report. Without reports, a router keeps to an equal share of the whole limit.
+Each router knows what the others admitted in the window as of their last report. What
+is asked until the next report may be more than the room that is left; each request is
+then admitted with the chance that makes all routers together use up the room. Without
+reports, a router keeps to an equal share of the whole limit.
 """
 
 from random import random, uniform
@@ -13,11 +14,10 @@
 
 log = module_logger(__name__)
 
-RATE_TIME = 2_000  # ms over which demand is measured
+RATE_TIME = 1_000  # ms over which demand is measured
 REFRESH = 200  # ms for which the sum over other routers is kept
 TOLERANCE_USED = 0.3  # of what may go beyond the limit, while routers hear each other
-REPORT_AGE = 400  # ms by which what is known of other routers is behind
-SHARE_MARGIN = 1.3  # by which a share may exceed the demand's
+REPORT_AGE = 600  # ms by which what is known of other routers is behind
 SHORTEST_RETRY = 200  # ms
 LONGEST_RETRY = 4_000  # ms
 
@@ -42,18 +42,20 @@
 
 
 class Account:
-    """What one workspace was admitted here, and its share until the next report.
+    """What one workspace asked for and was admitted here.
 
-    `used` is what the others admitted in the window, as far as it is known.
+    `room` is what may be admitted until the next refresh, `chance` that of each
+    request, `used` what the others admitted in the window, as far as it is known.
     """
 
-    __slots__ = ("admitted", "used", "spent", "share", "refreshed_at")
+    __slots__ = ("asked", "admitted", "used", "room", "chance", "refreshed_at")
 
     def __init__(self, window):
+        self.asked = SlidingSum(RATE_TIME)
         self.admitted = SlidingSum(window)
         self.used = 0
-        self.spent = 0
-        self.share = 0
+        self.room = 0
+        self.chance = 1
         self.refreshed_at = None
 
 
@@ -89,19 +91,18 @@
         account = self._account(workspace)
         if account.refreshed_at is None or now - account.refreshed_at >= REFRESH:
             self._refresh(account, workspace, now)
-        left = account.share - account.spent
-        # What is larger than the rest is admitted with the chance that suits it.
-        if left <= 0 or cost * random() > left:
+        account.asked.add(cost, now)
+        if account.room <= 0 or random() >= account.chance:
             self._note_refusal(account, workspace, cost, now)
             raise Refusal(Reason.OVER_QUOTA, self._pause(account, workspace, cost))
-        account.spent += cost
+        account.room -= cost
         account.admitted.add(cost, now)
 
     def give_back(self, workspace, cost):
         """Count less for a request that was admitted and did not run."""
         account = self._accounts_by_name.get(workspace.name)
         if account is not None:
-            account.spent -= cost
+            account.room += cost
             account.admitted.add(-cost, self._clock.now())
 
     def windows(self):
@@ -113,12 +114,12 @@
         return {name: amount for name, amount in sums.items() if amount > 0}
 
     def rates(self):
-        """Return the recent rates per s, by workspace."""
+        """Return the rates per s that are asked for, by workspace."""
         now = self._clock.now()
         return {
-            name: account.admitted.recent(RATE_TIME, now) * 1000 / RATE_TIME
+            name: account.asked.at(now) * 1000 / RATE_TIME
             for name, account in self._accounts_by_name.items()
-            if account.admitted.at(now) > 0
+            if account.asked.at(now) > 0
         }
 
     def _account(self, workspace):
@@ -130,19 +131,27 @@
 
     def _refresh(self, account, workspace, now):
         account.refreshed_at = now
-        account.spent = 0
         own = account.admitted.at(now)
         others = self._read_others()
         routers = max(self._count_routers(), 1)
         unknown = self._unknown_share(others, now)
         if others is None and routers > 1:
             whole = self._rule.limit(workspace, 1) * (1 - unknown)
-            account.share = whole / routers - own
+            account.room = whole / routers - own
+            account.chance = 1
             return
         limit = self._rule.limit(workspace, TOLERANCE_USED)
-        account.used = _used_by(others, workspace.name) + limit * unknown
-        room = limit - own - account.used
-        account.share = room * self._share(account, workspace, others, unknown, now)
+        other_rate = 0
+        used = limit * unknown
+        if others is not None:
+            other_rate = others.rate_by_workspace.get(workspace.name, 0)
+            used += others.window_by_workspace.get(workspace.name, 0)
+        # What the others admit since they told of it, at the chance that holds here.
+        unheard = other_rate * REPORT_AGE / 1000
+        account.used = used + unheard * account.chance
+        account.room = limit - own - account.used
+        asked = unheard + account.asked.at(now) * REPORT_AGE / RATE_TIME
+        account.chance = 1 if asked <= 0 else min(1, max(0, account.room) / asked)
 
     def uptime(self):
         """Return the ms since the start."""
@@ -158,17 +167,6 @@
             known = max(known, others.uptime)
         return max(0, 1 - known / self._rule.window)
 
-    def _share(self, account, workspace, others, unknown, now):
-        """Return the share of the room that this router may use."""
-        if others is None:
-            return 1
-        equal = 1 / max(others.routers + 1, self._count_routers())
-        own_rate = account.admitted.recent(RATE_TIME, now) * 1000 / RATE_TIME
-        other_rate = others.rate_by_workspace.get(workspace.name, 0)
-        if unknown or own_rate + other_rate <= 0:
-            return equal
-        return min(1, max(equal, SHARE_MARGIN * own_rate / (own_rate + other_rate)))
-
     def _note_refusal(self, account, workspace, cost, now):
         log.info(
             "over quota",
@@ -176,8 +174,8 @@
             cost=cost,
             admitted_here=account.admitted.at(now),
             used_elsewhere=round(account.used),
-            share=round(account.share),
-            spent=account.spent,
+            room=round(account.room),
+            chance=round(account.chance, 3),
             age_ms=now - account.refreshed_at,
         )
 
@@ -185,14 +183,6 @@
         """Return the ms after which the rate has room again, spread over callers."""
         if workspace.rate <= 0:
             return LONGEST_RETRY
-        missing = account.spent - account.share + cost
+        missing = cost - account.room
         needed = missing * 1000 / workspace.rate
         return min(LONGEST_RETRY, max(SHORTEST_RETRY, needed) * uniform(1, 1.5))
-
-
-def _used_by(others, name):
-    """Return what others admitted, with what they did since they told of it."""
-    if others is None:
-        return 0
-    rate = others.rate_by_workspace.get(name, 0)
-    return others.window_by_workspace.get(name, 0) + rate * REPORT_AGE / 1000
--- a/tests/forward/test_quotas.py
+++ b/tests/forward/test_quotas.py
@@ -108,7 +108,7 @@
         )
 
 
-@pytest.mark.parametrize("routers", [1, 6, 9])
+@pytest.mark.parametrize("routers", [1, 6, 9, 90])
 def test_a_workspace_over_its_rate_stays_within_the_window(routers):
     fleet = Fleet(routers)
     fleet.run(10_000, RATE * 0.5)
@@ -116,7 +116,7 @@
     assert fleet.largest_window() <= ALLOWED
 
 
-@pytest.mark.parametrize("routers", [1, 6, 9])
+@pytest.mark.parametrize("routers", [1, 6, 9, 90])
 def test_what_lies_within_the_rate_is_hardly_refused(routers):
     fleet = Fleet(routers)
     fleet.run(8_000, RATE * 0.5)
