--- a/libs/cli/src/mulberryhub/cli/__main__.py
+++ b/libs/cli/src/mulberryhub/cli/__main__.py
@@ -13,6 +13,7 @@
 from mulberryhub.cli.output import report_failure
 from mulberryhub.cli.show import show
 from mulberryhub.cli.status import status
+from mulberryhub.cli.why import why
 
 COMMANDS = {
     "check": check,
@@ -21,6 +22,7 @@
     "status": status,
     "explain": explain,
     "drain": drain,
+    "why": why,
     "key": {"add": add, "withdraw": withdraw},
 }
 
--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -3,6 +3,7 @@
 from random import uniform
 
 from mulberryhub.base.logs import module_logger
+from mulberryhub.fleet.beliefs import Topic
 from mulberryhub.fleet.records import Removal
 from mulberryhub.forward.call import Attempt
 from mulberryhub.forward.delay import is_too_late, stream_patience
@@ -119,6 +120,7 @@
         attempt.after_event = job.last_event
         if choice.version is not None:
             self._caching.prepare(attempt, call, choice.version)
+        self._note_sent(job, attempt, choice)
         request = self._dialect.attempt_request(call, attempt)
         is_bound = not (job.is_repeatable and job.runs + 1 < job.route.max_attempts)
         work = work_of(call, job.service, choice.upstream, is_bound)
@@ -126,6 +128,20 @@
             attempt, request, work, self._pool, self._loads, job.is_repeatable
         )
 
+    def _note_sent(self, job, attempt, choice):
+        log.info(
+            "attempt sent",
+            request=job.call.id,
+            upstream=choice.upstream.id,
+            version=choice.version,
+            delay_ms=round(choice.delay),
+            time_left_ms=attempt.time_left,
+            after_event=None if job.last_event is None else job.last_event.decode(),
+            fetches=attempt.fetch_from is not None,
+            saves=attempt.save_to is not None,
+            upstreams_age_ms=self._beliefs.age(Topic.UPSTREAMS),
+        )
+
     def _takes(self, job, exchange):
         """Send and read the head; tell whether its answer is to be passed on."""
         job.sends += 1
--- a/libs/forward/src/mulberryhub/forward/forwarder.py
+++ b/libs/forward/src/mulberryhub/forward/forwarder.py
@@ -46,25 +46,24 @@
 
     def handle(self, request, connection):
         """Answer `request`; return whether the connection can be used again."""
-        job = None
+        call = job = None
         try:
-            job = self._admit(request)
+            call = self._dialect.read_call(request)
+            job = self._admit(call)
             alive = self._relay.run(job, connection)
         except Refusal as refusal:
-            self._note_end(request, job, refusal.reason.label, refusal)
+            self._note_end(request, call, job, refusal.reason.label)
             return self._refuse(refusal, job, connection)
         except ClientGone:
-            self._note_end(request, job, "client_gone")
+            self._note_end(request, call, job, "client_gone")
             raise
         except HttpError as error:
-            self._note_end(request, job, "broken_off", error)
+            self._note_end(request, call, job, "broken_off", str(error))
             raise
-        self._counters.add("request.served")
-        self._counters.timing("request.time", self._clock.now() - request.arrived)
+        self._note_served(request, job)
         return alive
 
-    def _admit(self, request):
-        call = self._dialect.read_call(request)
+    def _admit(self, call):
         view = self.view()
         if view is None:
             raise Refusal(Reason.NOT_READY, NOT_READY_RETRY)
@@ -79,7 +78,7 @@
         service = view.services_by_name.get(choose_service(route))
         if service is None:
             raise Refusal(Reason.NO_UPSTREAM, NOT_READY_RETRY)
-        end = request.arrived + route.timeout
+        end = call.request.arrived + route.timeout
         if call.deadline is not None:
             end = min(end, call.deadline)
         if workspace is not None:
@@ -99,15 +98,31 @@
         connection.start_answer(refusal.reason.status, headers, 0)
         return connection.finish_answer()
 
-    def _note_end(self, request, job, outcome, cause=None):
+    def _note_served(self, request, job):
+        took = self._clock.now() - request.arrived
+        self._counters.add("request.served")
+        self._counters.timing("request.time", took)
+        log.info(
+            "request served",
+            request=job.call.id,
+            status=job.status,
+            route=job.route.name,
+            first_ms=job.first_ms,
+            took_ms=took,
+        )
+
+    def _note_end(self, request, call, job, outcome, cause=None):
         self._counters.add(f"request.{outcome}")
+        configuration = self._beliefs.configuration
         log.info(
             "request not served",
-            request=None if job is None else job.call.id,
+            request=None if call is None else call.id,
             outcome=outcome,
-            cause=str(cause),
+            cause=cause,
             route=None if job is None else job.route.name,
             runs=0 if job is None else job.runs,
+            answer_began=job is not None and job.is_started,
+            configuration=None if configuration is None else configuration.version,
             took_ms=self._clock.now() - request.arrived,
         )
 
--- a/libs/forward/src/mulberryhub/forward/job.py
+++ b/libs/forward/src/mulberryhub/forward/job.py
@@ -10,7 +10,8 @@
 
     `end` is the clock's ms at which an answer is due. `runs` counts attempts that
     may have run, `sends` all that reached an upstream. `last_event` is the id of the
-    last event that the client has, `is_started` tells that an answer began.
+    last event that the client has, `is_started` tells that an answer began, with
+    `status` and after `first_ms`.
     """
 
     __slots__ = (
@@ -25,6 +26,8 @@
         "failure",
         "last_event",
         "is_started",
+        "status",
+        "first_ms",
     )
 
     def __init__(self, call, route, service, workspace, end):
@@ -39,6 +42,8 @@
         self.failure = None
         self.last_event = None
         self.is_started = False
+        self.status = None
+        self.first_ms = None
 
     @property
     def is_stream(self):
--- a/libs/forward/src/mulberryhub/forward/relay.py
+++ b/libs/forward/src/mulberryhub/forward/relay.py
@@ -68,12 +68,13 @@
         exchange.finish()
         return connection.finish_answer()
 
-    @staticmethod
-    def _start(job, exchange, connection, length):
+    def _start(self, job, exchange, connection, length):
         headers = exchange.head.headers.without_hop_by_hop()
         head = exchange.head
         connection.start_answer(head.status, headers, length, head.is_framed)
         job.is_started = True
+        job.status = head.status
+        job.first_ms = self._clock.now() - job.call.request.arrived
 
     def _time_left(self, job):
         left = job.end - self._clock.now()
--- a/libs/http/src/mulberryhub/http/server.py
+++ b/libs/http/src/mulberryhub/http/server.py
@@ -10,6 +10,7 @@
 log = module_logger(__name__)
 
 ACCEPT_PAUSE = 50  # ms after a failed accept, such as one for lack of descriptors
+STATUS_FAILED = 500
 STOP_POLL = 20  # ms
 
 
@@ -116,6 +117,11 @@
         self.busy += 1
         try:
             return self._handle(request, connection)
+        except (ClientGone, HttpError):
+            raise
+        except Exception:
+            log.exception("request handler failed")
+            raise BadRequest(STATUS_FAILED, "the handler failed")
         finally:
             self.busy -= 1
             inbox.on_close = None
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -107,6 +107,27 @@
     assert b"Connection: close" in answer
 
 
+def test_a_handler_that_fails_gives_an_answer():
+    def handle(request, connection):
+        raise ZeroDivisionError
+
+    with serving(handle) as server:
+        answer = exchange(server.address, head())
+    assert answer.startswith(b"HTTP/1.1 500")
+
+
+def test_a_handler_that_fails_midway_gives_no_whole_answer():
+    def handle(request, connection):
+        connection.start_answer(200, Headers())
+        connection.write(b"piece")
+        raise ZeroDivisionError
+
+    with serving(handle) as server:
+        answer = exchange(server.address, head())
+    assert answer.count(b"HTTP/1.1") <= 1
+    assert not answer.endswith(b"0\r\n\r\n")
+
+
 def test_aborted_answer_does_not_look_complete():
     def handle(request, connection):
         connection.start_answer(200, Headers())
