--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -177,6 +177,9 @@
         return (self.fence, self.revision)
 
 
+LONG = 2**53  # ms
+
+
 class Use(msgspec.Struct):
     """What routers did lately: tokens admitted, and work in flight.
 
@@ -184,7 +187,7 @@
     each workspace, `rate_by_workspace` the same per s over the last moments.
     `work_by_upstream` is the delay in ms that requests in flight cause there, and
     `bound_by_upstream` counts those that no other upstream can go on with. `uptime`
-    is the ms for which the oldest of the routers has run.
+    is the ms for which the oldest of the routers has run, `youngest` the least.
     """
 
     window_by_workspace: dict[str, float] = {}
@@ -193,6 +196,7 @@
     bound_by_upstream: dict[str, int] = {}
     routers: int = 1
     uptime: int = 0
+    youngest: int = LONG
 
     def add(self, other):
         """Add the use of other routers to this."""
@@ -202,10 +206,15 @@
                 totals[key] = totals.get(key, 0) + value
         self.routers += other.routers
         self.uptime = max(self.uptime, other.uptime)
+        self.youngest = min(self.youngest, other.youngest)
 
     def less(self, other):
         """Return this use without a part of it; nothing falls below 0."""
-        rest = Use(routers=self.routers - other.routers, uptime=self.uptime)
+        rest = Use(
+            routers=self.routers - other.routers,
+            uptime=self.uptime,
+            youngest=self.youngest,
+        )
         for name in SUMMED:
             part = getattr(other, name)
             for key, value in getattr(self, name).items():
--- a/libs/forward/src/mulberryhub/forward/quotas.py
+++ b/libs/forward/src/mulberryhub/forward/quotas.py
@@ -16,8 +16,12 @@
 
 RATE_TIME = 1_000  # ms over which demand is measured
 REFRESH = 200  # ms for which the sum over other routers is kept
-TOLERANCE_USED = 0.3  # of what may go beyond the limit, while routers hear each other
-REPORT_AGE = 600  # ms by which what is known of other routers is behind
+TOLERANCE_USED = 0.4  # of what may go beyond the limit, while routers hear each other
+REPORT_AGE = 450  # ms by which what is known of other routers is behind
+EQUAL_SHARES = 3  # of the room that one router may admit until it knows more
+COST_SHARE = 0.05  # of a request's cost in the mean
+MOST_FOR_SMALL = 10  # by which the chance of a small request is raised at most
+LEAST_FOR_LARGE = 0.7  # to which that of a large one falls at most
 SHORTEST_RETRY = 200  # ms
 LONGEST_RETRY = 4_000  # ms
 
@@ -44,11 +48,20 @@
 class Account:
     """What one workspace asked for and was admitted here.
 
-    `room` is what may be admitted until the next refresh, `chance` that of each
-    request, `used` what the others admitted in the window, as far as it is known.
+    `mean_cost` is that of its requests, `room` what may be admitted until the next
+    refresh, `chance` that of each request, and `used` what the others admitted in the
+    window, as far as it is known.
     """
 
-    __slots__ = ("asked", "admitted", "used", "room", "chance", "refreshed_at")
+    __slots__ = (
+        "asked",
+        "admitted",
+        "used",
+        "room",
+        "chance",
+        "mean_cost",
+        "refreshed_at",
+    )
 
     def __init__(self, window):
         self.asked = SlidingSum(RATE_TIME)
@@ -56,8 +69,26 @@
         self.used = 0
         self.room = 0
         self.chance = 1
+        self.mean_cost = 0
         self.refreshed_at = None
 
+    def note_cost(self, cost):
+        """Take the cost of a request into the mean."""
+        if not self.mean_cost:
+            self.mean_cost = cost
+        self.mean_cost += COST_SHARE * (cost - self.mean_cost)
+
+    def chance_of(self, cost):
+        """Return the chance of a request of `cost`.
+
+        It is higher for small requests, which take little of the room, and not much
+        lower for large ones, so that these are not starved.
+        """
+        if self.chance >= 1:
+            return 1
+        size = self.mean_cost / cost if cost else MOST_FOR_SMALL
+        return self.chance * min(MOST_FOR_SMALL, max(LEAST_FOR_LARGE, size))
+
 
 class Quotas:
     """Admits requests of workspaces.
@@ -92,7 +123,8 @@
         if account.refreshed_at is None or now - account.refreshed_at >= REFRESH:
             self._refresh(account, workspace, now)
         account.asked.add(cost, now)
-        if account.room <= 0 or random() >= account.chance:
+        account.note_cost(cost)
+        if account.room <= 0 or random() >= account.chance_of(cost):
             self._note_refusal(account, workspace, cost, now)
             raise Refusal(Reason.OVER_QUOTA, self._pause(account, workspace, cost))
         account.room -= cost
@@ -140,18 +172,29 @@
             account.room = whole / routers - own
             account.chance = 1
             return
-        limit = self._rule.limit(workspace, TOLERANCE_USED)
+        limit = self._rule.limit(workspace, self._tolerance(others))
         other_rate = 0
         used = limit * unknown
         if others is not None:
             other_rate = others.rate_by_workspace.get(workspace.name, 0)
             used += others.window_by_workspace.get(workspace.name, 0)
-        # What the others admit since they told of it, at the chance that holds here.
-        unheard = other_rate * REPORT_AGE / 1000
-        account.used = used + unheard * account.chance
-        account.room = limit - own - account.used
-        asked = unheard + account.asked.at(now) * REPORT_AGE / RATE_TIME
-        account.chance = 1 if asked <= 0 else min(1, max(0, account.room) / asked)
+        account.used = used
+        room = limit - own - used
+        # Demand is not known at once where it shifts between routers.
+        account.room = room * min(1, EQUAL_SHARES / routers)
+        asked_here = account.asked.at(now) * 1000 / RATE_TIME
+        asked = (other_rate + asked_here) * REPORT_AGE / 1000
+        account.chance = 1 if asked <= 0 else min(1, max(0, room) / asked)
+
+    def _tolerance(self, others):
+        """Return the share of the tolerance to use; none after a restart anywhere.
+
+        What a restarted router admitted is known to the others only roughly.
+        """
+        youngest = self.uptime()
+        if others is not None:
+            youngest = min(youngest, others.youngest)
+        return TOLERANCE_USED if youngest >= self._rule.window else 0
 
     def uptime(self):
         """Return the ms since the start."""
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -117,6 +117,7 @@
             loads.own_work(),
             loads.own_bound(),
             uptime=quotas.uptime(),
+            youngest=quotas.uptime(),
         )
 
     bounds = settings.bounds
--- a/tests/forward/test_quotas.py
+++ b/tests/forward/test_quotas.py
@@ -35,7 +35,8 @@
 
     def _measure(self):
         quotas = self.quotas
-        return Use(quotas.windows(), quotas.rates(), uptime=quotas.uptime())
+        age = quotas.uptime()
+        return Use(quotas.windows(), quotas.rates(), uptime=age, youngest=age)
 
 
 class Fleet:
@@ -145,6 +146,22 @@
     assert fleet.refused <= fleet.asked / 20
 
 
+def test_small_requests_are_refused_less_than_large_ones():
+    fleet = Fleet(1)
+    quotas = fleet.nodes[0].quotas
+    admitted = {200: 0, COST: 0}
+    for step in range(1_000):
+        fleet.clock.advance(20)
+        for cost in admitted:
+            try:
+                quotas.admit(WORKSPACE, cost)
+            except Refusal:
+                continue
+            admitted[cost] += step > 500
+    assert admitted[200] > 0.8 * 499
+    assert 0.05 * 499 < admitted[COST] < 0.6 * 499
+
+
 def test_a_workspace_without_a_rate_has_no_limit():
     clock = ManualClock()
     quotas = Quotas(RULE, lambda: None, lambda: 1, clock)
--- a/tests/orders/test_idempotency.py
+++ b/tests/orders/test_idempotency.py
@@ -1,4 +1,4 @@
-from uuid import UUID, uuid4
+from uuid import UUID
 
 import pytest
 
@@ -18,7 +18,9 @@
     assert key_time(key) == 1_700_000_000_123
 
 
-@pytest.mark.parametrize("key", ["order-1", str(uuid4()), "0" * 32, "x" * 255])
+@pytest.mark.parametrize(
+    "key", ["order-1", str(UUID(int=4, version=4)), "0" * 32, "x" * 255]
+)
 def test_other_keys_have_no_time(key):
     assert key_time(key) == NO_TIME
     assert scoped_digest("a", "/r", key) != scoped_digest("a", "/r", key + "x")
