--- a/benchmarks/limits_node.py
+++ b/benchmarks/limits_node.py
@@ -19,11 +19,11 @@
 from mulberryhub.base.green import sleep, spawn_n
 from mulberryhub.config.inventory import Inventory, Workspace
 from mulberryhub.config.view import ConfigView
+from mulberryhub.external.log import LogClient
 from mulberryhub.limits.limiter import Limiter
 from mulberryhub.peers.client import PeerClient
 from mulberryhub.peers.members import Router
 from mulberryhub.peers.server import PeerServer
-from mulberryhub.external.log import LogClient
 from mulberryhub.replica.membership import Membership
 
 PEER_KEY = "benchmark"
--- a/benchmarks/orders.py
+++ b/benchmarks/orders.py
@@ -14,9 +14,9 @@
 
 from benchmarks.demo import apply_inventory, wait_ready
 from benchmarks.topology import CALLER_KEYS_BY_WORKSPACE, Topology
+from mulberryhub.external.log import LogClient, OffsetExpired
 from mulberryhub.orders.idempotency import new_key
 from mulberryhub.orders.once import PARTITIONS
-from mulberryhub.external.log import LogClient, OffsetExpired
 
 KEY = CALLER_KEYS_BY_WORKSPACE["installers"]
 ONCE_PATH = "/orders"
--- a/libs/forward/src/mulberryhub/forward/quotas.py
+++ b/libs/forward/src/mulberryhub/forward/quotas.py
@@ -16,13 +16,14 @@
 
 RATE_TIME = 1_000  # ms over which demand is measured
 REFRESH = 200  # ms for which the sum over other routers is kept
-TOLERANCE_USED = 0.4  # of what may go beyond the limit, while routers hear each other
+TOLERANCE_USED = 0.6  # of what may go beyond the limit, while routers hear each other
 REPORT_AGE = 450  # ms by which what is known of other routers is behind
 EQUAL_SHARES = 3  # of the room that one router may admit until it knows more
 COST_SHARE = 0.05  # of a request's cost in the mean
 MOST_FOR_SMALL = 10  # by which the chance of a small request is raised at most
 LEAST_FOR_LARGE = 0.7  # to which that of a large one falls at most
 SHORTEST_RETRY = 200  # ms
+LEAST_CHANCE = 0.05
 LONGEST_RETRY = 4_000  # ms
 
 
@@ -126,7 +127,7 @@
         account.note_cost(cost)
         if account.room <= 0 or random() >= account.chance_of(cost):
             self._note_refusal(account, workspace, cost, now)
-            raise Refusal(Reason.OVER_QUOTA, self._pause(account, workspace, cost))
+            raise Refusal(Reason.OVER_QUOTA, self._pause(account))
         account.room -= cost
         account.admitted.add(cost, now)
 
@@ -222,10 +223,9 @@
             age_ms=now - account.refreshed_at,
         )
 
-    def _pause(self, account, workspace, cost):
-        """Return the ms after which the rate has room again, spread over callers."""
-        if workspace.rate <= 0:
-            return LONGEST_RETRY
-        missing = cost - account.room
-        needed = missing * 1000 / workspace.rate
-        return min(LONGEST_RETRY, max(SHORTEST_RETRY, needed) * uniform(1, 1.5))
+    @staticmethod
+    def _pause(account):
+        """Return the ms after which to come back; longer the less is admitted now."""
+        chance = account.chance if account.room > 0 else 0
+        pause = SHORTEST_RETRY / max(chance, LEAST_CHANCE)
+        return min(LONGEST_RETRY, pause) * uniform(1, 1.5)
