--- a/libs/weights/src/mulberryhub/weights/manager.py
+++ b/libs/weights/src/mulberryhub/weights/manager.py
@@ -13,10 +13,10 @@
 MAX_RANK = 6
 RENEWAL = 700  # ms between renewals of the lease
 HEARTBEAT = 1_000  # ms between two tellings of a rollout without progress
-EMPTYING_TIME = 400  # ms in which routers hear of a load and tell what they run
+EMPTYING_TIME = 250  # ms in which routers hear of a load and tell what they run
 LONGEST_EMPTYING = 1_200  # ms
-FIRST_LOOK = 900  # ms after an order before its upstream is asked
-LOOK_PAUSE = 150  # ms between two looks
+FIRST_LOOK = 1_200  # ms after an order before its upstream is asked
+LOOK_PAUSE = 60  # ms between two looks
 LOAD_TIMEOUT = 10_000  # ms
 FAILURE_PAUSE = 300  # ms before an upstream is tried again
 
