--- a/libs/forward/src/mulberryhub/forward/placing.py
+++ b/libs/forward/src/mulberryhub/forward/placing.py
@@ -14,7 +14,7 @@
 REMOTE_COST = 3  # ms for each KB of body that goes to another data centre
 MISS_COST = 0.004  # ms for each shared token that is fetched or read again
 AVOIDED_COST = 10_000  # ms
-OLD_WEIGHTS_COST = 0.4  # of the latency target, where newer weights are in use
+OLD_WEIGHTS_COST = 0.2  # of the latency target, where newer weights are in use
 RANKED = 3  # upstreams that hold shared parts of the same prompt at most
 
 
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -48,7 +48,7 @@
     parts.pool = Pool(clock)
     use_table, quotas, loads = _build_use(settings, beliefs, clock)
     parts.publisher = Publisher(settings.peer_address, beliefs, use_table)
-    _add_followers(parts, ports, beliefs, use_table, counters, clock)
+    _add_followers(parts, settings, ports, beliefs, use_table, counters, clock)
     health = Health(clock, counters)
     placer = Placer(
         beliefs,
@@ -134,7 +134,7 @@
     return RetryBudget(rule, lambda: len(beliefs.members_by_name), clock)
 
 
-def _add_followers(parts, ports, beliefs, use_table, counters, clock):
+def _add_followers(parts, settings, ports, beliefs, use_table, counters, clock):
     removals = Removals(beliefs, clock)
 
     def subscribe(member, wants_records):
@@ -186,7 +186,8 @@
             ignore,
         ),
     )
-    parts.sources = Sources(parts.me, beliefs, subscribe, reads_fail, clock)
+    seeds = [Member(f"seed {address}", address, "") for address in settings.seeds]
+    parts.sources = Sources(parts.me, seeds, beliefs, subscribe, reads_fail, clock)
     should_read_by_topic = {
         # What the operator writes is rare, and all routers must have it in time.
         Topic.OPERATOR: lambda: True,
