Wake readers when a socket is closed under them

Cause: eventlet leaves a green thread that reads a socket asleep when another closes it, until the descriptor's number is used again; two of the limits' tests failed in the whole suite (a second reader of one descriptor), reproduced with tests/fleet and tests/http before them. Ruled out: load (six runs at once passed).

--- a/libs/fleet/src/mulberryhub/fleet/channel.py
+++ b/libs/fleet/src/mulberryhub/fleet/channel.py
@@ -8,7 +8,7 @@
 
 from mulberryhub.base.green import Semaphore
 from mulberryhub.fleet.records import Record, Rollout, Use
-from mulberryhub.http.sockets import dial, receive
+from mulberryhub.http.sockets import close, dial, receive
 
 LENGTH_BYTES = 4
 MAX_MESSAGE = 16_777_216  # bytes
@@ -109,7 +109,7 @@
 
     def close(self):
         """Close the connection; a blocked receive ends."""
-        self._sock.close()
+        close(self._sock)
 
     def _take(self, count):
         while len(self._buffer) < count:
--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -5,7 +5,7 @@
 from mulberryhub.base.tasks import spawn_task
 from mulberryhub.fleet.channel import Channel, ChannelBroken, Hello, News, Report
 from mulberryhub.fleet.records import Configuration, Member, Upstream
-from mulberryhub.http.sockets import open_listener, tune
+from mulberryhub.http.sockets import close, open_listener, tune
 
 HEARTBEAT = 250  # ms between two messages without a change
 GATHERING = 10  # ms in which changes are gathered into one message
@@ -32,14 +32,14 @@
 
     def stop(self):
         """Take no further subscriptions."""
-        self._listener.close()
+        close(self._listener)
 
     def _accept(self):
         while True:
             try:
                 sock, _ = self._listener.accept()
                 tune(sock)
-            except OSError as error:
+            except (OSError, EOFError) as error:
                 if self._listener.fileno() < 0:
                     return
                 log.warning("accept failed", error=str(error))
--- a/libs/http/src/mulberryhub/http/inbound.py
+++ b/libs/http/src/mulberryhub/http/inbound.py
@@ -4,7 +4,7 @@
 
 from mulberryhub.http.inbox import Inbox
 from mulberryhub.http.messages import BadRequest, Headers, HttpError, Request
-from mulberryhub.http.sockets import reset
+from mulberryhub.http.sockets import close, reset
 
 STATUS_HEADER_TOO_LARGE = 431
 STATUS_BODY_TOO_LARGE = 413
@@ -116,7 +116,7 @@
     def close(self):
         """Close after what was sent."""
         self.closed = True
-        self._sock.close()
+        close(self._sock)
 
     def abort(self):
         """Reset, so that an answer that was cut short does not look complete."""
--- a/libs/http/src/mulberryhub/http/server.py
+++ b/libs/http/src/mulberryhub/http/server.py
@@ -5,7 +5,7 @@
 from mulberryhub.base.tasks import spawn_task
 from mulberryhub.http.inbound import InboundConnection
 from mulberryhub.http.messages import BadRequest, ClientGone, Headers, HttpError
-from mulberryhub.http.sockets import open_listener, tune
+from mulberryhub.http.sockets import close, open_listener, tune
 
 log = module_logger(__name__)
 
@@ -58,7 +58,7 @@
 
     def stop_listening(self):
         """Refuse new connections."""
-        self._listener.close()
+        close(self._listener)
 
     def wait_until_idle(self, deadline):
         """Wait until no request runs or the clock reads `deadline` ms."""
@@ -69,7 +69,7 @@
         while True:
             try:
                 sock, _ = self._listener.accept()
-            except OSError as error:
+            except (OSError, EOFError) as error:
                 if self._listener.fileno() < 0:
                     return
                 log.warning("accept failed", error=str(error))
--- a/libs/http/src/mulberryhub/http/sockets.py
+++ b/libs/http/src/mulberryhub/http/sockets.py
@@ -1,6 +1,6 @@
 """Sockets of the router: dialling, listening, detection of dead peers."""
 
-from mulberryhub.base.green import listen, socket
+from mulberryhub.base.green import hubs, listen, socket
 
 READ_BYTES = 65_536
 BACKLOG = 1_024  # connections
@@ -52,10 +52,23 @@
     return listen(split_address(address), backlog=BACKLOG)
 
 
+def close(sock):
+    """Close `sock`; a green thread that waits for it is woken."""
+    if sock.fileno() >= 0:
+        # The one call by which the hub lets go of those that wait for a descriptor.
+        hubs.notify_opened(sock.fileno())
+        hubs.get_hub().schedule_call_global(0, _turn)
+    sock.close()
+
+
+def _turn():
+    """Do nothing; being due, it makes the hub begin the turn that wakes them."""
+
+
 def reset(sock):
     """Close `sock` at once; data that is not sent yet is dropped."""
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
     except OSError:
         pass  # The peer has closed already: there is nothing left to drop.
-    sock.close()
+    close(sock)
