--- a/libs/fleet/src/mulberryhub/fleet/kept_watcher.py
+++ b/libs/fleet/src/mulberryhub/fleet/kept_watcher.py
@@ -98,5 +98,7 @@
     def _note(self, is_failing, error):
         if is_failing != self._is_failing:
             self._is_failing = is_failing
-            state = "lost" if is_failing else "regained"
-            log.info(f"store of kept cache {state}", reason=str(error))
+            if is_failing:
+                log.info("store of kept cache lost", reason=str(error))
+            else:
+                log.info("store of kept cache regained")
--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -3,13 +3,14 @@
 from mulberryhub.base.green import Timeout, sleep
 from mulberryhub.base.logs import module_logger
 from mulberryhub.base.tasks import spawn_task
+from mulberryhub.fleet.beliefs import Topic
 from mulberryhub.fleet.channel import Channel, ChannelBroken, Hello, News, Report
 from mulberryhub.fleet.records import Configuration, Member, Upstream
 from mulberryhub.http.sockets import close, open_listener, tune
 
 HEARTBEAT = 250  # ms between two messages without a change
 GATHERING = 10  # ms in which changes are gathered into one message
-TOPIC_BY_TYPE = {Upstream: "upstreams", Member: "members"}
+TOPIC_BY_TYPE = {Upstream: Topic.UPSTREAMS, Member: Topic.MEMBERS}
 
 log = module_logger(__name__)
 
--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -51,18 +51,14 @@
 class Service(msgspec.Struct, frozen=True):
     """A pool of upstreams; `slots` and `models` are set where it serves models.
 
-    `cache_address` is set for a store of kept KV cache, which serves no requests.
-    `event_reads` is how many reads of cache events one upstream serves at once,
-    `link_rate` the bytes per ms that its link carries.
+    `kv_capacity` is the memory of one in tokens. `cache_address` is set for a store of
+    kept KV cache, which serves no requests.
     """
 
     name: str
     slots: int = 0
     models: list[str] = []
     kv_capacity: int = 0
-    kv_token_bytes: int = 0
-    event_reads: int = 0
-    link_rate: float = 0
     cache_address: str = ""
     cache_data_centre: str = ""
 
--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -70,30 +70,15 @@
         """Return an Exchange with an answer to pass on, or raise Refusal."""
         dials = 0
         while True:
-            self._check_time(job)
-            choice = self._place(job)
-            if choice is None:
-                raise self._no_upstream(job)
-            if is_too_late(job, choice.delay):
-                self._counters.add("refusal.delay")
-                raise self._too_busy(job, choice.delay)
-            if job.sends and not self._budget.spend(job.service.name):
-                self._counters.add("retry.no_budget")
-                raise self._give_up(job)
-            try:
-                exchange = self._open(job, choice)
-            except ConnectFailed as error:
+            choice = self._choose(job)
+            exchange = self._open(job, choice)
+            if exchange is None:
                 dials += 1
-                self._note_failed(job, choice.upstream, "connect", error)
                 if dials >= MAX_DIALS:
                     raise self._give_up(job)
                 continue
-            try:
-                if self._takes(job, exchange):
-                    return exchange
-            except BaseException:
-                exchange.cancel()
-                raise
+            if self._is_answered(job, exchange):
+                return exchange
             if not job.may_run_again or job.sends >= MAX_SENDS:
                 raise self._give_up(job)
 
@@ -106,6 +91,20 @@
     def _place(self, job):
         return self._placer.choose(job.call, job.route, job.service, job.tried)
 
+    def _choose(self, job):
+        """Return the Choice to send to now, or raise Refusal."""
+        self._check_time(job)
+        choice = self._place(job)
+        if choice is None:
+            raise self._no_upstream(job)
+        if is_too_late(job, choice.delay):
+            self._counters.add("refusal.delay")
+            raise self._too_busy(job, choice.delay)
+        if job.sends and not self._budget.spend(job.service.name):
+            self._counters.add("retry.no_budget")
+            raise self._give_up(job)
+        return choice
+
     def _check_time(self, job):
         if job.end - self._clock.now() >= LEAST_TIME:
             return
@@ -114,6 +113,7 @@
         raise Refusal(Reason.OUT_OF_TIME)
 
     def _open(self, job, choice):
+        """Return an Exchange, or None where the upstream cannot be connected to."""
         call = job.call
         attempt = Attempt(choice.upstream, job.workspace, job.priority)
         attempt.time_left = job.end - self._clock.now()
@@ -124,9 +124,21 @@
         request = self._dialect.attempt_request(call, attempt)
         is_bound = not (job.is_repeatable and job.runs + 1 < job.route.max_attempts)
         work = work_of(call, job.service, choice.upstream, is_bound)
-        return open_exchange(
-            attempt, request, work, self._pool, self._loads, job.is_repeatable
-        )
+        try:
+            return open_exchange(
+                attempt, request, work, self._pool, self._loads, job.is_repeatable
+            )
+        except ConnectFailed as error:
+            self._note_failed(job, choice.upstream, "connect", error)
+            return None
+
+    def _is_answered(self, job, exchange):
+        """Tell whether the answer is to be passed on; close the exchange on errors."""
+        try:
+            return self._takes(job, exchange)
+        except BaseException:
+            exchange.cancel()
+            raise
 
     def _note_sent(self, job, attempt, choice):
         log.info(
--- a/libs/http/src/mulberryhub/http/inbound.py
+++ b/libs/http/src/mulberryhub/http/inbound.py
@@ -30,7 +30,6 @@
 
     __slots__ = (
         "inbox",
-        "started",
         "closing",
         "closed",
         "_sock",
@@ -41,7 +40,6 @@
 
     def __init__(self, sock, limits, clock):
         self.inbox = Inbox(sock)
-        self.started = False
         self.closing = False
         self.closed = False
         self._sock = sock
@@ -57,7 +55,6 @@
 
         Raise BadRequest where an answer with its status is due before the close.
         """
-        self.started = False
         head = self._next_head()
         if head is None:
             return None
@@ -83,7 +80,6 @@
             fields.add(b"Content-Length", b"%d" % length)
         if self.closing:
             fields.add(b"Connection", b"close")
-        self.started = True
         self._write(
             h11.Response(status_code=status, headers=fields.pairs(), reason=b"")
         )
--- a/libs/node/src/mulberryhub/node/settings.py
+++ b/libs/node/src/mulberryhub/node/settings.py
@@ -14,7 +14,6 @@
     """
 
     stop_time: int = 8_000
-    drain_time: int = 2_000
     lease_time: int = 3_000
     version_time: int = 12_000
     retry_ratio: float = 0.2
