--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -6,6 +6,7 @@
 from mulberryhub.fleet.beliefs import Topic
 from mulberryhub.fleet.channel import Channel, ChannelBroken, Hello, News, Report
 from mulberryhub.fleet.records import Configuration, Member, Upstream
+from mulberryhub.http.accepting import accept_all
 from mulberryhub.http.sockets import close, open_listener, tune
 
 HEARTBEAT = 250  # ms between two messages without a change
@@ -29,24 +30,19 @@
     def start(self):
         """Listen and accept in the background."""
         self._listener = open_listener(self._address)
-        spawn_task(self._accept)
+        spawn_task(accept_all, self._listener, self._serve_socket)
 
     def stop(self):
         """Take no further subscriptions."""
         close(self._listener)
 
-    def _accept(self):
-        while True:
-            try:
-                sock, _ = self._listener.accept()
-                tune(sock)
-            except (OSError, EOFError) as error:
-                if self._listener.fileno() < 0:
-                    return
-                log.warning("accept failed", error=str(error))
-                sleep(HEARTBEAT / 1000)
-                continue
-            spawn_task(self._serve, Channel(sock))
+    def _serve_socket(self, sock):
+        try:
+            tune(sock)
+        except OSError:
+            close(sock)  # The subscriber left before it was served.
+            return
+        self._serve(Channel(sock))
 
     def _serve(self, channel):
         name = None
--- a/libs/http/src/mulberryhub/http/server.py
+++ b/libs/http/src/mulberryhub/http/server.py
@@ -3,13 +3,13 @@
 from mulberryhub.base.green import getcurrent, kill, sleep
 from mulberryhub.base.logs import module_logger
 from mulberryhub.base.tasks import spawn_task
+from mulberryhub.http.accepting import accept_all
 from mulberryhub.http.inbound import InboundConnection
 from mulberryhub.http.messages import BadRequest, ClientGone, Headers, HttpError
 from mulberryhub.http.sockets import close, open_listener, tune
 
 log = module_logger(__name__)
 
-ACCEPT_PAUSE = 50  # ms after a failed accept, such as one for lack of descriptors
 STATUS_FAILED = 500
 ACCEPT_TURNS = 3  # of the hub, in which waiting connections are accepted
 STOP_POLL = 20  # ms
@@ -46,7 +46,7 @@
     def start(self):
         """Listen and accept in the background."""
         self._listener = open_listener(self.address)
-        spawn_task(self._accept)
+        spawn_task(accept_all, self._listener, self._serve)
 
     def drain(self):
         """Ask clients to leave: each answer from now on closes its connection."""
@@ -68,18 +68,6 @@
         while self.busy and self._clock.now() < deadline:
             sleep(STOP_POLL / 1000)
 
-    def _accept(self):
-        while True:
-            try:
-                sock, _ = self._listener.accept()
-            except (OSError, EOFError) as error:
-                if self._listener.fileno() < 0:
-                    return
-                log.warning("accept failed", error=str(error))
-                sleep(ACCEPT_PAUSE / 1000)
-                continue
-            spawn_task(self._serve, sock)
-
     def _serve(self, sock):
         try:
             tune(sock)
