--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 BIN := $(VENV)/bin
 SOURCES := $(sort $(wildcard libs/*/src)) platform/src platform/standins/src
 PROGRAMS := libs/cli libs/daemon
+WORKERS ?= 4
 
 .PHONY: setup demo test lint format
 
@@ -22,7 +23,7 @@
 	$(BIN)/python -m benchmarks.demo
 
 test: setup
-	$(BIN)/python -m pytest -q
+	$(BIN)/python -m pytest -q -n $(WORKERS) --dist worksteal
 
 lint: setup
 	$(BIN)/ruff format --check .
--- a/benchmarks/topology.py
+++ b/benchmarks/topology.py
@@ -1,11 +1,10 @@
 """A small fleet on loopback: stand-ins of the platform, upstreams and routers."""
 
 import json
-import random
-import socket
 import tempfile
 from pathlib import Path
 
+from benchmarks.ports import free_address
 from benchmarks.processes import Fleet
 from mulberryhub.base.digest import key_hash
 
@@ -17,29 +16,6 @@
     "hotels": "caller-key-of-hotels",
 }
 ORDER_PATH = "/orders"
-FIRST_PORT = 10_000
-LAST_PORT = 32_000
-
-
-def free_port():
-    """Return a loopback port that was free a moment ago.
-
-    It lies below the range from which the system takes ports of outgoing
-    connections, which could take it before the program listens.
-    """
-    while True:
-        port = random.randrange(FIRST_PORT, LAST_PORT)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
-
-
-def loopback():
-    """Return a free loopback address as host:port."""
-    return f"127.0.0.1:{free_port()}"
 
 
 class Topology:
@@ -60,8 +36,8 @@
         self.engine_options = engine_options
         self.settings = settings or {}
         self.has_services = services
-        self.addresses_by_id = {id_: loopback() for id_ in self.router_ids}
-        self.peer_addresses_by_id = {id_: loopback() for id_ in self.router_ids}
+        self.addresses_by_id = {id_: free_address() for id_ in self.router_ids}
+        self.peer_addresses_by_id = {id_: free_address() for id_ in self.router_ids}
         self.routers_by_id = {}
         self.engines_by_id = {}
 
--- a/tests/adapter/platform_fleet.py
+++ b/tests/adapter/platform_fleet.py
@@ -1,7 +1,6 @@
 """Routers with the platform's adapter, over stand-ins, as separate processes."""
 
 import os
-import socket
 import subprocess
 import sys
 import time
@@ -10,6 +9,7 @@
 import msgspec
 import urllib3
 
+from benchmarks.ports import free_address, free_port
 from benchmarks.processes import Fleet
 
 MODEL = "m1"
@@ -37,16 +37,6 @@
 """
 
 
-def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
-
-
 def make_config(version=1, **more):
     routes = [
         route("stream", "/s/", "streaming", "llm", maxAttempts=2, canResume=True),
@@ -85,7 +75,7 @@
 
 class RouterProcess:
     def __init__(self, name, zone, store, folder):
-        ports = free_ports(4)
+        ports = [free_port() for _ in range(4)]
         self.name = name
         self.front = f"127.0.0.1:{ports[0]}"
         self.ready = f"127.0.0.1:{ports[1]}"
@@ -150,7 +140,7 @@
         self.routers = [self.start_router(index) for index in range(routers)]
 
     def start_worker(self, id, service, zone, **more):
-        address = f"127.0.0.1:{free_ports(1)[0]}"
+        address = free_address()
         entry = {"id": id, "service": service, "zone": zone, **more}
         self.workers_by_id[id] = self._programs.start(
             "mulberryhub.adapter_standins.worker",
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,12 +1,20 @@
+import os
 from pathlib import Path
 
 import pytest
 
+from benchmarks.ports import use_slice
 from tests.support.processes import Fleet
 
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
+WORKER = os.environ.get("PYTEST_XDIST_WORKER", "gw0")
+WORKERS = int(os.environ.get("PYTEST_XDIST_WORKER_COUNT", "1"))
+
+use_slice(int(WORKER.removeprefix("gw")), WORKERS)
+
+
 def known_red_ids():
     lines = KNOWN_RED.read_text().splitlines() if KNOWN_RED.exists() else []
     entries = [line for line in lines if line and not line.startswith("#")]
--- a/tests/fleet/test_exchange.py
+++ b/tests/fleet/test_exchange.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from benchmarks.ports import free_address
 from mulberryhub.base.clock import Clock
 from mulberryhub.base.green import Timeout, sleep
 from mulberryhub.fleet.beliefs import Beliefs, Topic
@@ -10,7 +11,6 @@
 from mulberryhub.fleet.subscription import Subscription
 from mulberryhub.fleet.use import UseTable
 from tests.fleet.test_beliefs import make_upstream
-from tests.http.support import free_address
 
 WINDOW = 8_000  # ms
 
--- a/tests/gateway/test_services.py
+++ b/tests/gateway/test_services.py
@@ -1,6 +1,6 @@
 import pytest
 
-from benchmarks.topology import loopback
+from benchmarks.ports import free_address
 from mulberryhub.base.clock import Clock
 from mulberryhub.base.counters import Counters
 from mulberryhub.base.digest import key_hash
@@ -137,7 +137,7 @@
 
 
 def test_idempotent_call_is_retried_elsewhere(worker):
-    services, counters = services_for(loopback(), worker.address)
+    services, counters = services_for(free_address(), worker.address)
     for _ in range(6):
         call = make_call("GET", "/stock", headers=[("X-Api-Key", KEY)])
         assert services.handle(call).status == 201
@@ -147,7 +147,7 @@
 
 
 def test_retries_stay_within_the_budget():
-    services, counters = services_for(loopback(), budget=RetryBudget(3))
+    services, counters = services_for(free_address(), budget=RetryBudget(3))
     for _ in range(10):
         call = make_call("GET", "/stock", headers=[("X-Api-Key", KEY)])
         assert refusal(services, call) == (Code.UPSTREAM_FAILED, Ran.NOT_RUN)
@@ -155,7 +155,7 @@
 
 
 def test_order_goes_elsewhere_only_if_nothing_was_sent(worker):
-    services, _ = services_for(loopback(), worker.address)
+    services, _ = services_for(free_address(), worker.address)
     for _ in range(6):
         assert services.handle(order()).status == 201
     worker.fault(drop_answers=1)
@@ -166,7 +166,7 @@
 
 
 def test_order_without_connection_is_not_run():
-    services, _ = services_for(loopback(), loopback())
+    services, _ = services_for(free_address(), free_address())
     assert refusal(services, order()) == (Code.NO_UPSTREAM, Ran.NOT_RUN)
 
 
--- a/tests/http/support.py
+++ b/tests/http/support.py
@@ -1,5 +1,6 @@
 from contextlib import contextmanager
 
+from benchmarks.ports import free_address
 from mulberryhub.base.clock import Clock
 from mulberryhub.base.green import Timeout, listen, socket, spawn
 from mulberryhub.http.inbound import Limits
@@ -10,13 +11,6 @@
 LIMITS = Limits(header_bytes=2_000, body_bytes=10_000, header_time=300, idle_time=500)
 
 
-def free_address():
-    listener = listen(("127.0.0.1", 0))
-    host, port = listener.getsockname()
-    listener.close()
-    return f"{host}:{port}"
-
-
 def echo(request, connection):
     body = request.method + b" " + request.target + b" " + request.body
     connection.start_answer(200, Headers(), len(body))
--- a/tests/http/test_outbound.py
+++ b/tests/http/test_outbound.py
@@ -1,5 +1,6 @@
 import pytest
 
+from benchmarks.ports import free_address
 from mulberryhub.base.clock import Clock
 from mulberryhub.base.green import sleep
 from mulberryhub.http.messages import (
@@ -11,7 +12,7 @@
 )
 from mulberryhub.http.outbound import OutboundConnection
 from mulberryhub.http.pool import Pool
-from tests.http.support import ScriptedPeer, free_address
+from tests.http.support import ScriptedPeer
 
 TIMEOUT = 1_000  # ms
 
--- a/tests/system/test_at_most_once.py
+++ b/tests/system/test_at_most_once.py
@@ -6,7 +6,8 @@
 import pytest
 
 from benchmarks.demo import apply_inventory, wait_ready
-from benchmarks.topology import CALLER_KEYS_BY_WORKSPACE, Topology, loopback
+from benchmarks.ports import free_address
+from benchmarks.topology import CALLER_KEYS_BY_WORKSPACE, Topology
 from mulberryhub.orders.idempotency import new_key
 from mulberryhub.orders.standing import KEY_WINDOW
 
@@ -21,7 +22,7 @@
         self.topology = topology
         self.log = topology.log
         self.path = directory / "runs"
-        self.worker_address = loopback()
+        self.worker_address = free_address()
         self.worker = self.start_worker()
         self.pool = ThreadPoolExecutor(64)
 
