Read what a refused client still sends before the close

Cause: a close with unread bytes resets the connection, and the 431 is lost with it. Seen once by test_bad_requests_get_a_client_error[headers11] in a run by four workers: shutdown raised ENOTCONN. Load was ruled out by a test that sends the head in two halves: it fails each time without the change.

--- a/libs/gateway/src/mulberryhub/gateway/server.py
+++ b/libs/gateway/src/mulberryhub/gateway/server.py
@@ -7,6 +7,9 @@
 BACKLOG = 1_024  # connections
 MAX_CONNECTIONS = 8_192
 SOCKET_TIMEOUT = 60_000  # ms
+LINGER_TIME = 1_000  # ms
+LINGER_BYTES = 1_048_576
+READ_BYTES = 65_536
 CONFLICTING_LENGTHS = (
     b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
@@ -26,11 +29,16 @@
 class StrictProtocol(wsgi.HttpProtocol):
     """Refuses a request with conflicting lengths and ends its connection.
 
-    Where its body ends is not known, so nothing after it can be read.
+    Where its body ends is not known, so nothing after it can be read. What a refused
+    client still sends is dropped before the close, which would else reset the
+    connection and take the answer with it.
     """
 
+    is_refused = False
+
     def parse_request(self):
         """Parse the head of a request; return whether it can be served."""
+        self.is_refused = True
         if not super().parse_request():
             return False
         lengths = self.headers.get_all("content-length", ())
@@ -40,6 +48,32 @@
         self.close_connection = 1
         return False
 
+    def handle_one_response(self):
+        """Have the application answer a request."""
+        self.is_refused = False
+        super().handle_one_response()
+
+    def finish(self):
+        """Close the connection."""
+        if self.is_refused:
+            self._linger()
+        super().finish()
+
+    def _linger(self):
+        """End the answer and read on until the client has closed."""
+        dropped = 0
+        try:
+            self.wfile.flush()
+            self.connection.shutdown(socket.SHUT_WR)
+            self.connection.settimeout(LINGER_TIME / 1000)
+            while dropped < LINGER_BYTES:
+                data = self.connection.recv(READ_BYTES)
+                if not data:
+                    return
+                dropped += len(data)
+        except OSError as error:
+            logger.debug("refused client did not close: {}", error)
+
 
 class HttpServer:
     """Serves a WSGI application on one listening socket."""
--- a/tests/system/test_bad_input.py
+++ b/tests/system/test_bad_input.py
@@ -1,4 +1,5 @@
 import socket
+import time
 
 import pytest
 
@@ -92,3 +93,17 @@
     assert router.request("GET", "/healthz").status == 200
     assert KEY.decode() not in router.stderr()
     assert "Traceback" not in router.stderr()
+
+
+def test_a_refused_client_that_still_sends_gets_its_answer(router):
+    lines = [b"X-%d: y" % index for index in range(9_000)]
+    head = request(lines)
+    host, port = router.address.split(":")
+    for _ in range(10):
+        with socket.create_connection((host, int(port)), ANSWER_TIMEOUT) as client:
+            client.sendall(head[: len(head) // 2])
+            time.sleep(0.05)  # The refusal comes before the rest is sent.
+            client.sendall(head[len(head) // 2 :])
+            time.sleep(0.05)
+            client.shutdown(socket.SHUT_WR)
+            assert client.recv(65_536).startswith(b"HTTP/1.1 431")
