Give an order without an answer again at once

Two or three upstreams at a time were empty for nothing. The upstream takes only one of the orders that name the same number before them, so the repetition makes the first one void. Ruled out: the time limit (others answer in 2 ms).

--- a/libs/weights/src/mulberryhub/weights/manager.py
+++ b/libs/weights/src/mulberryhub/weights/manager.py
@@ -19,6 +19,7 @@
 LOOK_PAUSE = 60  # ms between two looks
 LOAD_TIMEOUT = 10_000  # ms
 FAILURE_PAUSE = 300  # ms before an upstream is tried again
+ORDER_TRIES = 5  # while no answer comes; an accepted one makes the earlier ones void
 
 log = module_logger(__name__)
 
@@ -205,29 +206,39 @@
             sleep(TICK / 1000)
 
     def _order(self, item):
-        """Give the order; tell whether the upstream carries it out or has done so."""
+        """Give the order; tell whether the upstream carries it out or has done so.
+
+        An order without an answer may be carried out seconds later, when it cuts what
+        runs then. So it is given again at once: the upstream takes only one of those
+        that name the same number of orders before them.
+        """
+        for _ in range(ORDER_TRIES):
+            result = self._order_once(item)
+            if result is not OrderResult.UNKNOWN:
+                return result in (OrderResult.ACCEPTED, OrderResult.HOLDS)
+        return self._carries_out(item)
+
+    def _order_once(self, item):
+        """Return the OrderResult of an order, HOLDS where none is needed."""
         report = self._read_report(item.upstream)
         if report is None:
             log.info("upstream not reached for an order", upstream=item.upstream.id)
-            return False
+            return OrderResult.REJECTED
         if report.versions_by_model.get(item.model, 0) >= item.version:
-            return True
+            return OrderResult.HOLDS
         if not self.may_order():
-            return False
-        fence = self._lease.offset
+            return OrderResult.REJECTED
         order = LoadOrder(
             item.model,
             item.version,
             self._name,
-            fence,
+            self._lease.offset,
             report.orders,
             ends_runs=not self._loads.bound(item.upstream.id),
         )
         result = self._send_order(item.upstream, order)
         self._note_result(item.upstream, order, result)
-        if result is OrderResult.UNKNOWN:
-            return self._carries_out(item)
-        return result in (OrderResult.ACCEPTED, OrderResult.HOLDS)
+        return result
 
     def _carries_out(self, item):
         """Tell whether an upstream carries out an order that it did not answer."""
--- a/tests/weights/test_manager.py
+++ b/tests/weights/test_manager.py
@@ -143,6 +143,18 @@
     assert [order.orders_before for order in engine.orders] == [0, 1]
 
 
+def test_an_order_without_an_answer_is_given_again_before_others_load():
+    world = World(upstreams=1)
+    manager, beliefs = world.add_manager("n0")
+    beliefs.learn(Weights(MODEL, 2))
+    engine = world.engines_by_id["u0"]
+    engine.answers = [OrderResult.UNKNOWN] * 3
+    while not engine.orders:
+        world.run(50, manager)
+    assert engine.version == 2
+    assert len(engine.orders) == 4
+
+
 def test_an_upstream_whose_address_is_anothers_now_is_forgotten():
     world = World(upstreams=1)
     manager, beliefs = world.add_manager("n0")
