--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -35,6 +35,7 @@
         "_pool",
         "_loads",
         "_health",
+        "_steadiness",
         "_budget",
         "_beliefs",
         "_caching",
@@ -49,6 +50,7 @@
         pool,
         loads,
         health,
+        steadiness,
         budget,
         beliefs,
         caching,
@@ -60,6 +62,7 @@
         self._pool = pool
         self._loads = loads
         self._health = health
+        self._steadiness = steadiness
         self._budget = budget
         self._beliefs = beliefs
         self._caching = caching
@@ -190,6 +193,7 @@
             self._note_retry(job, upstream, "server_error", status)
             return False
         self._health.answered(upstream.id)
+        self._steadiness.answered(upstream.id)
         return True
 
     def _may_replace(self, job):
@@ -222,10 +226,13 @@
             job.failure = Reason.UPSTREAMS_FULL
 
     def _note_failed(self, job, upstream, why, detail):
-        self._health.failed(upstream.id)
+        silent = isinstance(detail, AnswerTimeout)
+        if silent or why == "connect":
+            self._health.failed(upstream.id)
+        else:
+            self._steadiness.failed(upstream.id)
         self._pool.forget(upstream.address)
         if why == "no_answer":
-            silent = isinstance(detail, AnswerTimeout)
             job.failure = Reason.UPSTREAM_SILENT if silent else Reason.UPSTREAM_FAILED
         self._note_retry(job, upstream, why, detail)
 
--- a/libs/forward/src/mulberryhub/forward/placing.py
+++ b/libs/forward/src/mulberryhub/forward/placing.py
@@ -13,7 +13,8 @@
 
 REMOTE_COST = 3  # ms for each KB of body that goes to another data centre
 MISS_COST = 0.004  # ms for each shared token that is fetched or read again
-AVOIDED_COST = 10_000  # ms
+AVOIDED_COST = 10_000  # ms at an upstream that could not be reached lately
+UNSTEADY_COST = 400  # ms at one that cut an answer lately: less than a long queue
 OLD_WEIGHTS_COST = 0.2  # of the latency target, where newer weights are in use
 RANKED = 3  # upstreams that hold shared parts of the same prompt at most
 
@@ -46,12 +47,15 @@
     """Places requests on the upstreams that `beliefs` lists.
 
     `version_time` is the ms for which weights serve after newer ones were named.
+    `health` has the upstreams that could not be reached, `steadiness` those that were
+    reached and cut an answer.
     """
 
     __slots__ = (
         "_beliefs",
         "_loads",
         "_health",
+        "_steadiness",
         "_data_centre",
         "_version_time",
         "_ready_by_service",
@@ -59,10 +63,11 @@
         "_placements_by_ids",
     )
 
-    def __init__(self, beliefs, loads, health, data_centre, version_time):
+    def __init__(self, beliefs, loads, health, steadiness, data_centre, version_time):
         self._beliefs = beliefs
         self._loads = loads
         self._health = health
+        self._steadiness = steadiness
         self._data_centre = data_centre
         self._version_time = version_time
         self._ready_by_service = {}
@@ -127,6 +132,8 @@
             cost += MISS_COST * shared_tokens * ranked.get(upstream.id, RANKED)
             if self._health.is_avoided(upstream.id):
                 cost += AVOIDED_COST
+            if self._steadiness.is_avoided(upstream.id):
+                cost += UNSTEADY_COST
             costs[upstream.id] = cost
         return costs
 
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -50,10 +50,12 @@
     parts.publisher = Publisher(settings.peer_address, beliefs, use_table)
     _add_followers(parts, settings, ports, beliefs, use_table, counters, clock)
     health = Health(clock, counters)
+    steadiness = Health(clock, counters)
     placer = Placer(
         beliefs,
         loads,
         health,
+        steadiness,
         settings.data_centre,
         settings.bounds.version_time - VERSION_MARGIN,
     )
@@ -82,6 +84,7 @@
         parts.pool,
         loads,
         health,
+        steadiness,
         budget,
         beliefs,
         caching,
--- a/tests/forward/test_attempts.py
+++ b/tests/forward/test_attempts.py
@@ -70,15 +70,17 @@
         for index in range(6):
             beliefs.learn(make_upstream(f"u{index}", index + 1))
         loads = Loads(Use, self.clock)
-        health = Health(self.clock, Counters())
+        self.health = health = Health(self.clock, Counters())
+        self.steadiness = steadiness = Health(self.clock, Counters())
         budget = RetryBudget(BudgetRule(10_000, 0.2, 100), lambda: 1, self.clock)
         dialect = Dialect(None, lambda call, attempt: None, self.read_answer, None)
         self.attempts = Attempts(
             dialect,
-            Placer(beliefs, loads, health, "a", 11_000),
+            Placer(beliefs, loads, health, steadiness, "a", 11_000),
             self,
             loads,
             health,
+            steadiness,
             budget,
             beliefs,
             Caching(lambda: None, beliefs.kept, self.clock),
@@ -187,3 +189,15 @@
     with pytest.raises(Refusal) as refused:
         world.attempts.run(world.job)
     assert refused.value.retry_after > 0
+
+
+@pytest.mark.parametrize(
+    "fate, unreachable, unsteady", [(DARK, 1, 0), (SILENT, 1, 0), (BROKEN, 0, 1)]
+)
+def test_a_cut_answer_does_not_make_an_upstream_unreachable(
+    fate, unreachable, unsteady
+):
+    world = World([fate], Kind.IDEMPOTENT, max_attempts=2)
+    world.run()
+    assert len(world.health.failing_by_id) == unreachable
+    assert len(world.steadiness.failing_by_id) == unsteady
--- a/tests/forward/test_placing.py
+++ b/tests/forward/test_placing.py
@@ -26,7 +26,15 @@
         self.others = Use(routers=0)
         self.loads = Loads(lambda: self.others, self.clock)
         self.health = Health(self.clock, Counters())
-        self.placer = Placer(self.beliefs, self.loads, self.health, "a", VERSION_TIME)
+        self.steadiness = Health(self.clock, Counters())
+        self.placer = Placer(
+            self.beliefs,
+            self.loads,
+            self.health,
+            self.steadiness,
+            "a",
+            VERSION_TIME,
+        )
         for upstream in upstreams:
             self.beliefs.learn(upstream)
 
@@ -154,3 +162,12 @@
     call.model = None
     chosen = {world.choose(call, service=service).upstream.id for _ in range(60)}
     assert len(chosen) == 3
+
+
+def test_upstreams_that_cut_answers_share_the_load_of_one_that_did_not():
+    world = World(*pool(4))
+    for id in ("u1", "u2", "u3"):
+        world.steadiness.failed(id)
+    assert world.choose().upstream.id == "u0"
+    world.load("u0", 40)
+    assert world.choose().upstream.id != "u0"
