Tell a reset from the end of an answer

Cause: eventlet's recv returns nothing for a reset connection, as at its end. Found by the tests of the soak's links. Ruled out: the parser, which only sees the bytes. The test of an unframed answer that is reset fails without the change.

--- a/libs/http/src/mulberryhub/http/sockets.py
+++ b/libs/http/src/mulberryhub/http/sockets.py
@@ -40,11 +40,25 @@
 
 
 def receive(sock):
-    """Return the next bytes, b"" at the end, or raise OSError."""
-    try:
-        return sock.recv(READ_BYTES)
-    except EOFError:
-        return b""  # Another green thread closed the socket meanwhile.
+    """Return the next bytes, b"" at the end, or raise OSError.
+
+    A reset is an error here; eventlet's own `recv` would return it as an end, and an
+    answer without a length would look complete.
+    """
+    while True:
+        try:
+            return sock.fd.recv(READ_BYTES)
+        except BlockingIOError:
+            pass
+        try:
+            hubs.trampoline(
+                sock.fd,
+                read=True,
+                timeout=sock.gettimeout(),
+                timeout_exc=TimeoutError,
+            )
+        except hubs.IOClosed:
+            return b""  # Another green thread closed the socket meanwhile.
 
 
 def has_unread(sock):
--- a/tests/http/test_outbound.py
+++ b/tests/http/test_outbound.py
@@ -12,6 +12,7 @@
 )
 from mulberryhub.http.outbound import OutboundConnection
 from mulberryhub.http.pool import Pool
+from mulberryhub.http.sockets import reset
 from tests.http.support import ScriptedPeer
 
 TIMEOUT = 1_000  # ms
@@ -79,6 +80,17 @@
         ask(peer)
 
 
+def test_an_answer_without_length_that_is_reset_is_broken():
+    def script(sock, peer):
+        peer.read_head(sock)
+        sock.sendall(b"HTTP/1.1 200 OK\r\n\r\nnot who")
+        sleep(0.02)
+        reset(sock)
+
+    with pytest.raises(AnswerBroken):
+        ask(ScriptedPeer(script))
+
+
 def test_extra_bytes_after_an_answer_end_the_connection():
     answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
     peer = ScriptedPeer(answering(answer + answer, close=False))
