--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -182,14 +182,17 @@
     `window_by_workspace` is what was admitted in the quota window, in the unit of
     each workspace, `rate_by_workspace` the same per s over the last moments.
     `work_by_upstream` is the delay in ms that requests in flight cause there, and
-    `bound_by_upstream` counts those that no other upstream can go on with. `uptime`
-    is the ms for which the oldest of the routers has run, `youngest` the least.
+    `bound_by_upstream` counts those that no other upstream can go on with.
+    `demand_by_service` is the ms of engine time that clients ask for in a second.
+    `uptime` is the ms for which the oldest of the routers has run, `youngest` the
+    least.
     """
 
     window_by_workspace: dict[str, float] = {}
     rate_by_workspace: dict[str, float] = {}
     work_by_upstream: dict[str, float] = {}
     bound_by_upstream: dict[str, int] = {}
+    demand_by_service: dict[str, float] = {}
     routers: int = 1
     uptime: int = 0
     youngest: int = LONG
@@ -204,6 +207,12 @@
         self.uptime = max(self.uptime, other.uptime)
         self.youngest = min(self.youngest, other.youngest)
 
+    def work_differs(self, other, least):
+        """Tell whether work in flight differs by `least` ms or more in all."""
+        mine, others = self.work_by_upstream, other.work_by_upstream
+        ids = mine.keys() | others.keys()
+        return sum(abs(mine.get(id, 0) - others.get(id, 0)) for id in ids) >= least
+
     def less(self, other):
         """Return this use without a part of it; nothing falls below 0."""
         rest = Use(
@@ -223,4 +232,5 @@
     "rate_by_workspace",
     "work_by_upstream",
     "bound_by_upstream",
+    "demand_by_service",
 )
--- a/libs/forward/src/mulberryhub/forward/forwarder.py
+++ b/libs/forward/src/mulberryhub/forward/forwarder.py
@@ -18,6 +18,7 @@
         "_beliefs",
         "_dialect",
         "_quotas",
+        "_demand",
         "_budget",
         "_relay",
         "_clock",
@@ -25,10 +26,13 @@
         "_view",
     )
 
-    def __init__(self, beliefs, dialect, quotas, budget, relay, clock, counters):
+    def __init__(
+        self, beliefs, dialect, quotas, demand, budget, relay, clock, counters
+    ):
         self._beliefs = beliefs
         self._dialect = dialect
         self._quotas = quotas
+        self._demand = demand
         self._budget = budget
         self._relay = relay
         self._clock = clock
@@ -84,6 +88,7 @@
         if workspace is not None:
             self._quotas.admit(workspace, request_cost(call, workspace))
         self._budget.note_request(service.name)
+        self._demand.note(service, call)
         return Job(call, route, service, workspace, end)
 
     def _refuse(self, refusal, job, connection):
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -12,6 +12,7 @@
 from mulberryhub.forward.attempts import Attempts
 from mulberryhub.forward.budget import BudgetRule, RetryBudget
 from mulberryhub.forward.caching import Caching
+from mulberryhub.forward.demand import Demand
 from mulberryhub.forward.forwarder import Forwarder
 from mulberryhub.forward.loads import Loads
 from mulberryhub.forward.placing import Placer
@@ -26,6 +27,7 @@
 from mulberryhub.orders.lease import Lease
 from mulberryhub.upstream.health import Health
 from mulberryhub.weights.manager import Manager
+from mulberryhub.weights.plan import PoolView
 
 OPERATOR_WAIT = 10_000  # ms that a read of the operator's records waits at the store
 MEMBERS_WAIT = 10_000  # ms
@@ -46,7 +48,8 @@
     parts.me = Member(settings.name, settings.peer_address, settings.data_centre)
     parts.store = ports.store
     parts.pool = Pool(clock)
-    use_table, quotas, loads = _build_use(settings, beliefs, clock)
+    demand = Demand(clock)
+    use_table, quotas, loads = _build_use(settings, beliefs, demand, clock)
     parts.publisher = Publisher(settings.peer_address, beliefs, use_table)
     _add_followers(parts, settings, ports, beliefs, use_table, counters, clock)
     health = Health(clock, counters)
@@ -93,7 +96,7 @@
     )
     relay = Relay(attempts, clock)
     parts.forwarder = Forwarder(
-        beliefs, ports.dialect, quotas, budget, relay, clock, counters
+        beliefs, ports.dialect, quotas, demand, budget, relay, clock, counters
     )
     parts.front = HttpServer(
         settings.front_address,
@@ -101,7 +104,18 @@
         lambda: _limits(beliefs),
         clock,
     )
-    parts.manager = _build_manager(settings, ports, beliefs, loads, counters, clock)
+
+    def demand_for(service):
+        total = use_table.own()
+        others = use_table.others()
+        if others is not None:
+            total.add(others)
+        return total.demand_by_service.get(service, 0)
+
+    pool_view = PoolView(beliefs, loads.work, health.is_avoided, demand_for)
+    parts.manager = _build_manager(
+        settings, ports, beliefs, loads, pool_view, counters, clock
+    )
     router = Router(settings, parts, clock)
     parts.readiness = readiness_server(
         settings.ready_address, ports.ready_path, router.is_ready, clock
@@ -112,13 +126,14 @@
     return router
 
 
-def _build_use(settings, beliefs, clock):
+def _build_use(settings, beliefs, demand, clock):
     def measure():
         return Use(
             quotas.windows(),
             quotas.rates(),
             loads.own_work(),
             loads.own_bound(),
+            demand.rates(),
             uptime=quotas.uptime(),
             youngest=quotas.uptime(),
         )
@@ -210,7 +225,7 @@
     ]
 
 
-def _build_manager(settings, ports, beliefs, loads, counters, clock):
+def _build_manager(settings, ports, beliefs, loads, pool_view, counters, clock):
     lease = Lease(
         ports.log,
         clock,
@@ -227,6 +242,7 @@
         ports.read_report,
         ports.send_order,
         loads,
+        pool_view,
         settings.bounds.lease_time,
         settings.bounds.version_time,
         clock,
--- a/libs/weights/src/mulberryhub/weights/manager.py
+++ b/libs/weights/src/mulberryhub/weights/manager.py
@@ -6,7 +6,7 @@
 from mulberryhub.base.tasks import spawn_task
 from mulberryhub.fleet.records import Removal, Rollout
 from mulberryhub.weights.messages import LoadOrder, OrderResult
-from mulberryhub.weights.plan import Pool, choose_next, find_outdated
+from mulberryhub.weights.plan import choose_next, find_outdated
 
 TICK = 50  # ms
 RANK_PAUSE = 600  # ms by which each further router waits before it steps in
@@ -28,7 +28,8 @@
     """Orders the loads.
 
     `read_report(upstream)` returns an EngineReport or None, `send_order(upstream,
-    order)` an OrderResult; `loads` has the work in flight at upstreams.
+    order)` an OrderResult; `loads` has the work in flight at upstreams, `pool_view`
+    is a PoolView.
     `settle_time` is the ms that must lie between the orders of two routers,
     `version_time` that in which new weights are due everywhere.
     """
@@ -40,6 +41,7 @@
         "_read_report",
         "_send_order",
         "_loads",
+        "_pool_view",
         "_settle_time",
         "_version_time",
         "_clock",
@@ -63,6 +65,7 @@
         read_report,
         send_order,
         loads,
+        pool_view,
         settle_time,
         version_time,
         clock,
@@ -74,6 +77,7 @@
         self._read_report = read_report
         self._send_order = send_order
         self._loads = loads
+        self._pool_view = pool_view
         self._settle_time = settle_time
         self._version_time = version_time
         self._clock = clock
@@ -151,7 +155,9 @@
         for item in outdated:
             by_service.setdefault(item.upstream.service, []).append(item)
         for service, items in by_service.items():
-            pool = self._pool(service)
+            pool = self._pool_view.pool(
+                service, self._loading_by_id, self._version_time
+            )
             now = self._clock.now()
             due = [
                 item
@@ -165,22 +171,6 @@
         if started:
             self._tell()
 
-    def _pool(self, service):
-        upstreams = [
-            upstream
-            for upstream in self._beliefs.upstreams_by_id.values()
-            if upstream.service == service
-        ]
-        loading = [
-            upstream
-            for upstream in self._loading_by_id.values()
-            if upstream.service == service
-        ]
-        serving = [item for item in upstreams if item.id not in self._loading_by_id]
-        work = sum(self._loads.work(item.id) for item in serving)
-        busy = work / max(1, len(serving))
-        return Pool(len(upstreams), loading, busy, self._version_time)
-
     def _load(self, item):
         upstream = item.upstream
         try:
--- a/libs/weights/src/mulberryhub/weights/plan.py
+++ b/libs/weights/src/mulberryhub/weights/plan.py
@@ -15,6 +15,7 @@
 OVERLOADED = 250  # ms from which none is started
 LOAD_TIME = 2_000  # ms from the choice of an upstream to its return
 URGENT_MARGIN = 1_000  # ms before the bound
+BUSY_SHARE = 0.7  # of the time for which those that serve may be busy reading prompts
 
 
 class Outdated:
@@ -33,20 +34,58 @@
 
 
 class Pool:
-    """The upstreams of one service; `busy` is the mean work of those that serve.
+    """The upstreams of one service that can be used, `size` with those that load.
 
-    `version_time` is the ms in which new weights are due everywhere.
+    `busy` is the mean work of those that serve, `demand` the ms of engine time that
+    clients ask for in a second, `version_time` the ms in which new weights are due.
     """
 
-    __slots__ = ("size", "loading", "busy", "version_time")
+    __slots__ = ("size", "loading", "busy", "demand", "version_time")
 
-    def __init__(self, size, loading, busy, version_time):
+    def __init__(self, size, loading, busy, demand, version_time):
         self.size = size
         self.loading = loading
         self.busy = busy
+        self.demand = demand
         self.version_time = version_time
 
 
+class PoolView:
+    """Makes Pools of what is believed.
+
+    `work(id)` is the work in flight at an upstream, `is_avoided(id)` tells whether it
+    could not be reached lately, `demand(service)` is as in Pool.
+    """
+
+    __slots__ = ("_beliefs", "_work", "_is_avoided", "_demand")
+
+    def __init__(self, beliefs, work, is_avoided, demand):
+        self._beliefs = beliefs
+        self._work = work
+        self._is_avoided = is_avoided
+        self._demand = demand
+
+    def pool(self, service, loading_by_id, version_time):
+        """Return the Pool of `service` while `loading_by_id` load."""
+        serving = [
+            upstream
+            for upstream in self._beliefs.upstreams_by_id.values()
+            if upstream.service == service
+            and upstream.state is State.READY
+            and upstream.id not in loading_by_id
+            and not self._is_avoided(upstream.id)
+        ]
+        loading = [item for item in loading_by_id.values() if item.service == service]
+        work = sum(self._work(item.id) for item in serving)
+        return Pool(
+            len(serving) + len(loading),
+            loading,
+            work / max(1, len(serving)),
+            self._demand(service),
+            version_time,
+        )
+
+
 def find_outdated(beliefs):
     """Return what lacks the newest named version, one item for each upstream."""
     items = []
@@ -77,11 +116,18 @@
         return most
     headroom = (OVERLOADED - pool.busy) / (OVERLOADED - CALM)
     room = round(most * min(1, max(0, headroom)))
+    room = min(room, max(1, _spare(pool)))
     if left < len(waiting) * LOAD_TIME:
         room = max(room, needed)
     return room
 
 
+def _spare(pool):
+    """Return how many upstreams are not needed to serve what clients ask for."""
+    needed = pool.demand / (1000 * BUSY_SHARE)
+    return int(pool.size - needed)
+
+
 def choose_next(outdated, pool, work):
     """Return the items of `pool` that are to start now.
 
--- a/tests/weights/test_manager.py
+++ b/tests/weights/test_manager.py
@@ -11,6 +11,7 @@
 from mulberryhub.weights import manager as module
 from mulberryhub.weights.manager import Manager
 from mulberryhub.weights.messages import EngineReport, OrderResult
+from mulberryhub.weights.plan import PoolView
 from tests.forward.fakes import MODEL, make_upstream
 from tests.support.memory_log import MemoryLog
 
@@ -53,13 +54,15 @@
         lease = Lease(
             self.log, self.clock, Counters(), "orders", name, DURATION, MARGIN
         )
+        loads = Loads(Use, self.clock)
         manager = Manager(
             name,
             beliefs,
             lease,
             lambda upstream: self.engines_by_id[upstream.id].report(),
             lambda upstream, order: self.engines_by_id[upstream.id].take(order),
-            Loads(Use, self.clock),
+            loads,
+            PoolView(beliefs, loads.work, lambda id: False, lambda service: 0),
             SETTLE_TIME,
             VERSION_TIME,
             self.clock,
--- a/tests/weights/test_plan.py
+++ b/tests/weights/test_plan.py
@@ -1,6 +1,14 @@
 import pytest
 
-from mulberryhub.weights.plan import Outdated, Pool, choose_next, loads_at_once
+from mulberryhub.base.clock import ManualClock
+from mulberryhub.fleet.beliefs import Beliefs
+from mulberryhub.weights.plan import (
+    Outdated,
+    Pool,
+    PoolView,
+    choose_next,
+    loads_at_once,
+)
 from tests.forward.fakes import MODEL, make_upstream
 
 VERSION_TIME = 12_000  # ms
@@ -13,8 +21,8 @@
     ]
 
 
-def make_pool(size=9, loading=(), busy=0):
-    return Pool(size, list(loading), busy, VERSION_TIME)
+def make_pool(size=9, loading=(), busy=0, demand=0):
+    return Pool(size, list(loading), busy, demand, VERSION_TIME)
 
 
 def choose(items, pool):
@@ -67,3 +75,18 @@
     ]
     chosen = choose_next(same, pool, lambda id: {"u0": 50, "u1": 5}[id])
     assert chosen[0].upstream.id == "u1"
+
+
+@pytest.mark.parametrize("demand, most", [(0, 3), (3_800, 3), (4_500, 2), (9_000, 1)])
+def test_as_many_serve_as_clients_need_with_empty_caches(demand, most):
+    assert loads_at_once(make_pool(demand=demand), make_outdated(5)) == most
+
+
+def test_upstreams_that_cannot_be_reached_do_not_count():
+    beliefs = Beliefs(ManualClock(now=1_000))
+    for item in make_outdated(4):
+        beliefs.learn(item.upstream)
+    loading = {"u0": beliefs.upstreams_by_id["u0"]}
+    view = PoolView(beliefs, lambda id: 60, lambda id: id == "u3", lambda service: 5)
+    pool = view.pool("llm", loading, VERSION_TIME)
+    assert (pool.size, pool.busy, pool.demand) == (3, 60, 5)
