Count a request as work while it dials; wait by the expected delay

And a busy upstream was given up after 1.6 s though its delay was known, so its work was done twice.

--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -7,7 +7,7 @@
 from mulberryhub.fleet.records import Removal
 from mulberryhub.forward.call import Attempt
 from mulberryhub.forward.delay import is_too_late, stream_patience
-from mulberryhub.forward.exchange import open_exchange
+from mulberryhub.forward.exchange import Exchange
 from mulberryhub.forward.job import LEAST_TIME
 from mulberryhub.forward.refusal import Reason, Refusal
 from mulberryhub.forward.work import work_of
@@ -16,6 +16,7 @@
 MAX_SENDS = 4  # sends of one request, those that did not run included
 MAX_DIALS = 4  # upstreams that could not be connected to
 PATIENCE_TARGETS = 4  # latency targets after which a silent upstream is given up
+EXPECTED_DELAYS = 2  # of the expected delay that a busy upstream may take
 PATIENCE_SHARE = 0.45  # of the time left that one of several attempts may take
 FIRST_RETRY_AFTER = 100  # ms
 LAST_RETRY_AFTER = 400  # ms
@@ -121,19 +122,20 @@
         attempt = Attempt(choice.upstream, job.workspace, job.priority)
         attempt.time_left = job.end - self._clock.now()
         attempt.after_event = job.last_event
+        attempt.delay = choice.delay
         if choice.version is not None:
             self._caching.prepare(attempt, call, choice.version)
         self._note_sent(job, attempt, choice)
         request = self._dialect.attempt_request(call, attempt)
         is_bound = not (job.is_repeatable and job.runs + 1 < job.route.max_attempts)
         work = work_of(call, job.service, choice.upstream, is_bound)
+        exchange = Exchange(attempt, request, work, self._pool, self._loads)
         try:
-            return open_exchange(
-                attempt, request, work, self._pool, self._loads, job.is_repeatable
-            )
+            exchange.open(job.is_repeatable)
         except ConnectFailed as error:
             self._note_failed(job, choice.upstream, "connect", error)
             return None
+        return exchange
 
     def _is_answered(self, job, exchange):
         """Tell whether the answer is to be passed on; close the exchange on errors."""
@@ -168,7 +170,9 @@
         try:
             exchange.send(left)
             exchange.read_head(
-                self._dialect.read_answer, job.call.id, self._patience(job, left)
+                self._dialect.read_answer,
+                job.call.id,
+                self._patience(job, left, exchange.attempt.delay),
             )
         except (AnswerBroken, AnswerTimeout) as error:
             exchange.cancel()
@@ -204,12 +208,14 @@
             and self._place(job) is not None
         )
 
-    def _patience(self, job, left):
-        """Return the ms to wait for the answer's head."""
+    def _patience(self, job, left, delay):
+        """Return the ms to wait for the answer's head; `delay` was expected."""
         if not job.is_repeatable or job.runs >= job.route.max_attempts:
             return left
-        target = job.route.target_latency * PATIENCE_TARGETS
-        return max(min(target, left), left * PATIENCE_SHARE)
+        target = job.route.target_latency
+        expected = delay * EXPECTED_DELAYS + target
+        patience = max(target * PATIENCE_TARGETS, expected)
+        return max(min(patience, left), left * PATIENCE_SHARE)
 
     def _note_not_run(self, job, exchange):
         """Take back the run; learn what the upstream told of itself."""
--- a/libs/forward/src/mulberryhub/forward/call.py
+++ b/libs/forward/src/mulberryhub/forward/call.py
@@ -55,8 +55,8 @@
 
     `version` is the one that the upstream's weights must have, `salt` names the
     scope of cached parts. Kept KV cache is fetched from the address `fetch_from` and
-    saved to `save_to`, where set. `time_left` is ms, `after_event` the id of the last
-    event that was delivered.
+    saved to `save_to`, where set. `time_left` is ms, `delay` the ms expected until the
+    answer begins, `after_event` the id of the last event that was delivered.
     """
 
     __slots__ = (
@@ -68,6 +68,7 @@
         "fetch_from",
         "save_to",
         "time_left",
+        "delay",
         "after_event",
     )
 
@@ -80,6 +81,7 @@
         self.fetch_from = None
         self.save_to = None
         self.time_left = 0
+        self.delay = 0
         self.after_event = None
 
 
--- a/libs/forward/src/mulberryhub/forward/exchange.py
+++ b/libs/forward/src/mulberryhub/forward/exchange.py
@@ -21,16 +21,33 @@
         "_loads",
     )
 
-    def __init__(self, attempt, request, work, connection, pool, loads):
+    def __init__(self, attempt, request, work, pool, loads):
         self.attempt = attempt
         self.head = None
         self.facts = None
         self._request = request
         self._work = work
-        self._connection = connection
+        self._connection = None
         self._pool = pool
         self._loads = loads
-        loads.started(attempt.upstream.id, work)
+
+    def open(self, is_repeatable):
+        """Take a kept or new connection or raise ConnectFailed."""
+        id = self.attempt.upstream.id
+        self._loads.started(id, self._work)
+        try:
+            self._connection = self._connect(is_repeatable)
+        except BaseException:
+            self._loads.ended(id, self._work, False)
+            raise
+
+    def _connect(self, is_repeatable):
+        address = self.attempt.upstream.address
+        if is_repeatable:
+            connection = self._pool.take_idle(address)
+        else:
+            connection = self._pool.take_idle(address, ONCE_MAX_IDLE)
+        return connection or self._pool.open(address, CONNECT_TIMEOUT)
 
     def send(self, time_left):
         """Send the request or raise AnswerBroken."""
@@ -76,16 +93,3 @@
     def _note_end(self):
         is_answering = self.head is not None
         self._loads.ended(self.attempt.upstream.id, self._work, is_answering)
-
-
-def open_exchange(attempt, request, work, pool, loads, is_repeatable):
-    """Return an Exchange over a kept or new connection or raise ConnectFailed."""
-    address = attempt.upstream.address
-    connection = None
-    if is_repeatable:
-        connection = pool.take_idle(address)
-    else:
-        connection = pool.take_idle(address, ONCE_MAX_IDLE)
-    if connection is None:
-        connection = pool.open(address, CONNECT_TIMEOUT)
-    return Exchange(attempt, request, work, connection, pool, loads)
--- a/tests/forward/test_attempts.py
+++ b/tests/forward/test_attempts.py
@@ -66,10 +66,11 @@
         self.clock = ManualClock(now=1_000)
         self.fates = list(fates)
         self.sent = []
+        self.work_while_dialled = []
         beliefs = Beliefs(self.clock)
         for index in range(6):
             beliefs.learn(make_upstream(f"u{index}", index + 1))
-        loads = Loads(Use, self.clock)
+        self.loads = loads = Loads(Use, self.clock)
         self.health = health = Health(self.clock, Counters())
         self.steadiness = steadiness = Health(self.clock, Counters())
         budget = RetryBudget(BudgetRule(10_000, 0.2, 100), lambda: 1, self.clock)
@@ -101,6 +102,8 @@
         return None
 
     def open(self, address, timeout):
+        index = int(address.split(":")[0].rpartition(".")[2]) - 1
+        self.work_while_dialled.append(self.loads.work(f"u{index}"))
         fate = self.fates.pop(0) if self.fates else OK
         if fate == DARK:
             raise ConnectFailed("dark")
@@ -201,3 +204,10 @@
     world.run()
     assert len(world.health.failing_by_id) == unreachable
     assert len(world.steadiness.failing_by_id) == unsteady
+
+
+def test_a_request_counts_as_work_while_its_upstream_is_dialled():
+    world = World([DARK, OK], Kind.IDEMPOTENT, max_attempts=2)
+    world.run()
+    assert len(world.work_while_dialled) == 2
+    assert min(world.work_while_dialled) > 0
