--- a/libs/forward/src/mulberryhub/forward/quotas.py
+++ b/libs/forward/src/mulberryhub/forward/quotas.py
@@ -17,6 +17,7 @@
 RATE_TIME = 1_000  # ms over which demand is measured
 REFRESH = 200  # ms for which the sum over other routers is kept
 TOLERANCE_USED = 0.25  # of what may go beyond the limit, while routers hear each other
+SURGE_TIME = 700  # ms of what is asked for that is left of the tolerance at least
 REPORT_AGE = 450  # ms by which what is known of other routers is behind
 EQUAL_SHARES = 3  # of the room that one router may admit until it knows more
 COST_SHARE = 0.05  # of a request's cost in the mean
@@ -173,29 +174,34 @@
             account.room = whole / routers - own
             account.chance = 1
             return
-        limit = self._rule.limit(workspace, self._tolerance(others))
-        other_rate = 0
+        asked_rate = account.asked.at(now) * 1000 / RATE_TIME
+        if others is not None:
+            asked_rate += others.rate_by_workspace.get(workspace.name, 0)
+        limit = self._limit(workspace, others, asked_rate)
         used = limit * unknown
         if others is not None:
-            other_rate = others.rate_by_workspace.get(workspace.name, 0)
             used += others.window_by_workspace.get(workspace.name, 0)
         account.used = used
         room = limit - own - used
         # Demand is not known at once where it shifts between routers.
         account.room = room * min(1, EQUAL_SHARES / routers)
-        asked_here = account.asked.at(now) * 1000 / RATE_TIME
-        asked = (other_rate + asked_here) * REPORT_AGE / 1000
+        asked = asked_rate * REPORT_AGE / 1000
         account.chance = 1 if asked <= 0 else min(1, max(0, room) / asked)
 
-    def _tolerance(self, others):
-        """Return the share of the tolerance to use; none after a restart anywhere.
+    def _limit(self, workspace, others, asked_rate):
+        """Return what all routers together may admit in a window.
 
-        What a restarted router admitted is known to the others only roughly.
+        It uses the tolerance but for what may be asked before routers hear of it; none
+        after a restart anywhere, as what was admitted is known only roughly then.
         """
         youngest = self.uptime()
         if others is not None:
             youngest = min(youngest, others.youngest)
-        return TOLERANCE_USED if youngest >= self._rule.window else 0
+        if youngest < self._rule.window:
+            return self._rule.limit(workspace, 0)
+        surge = asked_rate * SURGE_TIME / 1000
+        least = self._rule.limit(workspace, TOLERANCE_USED)
+        return max(least, self._rule.limit(workspace, 1) - surge)
 
     def uptime(self):
         """Return the ms since the start."""
--- a/tests/forward/test_quotas.py
+++ b/tests/forward/test_quotas.py
@@ -133,6 +133,24 @@
     assert fleet.refused <= fleet.asked / 100
 
 
+@pytest.mark.parametrize("routers", [1, 6, 9, 82])
+def test_what_lies_within_the_tolerance_is_hardly_refused(routers):
+    fleet = Fleet(routers)
+    fleet.run(10_000, RATE * 1.2)
+    fleet.asked = fleet.refused = 0
+    fleet.run(16_000, RATE * 1.2)
+    assert fleet.refused <= fleet.asked / 100
+
+
+@pytest.mark.parametrize("routers", [6, 82])
+@pytest.mark.parametrize("before, after", [(0.9, 2), (1.05, 3), (1.1, 8), (1.3, 8)])
+def test_a_surge_near_the_limit_stays_within_the_window(routers, before, after):
+    fleet = Fleet(routers)
+    fleet.run(10_000, RATE * before)
+    fleet.run(10_000, RATE * after)
+    assert fleet.largest_window() <= ALLOWED
+
+
 @pytest.mark.parametrize(
     "restarted", [(0,), (0, 1, 2), (0, 3), (1, 2, 4, 5), tuple(range(6))]
 )
