--- a/tests/forward/test_delay.py
+++ b/tests/forward/test_delay.py
@@ -30,6 +30,24 @@
     assert delays[0] < stream_patience(make_route())
 
 
+def test_a_queue_holds_back_what_is_less_urgent_so_that_urgent_requests_are_in_time():
+    """Every third request is urgent and short; together they are more than fits."""
+    times = {0: [], 1: []}
+    free_at = 0
+    for index in range(600):
+        now = index * INTERVAL
+        rank = 0 if index % 3 == 0 else 1
+        delay = max(0, free_at - now)
+        if is_too_late(make_job(rank), delay):
+            continue
+        free_at = max(free_at, now) + (10 if rank == 0 else READ_TIME)
+        times[rank].append(free_at - now)
+    assert len(times[0]) == 200
+    target = make_route().target_latency
+    assert max(times[0]) <= 1.6 * target
+    assert len(times[1]) >= 0.8 * 400 * INTERVAL / READ_TIME
+
+
 def play(refuses):
     """Return how many requests of 300 get their first event in time."""
     job = make_job()
