--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -9,7 +9,9 @@
 from mulberryhub.http.accepting import accept_all
 from mulberryhub.http.sockets import close, open_listener, tune
 
-HEARTBEAT = 250  # ms between two messages without a change
+HEARTBEAT = 250  # ms between two messages without a change, to many subscribers
+SHORT_HEARTBEAT = 100  # ms, to few
+HEARTBEAT_STEP = 12  # ms for each subscriber, so that messages in all are bounded
 GATHERING = 10  # ms in which changes are gathered into one message
 TOPIC_BY_TYPE = {Upstream: Topic.UPSTREAMS, Member: Topic.MEMBERS}
 
@@ -19,13 +21,14 @@
 class Publisher:
     """Serves subscriptions at `address`."""
 
-    __slots__ = ("_address", "_beliefs", "_use_table", "_listener")
+    __slots__ = ("_address", "_beliefs", "_use_table", "_listener", "_subscribers")
 
     def __init__(self, address, beliefs, use_table):
         self._address = address
         self._beliefs = beliefs
         self._use_table = use_table
         self._listener = None
+        self._subscribers = 0
 
     def start(self):
         """Listen and accept in the background."""
@@ -69,24 +72,34 @@
         if report.rollout is not None:
             self._beliefs.learn_rollout(report.rollout)
 
+    def heartbeat(self):
+        """Return the ms between two messages to a subscriber without a change."""
+        return min(max(SHORT_HEARTBEAT, HEARTBEAT_STEP * self._subscribers), HEARTBEAT)
+
     def _publish(self, channel, hello):
-        revision = 0
-        rollout_order = None
+        self._subscribers += 1
         try:
-            while True:
-                reached = self._beliefs.revision
-                news = self._news(hello, revision)
-                if self._beliefs.rollout.order != rollout_order:
-                    rollout_order = self._beliefs.rollout.order
-                    news.rollout = self._beliefs.rollout
-                channel.send(news)
-                revision = reached
-                with Timeout(HEARTBEAT / 1000, False):
-                    self._beliefs.wait_for_change()
-                sleep(GATHERING / 1000)
+            self._tell(channel, hello)
         except ChannelBroken as error:
             log.debug("publishing ended", subscriber=hello.name, reason=str(error))
             channel.close()
+        finally:
+            self._subscribers -= 1
+
+    def _tell(self, channel, hello):
+        revision = 0
+        rollout_order = None
+        while True:
+            reached = self._beliefs.revision
+            news = self._news(hello, revision)
+            if self._beliefs.rollout.order != rollout_order:
+                rollout_order = self._beliefs.rollout.order
+                news.rollout = self._beliefs.rollout
+            channel.send(news)
+            revision = reached
+            with Timeout(self.heartbeat() / 1000, False):
+                self._beliefs.wait_for_change()
+            sleep(GATHERING / 1000)
 
     def _news(self, hello, revision):
         news = News(use=self._use_table.here())
--- a/libs/fleet/src/mulberryhub/fleet/subscription.py
+++ b/libs/fleet/src/mulberryhub/fleet/subscription.py
@@ -7,11 +7,24 @@
 from mulberryhub.fleet.channel import Channel, ChannelBroken, Hello, News, Report
 
 REPORT_PERIOD = 250  # ms
+SHORT_PERIOD = 100  # ms between reports while work in flight changes
+NOTABLE_WORK = 40  # ms of work in flight
 SILENCE = 1_300  # ms without news after which the publisher counts as lost
 
 log = module_logger(__name__)
 
 
+class SentReport:
+    """What the last report told, and the ms at which it was sent."""
+
+    __slots__ = ("use", "rollout_order", "at")
+
+    def __init__(self, use, rollout_order, at):
+        self.use = use
+        self.rollout_order = rollout_order
+        self.at = at
+
+
 class Subscription:
     """Takes the news of `member` until it fails or is closed."""
 
@@ -103,21 +116,36 @@
             self._use_table.note_elsewhere(data_centre, use)
 
     def _report(self):
-        sent_order = None
+        sent = None
         try:
             while not self.ended:
-                report = Report(self._use_table.own(), self._use_table.remembered())
-                if self._beliefs.rollout.order != sent_order:
-                    sent_order = self._beliefs.rollout.order
-                    report.rollout = self._beliefs.rollout
-                self._channel.send(report)
-                self._pause(sent_order)
+                use = self._use_table.own()
+                if sent is None or self._is_due(sent, use):
+                    sent = self._send(use, sent)
+                self._pause(sent.rollout_order)
         except ChannelBroken:
             self.close()
 
+    def _is_due(self, sent, use):
+        """Tell whether a report is due after the one `sent`."""
+        return (
+            self._clock.now() - sent.at >= REPORT_PERIOD
+            or self._beliefs.rollout.order != sent.rollout_order
+            or use.work_differs(sent.use, NOTABLE_WORK)
+        )
+
+    def _send(self, use, sent):
+        """Send a report, with a rollout that is new; return its SentReport."""
+        report = Report(use, self._use_table.remembered())
+        rollout = self._beliefs.rollout
+        if sent is None or rollout.order != sent.rollout_order:
+            report.rollout = rollout
+        self._channel.send(report)
+        return SentReport(use, rollout.order, self._clock.now())
+
     def _pause(self, sent_order):
-        """Wait for the next report; a new rollout is passed on at once."""
-        end = self._clock.now() + REPORT_PERIOD
+        """Wait for the next look; a new rollout is passed on at once."""
+        end = self._clock.now() + SHORT_PERIOD
         while self._clock.now() < end:
             with Timeout((end - self._clock.now()) / 1000, False):
                 self._beliefs.wait_for_change()
--- a/libs/forward/src/mulberryhub/forward/loads.py
+++ b/libs/forward/src/mulberryhub/forward/loads.py
@@ -2,7 +2,7 @@
 
 from mulberryhub.fleet.records import Use
 
-REFRESH = 100  # ms for which the sum over other routers is kept
+REFRESH = 50  # ms for which the sum over other routers is kept
 PATIENCE = 250  # ms of silence with a request waiting that nobody minds
 
 
--- a/tests/fleet/test_exchange.py
+++ b/tests/fleet/test_exchange.py
@@ -103,3 +103,19 @@
     assert remote.use_table.others().window_by_workspace == {"w": 10.0}
     subscription.close()
     remote.publisher.stop()
+
+
+@pytest.mark.parametrize(
+    "subscribers, period", [(0, 100), (3, 100), (15, 180), (90, 250)]
+)
+def test_few_subscribers_hear_more_often(subscribers, period):
+    publisher = Publisher("127.0.0.1:1", Beliefs(Clock()), None)
+    publisher._subscribers = subscribers
+    assert publisher.heartbeat() == period
+
+
+def test_work_in_flight_is_told_before_the_period_where_it_changes_much():
+    before = Use(work_by_upstream={"u0": 100, "u1": 50})
+    assert not before.work_differs(Use(work_by_upstream={"u0": 90, "u1": 50}), 40)
+    assert before.work_differs(Use(work_by_upstream={"u0": 100}), 40)
+    assert before.work_differs(Use(work_by_upstream={"u0": 80, "u1": 75}), 40)
