--- a/benchmarks/platform_fleet.py
+++ b/benchmarks/platform_fleet.py
@@ -31,13 +31,16 @@
 address = "{store}"
 [bounds]
 graceS = 4
+versionMs = {version_time}
 quotaWindowS = 8
 quotaOverage = 0.1
-quotaSlack = 0
+quotaSlack = {quota_slack}
 """
+VERSION_TIME = 12_000  # ms
 
 
 def make_config(version=1, **more):
+    """Return an operator's configuration with three routes; `more` replaces fields."""
     routes = [
         route("stream", "/s/", "streaming", "llm", maxAttempts=2, canResume=True),
         route("order", "/o/", "non_idempotent", "desk"),
@@ -58,6 +61,7 @@
 
 
 def route(name, prefix, kind, service, **more):
+    """Return a route of HOST; `more` replaces fields."""
     fields = {
         "name": name,
         "host": HOST,
@@ -74,24 +78,43 @@
 
 
 class RouterProcess:
-    def __init__(self, name, zone, store, folder):
+    """A router with settings and ports that it keeps over restarts."""
+
+    def __init__(
+        self, name, zone, store, folder, version_time=VERSION_TIME, quota_slack=0
+    ):
         ports = [free_port() for _ in range(4)]
         self.name = name
         self.front = f"127.0.0.1:{ports[0]}"
         self.ready = f"127.0.0.1:{ports[1]}"
         self.metrics = f"127.0.0.1:{ports[3]}"
-        path = Path(folder) / f"{name}.toml"
-        fields = dict(zip(("front", "ready", "control", "metrics"), ports))
-        path.write_text(SETTINGS.format(name=name, zone=zone, store=store, **fields))
         self.log_path = Path(folder) / f"{name}.log"
-        self.popen = subprocess.Popen(
-            [sys.executable, "-m", "mulberryhub.adapter"],
-            env={**os.environ, "MULBERRYHUB_SETTINGS": str(path)},
-            stdout=self.log_path.open("ab"),
-            stderr=subprocess.STDOUT,
+        self._settings_path = Path(folder) / f"{name}.toml"
+        self._settings_path.write_text(
+            SETTINGS.format(
+                name=name,
+                zone=zone,
+                store=store,
+                version_time=version_time,
+                quota_slack=quota_slack,
+                **dict(zip(("front", "ready", "control", "metrics"), ports)),
+            )
         )
+        self.popen = None
+        self.start()
+
+    def start(self):
+        """Start the process; an earlier one has ended."""
+        with self.log_path.open("ab") as log_file:
+            self.popen = subprocess.Popen(
+                [sys.executable, "-m", "mulberryhub.adapter"],
+                env={**os.environ, "MULBERRYHUB_SETTINGS": str(self._settings_path)},
+                stdout=log_file,
+                stderr=subprocess.STDOUT,
+            )
 
     def is_ready(self):
+        """Tell whether the router answers that it is ready."""
         try:
             url = f"http://{self.ready}/api/readiness"
             return urllib3.request("GET", url, retries=False, timeout=1).status == 200
@@ -99,6 +122,7 @@
             return False
 
     def ask(self, path, method="POST", key=KEY, id="id-1", **headers):
+        """Send a request and return its whole answer."""
         fields = {"Host": HOST, "X-Mulberryhub-Attempt-Id": id}
         if key is not None:
             fields["Authorization"] = f"Bearer {key}"
@@ -114,6 +138,7 @@
         )
 
     def ask_model(self, id="id-1", **headers):
+        """Send a request with a prompt and return its whole answer."""
         headers.setdefault("X_Mulberryhub_Model", MODEL)
         headers.setdefault("X_Mulberryhub_Token_Count", "300,60")
         headers.setdefault("X_Mulberryhub_Prompt_Prefix", "aa:100,bb:100,cc:100")
@@ -121,6 +146,7 @@
         return self.ask("/s/x", id=id, **headers)
 
     def lines(self):
+        """Return the log lines written so far."""
         lines = self.log_path.read_bytes().splitlines()
         return [msgspec.json.decode(line) for line in lines if line.startswith(b"{")]
 
@@ -140,6 +166,7 @@
         self.routers = [self.start_router(index) for index in range(routers)]
 
     def start_worker(self, id, service, zone, **more):
+        """Start a worker under an id."""
         address = free_address()
         entry = {"id": id, "service": service, "zone": zone, **more}
         self.workers_by_id[id] = self._programs.start(
@@ -150,24 +177,29 @@
         )
 
     def start_router(self, index):
+        """Return a started router."""
         zone = "ab"[index % 2]
         return RouterProcess(f"r{index}", zone, self.store.address, self._folder)
 
     def write(self, key, document):
+        """Write a record of the operator."""
         body = msgspec.json.encode(document)
         assert self.store.request("POST", f"/operator/{key}", body=body).status == 200
 
     def configure(self, config=None):
+        """Write a configuration and wait until all routers are ready."""
         self.write("config", config or make_config())
         wait_until(lambda: all(router.is_ready() for router in self.routers))
 
     def runs(self, *ids):
+        """Return the ids of requests that ran at workers, all or those named."""
         runs = []
         for id in ids or self.workers_by_id:
             runs += self.workers_by_id[id].request("GET", "/runs").json()
         return runs
 
     def close(self):
+        """End all programs that this fleet started."""
         for router in self.routers:
             if router.popen.poll() is None:
                 router.popen.kill()
@@ -176,6 +208,7 @@
 
 
 def wait_until(condition, timeout=READY_TIMEOUT):
+    """Wait until `condition()`, at most `timeout` s."""
     end = time.monotonic() + timeout
     while not condition():
         assert time.monotonic() < end, "not in time"
--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -5,7 +5,7 @@
 import pytest
 import urllib3
 
-from tests.adapter.platform_fleet import (
+from benchmarks.platform_fleet import (
     KEY,
     MODEL,
     PlatformFleet,
--- /dev/null
+++ b/tests/soak/test_run.py
@@ -0,0 +1,15 @@
+"""Short runs of the soak by seeds; those that ever failed stay, with their cause."""
+
+import pytest
+
+from soak.options import Options
+from soak.run import run_soak
+
+SECONDS = 14
+
+
+@pytest.mark.parametrize("seed", [1])
+def test_a_seeded_run_keeps_all_promises(seed, tmp_path):
+    report = run_soak(Options(seed, SECONDS, folder=str(tmp_path)))
+    assert [str(breach) for breach in report.breaches] == []
+    assert report.counts_by_status[200] > 100
