Weigh a miss of shared parts by its reading time, and order upstreams by version

Cause: a miss weighed 25 ms a rank, less than the noise of work in flight, so requests with the same parts were spread and each upstream read them again.

--- a/libs/forward/src/mulberryhub/forward/placing.py
+++ b/libs/forward/src/mulberryhub/forward/placing.py
@@ -12,7 +12,7 @@
 from mulberryhub.routing.placement import Placement
 
 REMOTE_COST = 3  # ms for each KB of body that goes to another data centre
-MISS_COST = 0.004  # ms for each shared token that is fetched or read again
+MISS_COST = 0.01  # ms for each shared token that is read again, about its reading time
 AVOIDED_COST = 10_000  # ms at an upstream that could not be reached lately
 UNSTEADY_COST = 400  # ms at one that cut an answer lately: less than a long queue
 OLD_WEIGHTS_COST = 0.2  # of the latency target, where newer weights are in use
@@ -101,7 +101,11 @@
         ]
         if self._is_known_expired(model, newest):
             return None
-        costs = self._costs(call, candidates)
+        costs = {}
+        for version in set(versions.values()):
+            # Parts are kept for one version only, so each has an order of its own.
+            same = [item for item in candidates if versions[item.id] == version]
+            costs |= self._costs(call, same)
         for id, version in versions.items():
             if version < newest:
                 costs[id] += OLD_WEIGHTS_COST * route.target_latency
