--- a/soak/run.py
+++ b/soak/run.py
@@ -13,6 +13,7 @@
 from soak.plan import Kind, make_plan
 from soak.promises import Breach, Evidence, find_breaches
 
+INTERPRETER_TIME = 0.15  # s in which signals meet no program yet
 RESTART_PAUSE = 0.4  # s between a process's end and its next start
 RECOVERY_TIME = 12.0  # s in which all kinds of requests are served after the faults
 STOP_TIME = 6.0  # s that a router may take to stop
@@ -118,8 +119,9 @@
         router.popen.send_signal(signal.SIGCONT)
 
     def router_hup(self, step, router):
-        """Tell a router that its settings changed."""
-        router.popen.send_signal(signal.SIGHUP)
+        """Tell a router that its settings changed, once its program has begun."""
+        if router.name not in self._expected_ends:
+            router.popen.send_signal(signal.SIGHUP)
         sleep(step.duration)
 
     def forget(self, step, _):
@@ -157,6 +159,7 @@
             self._wait_for_end(router)
             sleep(RESTART_PAUSE)
             router.start()
+            sleep(INTERPRETER_TIME)
         finally:
             self._expected_ends.discard(router.name)
 
--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -1,6 +1,7 @@
 import re
 import signal
 import threading
+from pathlib import Path
 
 import pytest
 import urllib3
@@ -201,3 +202,13 @@
     assert not router.is_ready()
     assert router.popen.wait(6) == 0
     assert router.lines()[-1]["message"] == "stopped"
+
+
+def test_a_reload_signal_during_the_start_does_not_end_a_router(platform):
+    router = platform.start_router(3)
+    platform.routers.append(router)
+    maps = Path(f"/proc/{router.popen.pid}/maps")
+    wait_until(lambda: "msgspec" in maps.read_text())
+    router.popen.send_signal(signal.SIGHUP)
+    wait_until(router.is_ready)
+    assert router.popen.poll() is None
