--- a/soak/promises.py
+++ b/soak/promises.py
@@ -114,7 +114,8 @@
         if withdrawn_at is None or seen.status != OK:
             continue
         late = seen.sent_at - withdrawn_at
-        if late > WITHDRAWAL_TIME and history.is_calm(withdrawn_at, seen.sent_at):
+        calm_from = max(withdrawn_at, seen.sent_at - SETTLED)
+        if late > WITHDRAWAL_TIME and history.is_calm(calm_from, seen.sent_at):
             yield Breach("withdrawal", seen.id, f"served {late:.0f} ms after it")
 
 
@@ -139,7 +140,7 @@
         left_at = history.left_at_by_id.get(run.worker)
         if left_at is None or run.at - left_at <= LEAVING_TIME:
             continue
-        if history.is_calm(left_at - SETTLED, run.at):
+        if history.is_calm(max(left_at, run.at - SETTLED), run.at):
             yield Breach("leaving", run.id, f"{run.at - left_at:.0f} ms after it")
 
 
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -77,10 +77,13 @@
     "kind, promises",
     [(None, ["withdrawal"]), (Kind.STORE_FAULT, []), (Kind.CONFIGURE, ["withdrawal"])],
 )
-def test_a_withdrawn_key_must_stop_in_time_while_all_is_calm(kind, promises):
-    spans = [] if kind is None else [make_span(kind, NOW - 3_000, NOW - 2_000)]
+@pytest.mark.parametrize("ago", [3_900, 20_000])
+def test_a_withdrawn_key_must_stop_in_time_while_all_is_calm(kind, promises, ago):
+    spans = [make_span(Kind.STORE_FAULT, NOW - 9_000, NOW - 5_000)]
+    if kind is not None:
+        spans.append(make_span(kind, NOW - 3_000, NOW - 2_000))
     history = make_history(*spans)
-    history.withdrawn_at_by_key["gone"] = NOW - 4_000
+    history.withdrawn_at_by_key["gone"] = NOW - ago
     assert names([make_seen(key="gone")], [make_run()], history) == promises
 
 
