Count remembered use only where a group of routers may have forgotten some

The new tests of uneven requests fail without the change. Beside it: waiting reads of rare topics last 25 s in place of 10 s, for fewer calls.

--- a/libs/fleet/src/mulberryhub/fleet/use.py
+++ b/libs/fleet/src/mulberryhub/fleet/use.py
@@ -92,9 +92,7 @@
         total.add(self.own())
         for reported in self._fresh(self._reported_by_name.values()):
             total.add(reported.use)
-        total.window_by_workspace = self._floors(self._data_centre).raised(
-            total.window_by_workspace
-        )
+        total.window_by_workspace = self._floors(self._data_centre).told(total)
         return total
 
     def note_told(self, use, counted):
@@ -103,7 +101,7 @@
         `counted` is the part of it that is this router's own.
         """
         self._told = Told(use, counted, self._clock.now())
-        self._floors(self._data_centre).raised(use.window_by_workspace)
+        self._floors(self._data_centre).told(use)
 
     def note_elsewhere(self, data_centre, use):
         """Take what is known of a data centre's use; of this one, only what must count.
@@ -129,8 +127,7 @@
         reported = self._reported_by_data_centre.get(data_centre)
         if reported is not None and self._is_fresh(reported):
             use.add(reported.use)
-        floors = self._floors(data_centre)
-        use.window_by_workspace = floors.raised(use.window_by_workspace)
+        use.window_by_workspace = self._floors(data_centre).told(use)
         return use
 
     def others(self):
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -29,8 +29,8 @@
 from mulberryhub.weights.manager import Manager
 from mulberryhub.weights.plan import PoolView
 
-OPERATOR_WAIT = 10_000  # ms that a read of the operator's records waits at the store
-MEMBERS_WAIT = 10_000  # ms
+OPERATOR_WAIT = 25_000  # ms that a read of the operator's records waits at the store
+MEMBERS_WAIT = 25_000  # ms
 UPSTREAMS_PAUSE = 700  # ms between reads, as upstreams write all the time
 VERSION_MARGIN = 700  # ms before the bound at which old weights serve no more
 LEASE_NAME = "orders"
--- a/tests/forward/test_quotas.py
+++ b/tests/forward/test_quotas.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from itertools import permutations
+from random import Random
 
 import pytest
 
@@ -71,14 +72,30 @@
                 self._tell()
             self.clock.advance(STEP)
 
-    def _ask(self, node):
-        self.asked += 1
+    def run_uneven(self, duration, tokens_per_s, seed):
+        """Ask with costs of a long tail at routers that get unequal shares."""
+        random = Random(seed)
+        shares = [random.random() ** 2 + 0.1 for _ in self.nodes]
+        end = self.clock.now() + duration
+        due = 0.0
+        while self.clock.now() < end:
+            due += tokens_per_s * STEP / 1000
+            while due > 0:
+                cost = min(45_000, max(200, int(random.lognormvariate(8, 1.2))))
+                due -= cost
+                self._ask(random.choices(self.nodes, shares)[0], cost)
+            if self.clock.now() % REPORT_PERIOD == 0:
+                self._tell()
+            self.clock.advance(STEP)
+
+    def _ask(self, node, cost=COST):
+        self.asked += cost
         try:
-            node.quotas.admit(WORKSPACE, COST)
+            node.quotas.admit(WORKSPACE, cost)
         except Refusal:
-            self.refused += 1
+            self.refused += cost
         else:
-            self.admitted.append(self.clock.now())
+            self.admitted.append(Admitted(self.clock.now(), cost))
 
     def _tell(self):
         """Report to each data centre's first router, and pass the sums on."""
@@ -102,11 +119,23 @@
                     node.table.note_elsewhere(data_centre, use)
 
     def largest_window(self):
-        times = list(self.admitted)
-        return max(
-            COST * sum(1 for time in times if start <= time < start + WINDOW)
-            for start in times
-        )
+        largest = total = 0
+        window = deque()
+        for item in self.admitted:
+            window.append(item)
+            total += item.cost
+            while window[0].at <= item.at - WINDOW:
+                total -= window.popleft().cost
+            largest = max(largest, total)
+        return largest
+
+
+class Admitted:
+    """What was admitted at a time in ms."""
+
+    def __init__(self, at, cost):
+        self.at = at
+        self.cost = cost
 
 
 @pytest.mark.parametrize("routers", [1, 6, 9, 90])
@@ -142,6 +171,26 @@
     assert fleet.refused <= fleet.asked / 100
 
 
+@pytest.mark.parametrize("routers", [6, 82])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_uneven_requests_within_the_tolerance_are_hardly_refused(routers, seed):
+    fleet = Fleet(routers)
+    fleet.run_uneven(9_000, RATE * 1.15, seed)
+    fleet.asked = fleet.refused = 0
+    fleet.run_uneven(14_000, RATE * 1.15, seed)
+    assert fleet.refused <= fleet.asked * 0.06
+    assert fleet.largest_window() <= ALLOWED
+
+
+@pytest.mark.parametrize("routers", [6, 82])
+@pytest.mark.parametrize("seed", [3, 4])
+def test_uneven_requests_far_over_the_rate_stay_within_the_window(routers, seed):
+    fleet = Fleet(routers)
+    fleet.run_uneven(9_000, RATE, seed)
+    fleet.run_uneven(14_000, RATE * 2.5, seed)
+    assert fleet.largest_window() <= ALLOWED
+
+
 @pytest.mark.parametrize("routers", [6, 82])
 @pytest.mark.parametrize("before, after", [(0.9, 2), (1.05, 3), (1.1, 8), (1.3, 8)])
 def test_a_surge_near_the_limit_stays_within_the_window(routers, before, after):
