Let links go on while the soak starts programs; leaving workers stay away

Both are faults of the soak, seen in the routers' lines (store lost at all three, w0 known again at offset 17). Its fault `strange` did nothing: `silent` takes its place.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -2,6 +2,7 @@
 
 import signal
 from pathlib import Path
+from threading import Thread
 
 import msgspec
 
@@ -82,7 +83,7 @@
         }
         if service == "llm":
             entry |= {"model": MODEL, "version": self.weights}
-        process = self._programs.start(
+        process = self._start_beside(
             "mulberryhub.adapter_standins.worker",
             address,
             self.store.address,
@@ -90,18 +91,32 @@
         )
         self.workers.append(Worker(id, service, link, process, address))
 
+    def _start_beside(self, *arguments):
+        """Start a program in a native thread, as links must go on meanwhile."""
+        started = []
+        thread = Thread(target=lambda: started.append(self._programs.start(*arguments)))
+        thread.start()
+        while thread.is_alive():
+            sleep(READY_POLL)
+        return started[0]
+
     def replace_worker(self, worker):
         """End a worker at once and start another in its place under a new id."""
         worker.process.signal(signal.SIGCONT)
         worker.process.kill()
         worker.link.close()
         self.workers.remove(worker)
-        self.write_entry(worker.id, b"")
+        self._unlist(worker)
         self.add_worker(f"{worker.id}n", worker.service)
 
-    def write_entry(self, id, body):
-        """Write a worker's entry to the store in its place."""
-        self.store.request("POST", f"/worker/{id}", body=body)
+    def drain_worker(self, worker):
+        """Let a worker leave: it is listed no more but goes on to serve."""
+        self.workers.remove(worker)
+        worker.process.fault(leaving=True)
+        self._unlist(worker)
+
+    def _unlist(self, worker):
+        self.store.request("POST", f"/worker/{worker.id}", body=b"")
 
     def configure(self):
         """Write a configuration with the keys that are in force."""
@@ -150,7 +165,7 @@
         self.store.fault(refuse=None, hang=None, lose=None)
         for worker in self.workers:
             worker.process.signal(signal.SIGCONT)
-            worker.process.fault(shed=None, error=None, cut=None, strange=None)
+            worker.process.fault(shed=None, error=None, cut=None, silent=None)
         for router in self.routers:
             if router.popen.poll() is not None:
                 router.start()
--- a/soak/run.py
+++ b/soak/run.py
@@ -98,9 +98,10 @@
         service = worker.service
         if sum(item.service == service for item in self.fleet.workers) < 2:
             return
-        self.fleet.workers.remove(worker)
         self.fleet.add_worker(f"{worker.id}d", service)
-        self.fleet.write_entry(worker.id, b"")
+        if worker not in self.fleet.workers:
+            return  # It was killed meanwhile.
+        self.fleet.drain_worker(worker)
         self.history.left_at_by_id[worker.id] = now()
         sleep(step.duration)
 
