Tell others of a topic only up to what is believed of it

Ruled out: the wait itself (two routers of three dropped the worker in time) and the worker (its entry was not written again). The test of two routers fails without the change.

--- a/libs/fleet/src/mulberryhub/fleet/beliefs.py
+++ b/libs/fleet/src/mulberryhub/fleet/beliefs.py
@@ -96,7 +96,10 @@
         self._changed.wait()
 
     def read_up_to(self, topic, position, as_of):
-        """Note that `topic` is known up to `position`, as it was at `as_of` ms."""
+        """Note that `topic` is known up to `position`, as it was at `as_of` ms.
+
+        With the position UNKNOWN only the time is noted.
+        """
         if position > self.position_by_topic[topic]:
             self.position_by_topic[topic] = position
         if as_of > self.as_of_by_topic[topic]:
--- a/libs/fleet/src/mulberryhub/fleet/follower.py
+++ b/libs/fleet/src/mulberryhub/fleet/follower.py
@@ -17,18 +17,28 @@
     """How a topic is read: `wait` ms at the store, `pause` ms between reads.
 
     `apply(entry)` takes one entry, `reconcile(listing)` what a whole listing lacks,
-    `answered()` is called after each read.
+    `answered()` is called after each read. `is_settled()` tells whether all that was
+    read is believed; what is held back must be read by others too.
     """
 
-    __slots__ = ("topic", "wait", "pause", "apply", "reconcile", "answered")
+    __slots__ = (
+        "topic",
+        "wait",
+        "pause",
+        "apply",
+        "reconcile",
+        "answered",
+        "is_settled",
+    )
 
-    def __init__(self, topic, wait, pause, apply, reconcile, answered):
+    def __init__(self, topic, wait, pause, apply, reconcile, answered, is_settled):
         self.topic = topic
         self.wait = wait
         self.pause = pause
         self.apply = apply
         self.reconcile = reconcile
         self.answered = answered
+        self.is_settled = is_settled
 
 
 class TopicFollower:
@@ -36,6 +46,7 @@
 
     __slots__ = (
         "failing_since",
+        "_position",
         "_plan",
         "_store",
         "_beliefs",
@@ -46,6 +57,7 @@
 
     def __init__(self, plan, store, beliefs, should_read, clock, counters):
         self.failing_since = None
+        self._position = UNKNOWN
         self._plan = plan
         self._store = store
         self._beliefs = beliefs
@@ -60,11 +72,13 @@
     def step(self):
         """Read once and apply what came; raise StoreUnavailable."""
         plan = self._plan
-        position = self._beliefs.position_by_topic[plan.topic]
+        believed = self._beliefs.position_by_topic[plan.topic]
+        position = max(self._position, believed)
         asked = self._clock.now()
-        end = self._list() if position == UNKNOWN else self._read(position)
+        self._position = self._list() if position == UNKNOWN else self._read(position)
         plan.answered()
-        self._beliefs.read_up_to(plan.topic, end, asked)
+        reached = self._position if plan.is_settled() else UNKNOWN
+        self._beliefs.read_up_to(plan.topic, reached, asked)
 
     def _read(self, position):
         plan = self._plan
--- a/libs/fleet/src/mulberryhub/fleet/removals.py
+++ b/libs/fleet/src/mulberryhub/fleet/removals.py
@@ -33,6 +33,14 @@
             for removal in waiting:
                 self._beliefs.learn_removal(removal)
 
+    def is_settled(self):
+        """Tell whether no removal waits.
+
+        Until then a router must not tell others that it knows the topic up to here:
+        they would not read the removal themselves and never hear of it.
+        """
+        return not self._waiting
+
     def remove(self, id, offset):
         """Take the upstream `id` as gone by the record at `offset`."""
         removal = Removal(id, offset)
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -178,6 +178,9 @@
     def ignore(*_):
         """Do nothing: a listing of this topic says nothing of what it lacks."""
 
+    def always():
+        return True
+
     plans = (
         TopicPlan(
             Topic.OPERATOR,
@@ -186,6 +189,7 @@
             apply_with(ports.read_operator),
             ignore,
             ignore,
+            always,
         ),
         TopicPlan(
             Topic.UPSTREAMS,
@@ -194,6 +198,7 @@
             apply_upstream,
             removals.remove_unlisted,
             removals.note_read,
+            removals.is_settled,
         ),
         TopicPlan(
             Topic.MEMBERS,
@@ -202,6 +207,7 @@
             apply_with(ports.read_member),
             ignore,
             ignore,
+            always,
         ),
     )
     seeds = [Member(f"seed {address}", address, "") for address in settings.seeds]
--- /dev/null
+++ b/tests/fleet/test_follower.py
@@ -0,0 +1,113 @@
+"""Followers of one topic at several routers, which also tell one another."""
+
+import pytest
+
+from mulberryhub.base.clock import ManualClock
+from mulberryhub.base.counters import Counters
+from mulberryhub.fleet.beliefs import UNKNOWN, Beliefs, Topic
+from mulberryhub.fleet.follower import TopicFollower, TopicPlan
+from mulberryhub.fleet.removals import OUTAGE, RETURN_TIME, Removals
+from mulberryhub.fleet.store import Batch, Entry, HistoryLost, Listing
+from tests.fleet.test_beliefs import make_upstream
+
+PAUSE = 700  # ms between reads
+
+
+class Store:
+    def __init__(self):
+        self.entries = []
+        self.first = 0
+
+    def write(self, key, value):
+        self.entries.append(Entry(key, len(self.entries), value))
+
+    def forget(self):
+        self.first = len(self.entries)
+
+    def read(self, topic, position, wait):
+        if position < self.first:
+            raise HistoryLost(self.first)
+        return Batch(self.entries[position:], len(self.entries))
+
+    def newest(self, topic):
+        newest = {entry.key: entry for entry in self.entries}
+        listed = [entry for entry in newest.values() if entry.value]
+        return Listing(listed, len(self.entries))
+
+
+class Router:
+    def __init__(self, store, clock):
+        self.beliefs = Beliefs(clock)
+        self._removals = Removals(self.beliefs, clock)
+        plan = TopicPlan(
+            Topic.UPSTREAMS,
+            0,
+            0,
+            self._apply,
+            self._removals.remove_unlisted,
+            self._removals.note_read,
+            self._removals.is_settled,
+        )
+        self._follower = TopicFollower(
+            plan, store, self.beliefs, lambda: True, clock, Counters()
+        )
+
+    def _apply(self, entry):
+        if entry.value is None:
+            self._removals.remove(entry.key, entry.offset)
+        else:
+            self.beliefs.learn(make_upstream(entry.key, entry.offset))
+
+    def read(self):
+        self._follower.step()
+
+    def hear_position(self, other):
+        """Take how far another router says that it knows the topic."""
+        position = other.beliefs.position_by_topic[Topic.UPSTREAMS]
+        self.beliefs.read_up_to(Topic.UPSTREAMS, position, UNKNOWN)
+
+    def ids(self):
+        return set(self.beliefs.upstreams_by_id)
+
+
+@pytest.mark.parametrize("is_forgotten", [False, True])
+def test_a_removal_that_one_router_holds_back_reaches_the_others(is_forgotten):
+    clock = ManualClock(now=100_000)
+    store = Store()
+    store.write("u0", b"entry")
+    store.write("u1", b"entry")
+    first, second = Router(store, clock), Router(store, clock)
+    for router in (first, second):
+        router.read()
+    clock.advance(OUTAGE + 1)
+    store.write("u0", None)
+    if is_forgotten:
+        store.forget()
+    first.read()
+    assert first.ids() == {"u0", "u1"}
+    second.hear_position(first)
+    second.read()
+    for _ in range(RETURN_TIME // PAUSE + 2):
+        clock.advance(PAUSE)
+        for router in (first, second):
+            router.read()
+    assert first.ids() == second.ids() == {"u1"}
+
+
+def test_what_was_read_is_not_read_again_while_a_removal_waits():
+    clock = ManualClock(now=100_000)
+    store = Store()
+    store.write("u0", b"entry")
+    router = Router(store, clock)
+    router.read()
+    clock.advance(OUTAGE + 1)
+    store.write("u0", None)
+    router.read()
+    positions = []
+    read = store.read
+    store.read = lambda topic, position, wait: (
+        positions.append(position),
+        read(topic, position, wait),
+    )[1]
+    router.read()
+    assert positions == [2]
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -13,6 +13,7 @@
     [
         1,
         11,  # a reload was asked for during a router's start and ended it
+        222,  # a removal that a helper held back never reached the router it helped
     ],
 )
 def test_a_seeded_run_keeps_all_promises(seed, tmp_path):
