--- a/soak/promises.py
+++ b/soak/promises.py
@@ -17,7 +17,7 @@
 WHOLE_STREAM = [1, 2, 3, 4, 5, 6]  # ids of its events
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 OK = 200
-SETTLED = 4_000  # ms without a fault after which bounds in time hold
+SETTLED = 4_000  # ms without a fault after which bounds in time begin to hold
 WITHDRAWAL_TIME = 2_500  # ms
 LEAVING_TIME = 2_500  # ms
 QUOTA_WINDOW = 8_000  # ms
@@ -114,7 +114,7 @@
         if withdrawn_at is None or seen.status != OK:
             continue
         late = seen.sent_at - withdrawn_at
-        calm_from = max(withdrawn_at, seen.sent_at - SETTLED)
+        calm_from = seen.sent_at - SETTLED - WITHDRAWAL_TIME
         if late > WITHDRAWAL_TIME and history.is_calm(calm_from, seen.sent_at):
             yield Breach("withdrawal", seen.id, f"served {late:.0f} ms after it")
 
@@ -140,7 +140,7 @@
         left_at = history.left_at_by_id.get(run.worker)
         if left_at is None or run.at - left_at <= LEAVING_TIME:
             continue
-        if history.is_calm(max(left_at, run.at - SETTLED), run.at):
+        if history.is_calm(run.at - SETTLED - LEAVING_TIME, run.at):
             yield Breach("leaving", run.id, f"{run.at - left_at:.0f} ms after it")
 
 
