Show how current a router's knowledge of the store is

Gauges give the age and position of each topic, the duration of the call on its way and the removals that wait; 'store lost' says how long the failed call had lasted, 'configuration in force' how old the knowledge before was, 'reads the store' why, and a removal held back has a line of its own.

--- a/libs/fleet/src/mulberryhub/fleet/beliefs.py
+++ b/libs/fleet/src/mulberryhub/fleet/beliefs.py
@@ -116,7 +116,12 @@
         if known is not None and configuration.version <= known.version:
             return
         self.configuration = configuration
-        log.info("configuration in force", version=configuration.version)
+        log.info(
+            "configuration in force",
+            version=configuration.version,
+            before=None if known is None else known.version,
+            operator_age_ms=self.age(Topic.OPERATOR),
+        )
         self._note_change("configuration", configuration)
 
     def learn_weights(self, weights):
--- a/libs/fleet/src/mulberryhub/fleet/follower.py
+++ b/libs/fleet/src/mulberryhub/fleet/follower.py
@@ -46,6 +46,7 @@
 
     __slots__ = (
         "failing_since",
+        "_asked_at",
         "_position",
         "_plan",
         "_store",
@@ -57,6 +58,7 @@
 
     def __init__(self, plan, store, beliefs, should_read, clock, counters):
         self.failing_since = None
+        self._asked_at = None
         self._position = UNKNOWN
         self._plan = plan
         self._store = store
@@ -65,17 +67,27 @@
         self._clock = clock
         self._counters = counters
 
+    @property
+    def topic(self):
+        """Return the topic that is read."""
+        return self._plan.topic
+
     def start(self):
         """Follow in the background."""
         spawn_task(self._run)
 
+    def pending_for(self):
+        """Return the ms for which the call to the store has lasted, 0 without one."""
+        return 0 if self._asked_at is None else self._clock.now() - self._asked_at
+
     def step(self):
         """Read once and apply what came; raise StoreUnavailable."""
         plan = self._plan
         believed = self._beliefs.position_by_topic[plan.topic]
         position = max(self._position, believed)
-        asked = self._clock.now()
+        asked = self._asked_at = self._clock.now()
         self._position = self._list() if position == UNKNOWN else self._read(position)
+        self._asked_at = None
         plan.answered()
         reached = self._position if plan.is_settled() else UNKNOWN
         self._beliefs.read_up_to(plan.topic, reached, asked)
@@ -117,9 +129,17 @@
 
     def _note_failure(self, error):
         self._counters.add("store.unavailable")
+        lasted = self.pending_for()
+        self._asked_at = None
         if self.failing_since is None:
             self.failing_since = self._clock.now()
-            log.warning("store lost", topic=self._plan.topic, reason=str(error))
+            log.warning(
+                "store lost",
+                topic=self._plan.topic,
+                reason=str(error),
+                call_ms=lasted,
+                position=self._position,
+            )
 
     def _note_success(self):
         if self.failing_since is not None:
--- a/libs/fleet/src/mulberryhub/fleet/removals.py
+++ b/libs/fleet/src/mulberryhub/fleet/removals.py
@@ -1,10 +1,13 @@
 """When upstreams that the store no longer lists are taken as gone."""
 
+from mulberryhub.base.logs import module_logger
 from mulberryhub.fleet.records import Removal
 
 RETURN_TIME = 2_500  # ms in which live upstreams are listed again after an outage
 OUTAGE = 1_500  # ms without the store after which upstreams may have lapsed
 
+log = module_logger(__name__)
+
 
 class Removals:
     """Applies removals, but those seen right after an outage only after a while.
@@ -30,9 +33,14 @@
         self._last_read = now
         if self._waiting and not self._is_early(now):
             waiting, self._waiting = self._waiting, []
+            log.info("removals applied", count=len(waiting))
             for removal in waiting:
                 self._beliefs.learn_removal(removal)
 
+    def held(self):
+        """Return the number of removals that wait."""
+        return len(self._waiting)
+
     def is_settled(self):
         """Tell whether no removal waits.
 
@@ -48,6 +56,13 @@
         away = self._last_read is not None and now - self._last_read > OUTAGE
         if away or self._is_early(now):
             self._waiting.append(removal)
+            log.info(
+                "removal held back",
+                upstream=id,
+                offset=offset,
+                last_read_ms=now - self._last_read,
+                returned_ms=None if away else now - self._returned_at,
+            )
         else:
             self._beliefs.learn_removal(removal)
 
--- a/libs/fleet/src/mulberryhub/fleet/sources.py
+++ b/libs/fleet/src/mulberryhub/fleet/sources.py
@@ -77,7 +77,13 @@
         reading = self.is_leader() or not self._is_fresh() or self._reads_fail()
         if reading != self._was_reading:
             self._was_reading = reading
-            log.info("reads the store", reading=reading, leader=self.is_leader())
+            log.info(
+                "reads the store",
+                reading=reading,
+                leader=self.is_leader(),
+                reads_fail=self._reads_fail(),
+                upstreams_age_ms=self._beliefs.age(Topic.UPSTREAMS),
+            )
         return reading
 
     def is_leader(self):
--- /dev/null
+++ b/libs/node/src/mulberryhub/node/gauges.py
@@ -0,0 +1,39 @@
+"""Gauges that show how current a router's knowledge of the platform's store is."""
+
+from mulberryhub.fleet.beliefs import UNKNOWN, Topic
+
+
+def add_gauges(counters, beliefs, followers, removals):
+    """Serve the age and position of each topic, its call and what is held back."""
+    counters.gauge(
+        "topic_age_ms",
+        "Time since the topic was known to be current, -1 if never",
+        {topic: _age(beliefs, topic) for topic in Topic},
+    )
+    counters.gauge(
+        "topic_position",
+        "Offset of the next record, -1 if nothing is known",
+        {topic: _position(beliefs, topic) for topic in Topic},
+    )
+    counters.gauge(
+        "call_pending_ms",
+        "Duration of the call to the store that is on its way",
+        {follower.topic: follower.pending_for for follower in followers},
+    )
+    counters.gauge(
+        "removals_held",
+        "Removals that wait after an outage",
+        {Topic.UPSTREAMS: removals.held},
+    )
+
+
+def _age(beliefs, topic):
+    def age():
+        known = beliefs.age(topic)
+        return UNKNOWN if known is None else known
+
+    return age
+
+
+def _position(beliefs, topic):
+    return lambda: beliefs.position_by_topic[topic]
--- a/libs/node/src/mulberryhub/node/metrics.py
+++ b/libs/node/src/mulberryhub/node/metrics.py
@@ -1,6 +1,12 @@
 """Serves counters and latency histograms to monitoring tools."""
 
-from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
 
 from mulberryhub.http.messages import Headers
 from mulberryhub.http.server import HttpServer
@@ -37,6 +43,12 @@
         self.by_name[name] = self.by_name.get(name, 0) + amount
         self._counter.labels(name).inc(amount)
 
+    def gauge(self, name, text, value_by_topic):
+        """Serve the values that the functions in `value_by_topic` return when asked."""
+        gauge = Gauge(f"mulberryhub_{name}", text, ["topic"], registry=self.registry)
+        for topic, value in value_by_topic.items():
+            gauge.labels(topic).set_function(value)
+
     def timing(self, name, duration):
         """Note a duration in ms."""
         self._histogram.labels(name).observe(duration)
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -21,6 +21,7 @@
 from mulberryhub.http.inbound import Limits
 from mulberryhub.http.pool import Pool
 from mulberryhub.http.server import HttpServer
+from mulberryhub.node.gauges import add_gauges
 from mulberryhub.node.metrics import metrics_server
 from mulberryhub.node.readiness import readiness_server
 from mulberryhub.node.router import Router, RouterParts
@@ -120,6 +121,7 @@
     parts.readiness = readiness_server(
         settings.ready_address, ports.ready_path, router.is_ready, clock
     )
+    add_gauges(counters, beliefs, parts.followers, parts.removals)
     parts.metrics = None
     if settings.metrics_address:
         parts.metrics = metrics_server(settings.metrics_address, counters, clock)
@@ -153,7 +155,7 @@
 
 
 def _add_followers(parts, settings, ports, beliefs, use_table, counters, clock):
-    removals = Removals(beliefs, clock)
+    removals = parts.removals = Removals(beliefs, clock)
 
     def subscribe(member, wants_records):
         return Subscription(member, parts.me, wants_records, beliefs, use_table, clock)
--- a/libs/node/src/mulberryhub/node/router.py
+++ b/libs/node/src/mulberryhub/node/router.py
@@ -94,6 +94,7 @@
         "publisher",
         "sources",
         "followers",
+        "removals",
         "manager",
         "kept_watcher",
         "forwarder",
--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -180,6 +180,9 @@
     text = urllib3.request("GET", f"http://{router.metrics}/metrics").data.decode()
     assert "mulberryhub_events_total" in text
     assert "mulberryhub_duration_ms_bucket" in text
+    for topic in ("operator", "upstreams", "members"):
+        assert f'mulberryhub_topic_age_ms{{topic="{topic}"}}' in text
+        assert f'mulberryhub_call_pending_ms{{topic="{topic}"}}' in text
 
 
 def test_no_key_stands_in_a_line(platform):
