--- /dev/null
+++ b/tests/adapter/test_settings.py
@@ -0,0 +1,23 @@
+import pytest
+
+from mulberryhub.adapter.settings import read_settings
+
+SETTINGS = """
+nodeName = "r1"
+ip = "127.0.0.1"
+zone = "a"
+portRange = [7600, 7615]
+[listen]
+front = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+control = "127.0.0.1:3"
+[platform]
+address = "127.0.0.1:4"
+"""
+
+
+@pytest.mark.parametrize("port, served_at", [(0, 7600), (9464, 9464)])
+def test_metrics_are_served_at_the_port_asked_for(tmp_path, port, served_at):
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS)
+    assert read_settings(path, port).metrics_address == f"127.0.0.1:{served_at}"
