Bound how long a lost read of the store can go unnoticed

Cause: a read of the operator's records waited 25 s at the store with a timeout of 25.8 s. A call that the store accepts and never answers looks just like a wait, and as all routers begin their waits at the same record, all lose them at once. Nothing else told a router of a change: the others wait on their own, and freshness was judged by the topic of upstreams alone. Keep-alive probes are answered by the store's host. Ruled out: a task that ended (no 'task failed' line), an old position (the read that failed at 40.8 s went on from it).

Now a router that reads waits 700 ms, so that a lost call is noticed after 1.5 s; the others subscribe to it, and read themselves once their news of either topic are older than 1.3 s. An empty wait shows that the topic was current until its end, and the first read after a failure does not wait. The class is a belief whose freshness no evidence bounds; reads of the members waited as long and now wait 3 s.

--- a/libs/fleet/src/mulberryhub/fleet/follower.py
+++ b/libs/fleet/src/mulberryhub/fleet/follower.py
@@ -16,6 +16,8 @@
 class TopicPlan:
     """How a topic is read: `wait` ms at the store, `pause` ms between reads.
 
+    A call that the store never answers is given up a while after `wait`, and until then
+    nothing shows that it is lost: `wait` bounds how late a change can be.
     `apply(entry)` takes one entry, `reconcile(listing)` what a whole listing lacks,
     `answered()` is called after each read. `is_settled()` tells whether all that was
     read is believed; what is held back must be read by others too.
@@ -85,47 +87,59 @@
         plan = self._plan
         believed = self._beliefs.position_by_topic[plan.topic]
         position = max(self._position, believed)
-        asked = self._asked_at = self._clock.now()
-        self._position = self._list() if position == UNKNOWN else self._read(position)
+        self._asked_at = self._clock.now()
+        as_of = self._list() if position == UNKNOWN else self._read(position)
         self._asked_at = None
         plan.answered()
         reached = self._position if plan.is_settled() else UNKNOWN
-        self._beliefs.read_up_to(plan.topic, reached, asked)
+        self._beliefs.read_up_to(plan.topic, reached, as_of)
 
     def _read(self, position):
+        """Read from `position`; return the ms at which nothing newer was there."""
         plan = self._plan
+        # The first answer after a failure is not to be waited for.
+        wait = plan.wait if self.failing_since is None else 0
         try:
-            batch = self._store.read(plan.topic, position, plan.wait)
+            batch = self._store.read(plan.topic, position, wait)
         except HistoryLost as lost:
             log.info("history lost", topic=plan.topic, first=lost.first)
             return self._list()
         for entry in batch.entries:
             plan.apply(entry)
-        return batch.end
+        self._position = batch.end
+        has_waited = not batch.entries and self.pending_for() >= wait
+        return self._asked_at + (wait if has_waited else 0)
 
     def _list(self):
+        """Read the whole topic; return the ms at which nothing newer was there."""
         listing = self._store.newest(self._plan.topic)
         for entry in listing.entries:
             self._plan.apply(entry)
         self._plan.reconcile(listing)
-        return listing.end
+        self._position = listing.end
+        return self._asked_at
+
+    def read_once(self):
+        """Read once and note whether the store answered; return whether it did."""
+        try:
+            self.step()
+        except StoreUnavailable as error:
+            self._note_failure(error)
+            return False
+        self._note_success()
+        return True
 
     def _run(self):
         pause = FIRST_PAUSE
         while True:
             if not self._should_read():
                 sleep(IDLE_PAUSE / 1000)
-                continue
-            try:
-                self.step()
-            except StoreUnavailable as error:
-                self._note_failure(error)
-                sleep(pause / 1000)
-                pause = min(pause * 2, LONGEST_PAUSE)
-            else:
+            elif self.read_once():
                 pause = FIRST_PAUSE
-                self._note_success()
                 sleep(self._plan.pause / 1000)
+            else:
+                sleep(pause / 1000)
+                pause = min(pause * 2, LONGEST_PAUSE)
 
     def _note_failure(self, error):
         self._counters.add("store.unavailable")
--- a/libs/fleet/src/mulberryhub/fleet/sources.py
+++ b/libs/fleet/src/mulberryhub/fleet/sources.py
@@ -1,8 +1,9 @@
 """Where a router takes its news: the store itself, or another router that reads it.
 
 In each data centre the first live member by name reads the store and the others
-subscribe to it. A router whose news grow old reads the store itself; where it cannot
-reach it, it also subscribes to members anywhere, one after the other.
+subscribe to it. A router whose news of any topic that requests depend on grow old reads
+the store itself; where it cannot reach it, it also subscribes to members anywhere, one
+after the other.
 """
 
 from random import choice
@@ -17,6 +18,7 @@
 HELPER_TIME = 1_500  # ms that a helper gets to bring newer news
 FIRST_AVOIDANCE = 2_000  # ms for which a member is avoided after a failure
 LONGEST_AVOIDANCE = 16_000  # ms
+NEEDED_TOPICS = (Topic.OPERATOR, Topic.UPSTREAMS)  # those that requests depend on
 
 log = module_logger(__name__)
 
@@ -82,6 +84,7 @@
                 reading=reading,
                 leader=self.is_leader(),
                 reads_fail=self._reads_fail(),
+                operator_age_ms=self._beliefs.age(Topic.OPERATOR),
                 upstreams_age_ms=self._beliefs.age(Topic.UPSTREAMS),
             )
         return reading
@@ -104,8 +107,8 @@
             sleep(TICK / 1000)
 
     def _is_fresh(self):
-        age = self._beliefs.age(Topic.UPSTREAMS)
-        return age is not None and age <= FRESH
+        ages = [self._beliefs.age(topic) for topic in NEEDED_TOPICS]
+        return all(age is not None and age <= FRESH for age in ages)
 
     def _follow_leader(self):
         leader = self._leader_of(self._me.data_centre)
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -30,8 +30,8 @@
 from mulberryhub.weights.manager import Manager
 from mulberryhub.weights.plan import PoolView
 
-OPERATOR_WAIT = 25_000  # ms that a read of the operator's records waits at the store
-MEMBERS_WAIT = 25_000  # ms
+OPERATOR_WAIT = 700  # ms that a read of the operator's records waits at the store
+MEMBERS_WAIT = 3_000  # ms
 UPSTREAMS_PAUSE = 700  # ms between reads, as upstreams write all the time
 VERSION_MARGIN = 700  # ms before the bound at which old weights serve no more
 LEASE_NAME = "orders"
@@ -214,18 +214,12 @@
     )
     seeds = [Member(f"seed {address}", address, "") for address in settings.seeds]
     parts.sources = Sources(parts.me, seeds, beliefs, subscribe, reads_fail, clock)
-    should_read_by_topic = {
-        # What the operator writes is rare, and all routers must have it in time.
-        Topic.OPERATOR: lambda: True,
-        Topic.UPSTREAMS: parts.sources.should_read,
-        Topic.MEMBERS: parts.sources.should_read,
-    }
     parts.followers = [
         TopicFollower(
             plan,
             ports.store,
             beliefs,
-            should_read_by_topic[plan.topic],
+            parts.sources.should_read,
             clock,
             counters,
         )
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -7,10 +7,17 @@
 from mulberryhub.fleet.beliefs import UNKNOWN, Beliefs, Topic
 from mulberryhub.fleet.follower import TopicFollower, TopicPlan
 from mulberryhub.fleet.removals import OUTAGE, RETURN_TIME, Removals
-from mulberryhub.fleet.store import Batch, Entry, HistoryLost, Listing
+from mulberryhub.fleet.store import (
+    Batch,
+    Entry,
+    HistoryLost,
+    Listing,
+    StoreUnavailable,
+)
 from tests.fleet.test_beliefs import make_upstream
 
 PAUSE = 700  # ms between reads
+CALL_TIMEOUT = 800  # ms
 
 
 class Store:
@@ -111,3 +118,57 @@
     )[1]
     router.read()
     assert positions == [2]
+
+
+WAIT = 700  # ms
+
+
+class WaitingStore(Store):
+    """Holds reads without news for the whole wait, and swallows them while silent."""
+
+    def __init__(self, clock):
+        super().__init__()
+        self._clock = clock
+        self.is_silent = False
+
+    def read(self, topic, position, wait):
+        if self.is_silent:
+            self._clock.advance(wait + CALL_TIMEOUT)
+            raise StoreUnavailable("no answer")
+        if position >= len(self.entries):
+            self._clock.advance(wait)
+        return super().read(topic, position, wait)
+
+
+def follow_with_waits(store, clock):
+    beliefs = Beliefs(clock)
+
+    def nothing(*_):
+        pass
+
+    plan = TopicPlan(Topic.OPERATOR, WAIT, 0, nothing, nothing, nothing, lambda: True)
+    follower = TopicFollower(plan, store, beliefs, lambda: True, clock, Counters())
+    follower.read_once()
+    return follower, beliefs
+
+
+def test_a_wait_without_news_shows_that_the_topic_is_current():
+    clock = ManualClock(now=100_000)
+    store = WaitingStore(clock)
+    follower, beliefs = follow_with_waits(store, clock)
+    follower.read_once()
+    assert beliefs.age(Topic.OPERATOR) == 0
+
+
+def test_a_read_after_a_failure_does_not_wait_to_find_the_store_back():
+    clock = ManualClock(now=100_000)
+    store = WaitingStore(clock)
+    follower, _ = follow_with_waits(store, clock)
+    store.is_silent = True
+    follower.read_once()
+    assert follower.failing_since is not None
+    store.is_silent = False
+    before = clock.now()
+    follower.read_once()
+    assert follower.failing_since is None
+    assert clock.now() == before
--- a/tests/fleet/test_sources.py
+++ b/tests/fleet/test_sources.py
@@ -54,8 +54,9 @@
         self.opened.append(subscription)
         return subscription
 
-    def note_fresh(self):
-        self.beliefs.read_up_to(Topic.UPSTREAMS, 1, self.clock.now())
+    def note_fresh(self, topics=(Topic.OPERATOR, Topic.UPSTREAMS)):
+        for topic in topics:
+            self.beliefs.read_up_to(topic, 1, self.clock.now())
 
     def live(self, wants_records=True):
         return [
@@ -80,6 +81,17 @@
     assert not world.sources.should_read()
 
 
+@pytest.mark.parametrize("topic", [Topic.OPERATOR, Topic.UPSTREAMS])
+def test_a_router_whose_news_of_one_topic_grow_old_reads_itself(topic):
+    world = World("a2")
+    world.sources.step()
+    world.clock.advance(FRESH + 1)
+    world.note_fresh({Topic.OPERATOR, Topic.UPSTREAMS} - {topic})
+    assert world.sources.should_read()
+    world.note_fresh([topic])
+    assert not world.sources.should_read()
+
+
 def test_a_router_whose_news_grow_old_reads_itself():
     world = World("a2")
     world.sources.step()
