Apply removals that wait also at a router that ceases to read

Cause: only a read of the router's own applied what waited. Now a task does, once the topic is known, from whomever, as of the end of the wait: then a record of an upstream that came back has been seen.

--- a/libs/fleet/src/mulberryhub/fleet/removals.py
+++ b/libs/fleet/src/mulberryhub/fleet/removals.py
@@ -1,10 +1,14 @@
 """When upstreams that the store no longer lists are taken as gone."""
 
+from mulberryhub.base.green import sleep
 from mulberryhub.base.logs import module_logger
+from mulberryhub.base.tasks import spawn_task
+from mulberryhub.fleet.beliefs import Topic
 from mulberryhub.fleet.records import Removal
 
 RETURN_TIME = 2_500  # ms in which live upstreams are listed again after an outage
 OUTAGE = 1_500  # ms of failing reads after which upstreams may have lapsed
+TICK = 100  # ms
 
 log = module_logger(__name__)
 
@@ -26,23 +30,36 @@
         self._returned_at = None
         self._waiting = []
 
+    def start(self):
+        """Apply what is due, again and again in the background."""
+        spawn_task(self._run)
+
     def note_failure(self, asked_at):
         """Note that the store did not answer a call that was made at `asked_at` ms."""
         if self._away_since is None:
             self._away_since = asked_at
 
     def note_read(self):
-        """Note that the store answered, and apply what has waited long enough."""
+        """Note that the store answered."""
+        if self._away_since is None:
+            return
         now = self._clock.now()
-        if self._away_since is not None:
-            if now - self._away_since > OUTAGE:
-                self._returned_at = now
-            self._away_since = None
-        if self._waiting and not self._is_early():
-            waiting, self._waiting = self._waiting, []
-            log.info("removals applied", count=len(waiting))
-            for removal in waiting:
-                self._beliefs.learn_removal(removal)
+        if now - self._away_since > OUTAGE:
+            self._returned_at = now
+        self._away_since = None
+
+    def apply_due(self):
+        """Apply what waits once the topic is known as of the end of the wait.
+
+        It may be known from another router: this one may have ceased to read.
+        """
+        as_of = self._beliefs.as_of_by_topic[Topic.UPSTREAMS]
+        if not self._waiting or as_of < self._returned_at + RETURN_TIME:
+            return
+        waiting, self._waiting = self._waiting, []
+        log.info("removals applied", count=len(waiting))
+        for removal in waiting:
+            self._beliefs.learn_removal(removal)
 
     def held(self):
         """Return the number of removals that wait."""
@@ -75,6 +92,11 @@
             if upstream.id not in listed and upstream.offset < listing.end:
                 self.remove(upstream.id, listing.end - 1)
 
+    def _run(self):
+        while True:
+            self.apply_due()
+            sleep(TICK / 1000)
+
     def _is_early(self):
         if self._returned_at is None:
             return False
--- a/libs/node/src/mulberryhub/node/router.py
+++ b/libs/node/src/mulberryhub/node/router.py
@@ -39,6 +39,7 @@
         for follower in parts.followers:
             follower.start()
         parts.sources.start()
+        parts.removals.start()
         spawn_task(self._register)
         spawn_task(self._expire_connections)
         parts.front.start()
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -71,6 +71,7 @@
 
     def read(self):
         self._follower.read_once()
+        self._removals.apply_due()
 
     def hear_position(self, other):
         """Take how far another router says that it knows the topic."""
--- a/tests/fleet/test_removals.py
+++ b/tests/fleet/test_removals.py
@@ -1,5 +1,5 @@
 from mulberryhub.base.clock import ManualClock
-from mulberryhub.fleet.beliefs import Beliefs
+from mulberryhub.fleet.beliefs import UNKNOWN, Beliefs, Topic
 from mulberryhub.fleet.removals import RETURN_TIME, Removals
 from mulberryhub.fleet.store import Entry, Listing
 from tests.fleet.test_beliefs import make_upstream
@@ -22,6 +22,12 @@
         for _ in range(duration // 500):
             self.clock.advance(500)
             self.removals.note_read()
+            self.hear()
+
+    def hear(self):
+        """Take from another router that the topic is current."""
+        self.beliefs.read_up_to(Topic.UPSTREAMS, UNKNOWN, self.clock.now())
+        self.removals.apply_due()
 
     def has_upstream(self):
         return "u1" in self.beliefs.upstreams_by_id
@@ -60,3 +66,24 @@
     world.run(500)
     world.removals.remove_unlisted(Listing([Entry("u2", 2, b"x")], end=3))
     assert set(world.beliefs.upstreams_by_id) == {"u2"}
+
+
+def test_a_removal_that_waits_takes_effect_though_the_router_ceases_to_read():
+    world = World()
+    world.pass_outage()
+    world.removals.remove("u1", 2)
+    world.clock.advance(RETURN_TIME - 1)
+    world.hear()
+    assert world.has_upstream()
+    world.clock.advance(1)
+    world.hear()
+    assert not world.has_upstream()
+
+
+def test_a_removal_waits_on_while_nothing_new_is_known():
+    world = World()
+    world.pass_outage()
+    world.removals.remove("u1", 2)
+    world.clock.advance(2 * RETURN_TIME)
+    world.removals.apply_due()
+    assert world.has_upstream()
