Tell followers what left before their reader began to read

Cause: a position stood for records that its teller had never had. A listing shows what is there, and the news carried only what the teller knew had changed. News now name all upstreams once, when a subscription begins, and again after a listing; what a follower knows beyond them up to that position is gone. A follower that holds a removal back does not take the position either.

test_a_follower_forgets_what_left_before_its_reader_began_to_read failed before.

--- a/libs/fleet/src/mulberryhub/fleet/beliefs.py
+++ b/libs/fleet/src/mulberryhub/fleet/beliefs.py
@@ -43,7 +43,8 @@
     """The newest known records, and up to where and when each topic was read.
 
     `position_by_topic` is the offset of the next record, `as_of_by_topic` the time
-    in ms at which the store is known to have held nothing newer.
+    in ms at which the store is known to have held nothing newer. `listed_to` is the
+    end of the last whole listing that upstreams were compared with.
     """
 
     __slots__ = (
@@ -55,6 +56,7 @@
         "kept",
         "position_by_topic",
         "as_of_by_topic",
+        "listed_to",
         "revision",
         "_removed_by_id",
         "_removed_at_by_id",
@@ -76,6 +78,7 @@
         self.kept = KeptParts(clock)
         self.position_by_topic = dict.fromkeys(Topic, UNKNOWN)
         self.as_of_by_topic = dict.fromkeys(Topic, UNKNOWN)
+        self.listed_to = UNKNOWN
         self.revision = 0
         self._removed_by_id = {}
         self._removed_at_by_id = {}
--- a/libs/fleet/src/mulberryhub/fleet/channel.py
+++ b/libs/fleet/src/mulberryhub/fleet/channel.py
@@ -50,12 +50,14 @@
     `age_by_topic` and `kept_age`, that of the parts of kept cache, are in ms. `use` is
     that of the publisher's data centre, of which `counted` is what it has counted for
     the receiver; `use_by_data_centre` is that of the others, or where no records are
-    wanted, what is known of the receiver's.
+    wanted, what is known of the receiver's. `upstream_ids` are all that are known, told
+    first and again after a listing, as records of removals do not reach further back.
     """
 
     records: list[Record] = []
     position_by_topic: dict[str, int] = {}
     age_by_topic: dict[str, int] = {}
+    upstream_ids: list[str] | None = None
     kept_age: int | None = None
     use: Use | None = None
     counted: Use | None = None
--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -3,7 +3,7 @@
 from mulberryhub.base.green import Timeout, sleep
 from mulberryhub.base.logs import module_logger
 from mulberryhub.base.tasks import spawn_task
-from mulberryhub.fleet.beliefs import Topic
+from mulberryhub.fleet.beliefs import UNKNOWN, Topic
 from mulberryhub.fleet.channel import Channel, ChannelBroken, Hello, News, Report
 from mulberryhub.fleet.records import Configuration, Member, Upstream
 from mulberryhub.http.accepting import accept_all
@@ -89,18 +89,36 @@
     def _tell(self, channel, hello):
         revision = 0
         rollout_order = None
+        told_to = None
         while True:
             reached = self._beliefs.revision
             news = self._news(hello, revision)
             if self._beliefs.rollout.order != rollout_order:
                 rollout_order = self._beliefs.rollout.order
                 news.rollout = self._beliefs.rollout
+            if hello.wants_records and self._is_listing_due(told_to):
+                news.upstream_ids = list(self._beliefs.upstreams_by_id)
+                told_to = min(self._upstreams_position(), self._beliefs.listed_to)
             channel.send(news)
             revision = reached
             with Timeout(self.heartbeat() / 1000, False):
                 self._beliefs.wait_for_change()
             sleep(GATHERING / 1000)
 
+    def _is_listing_due(self, told_to):
+        """Tell whether a subscriber needs all ids; `told_to` is up to where it has them.
+
+        The first time it does; later only after a listing, once it is believed whole.
+        """
+        position = self._upstreams_position()
+        if told_to is None:
+            return position != UNKNOWN
+        listed_to = self._beliefs.listed_to
+        return told_to != listed_to and position >= listed_to
+
+    def _upstreams_position(self):
+        return self._beliefs.position_by_topic[Topic.UPSTREAMS]
+
     def _news(self, hello, revision):
         news = News(use=self._use_table.here())
         if not hello.wants_records:
--- a/libs/fleet/src/mulberryhub/fleet/removals.py
+++ b/libs/fleet/src/mulberryhub/fleet/removals.py
@@ -85,12 +85,13 @@
         else:
             self._beliefs.learn_removal(removal)
 
-    def remove_unlisted(self, listing):
-        """Take upstreams as gone that a whole listing lacks."""
-        listed = {entry.key for entry in listing.entries}
+    def remove_unlisted(self, ids, end):
+        """Take upstreams as gone that are not in `ids`, all that there were at `end`."""
+        listed = set(ids)
         for upstream in list(self._beliefs.upstreams_by_id.values()):
-            if upstream.id not in listed and upstream.offset < listing.end:
-                self.remove(upstream.id, listing.end - 1)
+            if upstream.id not in listed and upstream.offset < end:
+                self.remove(upstream.id, end - 1)
+        self._beliefs.listed_to = max(self._beliefs.listed_to, end)
 
     def _run(self):
         while True:
--- a/libs/fleet/src/mulberryhub/fleet/subscription.py
+++ b/libs/fleet/src/mulberryhub/fleet/subscription.py
@@ -3,7 +3,7 @@
 from mulberryhub.base.green import Timeout
 from mulberryhub.base.logs import module_logger
 from mulberryhub.base.tasks import spawn_task
-from mulberryhub.fleet.beliefs import Topic
+from mulberryhub.fleet.beliefs import UNKNOWN, Topic
 from mulberryhub.fleet.channel import Channel, ChannelBroken, Hello, News, Report
 
 REPORT_PERIOD = 250  # ms
@@ -35,18 +35,20 @@
         "_me",
         "_wants_records",
         "_beliefs",
+        "_removals",
         "_use_table",
         "_clock",
         "_channel",
     )
 
-    def __init__(self, member, me, wants_records, beliefs, use_table, clock):
+    def __init__(self, member, me, wants_records, beliefs, removals, use_table, clock):
         self.member = member
         self.opened_at = clock.now()
         self.ended = False
         self._me = me
         self._wants_records = wants_records
         self._beliefs = beliefs
+        self._removals = removals
         self._use_table = use_table
         self._clock = clock
         self._channel = None
@@ -99,11 +101,8 @@
         beliefs = self._beliefs
         for record in news.records:
             beliefs.learn(record)
+        self._apply_positions(news)
         now = self._clock.now()
-        for topic, position in news.position_by_topic.items():
-            age = news.age_by_topic.get(topic)
-            if age is not None:
-                beliefs.read_up_to(Topic(topic), position, now - age)
         if news.kept_age is not None:
             beliefs.kept.heard(now - news.kept_age)
         if news.rollout is not None:
@@ -115,6 +114,20 @@
         for data_centre, use in news.use_by_data_centre.items():
             self._use_table.note_elsewhere(data_centre, use)
 
+    def _apply_positions(self, news):
+        """Take how far the publisher knows each topic, with what is gone by then."""
+        now = self._clock.now()
+        for name, position in news.position_by_topic.items():
+            topic = Topic(name)
+            if topic is Topic.UPSTREAMS:
+                if news.upstream_ids is not None:
+                    self._removals.remove_unlisted(news.upstream_ids, position)
+                if not self._removals.is_settled():
+                    position = UNKNOWN
+            age = news.age_by_topic.get(topic)
+            if age is not None:
+                self._beliefs.read_up_to(topic, position, now - age)
+
     def _report(self):
         sent = None
         try:
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -158,7 +158,9 @@
     removals = parts.removals = Removals(beliefs, clock)
 
     def subscribe(member, wants_records):
-        return Subscription(member, parts.me, wants_records, beliefs, use_table, clock)
+        return Subscription(
+            member, parts.me, wants_records, beliefs, removals, use_table, clock
+        )
 
     def reads_fail():
         return any(item.failing_since is not None for item in parts.followers)
@@ -177,6 +179,9 @@
         else:
             apply_with(ports.read_upstream)(entry)
 
+    def remove_unlisted(listing):
+        removals.remove_unlisted([entry.key for entry in listing.entries], listing.end)
+
     def ignore(*_):
         """Do nothing: nobody leaves this topic, so outages of it do not matter."""
 
@@ -199,7 +204,7 @@
             0,
             UPSTREAMS_PAUSE,
             apply_upstream,
-            removals.remove_unlisted,
+            remove_unlisted,
             removals.note_read,
             removals.note_failure,
             removals.is_settled,
--- a/tests/fleet/test_exchange.py
+++ b/tests/fleet/test_exchange.py
@@ -8,6 +8,7 @@
 from mulberryhub.fleet.beliefs import Beliefs, Topic
 from mulberryhub.fleet.publisher import Publisher
 from mulberryhub.fleet.records import Configuration, Member, Rollout, Use
+from mulberryhub.fleet.removals import OUTAGE, Removals
 from mulberryhub.fleet.subscription import Subscription
 from mulberryhub.fleet.use import UseTable
 from tests.fleet.test_beliefs import make_upstream
@@ -20,13 +21,20 @@
         self.clock = Clock()
         self.beliefs = Beliefs(self.clock)
         self.me = Member(name, free_address(), data_centre, 0)
+        self.removals = Removals(self.beliefs, self.clock)
         self.use_table = UseTable(lambda: use or Use(), data_centre, WINDOW, self.clock)
         self.publisher = Publisher(self.me.address, self.beliefs, self.use_table)
         self.publisher.start()
 
     def subscribe(self, other, wants_records=True):
         subscription = Subscription(
-            other.me, self.me, wants_records, self.beliefs, self.use_table, self.clock
+            other.me,
+            self.me,
+            wants_records,
+            self.beliefs,
+            self.removals,
+            self.use_table,
+            self.clock,
         )
         subscription.start()
         return subscription
@@ -65,6 +73,46 @@
     subscription.close()
 
 
+def test_a_follower_forgets_what_left_before_its_reader_began_to_read(pair):
+    leader, follower = pair
+    follower.beliefs.learn(make_upstream("u1", 4))
+    follower.beliefs.learn(make_upstream("u2", 5))
+    follower.beliefs.read_up_to(Topic.UPSTREAMS, 6, follower.clock.now())
+    leader.beliefs.learn(make_upstream("u2", 5))
+    leader.beliefs.read_up_to(Topic.UPSTREAMS, 9, leader.clock.now())
+    subscription = follower.subscribe(leader)
+    wait_until(lambda: follower.beliefs.position_by_topic[Topic.UPSTREAMS] == 9)
+    assert set(follower.beliefs.upstreams_by_id) == {"u2"}
+    subscription.close()
+
+
+def test_a_follower_that_holds_a_removal_back_does_not_take_the_position(pair):
+    leader, follower = pair
+    follower.beliefs.learn(make_upstream("u1", 4))
+    follower.beliefs.read_up_to(Topic.UPSTREAMS, 5, follower.clock.now())
+    follower.removals.note_failure(follower.clock.now() - OUTAGE - 1)
+    follower.removals.note_read()
+    leader.beliefs.read_up_to(Topic.UPSTREAMS, 9, leader.clock.now())
+    leader.beliefs.read_up_to(Topic.MEMBERS, 3, leader.clock.now())
+    subscription = follower.subscribe(leader)
+    wait_until(lambda: follower.beliefs.position_by_topic[Topic.MEMBERS] == 3)
+    assert follower.beliefs.position_by_topic[Topic.UPSTREAMS] == 5
+    assert follower.removals.held() == 1
+    subscription.close()
+
+
+def test_followers_hear_of_what_a_listing_lacks_and_their_reader_never_knew(pair):
+    leader, follower = pair
+    leader.beliefs.read_up_to(Topic.UPSTREAMS, 3, leader.clock.now())
+    subscription = follower.subscribe(leader)
+    wait_until(lambda: follower.beliefs.position_by_topic[Topic.UPSTREAMS] == 3)
+    follower.beliefs.learn(make_upstream("u1", 4))
+    leader.removals.remove_unlisted([], 9)
+    leader.beliefs.read_up_to(Topic.UPSTREAMS, 9, leader.clock.now())
+    wait_until(lambda: not follower.beliefs.upstreams_by_id)
+    subscription.close()
+
+
 def test_rollouts_go_both_ways(pair):
     leader, follower = pair
     subscription = follower.subscribe(leader)
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -54,7 +54,7 @@
             0,
             0,
             self._apply,
-            self._removals.remove_unlisted,
+            self._remove_unlisted,
             self._removals.note_read,
             self._removals.note_failure,
             self._removals.is_settled,
@@ -69,6 +69,10 @@
         else:
             self.beliefs.learn(make_upstream(entry.key, entry.offset))
 
+    def _remove_unlisted(self, listing):
+        ids = [entry.key for entry in listing.entries]
+        self._removals.remove_unlisted(ids, listing.end)
+
     def read(self):
         self._follower.read_once()
         self._removals.apply_due()
--- a/tests/fleet/test_removals.py
+++ b/tests/fleet/test_removals.py
@@ -1,7 +1,6 @@
 from mulberryhub.base.clock import ManualClock
 from mulberryhub.fleet.beliefs import UNKNOWN, Beliefs, Topic
 from mulberryhub.fleet.removals import RETURN_TIME, Removals
-from mulberryhub.fleet.store import Entry, Listing
 from tests.fleet.test_beliefs import make_upstream
 
 
@@ -64,7 +63,7 @@
     world = World()
     world.beliefs.learn(make_upstream("u2", 2))
     world.run(500)
-    world.removals.remove_unlisted(Listing([Entry("u2", 2, b"x")], end=3))
+    world.removals.remove_unlisted(["u2"], end=3)
     assert set(world.beliefs.upstreams_by_id) == {"u2"}
 
 
