Test that waits which are not woken do not make a change late

With 25 s of waiting a change came up to 25 s late on the router that read, and so on its data centre.

--- a/tests/adapter/test_configuration.py
+++ b/tests/adapter/test_configuration.py
@@ -46,6 +46,13 @@
     assert late_routers(platform, 3) == []
 
 
+def test_a_change_is_in_force_in_time_though_the_store_wakes_no_read(platform):
+    platform.store.fault(unwoken=True)
+    platform.write("config", added_route(2))  # The reads that wait now are woken.
+    time.sleep(1)
+    assert late_routers(platform, 3) == []
+
+
 def test_a_change_is_in_force_in_time_after_the_reader_is_killed(platform):
     first, *others = platform.routers
     wait_until(lambda: all(router.is_ready() for router in others))
