--- a/libs/fleet/src/mulberryhub/fleet/follower.py
+++ b/libs/fleet/src/mulberryhub/fleet/follower.py
@@ -13,6 +13,10 @@
 log = module_logger(__name__)
 
 
+def _ignore(*_):
+    """Do nothing: records of most topics only replace one another."""
+
+
 class TopicPlan:
     """How a topic is read: `wait` ms at the store, `pause` ms between reads.
 
@@ -36,7 +40,16 @@
     )
 
     def __init__(
-        self, topic, wait, pause, apply, reconcile, answered, failed, is_settled
+        self,
+        topic,
+        apply,
+        *,
+        wait,
+        pause,
+        reconcile=_ignore,
+        answered=_ignore,
+        failed=_ignore,
+        is_settled=lambda: True,
     ):
         self.topic = topic
         self.wait = wait
--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -106,9 +106,9 @@
             sleep(GATHERING / 1000)
 
     def _is_listing_due(self, told_to):
-        """Tell whether a subscriber needs all ids; `told_to` is up to where it has them.
+        """Tell whether a subscriber that has all ids up to `told_to` needs them again.
 
-        The first time it does; later only after a listing, once it is believed whole.
+        Without any it does; later only after a listing, once it is believed whole.
         """
         position = self._upstreams_position()
         if told_to is None:
--- a/libs/fleet/src/mulberryhub/fleet/removals.py
+++ b/libs/fleet/src/mulberryhub/fleet/removals.py
@@ -86,7 +86,7 @@
             self._beliefs.learn_removal(removal)
 
     def remove_unlisted(self, ids, end):
-        """Take upstreams as gone that are not in `ids`, all that there were at `end`."""
+        """Take upstreams as gone that are not among `ids`, all there were at `end`."""
         listed = set(ids)
         for upstream in list(self._beliefs.upstreams_by_id.values()):
             if upstream.id not in listed and upstream.offset < end:
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -1,7 +1,7 @@
 """The composition root: wires a router from its settings and a platform's ports."""
 
-from mulberryhub.fleet.beliefs import Beliefs, Topic
-from mulberryhub.fleet.follower import TopicFollower, TopicPlan
+from mulberryhub.fleet.beliefs import Beliefs
+from mulberryhub.fleet.follower import TopicFollower
 from mulberryhub.fleet.kept_watcher import KeptWatcher
 from mulberryhub.fleet.publisher import Publisher
 from mulberryhub.fleet.records import Member, Use
@@ -25,14 +25,12 @@
 from mulberryhub.node.metrics import metrics_server
 from mulberryhub.node.readiness import readiness_server
 from mulberryhub.node.router import Router, RouterParts
+from mulberryhub.node.topics import topic_plans
 from mulberryhub.orders.lease import Lease
 from mulberryhub.upstream.health import Health
 from mulberryhub.weights.manager import Manager
 from mulberryhub.weights.plan import PoolView
 
-OPERATOR_WAIT = 700  # ms that a read of the operator's records waits at the store
-MEMBERS_WAIT = 3_000  # ms
-UPSTREAMS_PAUSE = 700  # ms between reads, as upstreams write all the time
 VERSION_MARGIN = 700  # ms before the bound at which old weights serve no more
 LEASE_NAME = "orders"
 LEASE_DURATION = 2_000  # ms
@@ -165,61 +163,6 @@
     def reads_fail():
         return any(item.failing_since is not None for item in parts.followers)
 
-    def apply_with(read):
-        def apply(entry):
-            record = read(entry)
-            if record is not None:
-                beliefs.learn(record)
-
-        return apply
-
-    def apply_upstream(entry):
-        if entry.value is None:
-            removals.remove(entry.key, entry.offset)
-        else:
-            apply_with(ports.read_upstream)(entry)
-
-    def remove_unlisted(listing):
-        removals.remove_unlisted([entry.key for entry in listing.entries], listing.end)
-
-    def ignore(*_):
-        """Do nothing: nobody leaves this topic, so outages of it do not matter."""
-
-    def always():
-        return True
-
-    plans = (
-        TopicPlan(
-            Topic.OPERATOR,
-            OPERATOR_WAIT,
-            0,
-            apply_with(ports.read_operator),
-            ignore,
-            ignore,
-            ignore,
-            always,
-        ),
-        TopicPlan(
-            Topic.UPSTREAMS,
-            0,
-            UPSTREAMS_PAUSE,
-            apply_upstream,
-            remove_unlisted,
-            removals.note_read,
-            removals.note_failure,
-            removals.is_settled,
-        ),
-        TopicPlan(
-            Topic.MEMBERS,
-            MEMBERS_WAIT,
-            0,
-            apply_with(ports.read_member),
-            ignore,
-            ignore,
-            ignore,
-            always,
-        ),
-    )
     seeds = [Member(f"seed {address}", address, "") for address in settings.seeds]
     parts.sources = Sources(parts.me, seeds, beliefs, subscribe, reads_fail, clock)
     parts.followers = [
@@ -231,7 +174,7 @@
             clock,
             counters,
         )
-        for plan in plans
+        for plan in topic_plans(ports, beliefs, removals)
     ]
 
 
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -51,13 +51,13 @@
         self._removals = Removals(self.beliefs, clock)
         plan = TopicPlan(
             Topic.UPSTREAMS,
-            0,
-            0,
             self._apply,
-            self._remove_unlisted,
-            self._removals.note_read,
-            self._removals.note_failure,
-            self._removals.is_settled,
+            wait=0,
+            pause=0,
+            reconcile=self._remove_unlisted,
+            answered=self._removals.note_read,
+            failed=self._removals.note_failure,
+            is_settled=self._removals.is_settled,
         )
         self._follower = TopicFollower(
             plan, store, self.beliefs, lambda: True, clock, Counters()
@@ -173,12 +173,7 @@
 def follow_with_waits(store, clock):
     beliefs = Beliefs(clock)
 
-    def nothing(*_):
-        pass
-
-    plan = TopicPlan(
-        Topic.OPERATOR, WAIT, 0, nothing, nothing, nothing, nothing, lambda: True
-    )
+    plan = TopicPlan(Topic.OPERATOR, lambda entry: None, wait=WAIT, pause=0)
     follower = TopicFollower(plan, store, beliefs, lambda: True, clock, Counters())
     follower.read_once()
     return follower, beliefs
