Go on reading while the followed router does not read

Cause: it began to read once its news were 1.3 s old, was fresh by that very read, and ceased until the news were old again: freshness did not say whose reads it came from. News now tell whether the publisher's own reads succeed, and a follower reads itself until they do.

test_a_router_goes_on_reading_while_the_one_that_it_follows_does_not failed before.

--- a/libs/fleet/src/mulberryhub/fleet/channel.py
+++ b/libs/fleet/src/mulberryhub/fleet/channel.py
@@ -52,12 +52,14 @@
     the receiver; `use_by_data_centre` is that of the others, or where no records are
     wanted, what is known of the receiver's. `upstream_ids` are all that are known, told
     first and again after a listing, as records of removals do not reach further back.
+    `reads` tells whether the publisher's own reads of the store succeed.
     """
 
     records: list[Record] = []
     position_by_topic: dict[str, int] = {}
     age_by_topic: dict[str, int] = {}
     upstream_ids: list[str] | None = None
+    reads: bool = False
     kept_age: int | None = None
     use: Use | None = None
     counted: Use | None = None
--- a/libs/fleet/src/mulberryhub/fleet/follower.py
+++ b/libs/fleet/src/mulberryhub/fleet/follower.py
@@ -66,6 +66,7 @@
 
     __slots__ = (
         "failing_since",
+        "_answered_at",
         "_asked_at",
         "_position",
         "_plan",
@@ -78,6 +79,7 @@
 
     def __init__(self, plan, store, beliefs, should_read, clock, counters):
         self.failing_since = None
+        self._answered_at = None
         self._asked_at = None
         self._position = UNKNOWN
         self._plan = plan
@@ -111,6 +113,12 @@
         reached = self._position if plan.is_settled() else UNKNOWN
         self._beliefs.read_up_to(plan.topic, reached, as_of)
 
+    def has_answer(self, max_age):
+        """Tell whether the store answered a read within the last `max_age` ms."""
+        if self._answered_at is None:
+            return False
+        return self._clock.now() - self._answered_at <= max_age
+
     def _read(self, position):
         """Read from `position`; return the ms at which nothing newer was there."""
         plan = self._plan
@@ -176,6 +184,7 @@
             )
 
     def _note_success(self):
+        self._answered_at = self._clock.now()
         if self.failing_since is not None:
             lasted = self._clock.now() - self.failing_since
             log.info("store regained", topic=self._plan.topic, after_ms=lasted)
--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -19,14 +19,25 @@
 
 
 class Publisher:
-    """Serves subscriptions at `address`."""
+    """Serves subscriptions at `address`.
 
-    __slots__ = ("_address", "_beliefs", "_use_table", "_listener", "_subscribers")
+    `is_reading()` tells whether this router's own reads of the store succeed.
+    """
 
-    def __init__(self, address, beliefs, use_table):
+    __slots__ = (
+        "_address",
+        "_beliefs",
+        "_use_table",
+        "_is_reading",
+        "_listener",
+        "_subscribers",
+    )
+
+    def __init__(self, address, beliefs, use_table, is_reading):
         self._address = address
         self._beliefs = beliefs
         self._use_table = use_table
+        self._is_reading = is_reading
         self._listener = None
         self._subscribers = 0
 
@@ -126,6 +137,7 @@
             news.use_by_data_centre = {hello.data_centre: known}
             return news
         beliefs = self._beliefs
+        news.reads = self._is_reading()
         news.counted = self._use_table.counted_for(hello.name)
         news.use_by_data_centre = self._use_table.elsewhere()
         news.position_by_topic = {
--- a/libs/fleet/src/mulberryhub/fleet/sources.py
+++ b/libs/fleet/src/mulberryhub/fleet/sources.py
@@ -2,8 +2,8 @@
 
 In each data centre the first live member by name reads the store and the others
 subscribe to it. A router whose news of any topic that requests depend on grow old reads
-the store itself; where it cannot reach it, it also subscribes to members anywhere, one
-after the other.
+the store itself, and goes on while the one it follows cannot. Where it cannot reach it
+either, it also subscribes to members anywhere, one after the other.
 """
 
 from random import choice
@@ -76,7 +76,12 @@
 
     def should_read(self):
         """Tell whether this router is to read the store itself."""
-        reading = self.is_leader() or not self._is_fresh() or self._reads_fail()
+        reading = (
+            self.is_leader()
+            or not self._is_fresh()
+            or not self._is_led()
+            or self._reads_fail()
+        )
         if reading != self._was_reading:
             self._was_reading = reading
             log.info(
@@ -106,6 +111,10 @@
             self.step()
             sleep(TICK / 1000)
 
+    def _is_led(self):
+        """Tell whether the router that this one follows reads the store."""
+        return self._leader is not None and self._leader.reads
+
     def _is_fresh(self):
         ages = [self._beliefs.age(topic) for topic in NEEDED_TOPICS]
         return all(age is not None and age <= FRESH for age in ages)
--- a/libs/fleet/src/mulberryhub/fleet/subscription.py
+++ b/libs/fleet/src/mulberryhub/fleet/subscription.py
@@ -26,12 +26,16 @@
 
 
 class Subscription:
-    """Takes the news of `member` until it fails or is closed."""
+    """Takes the news of `member` until it fails or is closed.
+
+    `reads` is what `member` last told of its own reads of the store.
+    """
 
     __slots__ = (
         "member",
         "opened_at",
         "ended",
+        "reads",
         "_me",
         "_wants_records",
         "_beliefs",
@@ -45,6 +49,7 @@
         self.member = member
         self.opened_at = clock.now()
         self.ended = False
+        self.reads = False
         self._me = me
         self._wants_records = wants_records
         self._beliefs = beliefs
@@ -99,6 +104,7 @@
 
     def _apply(self, news):
         beliefs = self._beliefs
+        self.reads = news.reads
         for record in news.records:
             beliefs.learn(record)
         self._apply_positions(news)
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -6,7 +6,7 @@
 from mulberryhub.fleet.publisher import Publisher
 from mulberryhub.fleet.records import Member, Use
 from mulberryhub.fleet.removals import Removals
-from mulberryhub.fleet.sources import Sources
+from mulberryhub.fleet.sources import FRESH, NEEDED_TOPICS, Sources
 from mulberryhub.fleet.subscription import Subscription
 from mulberryhub.fleet.use import UseTable
 from mulberryhub.forward.attempts import Attempts
@@ -49,7 +49,15 @@
     parts.pool = Pool(clock)
     demand = Demand(clock)
     use_table, quotas, loads = _build_use(settings, beliefs, demand, clock)
-    parts.publisher = Publisher(settings.peer_address, beliefs, use_table)
+
+    def is_reading():
+        return all(
+            follower.has_answer(FRESH)
+            for follower in parts.followers
+            if follower.topic in NEEDED_TOPICS
+        )
+
+    parts.publisher = Publisher(settings.peer_address, beliefs, use_table, is_reading)
     _add_followers(parts, settings, ports, beliefs, use_table, counters, clock)
     health = Health(clock, counters)
     steadiness = Health(clock, counters)
--- a/tests/fleet/test_exchange.py
+++ b/tests/fleet/test_exchange.py
@@ -23,7 +23,10 @@
         self.me = Member(name, free_address(), data_centre, 0)
         self.removals = Removals(self.beliefs, self.clock)
         self.use_table = UseTable(lambda: use or Use(), data_centre, WINDOW, self.clock)
-        self.publisher = Publisher(self.me.address, self.beliefs, self.use_table)
+        self.is_reading = False
+        self.publisher = Publisher(
+            self.me.address, self.beliefs, self.use_table, lambda: self.is_reading
+        )
         self.publisher.start()
 
     def subscribe(self, other, wants_records=True):
@@ -113,6 +116,17 @@
     subscription.close()
 
 
+def test_a_follower_hears_whether_its_reader_reads(pair):
+    leader, follower = pair
+    subscription = follower.subscribe(leader)
+    assert not subscription.reads
+    leader.is_reading = True
+    wait_until(lambda: subscription.reads)
+    leader.is_reading = False
+    wait_until(lambda: not subscription.reads)
+    subscription.close()
+
+
 def test_rollouts_go_both_ways(pair):
     leader, follower = pair
     subscription = follower.subscribe(leader)
@@ -157,7 +171,7 @@
     "subscribers, period", [(0, 100), (3, 100), (15, 180), (90, 250)]
 )
 def test_few_subscribers_hear_more_often(subscribers, period):
-    publisher = Publisher("127.0.0.1:1", Beliefs(Clock()), None)
+    publisher = Publisher("127.0.0.1:1", Beliefs(Clock()), None, lambda: False)
     publisher._subscribers = subscribers
     assert publisher.heartbeat() == period
 
--- a/tests/fleet/test_sources.py
+++ b/tests/fleet/test_sources.py
@@ -21,6 +21,7 @@
         self.opened_at = opened_at
         self.ended = False
         self.closed = False
+        self.reads = True
 
     def start(self):
         pass
@@ -92,6 +93,18 @@
     assert not world.sources.should_read()
 
 
+def test_a_router_goes_on_reading_while_the_one_that_it_follows_does_not():
+    world = World("a2")
+    world.sources.step()
+    world.opened[0].reads = False
+    for _ in range(3):
+        world.clock.advance(FRESH // 2)
+        world.note_fresh()
+        assert world.sources.should_read()
+    world.opened[0].reads = True
+    assert not world.sources.should_read()
+
+
 def test_a_router_whose_news_grow_old_reads_itself():
     world = World("a2")
     world.sources.step()
