Let a follower of the store outlive an entry that cannot be applied

The entry is now logged and passed over. test_an_entry_that_cannot_be_applied_does_not_keep_back_those_after_it failed before.

--- a/libs/fleet/src/mulberryhub/fleet/follower.py
+++ b/libs/fleet/src/mulberryhub/fleet/follower.py
@@ -130,8 +130,7 @@
             log.info("history lost", topic=plan.topic, first=lost.first)
             return self._list()
         plan.answered()
-        for entry in batch.entries:
-            plan.apply(entry)
+        self._apply(batch.entries)
         self._position = batch.end
         has_waited = not batch.entries and self.pending_for() >= wait
         return self._asked_at + (wait if has_waited else 0)
@@ -140,12 +139,25 @@
         """Read the whole topic; return the ms at which nothing newer was there."""
         listing = self._store.newest(self._plan.topic)
         self._plan.answered()
-        for entry in listing.entries:
-            self._plan.apply(entry)
+        self._apply(listing.entries)
         self._plan.reconcile(listing)
         self._position = listing.end
         return self._asked_at
 
+    def _apply(self, entries):
+        for entry in entries:
+            try:
+                self._plan.apply(entry)
+            except Exception:
+                # One entry must not keep back those after it, nor end this task.
+                self._counters.add("store.entry_failed")
+                log.exception(
+                    "entry not applied",
+                    topic=self._plan.topic,
+                    key=entry.key,
+                    offset=entry.offset,
+                )
+
     def read_once(self):
         """Read once and note whether the store answered; return whether it did."""
         try:
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -199,3 +199,26 @@
     follower.read_once()
     assert follower.failing_since is None
     assert clock.now() == before
+
+
+def test_an_entry_that_cannot_be_applied_does_not_keep_back_those_after_it():
+    clock = ManualClock(now=100_000)
+    store = Store()
+    applied = []
+
+    def apply(entry):
+        if entry.key == "bad":
+            raise ValueError("cannot be applied")
+        applied.append(entry.key)
+
+    plan = TopicPlan(Topic.OPERATOR, apply, wait=0, pause=0)
+    follower = TopicFollower(
+        plan, store, Beliefs(clock), lambda: True, clock, Counters()
+    )
+    for key in ("bad", "good"):
+        store.write(key, b"value")
+    follower.read_once()
+    store.write("bad", b"value")
+    store.write("better", b"value")
+    follower.read_once()
+    assert applied == ["good", "better"]
