Take an answer of the log that cannot be read as none

The same cause looked for elsewhere: the daemon's Tail reads the configuration in one task that catches LogUnavailable, and LogClient let decoding errors through. One answer cut short behind a whole head ended the task, and with it all changes, for as long as the process lived. Both cases of test_an_answer_that_cannot_be_read_counts_as_none failed before.

--- a/libs/external/src/mulberryhub/external/log.py
+++ b/libs/external/src/mulberryhub/external/log.py
@@ -80,7 +80,7 @@
         body = msgspec.json.encode(AppendRequest(texts))
         url = f"{self._base}/streams/{stream}/records"
         answer = self._request("POST", url, timeout, body=body)
-        return msgspec.json.decode(answer.data, type=AppendAnswer).offsets
+        return _decode(answer, AppendAnswer).offsets
 
     def read(self, stream, start, limit=500, wait=0, timeout=READ_TIMEOUT):
         """Return a page of records from offset `start`.
@@ -93,7 +93,7 @@
             f"?start={start}&limit={limit}&wait={wait}"
         )
         answer = self._request("GET", url, timeout + wait)
-        return msgspec.json.decode(answer.data, type=Page)
+        return _decode(answer, Page)
 
     def _request(self, method, url, timeout, body=None):
         limits = urllib3.Timeout(
@@ -101,10 +101,17 @@
         )
         try:
             answer = self._pool.request(method, url, body=body, timeout=limits)
-        except urllib3.exceptions.HTTPError as error:
+        except (urllib3.exceptions.HTTPError, OSError) as error:
             raise LogUnavailable(str(error)) from error
         if answer.status == 410:
-            raise OffsetExpired(msgspec.json.decode(answer.data, type=Expired).oldest)
+            raise OffsetExpired(_decode(answer, Expired).oldest)
         if answer.status != 200:
             raise LogUnavailable(f"the log answered with status {answer.status}")
         return answer
+
+
+def _decode(answer, type_):
+    try:
+        return msgspec.json.decode(answer.data, type=type_)
+    except msgspec.DecodeError as error:
+        raise LogUnavailable(f"unreadable answer: {error}") from error
--- a/tests/external/test_log.py
+++ b/tests/external/test_log.py
@@ -1,5 +1,6 @@
 import pytest
 
+from mulberryhub.base.green import listen, spawn
 from mulberryhub.external.log import LogClient, LogUnavailable, OffsetExpired
 
 
@@ -44,3 +45,20 @@
     log.fault(outage=True)
     with pytest.raises(LogUnavailable):
         client.read("a", 0)
+
+
+@pytest.mark.parametrize("status", [b"200 OK", b"410 Gone"])
+def test_an_answer_that_cannot_be_read_counts_as_none(status):
+    listener = listen(("127.0.0.1", 0))
+
+    def answer_garbled():
+        sock, _ = listener.accept()
+        sock.recv(65_536)
+        sock.sendall(b"HTTP/1.1 " + status + b'\r\nContent-Length: 4\r\n\r\n{"of')
+        sock.close()
+
+    spawn(answer_garbled)
+    client = LogClient(f"127.0.0.1:{listener.getsockname()[1]}")
+    with pytest.raises(LogUnavailable):
+        client.read("a", 0)
+    listener.close()
