Keep the platform's names of soak and benchmarks in platform/

The fleet of the adapter's tests and the documents and headers that operators and clients send moved to the adapter's stand-ins; the test of names now reads soak/ and benchmarks/ too, and found these there before.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -3,7 +3,11 @@
 import time
 from random import Random
 
-from benchmarks.platform_fleet import HOST, MODEL
+from mulberryhub.adapter_standins.documents import (
+    call_headers,
+    deadline_headers,
+    prompt_headers,
+)
 from mulberryhub.base.green import sleep, spawn, urllib3
 from soak.fleet import KEPT_KEYS, LIMITED_WORKSPACE, OPEN_WORKSPACE
 
@@ -118,17 +122,8 @@
 
 
 def _headers(id, kind, key):
-    headers = {
-        "Host": HOST,
-        "Authorization": f"Bearer {key}",
-        "X-Mulberryhub-Attempt-Id": id,
-        "X-Mulberryhub-Deadline-Ms": str(DEADLINE),
-    }
-    if kind == STREAM:
-        headers["X-Mulberryhub-Model"] = MODEL
-        headers["X-Mulberryhub-Token-Count"] = "300,60"
-        headers["X-Mulberryhub-Prompt-Prefix"] = "aa:100,bb:100,cc:100"
-    return headers
+    more = prompt_headers if kind == STREAM else deadline_headers
+    return {**call_headers(id, key), **more(DEADLINE)}
 
 
 def now():
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -6,9 +6,15 @@
 
 import msgspec
 
-from benchmarks.platform_fleet import MODEL, RouterProcess, make_config
 from benchmarks.ports import free_address
 from benchmarks.processes import Fleet
+from mulberryhub.adapter_standins.documents import (
+    MODEL,
+    make_config,
+    tenant,
+    token_limit,
+)
+from mulberryhub.adapter_standins.fleet import RouterProcess
 from mulberryhub.adapter_standins.worker import RunLine
 from mulberryhub.base.green import Timeout, sleep
 from soak.links import Fault, Link
@@ -121,19 +127,11 @@
     def configure(self):
         """Write a configuration with the keys that are in force."""
         self.configuration += 3
+        open_keys = [KEPT_KEYS[OPEN_WORKSPACE], *self.spare_keys]
+        limited_keys = [KEPT_KEYS[LIMITED_WORKSPACE]]
         tenants = [
-            {
-                "name": OPEN_WORKSPACE,
-                "apiKeys": [KEPT_KEYS[OPEN_WORKSPACE], *self.spare_keys],
-                "isolated": True,
-            },
-            {
-                "name": LIMITED_WORKSPACE,
-                "apiKeys": [KEPT_KEYS[LIMITED_WORKSPACE]],
-                "billingUnit": "token_stream",
-                "ratePerS": LIMITED_RATE,
-                "burst": LIMITED_RATE,
-            },
+            tenant(OPEN_WORKSPACE, open_keys, isolated=True),
+            tenant(LIMITED_WORKSPACE, limited_keys, **token_limit(LIMITED_RATE)),
         ]
         self.write("config", make_config(self.configuration, tenants=tenants))
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -3,7 +3,7 @@
 import re
 from collections import Counter
 
-from benchmarks.platform_fleet import MODEL
+from mulberryhub.adapter_standins.documents import MODEL
 from soak.clients import CUT, ORDER, STREAM, STREAM_TOKENS
 from soak.fleet import (
     KEPT_KEYS,
--- a/tests/adapter/test_configuration.py
+++ b/tests/adapter/test_configuration.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from benchmarks.platform_fleet import PlatformFleet, make_config, route, wait_until
+from mulberryhub.adapter_standins.documents import make_config, route
+from mulberryhub.adapter_standins.fleet import PlatformFleet, wait_until
 
 IN_FORCE_TIME = 2.0  # s after the store's answer to the operator
 CALM_TIME = 3.0  # s without a disruption from which on the bound holds
--- a/tests/adapter/test_names.py
+++ b/tests/adapter/test_names.py
@@ -4,6 +4,8 @@
 import re
 from pathlib import Path
 
+import pytest
+
 ROOT = Path(__file__).parents[2]
 ADAPTER = "platform/src"
 LIBRARIES = ("fleet", "forward", "http", "weights", "node")
@@ -18,8 +20,11 @@
 LEVELS = ("info", "warning", "error", "exception")
 
 
-def test_no_name_of_the_platform_stands_in_the_libraries():
-    for path in ROOT.glob("libs/*/src/**/*.py"):
+@pytest.mark.parametrize("folder", ["libs", "soak", "benchmarks"])
+def test_no_name_of_the_platform_stands_outside_its_folder(folder):
+    paths = list((ROOT / folder).rglob("*.py"))
+    assert paths
+    for path in paths:
         found = NAMES.search(path.read_text())
         assert found is None, f"{path.relative_to(ROOT)}: {found.group()}"
 
--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -6,13 +6,8 @@
 import pytest
 import urllib3
 
-from benchmarks.platform_fleet import (
-    KEY,
-    MODEL,
-    PlatformFleet,
-    make_config,
-    wait_until,
-)
+from mulberryhub.adapter_standins.documents import KEY, MODEL, make_config
+from mulberryhub.adapter_standins.fleet import PlatformFleet, wait_until
 
 WHOLE = list(range(1, 7))  # ids of the events of a stream
 
