List a fault of quotas that a lone survivor shows

Cause: what killed routers admitted is remembered as a floor under the sum of those that are there, so what these admit afterwards counts only beyond the floor.

--- a/tests/forward/test_quotas.py
+++ b/tests/forward/test_quotas.py
@@ -221,6 +221,23 @@
     assert fleet.largest_window() <= ALLOWED
 
 
+@pytest.mark.parametrize("routers, survivor", [(6, 3), (9, 4)])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_lone_survivor_and_those_that_return_stay_within_the_window(
+    routers, survivor, seed
+):
+    fleet = Fleet(routers)
+    fleet.run_uneven(12_000, RATE * 0.8, seed)
+    fleet.run_uneven(4_700, RATE * 1.5, seed)
+    whole = fleet.nodes
+    fleet.nodes = [whole[survivor]]
+    fleet.run_uneven(1_000, RATE * 3, seed)
+    fleet.nodes = whole
+    fleet.restart(set(range(routers)) - {survivor})
+    fleet.run_uneven(9_000, RATE * 3, seed)
+    assert fleet.largest_window() <= ALLOWED
+
+
 def test_one_restarted_router_goes_on_to_admit():
     fleet = Fleet(6)
     fleet.run(12_000, RATE * 0.5)
