--- a/tests/fleet/test_removals.py
+++ b/tests/fleet/test_removals.py
@@ -86,3 +86,14 @@
     world.clock.advance(2 * RETURN_TIME)
     world.removals.apply_due()
     assert world.has_upstream()
+
+
+def test_a_router_that_alone_was_cut_off_removes_what_left_at_once():
+    world = World()
+    world.removals.note_failure(world.clock.now())
+    for _ in range(5):
+        world.clock.advance(1_000)
+        world.hear()
+    world.removals.note_read()
+    world.removals.remove("u1", 2)
+    assert not world.has_upstream()
