Count what ended routers admitted as facts about slots of time

Cause: what killed routers had admitted was a floor under the sum, so the survivor's own new admissions hid below it, and those that returned never heard of other data centres' past. Now each sum is told in slots of a second. A past slot is a fact: a history keeps the most that was told of it, whoever ended since, and a subscriber tells a new publisher all that it remembers, once.

Ruled out: a share of the killed that decays beside the sum, as a new publisher cannot tell what of an old sum its subscribers report again.

--- a/libs/fleet/src/mulberryhub/fleet/beliefs.py
+++ b/libs/fleet/src/mulberryhub/fleet/beliefs.py
@@ -43,11 +43,11 @@
 class Beliefs:
     """The newest known records, and up to where and when each topic was read.
 
-    `position_by_topic` is the offset of the next record, `as_of_by_topic` the time
-    in ms at which the store is known to have held nothing newer, and
-    `regained_at_by_topic` when that was learned after a gap of more than OUTAGE ms, from
-    whatever source. `listed_to` is the end of the last whole listing that upstreams were
-    compared with.
+    `position_by_topic` is the offset of the next record, `as_of_by_topic` the time in
+    ms at which the store is known to have held nothing newer, and
+    `regained_at_by_topic` when that was learned after a gap of more than OUTAGE ms,
+    from whatever source. `listed_to` is the end of the last whole listing that
+    upstreams were compared with.
     """
 
     __slots__ = (
--- a/libs/fleet/src/mulberryhub/fleet/channel.py
+++ b/libs/fleet/src/mulberryhub/fleet/channel.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from mulberryhub.base.green import Semaphore
+from mulberryhub.fleet.admissions import Admitted
 from mulberryhub.fleet.records import Record, Rollout, Use
 from mulberryhub.http.sockets import close, dial, receive
 
@@ -36,11 +37,12 @@
 class Report(msgspec.Struct, tag=True):
     """What a subscriber tells: its own use, and the rollout as it knows it.
 
-    `remembered` is what it knows of the windows of its data centre, by workspace.
+    `remembered` is what it knows that was admitted by data centre, told first: where
+    the publisher was restarted, it knows nothing of it.
     """
 
     use: Use
-    remembered: dict[str, float] = {}
+    remembered: dict[str, Admitted] = {}
     rollout: Rollout | None = None
 
 
--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from mulberryhub.fleet.admissions import Admitted
+
 
 class Kind(StrEnum):
     """What may be repeated of a request."""
@@ -179,8 +181,8 @@
 class Use(msgspec.Struct):
     """What routers did lately: tokens admitted, and work in flight.
 
-    `window_by_workspace` is what was admitted in the quota window, in the unit of
-    each workspace, `rate_by_workspace` the same per s over the last moments.
+    `admitted` is what was admitted in the quota window, in the unit of each workspace,
+    and `rate_by_workspace` what was asked for per s over the last moments.
     `work_by_upstream` is the delay in ms that requests in flight cause there, and
     `bound_by_upstream` counts those that no other upstream can go on with.
     `demand_by_service` is the ms of engine time that clients ask for in a second.
@@ -188,7 +190,7 @@
     least.
     """
 
-    window_by_workspace: dict[str, float] = {}
+    admitted: Admitted = Admitted()
     rate_by_workspace: dict[str, float] = {}
     work_by_upstream: dict[str, float] = {}
     bound_by_upstream: dict[str, int] = {}
@@ -198,7 +200,7 @@
     youngest: int = LONG
 
     def add(self, other):
-        """Add the use of other routers to this."""
+        """Add the use of other routers to this, but for what they admitted."""
         for name in SUMMED:
             totals = getattr(self, name)
             for key, value in getattr(other, name).items():
@@ -214,7 +216,10 @@
         return sum(abs(mine.get(id, 0) - others.get(id, 0)) for id in ids) >= least
 
     def less(self, other):
-        """Return this use without a part of it; nothing falls below 0."""
+        """Return this use without a part of it; nothing falls below 0.
+
+        What was admitted is left out.
+        """
         rest = Use(
             routers=self.routers - other.routers,
             uptime=self.uptime,
@@ -228,7 +233,6 @@
 
 
 SUMMED = (
-    "window_by_workspace",
     "rate_by_workspace",
     "work_by_upstream",
     "bound_by_upstream",
--- a/libs/fleet/src/mulberryhub/fleet/subscription.py
+++ b/libs/fleet/src/mulberryhub/fleet/subscription.py
@@ -155,7 +155,9 @@
 
     def _send(self, use, sent):
         """Send a report, with a rollout that is new; return its SentReport."""
-        report = Report(use, self._use_table.remembered())
+        report = Report(use)
+        if sent is None:
+            report.remembered = self._use_table.remembered()
         rollout = self._beliefs.rollout
         if sent is None or rollout.order != sent.rollout_order:
             report.rollout = rollout
--- a/libs/fleet/src/mulberryhub/fleet/use.py
+++ b/libs/fleet/src/mulberryhub/fleet/use.py
@@ -1,6 +1,6 @@
 """The use that routers make of workspaces' rates and upstreams, summed over them."""
 
-from mulberryhub.fleet.floors import Floors
+from mulberryhub.fleet.admissions import AdmittedHistory, SlotSums, window_total
 from mulberryhub.fleet.records import Use
 
 FRESH = 2_000  # ms for which a router's last report counts
@@ -48,7 +48,7 @@
         "_reported_by_name",
         "_told",
         "_reported_by_data_centre",
-        "_floors_by_data_centre",
+        "_history_by_data_centre",
     )
 
     def __init__(self, measure, data_centre, window, clock):
@@ -59,7 +59,7 @@
         self._reported_by_name = {}
         self._told = None
         self._reported_by_data_centre = {}
-        self._floors_by_data_centre = {data_centre: Floors(window, clock)}
+        self._history_by_data_centre = {data_centre: AdmittedHistory(window, clock)}
 
     def own(self):
         """Return the use of this router."""
@@ -68,14 +68,18 @@
     def note_report(self, name, use, remembered):
         """Take what the subscriber `name` reported.
 
-        `remembered` is what it knows of the windows of this data centre.
+        `remembered` is what it knows that was admitted, by data centre.
         """
         self._reported_by_name[name] = Reported(use, self._clock.now())
-        self._floors(self._data_centre).raised(remembered)
+        for data_centre, admitted in remembered.items():
+            self._history(data_centre).note(admitted)
 
     def remembered(self):
-        """Return what must count of the windows of this data centre."""
-        return self._floors(self._data_centre).raised({})
+        """Return what was Admitted by data centre, also by routers that ended."""
+        return {
+            data_centre: history.admitted()
+            for data_centre, history in self._history_by_data_centre.items()
+        }
 
     def forget(self, name):
         """Drop what the subscriber `name` reported."""
@@ -89,10 +93,14 @@
     def here(self):
         """Return the use of this router and its subscribers."""
         total = Use(routers=0)
-        total.add(self.own())
-        for reported in self._fresh(self._reported_by_name.values()):
+        own = Reported(self.own(), self._clock.now())
+        sums = SlotSums()
+        for reported in [own, *self._fresh(self._reported_by_name.values())]:
             total.add(reported.use)
-        total.window_by_workspace = self._floors(self._data_centre).told(total)
+            sums.add(reported.use.admitted, reported.at)
+        history = self._history(self._data_centre)
+        history.note_sums(sums)
+        total.admitted = history.admitted()
         return total
 
     def note_told(self, use, counted):
@@ -101,14 +109,15 @@
         `counted` is the part of it that is this router's own.
         """
         self._told = Told(use, counted, self._clock.now())
-        self._floors(self._data_centre).told(use)
+        self._history(self._data_centre).note(use.admitted)
 
     def note_elsewhere(self, data_centre, use):
-        """Take what is known of a data centre's use; of this one, only what must count.
+        """Take what is known of a data centre's use.
 
-        Others remember this data centre's use where its routers were restarted.
+        Of this data centre only what it admitted is taken: others remember it
+        where its routers were restarted.
         """
-        self._floors(data_centre).raised(use.window_by_workspace)
+        self._history(data_centre).note(use.admitted)
         if data_centre != self._data_centre:
             reported = Reported(use, self._clock.now())
             self._reported_by_data_centre[data_centre] = reported
@@ -117,36 +126,67 @@
         """Return the use of other data centres by their name."""
         return {
             name: self.known_of(name)
-            for name in self._floors_by_data_centre
+            for name in self._history_by_data_centre
             if name != self._data_centre
         }
 
     def known_of(self, data_centre):
-        """Return the use of another data centre, and what must still count of it."""
+        """Return the use of another data centre, with all that it admitted."""
         use = Use(routers=0)
         reported = self._reported_by_data_centre.get(data_centre)
         if reported is not None and self._is_fresh(reported):
             use.add(reported.use)
-        use.window_by_workspace = self._floors(data_centre).told(use)
+        use.admitted = self._history(data_centre).admitted()
         return use
 
     def others(self):
-        """Return the use of all other routers, or None where it is not known."""
+        """Return the use of all other routers, or None where it is not known.
+
+        What they admitted is not part of it, see `admitted_by_others()`.
+        """
         total = Use(routers=0)
         if self._told is not None and self._is_fresh(self._told):
             total.add(self._told.without_own())
         else:
-            total.add(self.here().less(self.own()))
-        for use in self.elsewhere().values():
-            total.add(use)
+            own = self.own()
+            for reported in self._fresh(self._reported_by_name.values()):
+                total.add(reported.use)
+            total.youngest = min(total.youngest, own.youngest)
+        for name, reported in self._reported_by_data_centre.items():
+            if name != self._data_centre and self._is_fresh(reported):
+                total.add(reported.use)
         return total if total.routers else None
 
-    def _floors(self, data_centre):
-        floors = self._floors_by_data_centre.get(data_centre)
-        if floors is None:
-            floors = Floors(self._window, self._clock)
-            self._floors_by_data_centre[data_centre] = floors
-        return floors
+    def admitted_by_others(self, workspace):
+        """Return what all other routers are known to have admitted in the window."""
+        total = sum(
+            history.total(workspace)
+            for history in self._history_by_data_centre.values()
+        )
+        return max(0, total - self._own_part(workspace))
+
+    def _own_part(self, workspace):
+        """Return what of this data centre's history is this router's own."""
+        if self._told is not None and self._is_fresh(self._told):
+            part = None if self._told.counted is None else self._told.counted
+            told_at = self._told.at
+        else:
+            self.here()
+            part = self.own()
+            told_at = self._clock.now()
+        if part is None:
+            return 0
+        sums = SlotSums()
+        sums.add(part.admitted, told_at)
+        amounts = sums.by_workspace.get(workspace, {})
+        return window_total(amounts, self._clock.now(), self._window)
+
+    def _history(self, data_centre):
+        history = self._history_by_data_centre.get(data_centre)
+        if history is None:
+            history = AdmittedHistory(self._window, self._clock)
+            self._history_by_data_centre[data_centre] = history
+        return history
 
     def _fresh(self, items):
         return [item for item in items if self._is_fresh(item)]
--- a/libs/forward/src/mulberryhub/forward/quotas.py
+++ b/libs/forward/src/mulberryhub/forward/quotas.py
@@ -9,6 +9,7 @@
 from random import random, uniform
 
 from mulberryhub.base.logs import module_logger
+from mulberryhub.fleet.admissions import SLOT, Admitted
 from mulberryhub.forward.refusal import Reason, Refusal
 from mulberryhub.forward.windows import SlidingSum
 
@@ -95,23 +96,26 @@
 class Quotas:
     """Admits requests of workspaces.
 
-    `read_others()` returns the Use of other routers or None; `count_routers()` the
-    number of routers that may be admitting, this one too.
+    `read_others()` returns the Use of other routers or None, `read_admitted(name)` what
+    they admitted of a workspace in the window; `count_routers()` the number of routers
+    that may be admitting, this one too.
     """
 
     __slots__ = (
         "_started",
         "_rule",
         "_read_others",
+        "_read_admitted",
         "_count_routers",
         "_clock",
         "_accounts_by_name",
     )
 
-    def __init__(self, rule, read_others, count_routers, clock):
+    def __init__(self, rule, read_others, read_admitted, count_routers, clock):
         self._started = clock.now()
         self._rule = rule
         self._read_others = read_others
+        self._read_admitted = read_admitted
         self._count_routers = count_routers
         self._clock = clock
         self._accounts_by_name = {}
@@ -140,12 +144,14 @@
             account.admitted.add(-cost, self._clock.now())
 
     def windows(self):
-        """Return what was admitted in the window, by workspace."""
+        """Return what was Admitted in the window."""
         now = self._clock.now()
-        sums = {
-            name: item.admitted.at(now) for name, item in self._accounts_by_name.items()
+        slots = {
+            name: item.admitted.by_slots(SLOT, now)
+            for name, item in self._accounts_by_name.items()
+            if item.admitted.at(now) > 0
         }
-        return {name: amount for name, amount in sums.items() if amount > 0}
+        return Admitted(now % SLOT, slots)
 
     def rates(self):
         """Return the rates per s that are asked for, by workspace."""
@@ -178,9 +184,7 @@
         if others is not None:
             asked_rate += others.rate_by_workspace.get(workspace.name, 0)
         limit = self._limit(workspace, others, asked_rate)
-        used = limit * unknown
-        if others is not None:
-            used += others.window_by_workspace.get(workspace.name, 0)
+        used = limit * unknown + self._read_admitted(workspace.name)
         account.used = used
         room = limit - own - used
         # Demand is not known at once where it shifts between routers.
--- a/libs/forward/src/mulberryhub/forward/windows.py
+++ b/libs/forward/src/mulberryhub/forward/windows.py
@@ -35,6 +35,20 @@
         oldest = (now - duration) // SLOT
         return sum(slot.amount for slot in self._slots if slot.number > oldest)
 
+    def by_slots(self, length, now):
+        """Return the sums of slots of `length` ms, the newest first.
+
+        Slots begin at multiples of `length`, which is one of SLOT.
+        """
+        self.expire(now)
+        amounts = [0] * (self._length // length + 1)
+        newest = now // length
+        for slot in self._slots:
+            age = newest - slot.number * SLOT // length
+            if age < len(amounts):
+                amounts[age] += slot.amount
+        return amounts
+
     def expire(self, now):
         """Drop what is older than the window."""
         oldest = (now - self._length) // SLOT - 1
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -149,7 +149,13 @@
     bounds = settings.bounds
     use_table = UseTable(measure, settings.data_centre, bounds.quota_window, clock)
     rule = QuotaRule(bounds.quota_window, bounds.quota_overage, bounds.quota_slack)
-    quotas = Quotas(rule, use_table.others, lambda: len(beliefs.members_by_name), clock)
+    quotas = Quotas(
+        rule,
+        use_table.others,
+        use_table.admitted_by_others,
+        lambda: len(beliefs.members_by_name),
+        clock,
+    )
     loads = Loads(use_table.others, clock)
     return use_table, quotas, loads
 
--- a/tests/fleet/test_exchange.py
+++ b/tests/fleet/test_exchange.py
@@ -5,30 +5,39 @@
 from benchmarks.ports import free_address
 from mulberryhub.base.clock import Clock
 from mulberryhub.base.green import Timeout, sleep
+from mulberryhub.fleet.admissions import SLOT, Admitted
 from mulberryhub.fleet.beliefs import Beliefs, Topic
 from mulberryhub.fleet.publisher import Publisher
 from mulberryhub.fleet.records import Configuration, Member, Rollout, Use
 from mulberryhub.fleet.removals import OUTAGE, Removals
 from mulberryhub.fleet.subscription import Subscription
 from mulberryhub.fleet.use import UseTable
+from mulberryhub.forward.windows import SlidingSum
 from tests.fleet.test_beliefs import make_upstream
 
 WINDOW = 8_000  # ms
 
 
 class Node:
-    def __init__(self, name, data_centre="d", use=None):
+    def __init__(self, name, data_centre="d", admitted=0):
         self.clock = Clock()
+        self.admitted = SlidingSum(WINDOW)
+        self.admitted.add(admitted, self.clock.now())
         self.beliefs = Beliefs(self.clock)
         self.me = Member(name, free_address(), data_centre, 0)
         self.removals = Removals(self.beliefs, self.clock)
-        self.use_table = UseTable(lambda: use or Use(), data_centre, WINDOW, self.clock)
+        self.use_table = UseTable(self.measure, data_centre, WINDOW, self.clock)
         self.is_reading = False
         self.publisher = Publisher(
             self.me.address, self.beliefs, self.use_table, lambda: self.is_reading
         )
         self.publisher.start()
 
+    def measure(self):
+        now = self.clock.now()
+        slots = self.admitted.by_slots(SLOT, now)
+        return Use(Admitted(now % SLOT, {"w": slots}))
+
     def subscribe(self, other, wants_records=True):
         subscription = Subscription(
             other.me,
@@ -51,7 +60,7 @@
 
 @pytest.fixture
 def pair():
-    leader, follower = Node("n1", use=Use({"w": 10.0})), Node("n2", use=Use({"w": 3.0}))
+    leader, follower = Node("n1", admitted=10), Node("n2", admitted=3)
     yield leader, follower
     leader.publisher.stop()
     follower.publisher.stop()
@@ -142,9 +151,9 @@
     leader, follower = pair
     subscription = follower.subscribe(leader)
     wait_until(lambda: leader.use_table.others() is not None)
-    assert leader.use_table.others().window_by_workspace == {"w": 3.0}
+    assert round(leader.use_table.admitted_by_others("w"), 3) == 3
     wait_until(lambda: follower.use_table.others() is not None)
-    wait_until(lambda: follower.use_table.others().window_by_workspace == {"w": 10.0})
+    wait_until(lambda: round(follower.use_table.admitted_by_others("w")) == 10)
     subscription.close()
 
 
@@ -162,7 +171,7 @@
     subscription = remote.subscribe(leader, wants_records=False)
     wait_until(lambda: remote.use_table.others() is not None)
     assert remote.beliefs.configuration is None
-    assert remote.use_table.others().window_by_workspace == {"w": 10.0}
+    assert round(remote.use_table.admitted_by_others("w"), 3) == 10
     subscription.close()
     remote.publisher.stop()
 
--- a/tests/forward/test_quotas.py
+++ b/tests/forward/test_quotas.py
@@ -32,7 +32,11 @@
         self.data_centre = data_centre
         self.table = UseTable(self._measure, data_centre, WINDOW, fleet.clock)
         self.quotas = Quotas(
-            RULE, self.table.others, lambda: len(fleet.nodes), fleet.clock
+            RULE,
+            self.table.others,
+            self.table.admitted_by_others,
+            lambda: len(fleet.nodes),
+            fleet.clock,
         )
 
     def _measure(self):
@@ -265,7 +269,7 @@
 
 def test_a_workspace_without_a_rate_has_no_limit():
     clock = ManualClock()
-    quotas = Quotas(RULE, lambda: None, lambda: 1, clock)
+    quotas = Quotas(RULE, lambda: None, lambda name: 0, lambda: 1, clock)
     for _ in range(1_000):
         quotas.admit(Workspace("free", []), 1_000_000)
 
