Send nothing to upstreams that say they leave or ask for a pause

What callers saw before: requests went on to a worker that had said in its answers that it leaves, until the store listed it so, and to workers that had turned this router away.

A departure is a record of the beliefs with its source: taken at once by the router that passes the answer on, told to the others with news and reports, void only for a later incarnation. A pause is this router's own; it holds also where the worker is the only one, and the client hears when the first one opens. Decoded in the adapter, decided in forward.withdrawal.

--- a/libs/fleet/src/mulberryhub/fleet/beliefs.py
+++ b/libs/fleet/src/mulberryhub/fleet/beliefs.py
@@ -14,6 +14,7 @@
 from mulberryhub.fleet.kept import KeptParts
 from mulberryhub.fleet.records import (
     Configuration,
+    Departure,
     KeptPart,
     Member,
     Removal,
@@ -27,6 +28,7 @@
 OUTAGE = 1_500  # ms for which a topic is not known before its records may lapse
 ROLLOUT_TIME = 4_000  # ms without progress after which a rollout counts as left
 MOST_CHANGES = 30_000  # records
+MOST_DEPARTURES = 10_000  # records
 UNKNOWN = -1  # position of a topic of which nothing is known
 
 log = module_logger(__name__)
@@ -64,6 +66,7 @@
         "revision",
         "_removed_by_id",
         "_removed_at_by_id",
+        "_departures_by_id",
         "_versions_by_id",
         "_namings_by_model",
         "_changes",
@@ -87,6 +90,7 @@
         self.revision = 0
         self._removed_by_id = {}
         self._removed_at_by_id = {}
+        self._departures_by_id = OrderedDict()
         self._versions_by_id = {}
         self._namings_by_model = {}
         self._changes = ChangeLog()
@@ -181,6 +185,38 @@
             log.info("upstream gone", upstream=removal.id, offset=removal.offset)
         self._note_change(f"upstream/{removal.id}", removal)
 
+    def learn_departure(self, departure):
+        """Take that an upstream leaves; only a later incarnation makes it void.
+
+        Entries that it writes afterwards do not, nor does its removal.
+        """
+        known = self._departures_by_id.get(departure.id)
+        if known is not None and known.started >= departure.started:
+            return
+        self._departures_by_id[departure.id] = departure
+        if len(self._departures_by_id) > MOST_DEPARTURES:
+            self._departures_by_id.popitem(last=False)
+        log.info(
+            "upstream leaves",
+            upstream=departure.id,
+            started=departure.started,
+            source=departure.source,
+        )
+        self._note_change(f"departure/{departure.id}", departure)
+
+    def is_departing(self, upstream):
+        """Tell whether this incarnation of an upstream said that it is leaving."""
+        departure = self._departures_by_id.get(upstream.id)
+        return departure is not None and upstream.started <= departure.started
+
+    def departures_since(self, revision):
+        """Return the departures that were learned after `revision`."""
+        return [
+            record
+            for record in self.changes_since(revision)
+            if isinstance(record, Departure)
+        ]
+
     def learn_member(self, member):
         """Take a member's record if it is newer."""
         known = self.members_by_name.get(member.name)
@@ -374,5 +410,6 @@
     Upstream: Beliefs.learn_upstream,
     Removal: Beliefs.learn_removal,
     Member: Beliefs.learn_member,
+    Departure: Beliefs.learn_departure,
     KeptPart: Beliefs.learn_kept,
 }
--- a/libs/fleet/src/mulberryhub/fleet/channel.py
+++ b/libs/fleet/src/mulberryhub/fleet/channel.py
@@ -8,7 +8,7 @@
 
 from mulberryhub.base.green import Semaphore
 from mulberryhub.fleet.admissions import Admitted
-from mulberryhub.fleet.records import Record, Rollout, Use
+from mulberryhub.fleet.records import Departure, Record, Rollout, Use
 from mulberryhub.http.sockets import close, dial, receive
 
 LENGTH_BYTES = 4
@@ -38,17 +38,20 @@
     """What a subscriber tells: its own use, and the rollout as it knows it.
 
     `remembered` is what it knows that was admitted by data centre, told first: where
-    the publisher was restarted, it knows nothing of it.
+    the publisher was restarted, it knows nothing of it. `departures` are those that are
+    new.
     """
 
     use: Use
     remembered: dict[str, Admitted] = {}
     rollout: Rollout | None = None
+    departures: list[Departure] = []
 
 
 class News(msgspec.Struct, tag=True):
     """What a publisher tells: new records and how current they are.
 
+    Where no records are wanted, departures are told all the same.
     `age_by_topic` and `kept_age`, that of the parts of kept cache, are in ms. `use` is
     that of the publisher's data centre, of which `counted` is what it has counted for
     the receiver; `use_by_data_centre` is that of the others, or where no records are
--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -80,6 +80,8 @@
     def _take(self, name, hello, report):
         if hello.wants_records:
             self._use_table.note_report(name, report.use, report.remembered)
+        for departure in report.departures:
+            self._beliefs.learn_departure(departure)
         if report.rollout is not None:
             self._beliefs.learn_rollout(report.rollout)
 
@@ -135,6 +137,7 @@
         if not hello.wants_records:
             known = self._use_table.known_of(hello.data_centre)
             news.use_by_data_centre = {hello.data_centre: known}
+            news.records = self._beliefs.departures_since(revision)
             return news
         beliefs = self._beliefs
         news.reads = self._is_reading()
--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -141,6 +141,17 @@
     offset: int
 
 
+class Departure(msgspec.Struct, frozen=True, tag=True):
+    """An upstream that said in an answer to the router `source` that it is leaving.
+
+    `started` names its incarnation; a later one may take requests again.
+    """
+
+    id: str
+    started: int
+    source: str
+
+
 class KeptPart(msgspec.Struct, frozen=True, tag=True):
     """A part that a store of kept KV cache holds; with 0 tokens, holds no more.
 
@@ -154,7 +165,7 @@
     number: int
 
 
-Record = Configuration | Weights | Upstream | Removal | Member | KeptPart
+Record = Configuration | Weights | Upstream | Removal | Member | Departure | KeptPart
 
 
 class Rollout(msgspec.Struct, frozen=True):
--- a/libs/fleet/src/mulberryhub/fleet/subscription.py
+++ b/libs/fleet/src/mulberryhub/fleet/subscription.py
@@ -15,13 +15,17 @@
 
 
 class SentReport:
-    """What the last report told, and the ms at which it was sent."""
+    """What the last report told, and the ms at which it was sent.
 
-    __slots__ = ("use", "rollout_order", "at")
+    `revision` is that of the beliefs up to which departures were told.
+    """
+
+    __slots__ = ("use", "rollout_order", "revision", "at")
 
-    def __init__(self, use, rollout_order, at):
+    def __init__(self, use, rollout_order, revision, at):
         self.use = use
         self.rollout_order = rollout_order
+        self.revision = revision
         self.at = at
 
 
@@ -159,10 +163,13 @@
         if sent is None:
             report.remembered = self._use_table.remembered()
         rollout = self._beliefs.rollout
+        revision = self._beliefs.revision
+        told = 0 if sent is None else sent.revision
+        report.departures = self._beliefs.departures_since(told)
         if sent is None or rollout.order != sent.rollout_order:
             report.rollout = rollout
         self._channel.send(report)
-        return SentReport(use, rollout.order, self._clock.now())
+        return SentReport(use, rollout.order, revision, self._clock.now())
 
     def _pause(self, sent_order):
         """Wait for the next look; a new rollout is passed on at once."""
--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -37,6 +37,7 @@
         "_loads",
         "_health",
         "_steadiness",
+        "_withdrawal",
         "_budget",
         "_beliefs",
         "_caching",
@@ -52,6 +53,7 @@
         loads,
         health,
         steadiness,
+        withdrawal,
         budget,
         beliefs,
         caching,
@@ -64,6 +66,7 @@
         self._loads = loads
         self._health = health
         self._steadiness = steadiness
+        self._withdrawal = withdrawal
         self._budget = budget
         self._beliefs = beliefs
         self._caching = caching
@@ -184,6 +187,8 @@
         facts = exchange.facts
         status = exchange.head.status
         upstream = exchange.attempt.upstream
+        if facts.other_id in (None, upstream.id):
+            self._withdrawal.note(upstream, facts)
         if facts.not_run:
             self._note_not_run(job, exchange)
             return False
@@ -258,7 +263,7 @@
     def _no_upstream(self, job):
         if job.sends:
             return self._give_up(job)
-        return Refusal(Reason.NO_UPSTREAM, _retry_after())
+        return Refusal(Reason.NO_UPSTREAM, self._retry_after(job))
 
     def _too_busy(self, job, delay):
         """Return the Refusal of a job whose answer would come too late."""
@@ -271,12 +276,14 @@
         """Return the Refusal of a job; it promises only what holds."""
         if job.runs:
             return Refusal(job.failure if _is_failure(job) else Reason.UPSTREAM_FAILED)
-        return Refusal(job.failure or Reason.NO_UPSTREAM, _retry_after())
+        return Refusal(job.failure or Reason.NO_UPSTREAM, self._retry_after(job))
+
+    def _retry_after(self, job):
+        """Return the ms after which an upstream may take the request."""
+        pause = uniform(FIRST_RETRY_AFTER, LAST_RETRY_AFTER)
+        reopens_in = self._placer.reopens_in(job.service)
+        return pause if reopens_in is None else reopens_in + pause
 
 
 def _is_failure(job):
     return job.failure in (Reason.UPSTREAM_FAILED, Reason.UPSTREAM_SILENT)
-
-
-def _retry_after():
-    return uniform(FIRST_RETRY_AFTER, LAST_RETRY_AFTER)
--- a/libs/forward/src/mulberryhub/forward/call.py
+++ b/libs/forward/src/mulberryhub/forward/call.py
@@ -91,17 +91,38 @@
     `request_id` is that of the request it answers, None where it names none.
     `not_run` promises that the request did not run; `other_id` is the id of the
     upstream that has the address now, None where it is the one expected. `version` is
-    that of the weights, None where not told.
+    that of the weights, None where not told. `is_leaving` tells that the upstream wants
+    no more requests, `pause` is the ms for which it wants none from this router, None
+    where it asks for no pause.
     """
 
-    __slots__ = ("request_id", "not_run", "other_id", "is_sealed", "version")
+    __slots__ = (
+        "request_id",
+        "not_run",
+        "other_id",
+        "is_sealed",
+        "version",
+        "is_leaving",
+        "pause",
+    )
 
-    def __init__(self, request_id, not_run, other_id, is_sealed, version):
+    def __init__(
+        self,
+        request_id,
+        not_run,
+        other_id,
+        is_sealed,
+        version,
+        is_leaving=False,
+        pause=None,
+    ):
         self.request_id = request_id
         self.not_run = not_run
         self.other_id = other_id
         self.is_sealed = is_sealed
         self.version = version
+        self.is_leaving = is_leaving
+        self.pause = pause
 
 
 class Dialect:
--- a/libs/forward/src/mulberryhub/forward/placing.py
+++ b/libs/forward/src/mulberryhub/forward/placing.py
@@ -46,7 +46,8 @@
 class Placer:
     """Places requests on the upstreams that `beliefs` lists.
 
-    `version_time` is the ms for which weights serve after newer ones were named.
+    `withdrawal` has those that asked for no more requests, `version_time` is the ms for
+    which weights serve after newer ones were named.
     `health` has the upstreams that could not be reached, `steadiness` those that were
     reached and cut an answer.
     """
@@ -56,6 +57,7 @@
         "_loads",
         "_health",
         "_steadiness",
+        "_withdrawal",
         "_data_centre",
         "_version_time",
         "_ready_by_service",
@@ -63,11 +65,21 @@
         "_placements_by_ids",
     )
 
-    def __init__(self, beliefs, loads, health, steadiness, data_centre, version_time):
+    def __init__(
+        self,
+        beliefs,
+        loads,
+        health,
+        steadiness,
+        withdrawal,
+        data_centre,
+        version_time,
+    ):
         self._beliefs = beliefs
         self._loads = loads
         self._health = health
         self._steadiness = steadiness
+        self._withdrawal = withdrawal
         self._data_centre = data_centre
         self._version_time = version_time
         self._ready_by_service = {}
@@ -76,7 +88,11 @@
 
     def choose(self, call, route, service, tried):
         """Return a Choice among upstreams whose id is not in `tried`, or None."""
-        ready = [item for item in self._ready(service.name) if item.id not in tried]
+        ready = [
+            item
+            for item in self._ready(service.name)
+            if item.id not in tried and self._withdrawal.is_open(item)
+        ]
         if not ready:
             return None
         if call.model is None or not service.models:
@@ -85,6 +101,10 @@
             return Choice(upstream, self._loads.work(upstream.id))
         return self._choose_engine(call, route, ready)
 
+    def reopens_in(self, service):
+        """Return the ms until an upstream of `service` takes requests, or None."""
+        return self._withdrawal.reopens_in(self._ready(service.name))
+
     def _choose_engine(self, call, route, ready):
         loading = self._beliefs.loading_ids()
         candidates = [item for item in ready if item.id not in loading] or ready
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -18,6 +18,7 @@
 from mulberryhub.forward.placing import Placer
 from mulberryhub.forward.quotas import QuotaRule, Quotas
 from mulberryhub.forward.relay import Relay
+from mulberryhub.forward.withdrawal import Withdrawal
 from mulberryhub.http.inbound import Limits
 from mulberryhub.http.pool import Pool
 from mulberryhub.http.server import HttpServer
@@ -61,11 +62,13 @@
     _add_followers(parts, settings, ports, beliefs, use_table, counters, clock)
     health = Health(clock, counters)
     steadiness = Health(clock, counters)
+    withdrawal = Withdrawal(settings.name, beliefs, clock, counters)
     placer = Placer(
         beliefs,
         loads,
         health,
         steadiness,
+        withdrawal,
         settings.data_centre,
         settings.bounds.version_time - VERSION_MARGIN,
     )
@@ -95,6 +98,7 @@
         loads,
         health,
         steadiness,
+        withdrawal,
         budget,
         beliefs,
         caching,
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -4,6 +4,8 @@
 from random import Random
 
 from mulberryhub.adapter_standins.documents import (
+    LEAVING_HEADER,
+    SEAL_HEADER,
     call_headers,
     deadline_headers,
     prompt_headers,
@@ -25,7 +27,8 @@
 class Seen:
     """A request as its client saw it; times are ms of wall time.
 
-    `status` is CUT where no whole answer came, and `reason` tells why.
+    `status` is CUT where no whole answer came, and `reason` tells why. `leaving_worker`
+    is the id of the worker whose answer said that it leaves.
     """
 
     __slots__ = (
@@ -39,6 +42,7 @@
         "status",
         "body",
         "seen_workspace",
+        "leaving_worker",
         "reason",
     )
 
@@ -53,6 +57,7 @@
         self.status = CUT
         self.body = b""
         self.seen_workspace = None
+        self.leaving_worker = None
         self.reason = ""
 
 
@@ -109,6 +114,8 @@
             seen.status = answer.status
             seen.body = answer.data
             seen.seen_workspace = answer.headers.get("X-Tenant-Seen")
+            if LEAVING_HEADER in answer.headers:
+                seen.leaving_worker = answer.headers.get(SEAL_HEADER)
         seen.ended_at = now()
         return seen
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -118,7 +118,7 @@
     def drain_worker(self, worker):
         """Let a worker leave: it is listed no more but goes on to serve."""
         self.workers.remove(worker)
-        worker.process.fault(leaving=True)
+        worker.process.fault(leaving=True, departing=True)
         self._unlist(worker)
 
     def _unlist(self, worker):
@@ -163,7 +163,9 @@
         self.store.fault(refuse=None, hang=None, lose=None)
         for worker in self.workers:
             worker.process.signal(signal.SIGCONT)
-            worker.process.fault(shed=None, error=None, cut=None, silent=None)
+            worker.process.fault(
+                shed=None, retry_after=None, error=None, cut=None, silent=None
+            )
         for router in self.routers:
             if router.popen.poll() is not None:
                 router.start()
--- a/soak/history.py
+++ b/soak/history.py
@@ -41,6 +41,15 @@
             if span.step.is_fault or span.step.kind in ROUTER_KINDS
         )
 
+    def runs_on(self, router, start, end):
+        """Tell whether the process of `router` ran all the time between."""
+        return not any(
+            span.target == router
+            and span.step.kind in ROUTER_KINDS
+            and span.overlaps(start, end)
+            for span in self.spans
+        )
+
     def stops_alone(self, router, seen):
         """Tell whether only the stop of `router` touches a request that it had."""
         spans = [
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -42,7 +42,7 @@
     )
 )
 STORE_FAULTS = ("refuse", "hang", "lose")
-WORKER_FAULTS = ("shed", "error", "cut", "silent")
+WORKER_FAULTS = ("shed", "pause", "error", "cut", "silent")
 LINK_FAULTS = tuple(fault for fault in Fault if fault is not Fault.NONE)
 
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -144,6 +144,23 @@
             yield Breach("leaving", run.id, f"{run.at - left_at:.0f} ms after it")
 
 
+def workers_that_say_they_leave_get_nothing(evidence):
+    """Yield runs that a router gave to a worker whose leaving it had passed on."""
+    told_at_by_pair = {}
+    for seen in evidence.seen:
+        if seen.leaving_worker is not None:
+            pair = (seen.router, seen.leaving_worker)
+            told_at = min(seen.ended_at, told_at_by_pair.get(pair, seen.ended_at))
+            told_at_by_pair[pair] = told_at
+    for seen in evidence.seen:
+        for run in evidence.runs_by_id.get(seen.id, ()):
+            told_at = told_at_by_pair.get((seen.router, run.worker))
+            if told_at is None or seen.sent_at - told_at <= LEAVING_TIME:
+                continue
+            if evidence.history.runs_on(seen.router, told_at, seen.sent_at):
+                yield Breach("told", seen.id, f"at {run.worker}, which leaves")
+
+
 def old_weights_stop(evidence):
     """Yield runs on weights long after newer ones were named."""
     history = evidence.history
@@ -180,6 +197,7 @@
     kept_keys_are_served,
     stops_cut_nothing,
     leaving_workers_get_nothing,
+    workers_that_say_they_leave_get_nothing,
     old_weights_stop,
     quotas_hold,
 )
--- a/soak/run.py
+++ b/soak/run.py
@@ -79,8 +79,13 @@
 
     def worker_fault(self, step, worker):
         """Let a worker misbehave for a few requests."""
-        worker.process.fault(**{step.how: 1 + step.index % 3})
+        times = 1 + step.index % 3
+        if step.how == "pause":
+            worker.process.fault(shed=times, retry_after=f"{step.duration:.2f}")
+        else:
+            worker.process.fault(**{step.how: times})
         sleep(step.duration)
+        worker.process.fault(retry_after=None)
 
     def worker_kill(self, step, worker):
         """End a worker at once; another comes in its place."""
--- a/tests/adapter/test_dialect.py
+++ b/tests/adapter/test_dialect.py
@@ -1,6 +1,7 @@
 import pytest
 
 from mulberryhub.adapter.dialect import (
+    LONGEST_PAUSE,
     attempt_request,
     read_answer,
     read_call,
@@ -117,6 +118,32 @@
     assert not answer(500).not_run
 
 
+def test_an_answer_tells_that_its_worker_leaves():
+    assert answer(200, (b"Server-Leaving", b"1")).is_leaving
+    assert not answer(200).is_leaving
+    assert not answer(200, (b"Server-Leaving", b"0")).is_leaving
+
+
+@pytest.mark.parametrize(
+    "status, value, pause",
+    [
+        (503, b"2", 2_000),
+        (503, b"0.25", 250),
+        (503, b"1e300", LONGEST_PAUSE),
+        (503, b"inf", LONGEST_PAUSE),
+        (503, b"nan", None),
+        (503, b"-1", None),
+        (503, b"", None),
+        (503, b"soon", None),
+        (503, b"Fri, 04 Dec 2026 10:00:00 GMT", None),
+        (429, b"2", None),
+        (200, b"2", None),
+    ],
+)
+def test_the_pause_that_a_full_worker_asks_for(status, value, pause):
+    assert answer(status, (b"Retry-After", value)).pause == pause
+
+
 def test_an_encoded_answer_is_not_sealed():
     seal = (PREFIX + b"Response-Seal", b"s")
     assert answer(200, seal).is_sealed
--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -102,6 +102,46 @@
     assert sorted(id for id in platform.runs("p1", "p2") if id in ids) == served
 
 
+def test_a_worker_that_says_it_leaves_gets_nothing_from_any_router(platform):
+    platform.start_worker("p3", "desk", "a")
+    leaving = platform.workers_by_id["p3"]
+    leaving.fault(departing=True)
+    first, second = platform.routers
+
+    def has_run_there():
+        first.ask("/r/x", "GET", id="until")
+        return "until" in platform.runs("p3")
+
+    wait_until(has_run_there)
+    before = platform.runs("p3")
+    for index in range(20):
+        assert first.ask("/r/x", "GET", id=f"after{index}").status == 200
+    wait_until(
+        lambda: any(line.get("message") == "upstream leaves" for line in second.lines())
+    )
+    for index in range(20):
+        assert second.ask("/r/x", "GET", id=f"other{index}").status == 200
+    assert platform.runs("p3") == before
+
+
+def test_workers_that_ask_for_a_pause_are_left_alone(platform):
+    router = platform.routers[0]
+    plain = [platform.workers_by_id[id] for id in ("p1", "p2", "p3")]
+    for worker in plain:
+        worker.fault(shed=100, retry_after="1.5")
+    ids = [f"full{n}" for n in range(10)]
+    answers = [router.ask("/o/x", id=id) for id in ids]
+    arrived = sum(
+        id in ids for worker in plain for id in worker.request("GET", "/refused").json()
+    )
+    assert {answer.status for answer in answers} == {503}
+    assert all(float(answer.headers["Retry-After"]) > 0 for answer in answers)
+    assert arrived <= 3
+    for worker in plain:
+        worker.fault(shed=None, retry_after=None)
+    wait_until(lambda: router.ask("/r/x", "GET", id="open").status == 200)
+
+
 def test_a_quota_refuses_with_the_time_to_come_back(platform):
     tenants = [
         {
--- a/tests/forward/test_attempts.py
+++ b/tests/forward/test_attempts.py
@@ -13,7 +13,8 @@
 from mulberryhub.forward.job import Job
 from mulberryhub.forward.loads import Loads
 from mulberryhub.forward.placing import Placer
-from mulberryhub.forward.refusal import Refusal
+from mulberryhub.forward.refusal import Reason, Refusal
+from mulberryhub.forward.withdrawal import Withdrawal
 from mulberryhub.http.messages import (
     AnswerBroken,
     AnswerHead,
@@ -66,6 +67,8 @@
         self.clock = ManualClock(now=1_000)
         self.fates = list(fates)
         self.sent = []
+        self.is_leaving = False
+        self.pause = None
         self.work_while_dialled = []
         beliefs = Beliefs(self.clock)
         for index in range(6):
@@ -73,15 +76,17 @@
         self.loads = loads = Loads(Use, self.clock)
         self.health = health = Health(self.clock, Counters())
         self.steadiness = steadiness = Health(self.clock, Counters())
+        withdrawal = Withdrawal("n1", beliefs, self.clock, Counters())
         budget = RetryBudget(BudgetRule(10_000, 0.2, 100), lambda: 1, self.clock)
         dialect = Dialect(None, lambda call, attempt: None, self.read_answer, None)
         self.attempts = Attempts(
             dialect,
-            Placer(beliefs, loads, health, steadiness, "a", 11_000),
+            Placer(beliefs, loads, health, steadiness, withdrawal, "a", 11_000),
             self,
             loads,
             health,
             steadiness,
+            withdrawal,
             budget,
             beliefs,
             Caching(lambda: None, beliefs.kept, self.clock),
@@ -96,7 +101,15 @@
     def read_answer(self, head, attempt):
         request_id = "other" if head.is_stray else "id-1"
         sealed = head.fate != UNSEALED
-        return AnswerFacts(request_id, head.fate == NOT_RUN, None, sealed, None)
+        return AnswerFacts(
+            request_id,
+            head.fate == NOT_RUN,
+            None,
+            sealed,
+            None,
+            self.is_leaving,
+            self.pause,
+        )
 
     def take_idle(self, address, max_idle=None):
         return None
@@ -121,6 +134,10 @@
         exchange.cancel()
         return exchange.head.status
 
+    def ask_again(self):
+        """Let another request of the same kind come."""
+        self.job = Job(self.job.call, self.job.route, self.job.service, None, 5_000)
+
     def runs(self):
         return sum(1 for fate in self.sent if fate in MAY_HAVE_RUN)
 
@@ -211,3 +228,31 @@
     world.run()
     assert len(world.work_while_dialled) == 2
     assert min(world.work_while_dialled) > 0
+
+
+def test_an_upstream_that_is_leaving_gets_no_further_request():
+    world = World([OK], Kind.IDEMPOTENT)
+    world.is_leaving = True
+    chosen = []
+    for _ in range(6):
+        chosen.append(world.attempts.run(world.job).attempt.upstream.id)
+        world.ask_again()
+    assert len(set(chosen)) == 6
+    with pytest.raises(Refusal) as refused:
+        world.attempts.run(world.job)
+    assert refused.value.reason is Reason.NO_UPSTREAM
+
+
+def test_upstreams_that_pause_get_nothing_and_the_client_hears_when_to_return():
+    world = World([NOT_RUN] * 6, Kind.NON_IDEMPOTENT)
+    world.pause = 2_500.0
+    assert world.run() == 503
+    assert world.sent == [NOT_RUN] * 4
+    world.ask_again()
+    assert world.run() == 503
+    assert world.sent == [NOT_RUN] * 6
+    world.ask_again()
+    with pytest.raises(Refusal) as refused:
+        world.attempts.run(world.job)
+    assert world.sent == [NOT_RUN] * 6
+    assert 2_500 <= refused.value.retry_after <= 3_000
--- a/tests/forward/test_placing.py
+++ b/tests/forward/test_placing.py
@@ -6,6 +6,7 @@
 from mulberryhub.fleet.records import Rollout, State, Use, Weights
 from mulberryhub.forward.loads import Loads
 from mulberryhub.forward.placing import Placer
+from mulberryhub.forward.withdrawal import Withdrawal
 from mulberryhub.forward.work import work_of
 from mulberryhub.upstream.health import Health
 from tests.forward.fakes import (
@@ -27,11 +28,13 @@
         self.loads = Loads(lambda: self.others, self.clock)
         self.health = Health(self.clock, Counters())
         self.steadiness = Health(self.clock, Counters())
+        self.withdrawal = Withdrawal("n1", self.beliefs, self.clock, Counters())
         self.placer = Placer(
             self.beliefs,
             self.loads,
             self.health,
             self.steadiness,
+            self.withdrawal,
             "a",
             VERSION_TIME,
         )
