--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -15,5 +15,7 @@
     for folder in libs/*/src platform/src; do
         cp -R "$folder/mulberryhub" "$deps/"
     done
+    # A process may not be able to write its byte code, and compile anew at each start.
+    python3 -m compileall -q "$deps/mulberryhub"
     echo "$sources" > "$deps/.sources"
 fi
--- a/libs/base/src/mulberryhub/base/green.py
+++ b/libs/base/src/mulberryhub/base/green.py
@@ -4,8 +4,11 @@
 yield to the hub imports the green names from here.
 """
 
+import os
 import warnings
 
+# Peers are known by IP address; the resolver would be a third of a start.
+os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
 warnings.filterwarnings("ignore", message="\\nEventlet is deprecated")
 
 import eventlet  # noqa: E402
