--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -126,7 +126,7 @@
 
 def test_workers_that_ask_for_a_pause_are_left_alone(platform):
     router = platform.routers[0]
-    plain = [platform.workers_by_id[id] for id in ("p1", "p2", "p3")]
+    plain = [item for id, item in platform.workers_by_id.items() if id[0] == "p"]
     for worker in plain:
         worker.fault(shed=100, retry_after="1.5")
     ids = [f"full{n}" for n in range(10)]
@@ -136,7 +136,7 @@
     )
     assert {answer.status for answer in answers} == {503}
     assert all(float(answer.headers["Retry-After"]) > 0 for answer in answers)
-    assert arrived <= 3
+    assert arrived <= len(plain)
     for worker in plain:
         worker.fault(shed=None, retry_after=None)
     wait_until(lambda: router.ask("/r/x", "GET", id="open").status == 200)
