Sum and encode news once for all subscribers

Cause: a reader summed the use of all its subscribers again for each of them, four times a second, and sent each the whole window of every workspace of every data centre. At 38 subscribers that took 680 ms of processor time a second (it grows with their square), on VMs with half a core.

Now the sums are made and encoded once a tick; a subscriber that was told all before gets the same bytes, one that is behind gets its own. Of what was admitted only the newest slots go out again, since older ones no longer change; other data centres are summed into one; the part that counts for a subscriber is named by the number of its report.

--- a/libs/fleet/src/mulberryhub/fleet/admissions.py
+++ b/libs/fleet/src/mulberryhub/fleet/admissions.py
@@ -19,6 +19,22 @@
     phase: int = 0
     slots_by_workspace: dict[str, list[int]] = {}
 
+    def of(self, workspace):
+        """Return what was admitted of one workspace."""
+        slots = self.slots_by_workspace.get(workspace)
+        return Admitted(self.phase, {} if slots is None else {workspace: slots})
+
+    def newest(self, slots):
+        """Return the newest `slots` only, all where it is None."""
+        if slots is None:
+            return self
+        newest = {
+            workspace: amounts[:slots]
+            for workspace, amounts in self.slots_by_workspace.items()
+            if any(amounts[:slots])
+        }
+        return Admitted(self.phase, newest)
+
 
 class SlotSums:
     """Amounts by workspace and slot, the slots numbered by one router's own clock."""
--- a/libs/fleet/src/mulberryhub/fleet/channel.py
+++ b/libs/fleet/src/mulberryhub/fleet/channel.py
@@ -37,11 +37,13 @@
 class Report(msgspec.Struct, tag=True):
     """What a subscriber tells: its own use, and the rollout as it knows it.
 
+    Of what it admitted, reports after the first tell the newest slots only.
     `remembered` is what it knows that was admitted by data centre, told first: where
     the publisher was restarted, it knows nothing of it. `departures` are those that are
     new.
     """
 
+    number: int
     use: Use
     remembered: dict[str, Admitted] = {}
     rollout: Rollout | None = None
@@ -53,9 +55,10 @@
 
     Where no records are wanted, departures are told all the same.
     `age_by_topic` and `kept_age`, that of the parts of kept cache, are in ms. `use` is
-    that of the publisher's data centre, of which `counted` is what it has counted for
-    the receiver; `use_by_data_centre` is that of the others, or where no records are
-    wanted, what is known of the receiver's. `upstream_ids` are all that are known, told
+    that of the publisher's data centre, `elsewhere` that of the others together, and
+    `admitted_by_data_centre` what these admitted, or where no records are wanted, what
+    the receiver's own is known to have admitted. Of that, news after the first tell the
+    newest slots only. `upstream_ids` are all that are known, told
     first and again after a listing, as records of removals do not reach further back.
     `reads` tells whether the publisher's own reads of the store succeed.
     """
@@ -67,16 +70,28 @@
     reads: bool = False
     kept_age: int | None = None
     use: Use | None = None
-    counted: Use | None = None
-    use_by_data_centre: dict[str, Use] = {}
+    elsewhere: Use | None = None
+    admitted_by_data_centre: dict[str, Admitted] = {}
     rollout: Rollout | None = None
 
 
-Message = Hello | Report | News
+class Counted(msgspec.Struct, tag=True):
+    """Tells the number of the receiver's report that the next news count."""
+
+    number: int
+
+
+Message = Hello | Report | News | Counted
 _decoder = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
 
 
+def encode(message):
+    """Return the bytes of a message with its length."""
+    payload = _encoder.encode(message)
+    return len(payload).to_bytes(LENGTH_BYTES) + payload
+
+
 class Channel:
     """The messages of one socket."""
 
@@ -97,8 +112,10 @@
 
     def send(self, message):
         """Send a message or raise ChannelBroken."""
-        payload = _encoder.encode(message)
-        data = len(payload).to_bytes(LENGTH_BYTES) + payload
+        self.send_encoded(encode(message))
+
+    def send_encoded(self, data):
+        """Send encoded messages or raise ChannelBroken."""
         with self._sending:
             try:
                 self._sock.settimeout(SEND_TIMEOUT / 1000)
--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -1,10 +1,24 @@
-"""Tells subscribers what changes, and takes their reports."""
+"""Tells subscribers what changes, and takes their reports.
 
-from mulberryhub.base.green import Timeout, sleep
+What all subscribers are told alike is summed and encoded once. Only one that is behind,
+or has just opened its subscription, gets news of its own.
+"""
+
+import msgspec
+
+from mulberryhub.base.green import Event, Timeout, sleep
 from mulberryhub.base.logs import module_logger
 from mulberryhub.base.tasks import spawn_task
 from mulberryhub.fleet.beliefs import UNKNOWN, Topic
-from mulberryhub.fleet.channel import Channel, ChannelBroken, Hello, News, Report
+from mulberryhub.fleet.channel import (
+    Channel,
+    ChannelBroken,
+    Counted,
+    Hello,
+    News,
+    Report,
+    encode,
+)
 from mulberryhub.fleet.records import Configuration, Member, Upstream
 from mulberryhub.http.accepting import accept_all
 from mulberryhub.http.sockets import close, open_listener, tune
@@ -13,11 +27,45 @@
 SHORT_HEARTBEAT = 100  # ms, to few
 HEARTBEAT_STEP = 12  # ms for each subscriber, so that messages in all are bounded
 GATHERING = 10  # ms in which changes are gathered into one message
+NEWEST_SLOTS = 5  # of what was admitted, told again and again as they may still change
 TOPIC_BY_TYPE = {Upstream: Topic.UPSTREAMS, Member: Topic.MEMBERS}
 
 log = module_logger(__name__)
 
 
+class Progress(msgspec.Struct, frozen=True):
+    """What a subscriber was told: up to which revision of the beliefs, which rollout.
+
+    `told_to` is the position of the upstream ids that it was told last.
+    """
+
+    revision: int = 0
+    rollout_order: tuple[int, int] | None = None
+    told_to: int | None = None
+
+
+class Subscriber:
+    """A subscription with its Progress, None before the first news."""
+
+    __slots__ = ("channel", "hello", "progress")
+
+    def __init__(self, channel, hello):
+        self.channel = channel
+        self.hello = hello
+        self.progress = None
+
+
+class Broadcast:
+    """Encoded news that bring subscribers from one Progress to another."""
+
+    __slots__ = ("before", "after", "data")
+
+    def __init__(self, before, after, data):
+        self.before = before
+        self.after = after
+        self.data = data
+
+
 class Publisher:
     """Serves subscriptions at `address`.
 
@@ -31,6 +79,9 @@
         "_is_reading",
         "_listener",
         "_subscribers",
+        "_use",
+        "_broadcast",
+        "_ticked",
     )
 
     def __init__(self, address, beliefs, use_table, is_reading):
@@ -40,16 +91,24 @@
         self._is_reading = is_reading
         self._listener = None
         self._subscribers = 0
+        self._use = None
+        self._broadcast = Broadcast(None, Progress(), b"")
+        self._ticked = Event()
 
     def start(self):
         """Listen and accept in the background."""
         self._listener = open_listener(self._address)
         spawn_task(accept_all, self._listener, self._serve_socket)
+        spawn_task(self._tick_on)
 
     def stop(self):
         """Take no further subscriptions."""
         close(self._listener)
 
+    def heartbeat(self):
+        """Return the ms between two messages to a subscriber without a change."""
+        return min(max(SHORT_HEARTBEAT, HEARTBEAT_STEP * self._subscribers), HEARTBEAT)
+
     def _serve_socket(self, sock):
         try:
             tune(sock)
@@ -65,7 +124,7 @@
             if not isinstance(hello, Hello):
                 raise ChannelBroken("no hello")
             name = hello.name
-            spawn_task(self._publish, channel, hello)
+            spawn_task(self._publish, Subscriber(channel, hello))
             while True:
                 report = channel.receive()
                 if isinstance(report, Report):
@@ -79,44 +138,95 @@
 
     def _take(self, name, hello, report):
         if hello.wants_records:
-            self._use_table.note_report(name, report.use, report.remembered)
+            self._use_table.note_report(
+                name, report.use, report.remembered, report.number
+            )
         for departure in report.departures:
             self._beliefs.learn_departure(departure)
         if report.rollout is not None:
             self._beliefs.learn_rollout(report.rollout)
 
-    def heartbeat(self):
-        """Return the ms between two messages to a subscriber without a change."""
-        return min(max(SHORT_HEARTBEAT, HEARTBEAT_STEP * self._subscribers), HEARTBEAT)
+    def _tick_on(self):
+        while True:
+            with Timeout(self.heartbeat() / 1000, False):
+                self._beliefs.wait_for_change()
+            sleep(GATHERING / 1000)
+            if self._subscribers:
+                self._tick()
+
+    def _tick(self):
+        """Make the news of this moment and let all subscribers have them."""
+        before = self._broadcast.after
+        self._use = self._use_table.here(NEWEST_SLOTS)
+        news = self._news(before.revision, self._use, NEWEST_SLOTS)
+        after = self._add_rest(before, news)
+        self._broadcast = Broadcast(before, after, encode(news))
+        ticked, self._ticked = self._ticked, Event()
+        ticked.send()
 
-    def _publish(self, channel, hello):
+    def _publish(self, subscriber):
         self._subscribers += 1
         try:
-            self._tell(channel, hello)
+            while True:
+                subscriber.channel.send_encoded(self._data_for(subscriber))
+                self._ticked.wait()
         except ChannelBroken as error:
-            log.debug("publishing ended", subscriber=hello.name, reason=str(error))
-            channel.close()
+            name = subscriber.hello.name
+            log.debug("publishing ended", subscriber=name, reason=str(error))
+            subscriber.channel.close()
         finally:
             self._subscribers -= 1
 
-    def _tell(self, channel, hello):
-        revision = 0
-        rollout_order = None
-        told_to = None
-        while True:
-            reached = self._beliefs.revision
-            news = self._news(hello, revision)
-            if self._beliefs.rollout.order != rollout_order:
-                rollout_order = self._beliefs.rollout.order
-                news.rollout = self._beliefs.rollout
-            if hello.wants_records and self._is_listing_due(told_to):
-                news.upstream_ids = list(self._beliefs.upstreams_by_id)
-                told_to = min(self._upstreams_position(), self._beliefs.listed_to)
-            channel.send(news)
-            revision = reached
-            with Timeout(self.heartbeat() / 1000, False):
-                self._beliefs.wait_for_change()
-            sleep(GATHERING / 1000)
+    def _data_for(self, subscriber):
+        """Return the messages that bring `subscriber` up to date."""
+        hello, broadcast = subscriber.hello, self._broadcast
+        if not hello.wants_records:
+            return encode(self._news_for_reader(subscriber))
+        counted = self._use_table.number_counted(hello.name)
+        prefix = b"" if counted is None else encode(Counted(counted))
+        if subscriber.progress == broadcast.before:
+            subscriber.progress = broadcast.after
+            return prefix + broadcast.data
+        return prefix + encode(self._news_for_one(subscriber))
+
+    def _news_for_one(self, subscriber):
+        """Return the News of one subscriber, with all that it was not told."""
+        before = subscriber.progress
+        if before is None:
+            before = Progress()
+            news = self._news(0, self._use_table.here())
+            hello = subscriber.hello
+            news.records = [item for item in news.records if _is_new(item, hello)]
+        else:
+            news = self._news(before.revision, self._use, NEWEST_SLOTS)
+        subscriber.progress = self._add_rest(before, news)
+        return news
+
+    def _news_for_reader(self, subscriber):
+        """Return News for the reader of another data centre."""
+        before = subscriber.progress
+        if before is None:
+            before = Progress()
+            news = News(use=self._use_table.here())
+            data_centre = subscriber.hello.data_centre
+            known = self._use_table.known_of(data_centre)
+            news.admitted_by_data_centre = {data_centre: known}
+        else:
+            news = News(use=self._use)
+        news.records = self._beliefs.departures_since(before.revision)
+        subscriber.progress = self._add_rest(before, news, lists=False)
+        return news
+
+    def _add_rest(self, before, news, lists=True):
+        """Add what is told on a change only; return the Progress that `news` bring."""
+        beliefs = self._beliefs
+        if beliefs.rollout.order != before.rollout_order:
+            news.rollout = beliefs.rollout
+        told_to = before.told_to
+        if lists and self._is_listing_due(told_to):
+            news.upstream_ids = list(beliefs.upstreams_by_id)
+            told_to = min(self._upstreams_position(), beliefs.listed_to)
+        return Progress(beliefs.revision, beliefs.rollout.order, told_to)
 
     def _is_listing_due(self, told_to):
         """Tell whether a subscriber that has all ids up to `told_to` needs them again.
@@ -132,17 +242,12 @@
     def _upstreams_position(self):
         return self._beliefs.position_by_topic[Topic.UPSTREAMS]
 
-    def _news(self, hello, revision):
-        news = News(use=self._use_table.here())
-        if not hello.wants_records:
-            known = self._use_table.known_of(hello.data_centre)
-            news.use_by_data_centre = {hello.data_centre: known}
-            news.records = self._beliefs.departures_since(revision)
-            return news
-        beliefs = self._beliefs
+    def _news(self, revision, use, slots=None):
+        """Return News of all that changed since `revision`."""
+        beliefs, use_table = self._beliefs, self._use_table
+        news = News(use=use, elsewhere=use_table.elsewhere())
+        news.admitted_by_data_centre = use_table.admitted_elsewhere(slots)
         news.reads = self._is_reading()
-        news.counted = self._use_table.counted_for(hello.name)
-        news.use_by_data_centre = self._use_table.elsewhere()
         news.position_by_topic = {
             str(topic): position
             for topic, position in beliefs.position_by_topic.items()
@@ -152,10 +257,7 @@
             if age is not None:
                 news.age_by_topic[str(topic)] = age
         news.kept_age = beliefs.kept.age()
-        records = beliefs.changes_since(revision)
-        if revision == 0:
-            records = [record for record in records if _is_new(record, hello)]
-        news.records = records
+        news.records = beliefs.changes_since(revision)
         return news
 
 
--- a/libs/fleet/src/mulberryhub/fleet/subscription.py
+++ b/libs/fleet/src/mulberryhub/fleet/subscription.py
@@ -1,28 +1,40 @@
 """A subscription to another router: its news are applied as they come."""
 
+import msgspec
+
 from mulberryhub.base.green import Timeout
 from mulberryhub.base.logs import module_logger
 from mulberryhub.base.tasks import spawn_task
 from mulberryhub.fleet.beliefs import UNKNOWN, Topic
-from mulberryhub.fleet.channel import Channel, ChannelBroken, Hello, News, Report
+from mulberryhub.fleet.channel import (
+    Channel,
+    ChannelBroken,
+    Counted,
+    Hello,
+    News,
+    Report,
+)
 
 REPORT_PERIOD = 250  # ms
 SHORT_PERIOD = 100  # ms between reports while work in flight changes
 NOTABLE_WORK = 40  # ms of work in flight
+NEWEST_SLOTS = 4  # of what was admitted, told again as they may still change
+MOST_REPORTS = 100  # that are kept until the publisher counts them
 SILENCE = 1_300  # ms without news after which the publisher counts as lost
 
 log = module_logger(__name__)
 
 
 class SentReport:
-    """What the last report told, and the ms at which it was sent.
+    """What the last report told, its number and the ms at which it was sent.
 
     `revision` is that of the beliefs up to which departures were told.
     """
 
-    __slots__ = ("use", "rollout_order", "revision", "at")
+    __slots__ = ("number", "use", "rollout_order", "revision", "at")
 
-    def __init__(self, use, rollout_order, revision, at):
+    def __init__(self, number, use, rollout_order, revision, at):
+        self.number = number
         self.use = use
         self.rollout_order = rollout_order
         self.revision = revision
@@ -47,6 +59,8 @@
         "_use_table",
         "_clock",
         "_channel",
+        "_counted",
+        "_sent_by_number",
     )
 
     def __init__(self, member, me, wants_records, beliefs, removals, use_table, clock):
@@ -61,6 +75,8 @@
         self._use_table = use_table
         self._clock = clock
         self._channel = None
+        self._counted = None
+        self._sent_by_number = {}
 
     def start(self):
         """Subscribe in the background; `ended` tells when it is over."""
@@ -82,7 +98,9 @@
             while not self.ended:
                 with Timeout(SILENCE / 1000, ChannelBroken("silent")):
                     news = self._channel.receive()
-                if isinstance(news, News):
+                if isinstance(news, Counted):
+                    self._note_counted(news.number)
+                elif isinstance(news, News):
                     self._apply(news)
         except ChannelBroken as error:
             if not self.ended:
@@ -117,12 +135,22 @@
             beliefs.kept.heard(now - news.kept_age)
         if news.rollout is not None:
             beliefs.learn_rollout(news.rollout)
+        self._apply_use(news)
+
+    def _apply_use(self, news):
+        use_table = self._use_table
+        admitted = news.admitted_by_data_centre
         if not self._wants_records:
-            self._use_table.note_elsewhere(self.member.data_centre, news.use)
+            use_table.note_elsewhere(self.member.data_centre, news.use, admitted)
         elif self.member.data_centre == self._me.data_centre:
-            self._use_table.note_told(news.use, news.counted)
-        for data_centre, use in news.use_by_data_centre.items():
-            self._use_table.note_elsewhere(data_centre, use)
+            use_table.note_told(news.use, self._sent_by_number.get(self._counted))
+            use_table.note_told_elsewhere(news.elsewhere, admitted)
+
+    def _note_counted(self, number):
+        """Note which report the next news count; older ones are not needed more."""
+        self._counted = number
+        for older in [other for other in self._sent_by_number if other < number]:
+            del self._sent_by_number[older]
 
     def _apply_positions(self, news):
         """Take how far the publisher knows each topic, with what is gone by then."""
@@ -159,9 +187,14 @@
 
     def _send(self, use, sent):
         """Send a report, with a rollout that is new; return its SentReport."""
-        report = Report(use)
+        number = 0 if sent is None else sent.number + 1
+        report = Report(number, use)
         if sent is None:
             report.remembered = self._use_table.remembered()
+        else:
+            report.use = msgspec.structs.replace(
+                use, admitted=use.admitted.newest(NEWEST_SLOTS)
+            )
         rollout = self._beliefs.rollout
         revision = self._beliefs.revision
         told = 0 if sent is None else sent.revision
@@ -169,7 +202,9 @@
         if sent is None or rollout.order != sent.rollout_order:
             report.rollout = rollout
         self._channel.send(report)
-        return SentReport(use, rollout.order, revision, self._clock.now())
+        if len(self._sent_by_number) < MOST_REPORTS:
+            self._sent_by_number[number] = use
+        return SentReport(number, use, rollout.order, revision, self._clock.now())
 
     def _pause(self, sent_order):
         """Wait for the next look; a new rollout is passed on at once."""
--- a/libs/fleet/src/mulberryhub/fleet/use.py
+++ b/libs/fleet/src/mulberryhub/fleet/use.py
@@ -4,16 +4,18 @@
 from mulberryhub.fleet.records import Use
 
 FRESH = 2_000  # ms for which a router's last report counts
+SUM_AGE = 250  # ms after which reports are summed anew where nobody is told of them
 
 
 class Reported:
-    """A use and the ms at which it was told."""
+    """A use, the ms at which it was told, and the number of the report."""
 
-    __slots__ = ("use", "at")
+    __slots__ = ("use", "at", "number")
 
-    def __init__(self, use, at):
+    def __init__(self, use, at, number=None):
         self.use = use
         self.at = at
+        self.number = number
 
 
 class Told:
@@ -47,6 +49,8 @@
         "_window",
         "_reported_by_name",
         "_told",
+        "_summed",
+        "_told_elsewhere",
         "_reported_by_data_centre",
         "_history_by_data_centre",
     )
@@ -58,6 +62,8 @@
         self._window = window
         self._reported_by_name = {}
         self._told = None
+        self._summed = None
+        self._told_elsewhere = None
         self._reported_by_data_centre = {}
         self._history_by_data_centre = {data_centre: AdmittedHistory(window, clock)}
 
@@ -65,14 +71,13 @@
         """Return the use of this router."""
         return self._measure()
 
-    def note_report(self, name, use, remembered):
+    def note_report(self, name, use, remembered, number=None):
         """Take what the subscriber `name` reported.
 
         `remembered` is what it knows that was admitted, by data centre.
         """
-        self._reported_by_name[name] = Reported(use, self._clock.now())
-        for data_centre, admitted in remembered.items():
-            self._history(data_centre).note(admitted)
+        self._reported_by_name[name] = Reported(use, self._clock.now(), number)
+        self._note_admitted(remembered)
 
     def remembered(self):
         """Return what was Admitted by data centre, also by routers that ended."""
@@ -90,17 +95,27 @@
         reported = self._reported_by_name.get(name)
         return None if reported is None else reported.use
 
-    def here(self):
-        """Return the use of this router and its subscribers."""
+    def number_counted(self, name):
+        """Return the number of the report of `name` that counts, or None."""
+        reported = self._reported_by_name.get(name)
+        return None if reported is None else reported.number
+
+    def here(self, slots=None):
+        """Return the use of this router and its subscribers, summed now.
+
+        Of what was admitted, it tells the newest `slots`, or all.
+        """
+        now = self._clock.now()
+        own = Reported(self.own(), now)
         total = Use(routers=0)
-        own = Reported(self.own(), self._clock.now())
         sums = SlotSums()
         for reported in [own, *self._fresh(self._reported_by_name.values())]:
             total.add(reported.use)
             sums.add(reported.use.admitted, reported.at)
         history = self._history(self._data_centre)
         history.note_sums(sums)
-        total.admitted = history.admitted()
+        self._summed = Told(total, own.use, now)
+        total.admitted = history.admitted().newest(slots)
         return total
 
     def note_told(self, use, counted):
@@ -111,33 +126,41 @@
         self._told = Told(use, counted, self._clock.now())
         self._history(self._data_centre).note(use.admitted)
 
-    def note_elsewhere(self, data_centre, use):
-        """Take what is known of a data centre's use.
+    def note_told_elsewhere(self, use, admitted_by_data_centre):
+        """Take the use of other data centres together, and what each admitted."""
+        self._told_elsewhere = Reported(use, self._clock.now())
+        self._note_admitted(admitted_by_data_centre)
+
+    def note_elsewhere(self, data_centre, use, admitted_by_data_centre):
+        """Take the use of another data centre that its reader told.
 
-        Of this data centre only what it admitted is taken: others remember it
-        where its routers were restarted.
+        What it knows that was admitted here counts, as after a restart of all routers.
         """
+        self._reported_by_data_centre[data_centre] = Reported(use, self._clock.now())
         self._history(data_centre).note(use.admitted)
-        if data_centre != self._data_centre:
-            reported = Reported(use, self._clock.now())
-            self._reported_by_data_centre[data_centre] = reported
+        self._note_admitted(admitted_by_data_centre)
 
     def elsewhere(self):
-        """Return the use of other data centres by their name."""
+        """Return the use of other data centres together."""
+        total = Use(routers=0)
+        if self._told_elsewhere is not None and self._is_fresh(self._told_elsewhere):
+            total.add(self._told_elsewhere.use)
+            return total
+        for reported in self._fresh(self._reported_by_data_centre.values()):
+            total.add(reported.use)
+        return total
+
+    def admitted_elsewhere(self, slots=None):
+        """Return what other data centres Admitted, the newest `slots` or all."""
         return {
-            name: self.known_of(name)
-            for name in self._history_by_data_centre
-            if name != self._data_centre
+            data_centre: history.admitted().newest(slots)
+            for data_centre, history in self._history_by_data_centre.items()
+            if data_centre != self._data_centre
         }
 
     def known_of(self, data_centre):
-        """Return the use of another data centre, with all that it admitted."""
-        use = Use(routers=0)
-        reported = self._reported_by_data_centre.get(data_centre)
-        if reported is not None and self._is_fresh(reported):
-            use.add(reported.use)
-        use.admitted = self._history(data_centre).admitted()
-        return use
+        """Return what a data centre is known to have Admitted."""
+        return self._history(data_centre).admitted()
 
     def others(self):
         """Return the use of all other routers, or None where it is not known.
@@ -145,41 +168,35 @@
         What they admitted is not part of it, see `admitted_by_others()`.
         """
         total = Use(routers=0)
-        if self._told is not None and self._is_fresh(self._told):
-            total.add(self._told.without_own())
-        else:
-            own = self.own()
-            for reported in self._fresh(self._reported_by_name.values()):
-                total.add(reported.use)
-            total.youngest = min(total.youngest, own.youngest)
-        for name, reported in self._reported_by_data_centre.items():
-            if name != self._data_centre and self._is_fresh(reported):
-                total.add(reported.use)
+        total.add(self._here_told().without_own())
+        total.add(self.elsewhere())
         return total if total.routers else None
 
     def admitted_by_others(self, workspace):
         """Return what all other routers are known to have admitted in the window."""
+        told = self._here_told()
         total = sum(
             history.total(workspace)
             for history in self._history_by_data_centre.values()
         )
-        return max(0, total - self._own_part(workspace))
+        if told.counted is None:
+            return total
+        sums = SlotSums()
+        sums.add(told.counted.admitted.of(workspace), told.at)
+        own = sums.by_workspace.get(workspace, {})
+        return max(0, total - window_total(own, self._clock.now(), self._window))
 
-    def _own_part(self, workspace):
-        """Return what of this data centre's history is this router's own."""
+    def _here_told(self):
+        """Return the Told use of this data centre, by its publisher or summed here."""
         if self._told is not None and self._is_fresh(self._told):
-            part = None if self._told.counted is None else self._told.counted
-            told_at = self._told.at
-        else:
+            return self._told
+        if self._summed is None or self._clock.now() - self._summed.at > SUM_AGE:
             self.here()
-            part = self.own()
-            told_at = self._clock.now()
-        if part is None:
-            return 0
-        sums = SlotSums()
-        sums.add(part.admitted, told_at)
-        amounts = sums.by_workspace.get(workspace, {})
-        return window_total(amounts, self._clock.now(), self._window)
+        return self._summed
+
+    def _note_admitted(self, admitted_by_data_centre):
+        for data_centre, admitted in admitted_by_data_centre.items():
+            self._history(data_centre).note(admitted)
 
     def _history(self, data_centre):
         history = self._history_by_data_centre.get(data_centre)
--- a/libs/forward/src/mulberryhub/forward/loads.py
+++ b/libs/forward/src/mulberryhub/forward/loads.py
@@ -68,7 +68,7 @@
 
     def own_work(self):
         """Return the work in flight from this router, by upstream."""
-        return {id: round(load.work, 1) for id, load in self._loads_by_id.items()}
+        return {id: round(load.work) for id, load in self._loads_by_id.items()}
 
     def own_bound(self):
         """Return the requests in flight that are bound to an upstream, by upstream."""
--- a/libs/forward/src/mulberryhub/forward/quotas.py
+++ b/libs/forward/src/mulberryhub/forward/quotas.py
@@ -157,7 +157,7 @@
         """Return the rates per s that are asked for, by workspace."""
         now = self._clock.now()
         return {
-            name: account.asked.at(now) * 1000 / RATE_TIME
+            name: round(account.asked.at(now) * 1000 / RATE_TIME)
             for name, account in self._accounts_by_name.items()
             if account.asked.at(now) > 0
         }
--- a/tests/forward/test_quotas.py
+++ b/tests/forward/test_quotas.py
@@ -113,15 +113,15 @@
                 own, remembered = node.table.own(), node.table.remembered()
                 leader.table.note_report(node.name, own, remembered)
         for leader, other in permutations(leaders.values(), 2):
-            other.table.note_elsewhere(leader.data_centre, leader.table.here())
-            known = leader.table.known_of(other.data_centre)
-            other.table.note_elsewhere(other.data_centre, known)
+            known = {other.data_centre: leader.table.known_of(other.data_centre)}
+            here = leader.table.here()
+            other.table.note_elsewhere(leader.data_centre, here, known)
         for node in self.nodes:
             table = leaders[node.data_centre].table
             if table is not node.table:
                 node.table.note_told(table.here(), table.counted_for(node.name))
-                for data_centre, use in table.elsewhere().items():
-                    node.table.note_elsewhere(data_centre, use)
+                admitted = table.admitted_elsewhere()
+                node.table.note_told_elsewhere(table.elsewhere(), admitted)
 
     def largest_window(self):
         largest = total = 0
