Let the strongest VM of a data centre read for the others

The reader was the first by name, whatever its size: on unequal VMs that may be the smallest, with 38 others that hang on it. A member's record tells its strength now, of processor and link. The ranks are made when a member is learned, and the manager of loads looks again only where something has changed: a router at rest with 195 members searched all of them sixty times a second. tests of fleet, weights and adapter pass.

--- a/libs/fleet/src/mulberryhub/fleet/beliefs.py
+++ b/libs/fleet/src/mulberryhub/fleet/beliefs.py
@@ -45,6 +45,7 @@
 class Beliefs:
     """The newest known records, and up to where and when each topic was read.
 
+    `ranked_by_data_centre` are the members there, those first that serve others.
     `position_by_topic` is the offset of the next record, `as_of_by_topic` the time in
     ms at which the store is known to have held nothing newer, and
     `regained_at_by_topic` when that was learned after a gap of more than OUTAGE ms,
@@ -57,6 +58,7 @@
         "version_by_model",
         "upstreams_by_id",
         "members_by_name",
+        "ranked_by_data_centre",
         "rollout",
         "kept",
         "position_by_topic",
@@ -81,6 +83,7 @@
         self.version_by_model = {}
         self.upstreams_by_id = {}
         self.members_by_name = {}
+        self.ranked_by_data_centre = {}
         self.rollout = Rollout()
         self.kept = KeptParts(clock)
         self.position_by_topic = dict.fromkeys(Topic, UNKNOWN)
@@ -223,6 +226,7 @@
         if known is not None and member.offset <= known.offset:
             return
         self.members_by_name[member.name] = member
+        self._rank_members(member.data_centre)
         log.info("member known", member=member.name, address=member.address)
         self._note_change(f"member/{member.name}", member)
 
@@ -286,6 +290,13 @@
         """Return the newest records of all that changed after `revision`."""
         return self._changes.since(revision)
 
+    def _rank_members(self, data_centre):
+        members = self.members_by_name.values()
+        here = [member for member in members if member.data_centre == data_centre]
+        self.ranked_by_data_centre[data_centre] = sorted(
+            here, key=lambda member: member.rank
+        )
+
     def _note_versions(self, id, started, versions):
         known = self._versions_by_id.get(id)
         if known is None or known.started < started:
--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -126,12 +126,21 @@
 
 
 class Member(msgspec.Struct, frozen=True, tag=True):
-    """A router of the fleet, reached by others at `address`."""
+    """A router of the fleet, reached by others at `address`.
+
+    Those of more `strength`, of processor and link, serve others first.
+    """
 
     name: str
     address: str
     data_centre: str
     offset: int = 0
+    strength: int = 0
+
+    @property
+    def rank(self):
+        """Return the key that orders members by who serves others first."""
+        return (-self.strength, self.name)
 
 
 class Removal(msgspec.Struct, frozen=True, tag=True):
--- a/libs/fleet/src/mulberryhub/fleet/sources.py
+++ b/libs/fleet/src/mulberryhub/fleet/sources.py
@@ -1,7 +1,7 @@
 """Where a router takes its news: the store itself, or another router that reads it.
 
-In each data centre the first live member by name reads the store and the others
-subscribe to it. A router whose news of any topic that requests depend on grow old reads
+In each data centre the strongest live member reads the store and the others subscribe
+to it. A router whose news of any topic that requests depend on grow old reads
 the store itself, and goes on while the one it follows cannot. Where it cannot reach it
 either, it also subscribes to members anywhere, one after the other.
 """
@@ -164,9 +164,7 @@
     def _follow_other_data_centres(self):
         wanted = {}
         if self.is_leader():
-            centres = {
-                item.data_centre for item in self._beliefs.members_by_name.values()
-            }
+            centres = self._beliefs.ranked_by_data_centre.keys()
             for data_centre in centres - {self._me.data_centre}:
                 leader = self._leader_of(data_centre)
                 if leader is not None:
@@ -180,12 +178,10 @@
                 self._remote_by_data_centre[data_centre] = self._open(leader, False)
 
     def _leader_of(self, data_centre):
-        names = sorted(
-            member.name
-            for member in self._beliefs.members_by_name.values()
-            if member.data_centre == data_centre and not self._is_avoided(member)
-        )
-        return self._beliefs.members_by_name[names[0]] if names else None
+        for member in self._beliefs.ranked_by_data_centre.get(data_centre, ()):
+            if not self._is_avoided(member):
+                return member
+        return None
 
     def _open(self, member, wants_records):
         subscription = self._subscribe(member, wants_records)
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -45,7 +45,12 @@
     """Return a Router that is not started."""
     beliefs = Beliefs(clock)
     parts = RouterParts()
-    parts.me = Member(settings.name, settings.peer_address, settings.data_centre)
+    parts.me = Member(
+        settings.name,
+        settings.peer_address,
+        settings.data_centre,
+        strength=settings.strength,
+    )
     parts.store = ports.store
     parts.pool = Pool(clock)
     demand = Demand(clock)
--- a/libs/node/src/mulberryhub/node/settings.py
+++ b/libs/node/src/mulberryhub/node/settings.py
@@ -28,7 +28,7 @@
     """Who a router is, where it listens (host:port), and the bounds it keeps.
 
     `seeds` are peer addresses of some routers, which may be out of date.
-    `metrics_address` may be empty.
+    `metrics_address` may be empty. `strength` tells how much of others' work it can do.
     """
 
     name: str
@@ -39,6 +39,7 @@
     store_address: str
     metrics_address: str = ""
     seeds: list[str] = []
+    strength: int = 0
     bounds: Bounds = Bounds()
 
     def findings(self):
--- a/libs/weights/src/mulberryhub/weights/manager.py
+++ b/libs/weights/src/mulberryhub/weights/manager.py
@@ -55,6 +55,7 @@
         "_fence",
         "_revision",
         "_fenced_at",
+        "_settled_at",
     )
 
     def __init__(
@@ -91,6 +92,7 @@
         self._fence = -1
         self._revision = 0
         self._fenced_at = -1
+        self._settled_at = None
 
     def start(self):
         """Work in the background for as long as the process runs."""
@@ -98,9 +100,13 @@
 
     def step(self):
         """Look once at what is to be done."""
+        if self._is_settled():
+            return
+        revision = self._beliefs.revision
         outdated = find_outdated(self._beliefs)
         if not outdated and not self._loading_by_id:
             self._work_since = None
+            self._settled_at = revision
             return
         now = self._clock.now()
         if self._work_since is None:
@@ -129,6 +135,10 @@
             sleep(TICK / 1000)
             self.step()
 
+    def _is_settled(self):
+        """Tell whether nothing was to be done and nothing has changed since."""
+        return not self._loading_by_id and self._beliefs.revision == self._settled_at
+
     def _is_mine(self):
         return self._beliefs.rollout.fence == self._fence and self._fence >= 0
 
--- a/libs/weights/src/mulberryhub/weights/plan.py
+++ b/libs/weights/src/mulberryhub/weights/plan.py
@@ -90,7 +90,7 @@
     """Return what lacks the newest named version, one item for each upstream."""
     items = []
     for upstream in beliefs.upstreams_by_id.values():
-        if upstream.state is not State.READY:
+        if upstream.state is not State.READY or beliefs.is_departing(upstream):
             continue
         for model in upstream.versions_by_model:
             newest = beliefs.version_by_model.get(model, 0)
