--- a/libs/forward/src/mulberryhub/forward/placing.py
+++ b/libs/forward/src/mulberryhub/forward/placing.py
@@ -1,8 +1,9 @@
 """Chooses the upstream of a request by expected cost in ms of delay.
 
-Answers the load of many long prompts with shared parts: requests with the same shared
-parts go to the same upstream of the data centre, as long as it is not much busier
-than the next; newest weights first, as long as the upstreams that have them have room.
+Answers the load of many long prompts with shared parts, which one engine's memory holds
+few of: requests with the same shared parts go to the same upstream from all data
+centres, as long as it is not much busier than the next and the way is worth it; newest
+weights first, as long as the upstreams that have them have room.
 """
 
 from math import inf
@@ -11,7 +12,8 @@
 from mulberryhub.fleet.records import State
 from mulberryhub.routing.placement import Placement
 
-REMOTE_COST = 3  # ms for each KB of body that goes to another data centre
+REMOTE_COST = 3  # ms for each KB that goes to another data centre or comes from there
+ANSWER_KB = 0.1  # KB of an answer for each token that it may have
 MISS_COST = 0.01  # ms for each shared token that is read again, about its reading time
 AVOIDED_COST = 10_000  # ms at an upstream that could not be reached lately
 UNSTEADY_COST = 400  # ms at one that cut an answer lately: less than a long queue
@@ -22,25 +24,26 @@
 class Choice:
     """An upstream, the ms of delay expected there, and the version of its weights.
 
-    The version is None for plain services.
+    The version is None for plain services. `holder` is another upstream that most
+    likely holds the shared parts in the same version, or None.
     """
 
-    __slots__ = ("upstream", "delay", "version")
+    __slots__ = ("upstream", "delay", "version", "holder")
 
-    def __init__(self, upstream, delay, version=None):
+    def __init__(self, upstream, delay, version=None, holder=None):
         self.upstream = upstream
         self.delay = delay
         self.version = version
+        self.holder = holder
 
 
 class Candidate:
-    """An upstream with the name under which it is placed."""
+    """The name under which an upstream is placed."""
 
-    __slots__ = ("id", "upstream")
+    __slots__ = ("id",)
 
-    def __init__(self, upstream):
-        self.id = upstream.id
-        self.upstream = upstream
+    def __init__(self, id):
+        self.id = id
 
 
 class Placer:
@@ -96,7 +99,7 @@
         if not ready:
             return None
         if call.model is None or not service.models:
-            costs = self._costs(call, ready)
+            costs = self._costs(call, ready, [])
             upstream = min(ready, key=lambda item: costs[item.id])
             return Choice(upstream, self._loads.work(upstream.id))
         return self._choose_engine(call, route, ready)
@@ -122,16 +125,26 @@
         if self._is_known_expired(model, newest):
             return None
         costs = {}
+        ranked_by_version = {}
         for version in set(versions.values()):
             # Parts are kept for one version only, so each has an order of its own.
             same = [item for item in candidates if versions[item.id] == version]
-            costs |= self._costs(call, same)
+            ranked = ranked_by_version[version] = self._ranked(call, same)
+            costs |= self._costs(call, same, ranked)
         for id, version in versions.items():
             if version < newest:
                 costs[id] += OLD_WEIGHTS_COST * route.target_latency
         upstream = min(allowed, key=lambda item: costs[item.id])
         delay = self._loads.work(upstream.id)
-        return Choice(upstream, delay, versions[upstream.id])
+        version = versions[upstream.id]
+        ranked = ranked_by_version[version]
+        return Choice(upstream, delay, version, self._holder(upstream, ranked))
+
+    def _holder(self, chosen, ranked):
+        """Return the first of `ranked` where it is another one that answers."""
+        if not ranked or ranked[0].id == chosen.id:
+            return None
+        return None if self._health.is_avoided(ranked[0].id) else ranked[0]
 
     def _is_expired(self, model, version):
         """Tell whether weights may no longer be used, as newer ones are in use."""
@@ -143,17 +156,21 @@
         age = self._beliefs.superseded_for(model, version)
         return age is not None and self._version_time <= age < inf
 
-    def _costs(self, call, upstreams):
-        """Return the expected delay by the id of each upstream."""
-        ranked = self._ranks(call, upstreams)
+    def _costs(self, call, upstreams, ranked):
+        """Return the expected delay by the id of each upstream.
+
+        `ranked` are those that hold the shared parts, the first most likely.
+        """
+        rank_by_id = {upstream.id: rank for rank, upstream in enumerate(ranked)}
         shared_tokens = sum(part.tokens for part in call.shared_parts)
-        body_kb = len(call.request.body) / 1024
+        transfer_kb = len(call.request.body) / 1024
+        transfer_kb += ANSWER_KB * (call.output_tokens or 0)
         costs = {}
         for upstream in upstreams:
             cost = self._loads.work(upstream.id) + random()
             if upstream.data_centre != self._data_centre:
-                cost += REMOTE_COST * body_kb
-            cost += MISS_COST * shared_tokens * ranked.get(upstream.id, RANKED)
+                cost += REMOTE_COST * transfer_kb
+            cost += MISS_COST * shared_tokens * rank_by_id.get(upstream.id, RANKED)
             if self._health.is_avoided(upstream.id):
                 cost += AVOIDED_COST
             if self._steadiness.is_avoided(upstream.id):
@@ -161,15 +178,18 @@
             costs[upstream.id] = cost
         return costs
 
-    def _ranks(self, call, upstreams):
-        """Return the ranks by id of the upstreams where the prompt is kept first."""
+    def _ranked(self, call, upstreams):
+        """Return the upstreams where the prompt is kept, the first at rank 0.
+
+        The order is the same at all routers.
+        """
         shared = call.shared_parts
         if not shared:
-            return {}
-        local = [item for item in upstreams if item.data_centre == self._data_centre]
-        placement = self._placement(local or upstreams)
+            return []
+        placement = self._placement(upstreams)
         order = placement.order(shared[-1].id.encode(), RANKED)
-        return {candidate.id: rank for rank, candidate in enumerate(order)}
+        by_id = {upstream.id: upstream for upstream in upstreams}
+        return [by_id[candidate.id] for candidate in order]
 
     def _placement(self, upstreams):
         ids = tuple(item.id for item in upstreams)
@@ -177,7 +197,7 @@
         if placement is None:
             if len(self._placements_by_ids) > 64:
                 self._placements_by_ids.clear()
-            placement = Placement([Candidate(item) for item in upstreams])
+            placement = Placement([Candidate(id) for id in ids])
             self._placements_by_ids[ids] = placement
         return placement
 
--- a/tests/forward/test_placing.py
+++ b/tests/forward/test_placing.py
@@ -21,7 +21,7 @@
 
 
 class World:
-    def __init__(self, *upstreams):
+    def __init__(self, *upstreams, data_centre="a"):
         self.clock = ManualClock(now=1_000)
         self.beliefs = Beliefs(self.clock)
         self.others = Use(routers=0)
@@ -35,7 +35,7 @@
             self.health,
             self.steadiness,
             self.withdrawal,
-            "a",
+            data_centre,
             VERSION_TIME,
         )
         for upstream in upstreams:
@@ -174,3 +174,29 @@
     assert world.choose().upstream.id == "u0"
     world.load("u0", 40)
     assert world.choose().upstream.id != "u0"
+
+
+def test_all_data_centres_have_one_order_of_upstreams_for_a_prompt():
+    upstreams = [
+        make_upstream(f"u{n}", n + 1, data_centre="abcd"[n % 4]) for n in range(12)
+    ]
+    worlds = [World(*upstreams, data_centre=name) for name in "abcd"]
+    assert len({world.choose().upstream.id for world in worlds}) == 1
+
+
+def test_short_prompts_stay_in_the_data_centre():
+    upstreams = [
+        make_upstream(f"u{n}", n + 1, data_centre="abcd"[n % 4]) for n in range(12)
+    ]
+    world = World(*upstreams, data_centre="b")
+    short = make_call(parts=(("s", 200), ("own", 600)), body=b"x" * 900)
+    places = {world.choose(short).upstream.data_centre for _ in range(50)}
+    assert places == {"b"}
+
+
+def test_the_usual_upstream_is_named_where_another_takes_the_prompt():
+    world = World(*pool(8))
+    first = world.choose()
+    assert first.holder is None
+    world.load(first.upstream.id, 20)
+    assert world.choose().holder.id == first.upstream.id
