Two routers read the store for all; a start asks it for the members only

Now the two strongest leaders read, the other leaders subscribe to the first of them. A router that starts reads who the members are; the rest comes from its leader, and it reads itself only where that takes longer than 400 ms. It registers only where its record has changed, and reads the lease only where it is next in turn. Where news grow old, the first four of a data centre read at once and the others up to 0.8 s later. What a reader of another data centre has in use counts no more in the data centre that helps it, where it counted twice.

Tests: tests/fleet/test_sources.py, five new ones; the older ones hold unchanged. fleet, weights, adapter and soak: 168 passed.

--- a/libs/fleet/src/mulberryhub/fleet/channel.py
+++ b/libs/fleet/src/mulberryhub/fleet/channel.py
@@ -60,7 +60,7 @@
     the receiver's own is known to have admitted. Of that, news after the first tell the
     newest slots only. `upstream_ids` are all that are known, told
     first and again after a listing, as records of removals do not reach further back.
-    `reads` tells whether the publisher's own reads of the store succeed.
+    `reads` tells whether the publisher's own knowledge is fresh.
     """
 
     records: list[Record] = []
--- a/libs/fleet/src/mulberryhub/fleet/follower.py
+++ b/libs/fleet/src/mulberryhub/fleet/follower.py
@@ -172,6 +172,7 @@
         pause = FIRST_PAUSE
         while True:
             if not self._should_read():
+                self.failing_since = None
                 sleep(IDLE_PAUSE / 1000)
             elif self.read_once():
                 pause = FIRST_PAUSE
--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -69,14 +69,14 @@
 class Publisher:
     """Serves subscriptions at `address`.
 
-    `is_reading()` tells whether this router's own reads of the store succeed.
+    `is_current()` tells whether this router's own knowledge is fresh.
     """
 
     __slots__ = (
         "_address",
         "_beliefs",
         "_use_table",
-        "_is_reading",
+        "_is_current",
         "_listener",
         "_subscribers",
         "_use",
@@ -84,11 +84,11 @@
         "_ticked",
     )
 
-    def __init__(self, address, beliefs, use_table, is_reading):
+    def __init__(self, address, beliefs, use_table, is_current):
         self._address = address
         self._beliefs = beliefs
         self._use_table = use_table
-        self._is_reading = is_reading
+        self._is_current = is_current
         self._listener = None
         self._subscribers = 0
         self._use = None
@@ -137,7 +137,7 @@
                 self._use_table.forget(name)
 
     def _take(self, name, hello, report):
-        if hello.wants_records:
+        if hello.data_centre == self._use_table.data_centre:
             self._use_table.note_report(
                 name, report.use, report.remembered, report.number
             )
@@ -247,7 +247,7 @@
         beliefs, use_table = self._beliefs, self._use_table
         news = News(use=use, elsewhere=use_table.elsewhere())
         news.admitted_by_data_centre = use_table.admitted_elsewhere(slots)
-        news.reads = self._is_reading()
+        news.reads = self._is_current()
         news.position_by_topic = {
             str(topic): position
             for topic, position in beliefs.position_by_topic.items()
--- a/libs/fleet/src/mulberryhub/fleet/sources.py
+++ b/libs/fleet/src/mulberryhub/fleet/sources.py
@@ -1,11 +1,13 @@
 """Where a router takes its news: the store itself, or another router that reads it.
 
-In each data centre the strongest live member reads the store and the others subscribe
-to it. A router whose news of any topic that requests depend on grow old reads
-the store itself, and goes on while the one it follows cannot. Where it cannot reach it
-either, it also subscribes to members anywhere, one after the other.
+In each data centre the strongest live member leads: the others subscribe to it. The two
+strongest leaders read the store, the other leaders subscribe to the first of them. A
+router whose news of any topic that requests depend on grow old reads the store itself,
+and goes on while the one it follows cannot. Where it cannot reach it either, it also
+subscribes to members anywhere, one after the other.
 """
 
+from math import inf
 from random import choice
 
 from mulberryhub.base.green import sleep
@@ -18,6 +20,11 @@
 HELPER_TIME = 1_500  # ms that a helper gets to bring newer news
 FIRST_AVOIDANCE = 2_000  # ms for which a member is avoided after a failure
 LONGEST_AVOIDANCE = 16_000  # ms
+READERS = 2  # leaders that read the store for all
+DEPUTIES = 3  # members after the leader that read at once where its news grow old
+STAGGER = 100  # ms that each further member leaves to those before it
+LONGEST_STAGGER = 800  # ms
+JOIN_TIME = 400  # ms that a router which starts leaves to the one that it follows
 NEEDED_TOPICS = (Topic.OPERATOR, Topic.UPSTREAMS)  # those that requests depend on
 
 log = module_logger(__name__)
@@ -54,6 +61,7 @@
         "_remote_by_data_centre",
         "_avoidance_by_name",
         "_was_reading",
+        "_started",
     )
 
     def __init__(self, me, seeds, beliefs, subscribe, reads_fail, clock):
@@ -69,6 +77,7 @@
         self._remote_by_data_centre = {}
         self._avoidance_by_name = {}
         self._was_reading = None
+        self._started = clock.now()
 
     def start(self):
         """Choose again and again in the background."""
@@ -76,12 +85,7 @@
 
     def should_read(self):
         """Tell whether this router is to read the store itself."""
-        reading = (
-            self.is_leader()
-            or not self._is_fresh()
-            or not self._is_led()
-            or self._reads_fail()
-        )
+        reading = self._is_reader() or self._is_stale() or self._is_left_alone()
         if reading != self._was_reading:
             self._was_reading = reading
             log.info(
@@ -94,11 +98,20 @@
             )
         return reading
 
+    def should_read_members(self):
+        """Tell whether this router is to read who the members are."""
+        is_unknown = self._beliefs.age(Topic.MEMBERS) is None
+        return is_unknown or self._is_reader()
+
     def is_leader(self):
-        """Tell whether this router reads for its data centre."""
+        """Tell whether the others of the data centre follow this router."""
         leader = self._leader_of(self._me.data_centre)
         return leader is None or leader.name == self._me.name
 
+    def is_current(self):
+        """Tell whether this router's knowledge of the needed topics is fresh."""
+        return self._staleness() <= FRESH
+
     def step(self):
         """Look once at whom to follow."""
         self._reap()
@@ -111,13 +124,68 @@
             self.step()
             sleep(TICK / 1000)
 
-    def _is_led(self):
-        """Tell whether the router that this one follows reads the store."""
-        return self._leader is not None and self._leader.reads
+    def _leaders(self):
+        """Return the leaders of all data centres, the strongest first."""
+        leaders = [
+            self._leader_of(data_centre)
+            for data_centre in self._beliefs.ranked_by_data_centre
+        ]
+        known = [leader for leader in leaders if leader is not None]
+        return sorted(known, key=lambda leader: leader.rank)
+
+    def _is_reader(self):
+        if not self.is_leader():
+            return False
+        names = [leader.name for leader in self._leaders()[:READERS]]
+        return self._me.name in names or len(names) < READERS
+
+    def _place(self):
+        """Return the number of live members of the data centre before this one."""
+        place = 0
+        for member in self._beliefs.ranked_by_data_centre.get(self._me.data_centre, ()):
+            if member.name == self._me.name:
+                break
+            place += not self._is_avoided(member)
+        return place
 
-    def _is_fresh(self):
+    def _staleness(self):
+        """Return the age in ms of the oldest topic that requests depend on."""
         ages = [self._beliefs.age(topic) for topic in NEEDED_TOPICS]
-        return all(age is not None and age <= FRESH for age in ages)
+        return inf if None in ages else max(ages)
+
+    def _is_stale(self):
+        """Tell whether news are so old that this router is to read.
+
+        Members further behind leave it to those before them, so that not all read at
+        once. One that starts leaves it to the router that it follows.
+        """
+        staleness = self._staleness()
+        if staleness == inf:
+            waited = self._clock.now() - self._started
+            return waited >= JOIN_TIME or not self._follows()
+        behind = max(0, self._place() - DEPUTIES)
+        return staleness > FRESH + min(behind * STAGGER, LONGEST_STAGGER)
+
+    def _is_left_alone(self):
+        """Tell whether this router reads as the one that it follows has no news."""
+        if self._place() > DEPUTIES:
+            return False
+        return self._reads_fail() or not self._follows() or not self._followed().reads
+
+    def _followed(self):
+        return self._head if self.is_leader() else self._leader
+
+    def _follows(self):
+        followed = self._followed()
+        return followed is not None and not followed.ended
+
+    @property
+    def _head(self):
+        """Return the subscription to the strongest leader, or None."""
+        for subscription in self._remote_by_data_centre.values():
+            if subscription.wants_records:
+                return subscription
+        return None
 
     def _follow_leader(self):
         leader = self._leader_of(self._me.data_centre)
@@ -136,7 +204,7 @@
             self._close_helper()
             return
         if self._helper is not None:
-            if self._is_fresh() or now - self._helper_since < HELPER_TIME:
+            if self.is_current() or now - self._helper_since < HELPER_TIME:
                 return
             self._close_helper()
         candidates = self._helpers()
@@ -163,19 +231,22 @@
 
     def _follow_other_data_centres(self):
         wanted = {}
+        head = None
         if self.is_leader():
-            centres = self._beliefs.ranked_by_data_centre.keys()
-            for data_centre in centres - {self._me.data_centre}:
-                leader = self._leader_of(data_centre)
-                if leader is not None:
-                    wanted[data_centre] = leader
+            leaders = self._leaders()
+            others = [item for item in leaders if item.name != self._me.name]
+            wanted = {leader.data_centre: leader for leader in others}
+            head = None if self._is_reader() else leaders[0].data_centre
         for data_centre, subscription in list(self._remote_by_data_centre.items()):
-            if wanted.get(data_centre) != subscription.member:
+            if wanted.get(data_centre) != subscription.member or (
+                subscription.wants_records != (data_centre == head)
+            ):
                 subscription.close()
                 del self._remote_by_data_centre[data_centre]
         for data_centre, leader in wanted.items():
             if data_centre not in self._remote_by_data_centre:
-                self._remote_by_data_centre[data_centre] = self._open(leader, False)
+                subscription = self._open(leader, data_centre == head)
+                self._remote_by_data_centre[data_centre] = subscription
 
     def _leader_of(self, data_centre):
         for member in self._beliefs.ranked_by_data_centre.get(data_centre, ()):
--- a/libs/fleet/src/mulberryhub/fleet/subscription.py
+++ b/libs/fleet/src/mulberryhub/fleet/subscription.py
@@ -44,7 +44,7 @@
 class Subscription:
     """Takes the news of `member` until it fails or is closed.
 
-    `reads` is what `member` last told of its own reads of the store.
+    `reads` tells whether `member` last had current news itself.
     """
 
     __slots__ = (
@@ -53,7 +53,7 @@
         "ended",
         "reads",
         "_me",
-        "_wants_records",
+        "wants_records",
         "_beliefs",
         "_removals",
         "_use_table",
@@ -69,7 +69,7 @@
         self.ended = False
         self.reads = False
         self._me = me
-        self._wants_records = wants_records
+        self.wants_records = wants_records
         self._beliefs = beliefs
         self._removals = removals
         self._use_table = use_table
@@ -114,7 +114,7 @@
         return Hello(
             name=self._me.name,
             data_centre=self._me.data_centre,
-            wants_records=self._wants_records,
+            wants_records=self.wants_records,
             configuration_version=-1
             if configuration is None
             else configuration.version,
@@ -140,9 +140,9 @@
     def _apply_use(self, news):
         use_table = self._use_table
         admitted = news.admitted_by_data_centre
-        if not self._wants_records:
+        if self.member.data_centre != self._me.data_centre:
             use_table.note_elsewhere(self.member.data_centre, news.use, admitted)
-        elif self.member.data_centre == self._me.data_centre:
+        elif self.wants_records:
             use_table.note_told(news.use, self._sent_by_number.get(self._counted))
             use_table.note_told_elsewhere(news.elsewhere, admitted)
 
--- a/libs/fleet/src/mulberryhub/fleet/use.py
+++ b/libs/fleet/src/mulberryhub/fleet/use.py
@@ -45,7 +45,7 @@
     __slots__ = (
         "_measure",
         "_clock",
-        "_data_centre",
+        "data_centre",
         "_window",
         "_reported_by_name",
         "_told",
@@ -58,7 +58,7 @@
     def __init__(self, measure, data_centre, window, clock):
         self._measure = measure
         self._clock = clock
-        self._data_centre = data_centre
+        self.data_centre = data_centre
         self._window = window
         self._reported_by_name = {}
         self._told = None
@@ -112,7 +112,7 @@
         for reported in [own, *self._fresh(self._reported_by_name.values())]:
             total.add(reported.use)
             sums.add(reported.use.admitted, reported.at)
-        history = self._history(self._data_centre)
+        history = self._history(self.data_centre)
         history.note_sums(sums)
         self._summed = Told(total, own.use, now)
         total.admitted = history.admitted().newest(slots)
@@ -124,7 +124,7 @@
         `counted` is the part of it that is this router's own.
         """
         self._told = Told(use, counted, self._clock.now())
-        self._history(self._data_centre).note(use.admitted)
+        self._history(self.data_centre).note(use.admitted)
 
     def note_told_elsewhere(self, use, admitted_by_data_centre):
         """Take the use of other data centres together, and what each admitted."""
@@ -155,7 +155,7 @@
         return {
             data_centre: history.admitted().newest(slots)
             for data_centre, history in self._history_by_data_centre.items()
-            if data_centre != self._data_centre
+            if data_centre != self.data_centre
         }
 
     def known_of(self, data_centre):
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -1,12 +1,12 @@
 """The composition root: wires a router from its settings and a platform's ports."""
 
-from mulberryhub.fleet.beliefs import Beliefs
+from mulberryhub.fleet.beliefs import Beliefs, Topic
 from mulberryhub.fleet.follower import TopicFollower
 from mulberryhub.fleet.kept_watcher import KeptWatcher
 from mulberryhub.fleet.publisher import Publisher
 from mulberryhub.fleet.records import Member, Use
 from mulberryhub.fleet.removals import Removals
-from mulberryhub.fleet.sources import FRESH, NEEDED_TOPICS, Sources
+from mulberryhub.fleet.sources import Sources
 from mulberryhub.fleet.subscription import Subscription
 from mulberryhub.fleet.use import UseTable
 from mulberryhub.forward.attempts import Attempts
@@ -51,20 +51,16 @@
         settings.data_centre,
         strength=settings.strength,
     )
+    parts.beliefs = beliefs
     parts.store = ports.store
     parts.pool = Pool(clock)
     demand = Demand(clock)
     use_table, quotas, loads = _build_use(settings, beliefs, demand, clock)
 
-    def is_reading():
-        return all(
-            follower.has_answer(FRESH)
-            for follower in parts.followers
-            if follower.topic in NEEDED_TOPICS
-        )
-
-    parts.publisher = Publisher(settings.peer_address, beliefs, use_table, is_reading)
     _add_followers(parts, settings, ports, beliefs, use_table, counters, clock)
+    parts.publisher = Publisher(
+        settings.peer_address, beliefs, use_table, parts.sources.is_current
+    )
     health = Health(clock, counters)
     steadiness = Health(clock, counters)
     withdrawal = Withdrawal(settings.name, beliefs, clock, counters)
@@ -193,7 +189,7 @@
             plan,
             ports.store,
             beliefs,
-            parts.sources.should_read,
+            _reading_of(parts.sources, plan.topic),
             clock,
             counters,
         )
@@ -201,6 +197,13 @@
     ]
 
 
+def _reading_of(sources, topic):
+    """Return the function that tells whether this router is to read `topic`."""
+    if topic is Topic.MEMBERS:
+        return sources.should_read_members
+    return sources.should_read
+
+
 def _build_manager(settings, ports, beliefs, loads, pool_view, counters, clock):
     lease = Lease(
         ports.log,
--- a/libs/node/src/mulberryhub/node/router.py
+++ b/libs/node/src/mulberryhub/node/router.py
@@ -1,10 +1,15 @@
 """Start and graceful stop of a router on a platform."""
 
+import msgspec
+
 from mulberryhub.base.green import sleep
 from mulberryhub.base.logs import module_logger
 from mulberryhub.base.tasks import spawn_task
+from mulberryhub.fleet.beliefs import Topic
 from mulberryhub.fleet.store import StoreUnavailable
 
+MEMBERS_TIME = 500  # ms to wait for the list of members before this one is written
+MEMBERS_TICK = 20  # ms
 REGISTER_PAUSE = 500  # ms between attempts to register
 POOL_PAUSE = 1_000  # ms between looks for expired connections
 LEAVE_TIME = 2_600  # ms in which the platform stops to send new connections
@@ -70,6 +75,9 @@
         sleep(max(0, time - self._clock.now()) / 1000)
 
     def _register(self):
+        self._wait_for_members()
+        if self._is_registered():
+            return
         while True:
             try:
                 self._parts.store.put_member(self._parts.me)
@@ -80,6 +88,18 @@
                 log.info("registered", address=self._parts.me.address)
                 return
 
+    def _wait_for_members(self):
+        """Wait until the members are known, which may have this router already."""
+        end = self._clock.now() + MEMBERS_TIME
+        beliefs = self._parts.beliefs
+        while beliefs.age(Topic.MEMBERS) is None and self._clock.now() < end:
+            sleep(MEMBERS_TICK / 1000)
+
+    def _is_registered(self):
+        me = self._parts.me
+        known = self._parts.beliefs.members_by_name.get(me.name)
+        return known is not None and msgspec.structs.replace(known, offset=0) == me
+
     def _expire_connections(self):
         while True:
             sleep(POOL_PAUSE / 1000)
@@ -91,6 +111,7 @@
 
     __slots__ = (
         "me",
+        "beliefs",
         "store",
         "publisher",
         "sources",
--- a/libs/weights/src/mulberryhub/weights/manager.py
+++ b/libs/weights/src/mulberryhub/weights/manager.py
@@ -11,6 +11,7 @@
 TICK = 50  # ms
 RANK_PAUSE = 600  # ms by which each further router waits before it steps in
 MAX_RANK = 6
+LOOK_AHEAD = 1_000  # ms after the start at which the next in turn look at the lease
 RENEWAL = 700  # ms between renewals of the lease
 HEARTBEAT = 1_000  # ms between two tellings of a rollout without progress
 EMPTYING_TIME = 250  # ms in which routers hear of a load and tell what they run
@@ -130,7 +131,12 @@
         )
 
     def _run(self):
-        self._lease.step_reading()
+        started = self._clock.now()
+        while self._clock.now() - started < LOOK_AHEAD:
+            sleep(TICK / 1000)
+            self.step()
+        if self._turn() <= RANK_PAUSE:
+            self._lease.step_reading()
         while True:
             sleep(TICK / 1000)
             self.step()
--- a/tests/fleet/test_sources.py
+++ b/tests/fleet/test_sources.py
@@ -3,9 +3,9 @@
 import pytest
 
 from mulberryhub.base.clock import ManualClock
-from mulberryhub.fleet.beliefs import Beliefs, Topic
+from mulberryhub.fleet.beliefs import UNKNOWN, Beliefs, Topic
 from mulberryhub.fleet.records import Member
-from mulberryhub.fleet.sources import FRESH, Sources
+from mulberryhub.fleet.sources import FRESH, JOIN_TIME, LONGEST_STAGGER, Sources
 
 MEMBERS = [Member(f"a{n}", f"a{n}:1", "a", n) for n in range(3)]
 MEMBERS += [Member(f"b{n}", f"b{n}:1", "b", 3 + n) for n in range(2)]
@@ -37,7 +37,7 @@
         self.beliefs = Beliefs(self.clock)
         self.opened = []
         self.reads_fail = False
-        me = next(member for member in MEMBERS if member.name == name)
+        me = next(member for member in [*MEMBERS, *members] if member.name == name)
         self.sources = Sources(
             me,
             SEEDS,
@@ -159,3 +159,63 @@
         world.note_fresh()
         world.sources.step()
     assert world.live() == helper
+
+
+MANY = [
+    Member(f"{name}{n:02d}", f"{name}{n}:1", name, n, strength=strength)
+    for name, strength in (("a", 50), ("b", 90), ("c", 70))
+    for n in range(20)
+]
+
+
+def make_many(name):
+    world = World(name, MANY)
+    world.sources.step()
+    return world
+
+
+def test_two_leaders_read_and_the_others_follow_the_strongest():
+    assert make_many("b00").sources.should_read()
+    assert make_many("c00").sources.should_read()
+    weakest = make_many("a00")
+    assert not weakest.sources.should_read()
+    assert weakest.live() == ["b00"]
+    assert weakest.live(wants_records=False) == ["c00"]
+
+
+def test_a_leader_without_news_from_the_strongest_reads():
+    world = make_many("a00")
+    assert world.live() == ["b00"]
+    for subscription in world.opened:
+        subscription.reads = False
+    assert world.sources.should_read()
+
+
+def test_members_far_behind_leave_reading_to_those_before_them():
+    near, far = make_many("a03"), make_many("a12")
+    for world in (near, far):
+        world.clock.advance(FRESH + 1)
+    assert near.sources.should_read()
+    assert not far.sources.should_read()
+    far.clock.advance(LONGEST_STAGGER)
+    assert far.sources.should_read()
+
+
+def test_a_router_that_starts_leaves_reading_to_the_one_that_it_follows():
+    world = World("a12", MANY)
+    world.beliefs.as_of_by_topic.update(dict.fromkeys(Topic, UNKNOWN))
+    assert world.sources.should_read_members()
+    world.sources.step()
+    assert not world.sources.should_read()
+    world.clock.advance(JOIN_TIME)
+    assert world.sources.should_read()
+
+
+def test_only_readers_read_who_the_members_are():
+    worlds = {name: make_many(name) for name in ("b00", "c00", "a00", "a07")}
+    for world in worlds.values():
+        world.note_fresh([Topic.MEMBERS])
+    readers = {
+        name for name, world in worlds.items() if world.sources.should_read_members()
+    }
+    assert readers == {"b00", "c00"}
