--- a/tests/adapter/raw_workers.py
+++ b/tests/adapter/raw_workers.py
@@ -10,9 +10,9 @@
 
 
 class RawWorker:
-    """A worker `id` of `service`; `answer(conn, request_id, worker)` writes its answers.
+    """A worker of `service`; `answer(conn, request_id, worker)` writes its answers.
 
-    It tells whether the connection goes on. `runs` are the ids that arrived.
+    `answer` tells whether the connection goes on. `runs` are the ids that arrived.
     """
 
     def __init__(self, platform, id, service, answer, **more):
