--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -203,18 +203,16 @@
 
     `admitted` is what was admitted in the quota window, in the unit of each workspace,
     and `rate_by_workspace` what was asked for per s over the last moments.
-    `work_by_upstream` is the delay in ms that requests in flight cause there,
-    `silence_by_upstream` the longest time in ms for which one has kept a router waiting
-    beyond what is usual, and `bound_by_upstream` counts those that no other upstream
-    can go on with. `demand_by_service` is the ms of engine time that clients ask for in
-    a second. `uptime` is the ms for which the oldest of the routers has run, `youngest`
-    the least.
+    `work_by_upstream` is the delay in ms that requests in flight cause there, and
+    `bound_by_upstream` counts those that no other upstream can go on with.
+    `demand_by_service` is the ms of engine time that clients ask for in a second.
+    `uptime` is the ms for which the oldest of the routers has run, `youngest` the
+    least.
     """
 
     admitted: Admitted = Admitted()
     rate_by_workspace: dict[str, float] = {}
     work_by_upstream: dict[str, float] = {}
-    silence_by_upstream: dict[str, int] = {}
     bound_by_upstream: dict[str, int] = {}
     demand_by_service: dict[str, float] = {}
     routers: int = 1
@@ -227,9 +225,6 @@
             totals = getattr(self, name)
             for key, value in getattr(other, name).items():
                 totals[key] = totals.get(key, 0) + value
-        silences = self.silence_by_upstream
-        for id, silence in other.silence_by_upstream.items():
-            silences[id] = max(silence, silences.get(id, 0))
         self.routers += other.routers
         self.uptime = max(self.uptime, other.uptime)
         self.youngest = min(self.youngest, other.youngest)
@@ -243,10 +238,9 @@
     def less(self, other):
         """Return this use without a part of it; nothing falls below 0.
 
-        What was admitted is left out. The longest silence may be that part's.
+        What was admitted is left out.
         """
         rest = Use(
-            silence_by_upstream=self.silence_by_upstream,
             routers=self.routers - other.routers,
             uptime=self.uptime,
             youngest=self.youngest,
--- a/libs/forward/src/mulberryhub/forward/caching.py
+++ b/libs/forward/src/mulberryhub/forward/caching.py
@@ -24,8 +24,7 @@
     def prepare(self, attempt, call, version, holder):
         """Set what makes cached parts of `call` usable at the attempt's upstream.
 
-        What the store is not known to hold comes from `holder`, another upstream, where
-        there is one: what is kept is told late, and a fetch in vain costs little.
+        What the store does not hold comes from `holder`, another upstream, or None.
         """
         attempt.version = version
         attempt.salt = salt(call.model, version, attempt.workspace)
@@ -37,7 +36,7 @@
             return
         if holder is not None:
             attempt.fetch_from = holder.address
-        elif store is not None:
+        elif store is not None and self._is_kept(attempt.salt, call.shared_parts[0]):
             attempt.fetch_from = store.cache_address
         last = (attempt.salt, call.shared_parts[-1].id)
         if store is not None and self._is_due(last):
--- a/libs/forward/src/mulberryhub/forward/loads.py
+++ b/libs/forward/src/mulberryhub/forward/loads.py
@@ -3,7 +3,6 @@
 from mulberryhub.fleet.records import Use
 
 REFRESH = 50  # ms for which the sum over other routers is kept
-UNREACHABLE = 600  # ms of silence that others are told of an upstream out of reach
 PATIENCE = 250  # ms of silence with a request waiting that nobody minds
 
 
@@ -25,24 +24,13 @@
 
 
 class Loads:
-    """Loads by upstream; `read_others()` returns the Use of other routers or None.
+    """Loads by upstream; `read_others()` returns the Use of other routers or None."""
 
-    `health` has the upstreams that could not be reached.
-    """
-
-    __slots__ = (
-        "_loads_by_id",
-        "_read_others",
-        "_health",
-        "_clock",
-        "_others",
-        "_read_at",
-    )
+    __slots__ = ("_loads_by_id", "_read_others", "_clock", "_others", "_read_at")
 
-    def __init__(self, read_others, health, clock):
+    def __init__(self, read_others, clock):
         self._loads_by_id = {}
         self._read_others = read_others
-        self._health = health
         self._clock = clock
         self._others = Use()
         self._read_at = None
@@ -82,20 +70,6 @@
         """Return the work in flight from this router, by upstream."""
         return {id: round(load.work) for id, load in self._loads_by_id.items()}
 
-    def own_silence(self):
-        """Return the ms for which upstreams have kept this router waiting, by id.
-
-        One that cannot be reached counts as silent for a while.
-        """
-        silences = {
-            id: round(silence)
-            for id, load in self._loads_by_id.items()
-            if (silence := self._silence(load))
-        }
-        for id in self._health.avoided_ids():
-            silences[id] = max(UNREACHABLE, silences.get(id, 0))
-        return silences
-
     def own_bound(self):
         """Return the requests in flight that are bound to an upstream, by upstream."""
         return {id: load.bound for id, load in self._loads_by_id.items() if load.bound}
@@ -104,10 +78,8 @@
         """Return the work in flight at an upstream from all routers, in ms."""
         self._refresh()
         load = self._loads_by_id.get(id)
-        own = 0 if load is None else load.work
-        silence = 0 if load is None else self._silence(load)
-        silence = max(silence, self._others.silence_by_upstream.get(id, 0))
-        return own + silence + self._others.work_by_upstream.get(id, 0)
+        own = 0 if load is None else load.work + self._silence(load)
+        return own + self._others.work_by_upstream.get(id, 0)
 
     def bound(self, id):
         """Return the requests of all routers that are bound to an upstream."""
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -55,13 +55,13 @@
     parts.store = ports.store
     parts.pool = Pool(clock)
     demand = Demand(clock)
-    health = Health(clock, counters)
-    use_table, quotas, loads = _build_use(settings, beliefs, demand, health, clock)
+    use_table, quotas, loads = _build_use(settings, beliefs, demand, clock)
 
     _add_followers(parts, settings, ports, beliefs, use_table, counters, clock)
     parts.publisher = Publisher(
         settings.peer_address, beliefs, use_table, parts.sources.is_current
     )
+    health = Health(clock, counters)
     steadiness = Health(clock, counters)
     withdrawal = Withdrawal(settings.name, beliefs, clock, counters)
     placer = Placer(
@@ -139,13 +139,12 @@
     return router
 
 
-def _build_use(settings, beliefs, demand, health, clock):
+def _build_use(settings, beliefs, demand, clock):
     def measure():
         return Use(
             quotas.windows(),
             quotas.rates(),
             loads.own_work(),
-            loads.own_silence(),
             loads.own_bound(),
             demand.rates(),
             uptime=quotas.uptime(),
@@ -162,7 +161,7 @@
         lambda: len(beliefs.members_by_name),
         clock,
     )
-    loads = Loads(use_table.others, health, clock)
+    loads = Loads(use_table.others, clock)
     return use_table, quotas, loads
 
 
--- a/libs/upstream/src/mulberryhub/upstream/health.py
+++ b/libs/upstream/src/mulberryhub/upstream/health.py
@@ -50,10 +50,6 @@
         failing = self.failing_by_id.get(upstream_id)
         return failing is not None and self._clock.now() < failing.until
 
-    def avoided_ids(self):
-        """Return the ids of all upstreams after which others are to be tried."""
-        return [id for id in self.failing_by_id if self.is_avoided(id)]
-
     def ordered(self, upstream_ids):
         """Return the ids in the same order, but the avoided ones last."""
         if not self.failing_by_id:
--- a/tests/forward/test_attempts.py
+++ b/tests/forward/test_attempts.py
@@ -73,8 +73,8 @@
         beliefs = Beliefs(self.clock)
         for index in range(6):
             beliefs.learn(make_upstream(f"u{index}", index + 1))
+        self.loads = loads = Loads(Use, self.clock)
         self.health = health = Health(self.clock, Counters())
-        self.loads = loads = Loads(Use, health, self.clock)
         self.steadiness = steadiness = Health(self.clock, Counters())
         withdrawal = Withdrawal("n1", beliefs, self.clock, Counters())
         budget = RetryBudget(BudgetRule(10_000, 0.2, 100), lambda: 1, self.clock)
--- a/tests/forward/test_caching.py
+++ b/tests/forward/test_caching.py
@@ -46,8 +46,11 @@
     )
 
 
-def test_the_usual_place_of_a_prompt_fetches_what_may_be_kept():
-    assert World().prepare().fetch_from == STORE.cache_address
+def test_the_usual_place_of_a_prompt_fetches_only_what_is_kept():
+    world = World()
+    assert world.prepare().fetch_from is None
+    world.keep("top")
+    assert world.prepare().fetch_from == STORE.cache_address
 
 
 def test_a_save_is_repeated_only_after_a_while():
--- a/tests/forward/test_placing.py
+++ b/tests/forward/test_placing.py
@@ -25,8 +25,8 @@
         self.clock = ManualClock(now=1_000)
         self.beliefs = Beliefs(self.clock)
         self.others = Use(routers=0)
+        self.loads = Loads(lambda: self.others, self.clock)
         self.health = Health(self.clock, Counters())
-        self.loads = Loads(lambda: self.others, self.health, self.clock)
         self.steadiness = Health(self.clock, Counters())
         self.withdrawal = Withdrawal("n1", self.beliefs, self.clock, Counters())
         self.placer = Placer(
@@ -200,20 +200,3 @@
     assert first.holder is None
     world.load(first.upstream.id, 20)
     assert world.choose().holder.id == first.upstream.id
-
-
-def test_an_upstream_that_keeps_another_router_waiting_is_left():
-    world = World(*pool(4))
-    first = world.choose().upstream.id
-    world.others = Use(silence_by_upstream={first: 700})
-    world.clock.advance(200)
-    assert world.choose().upstream.id != first
-
-
-def test_what_keeps_a_router_waiting_is_told():
-    world = World(*pool(4))
-    world.load("u1", 1)
-    world.health.failed("u2")
-    assert world.loads.own_silence() == {"u2": 600}
-    world.clock.advance(900)
-    assert world.loads.own_silence() == {"u1": 650, "u2": 600}
--- a/tests/weights/test_manager.py
+++ b/tests/weights/test_manager.py
@@ -8,7 +8,6 @@
 from mulberryhub.fleet.records import Member, Removal, Use, Weights
 from mulberryhub.forward.loads import Loads
 from mulberryhub.orders.lease import Lease
-from mulberryhub.upstream.health import Health
 from mulberryhub.weights import manager as module
 from mulberryhub.weights.manager import Manager
 from mulberryhub.weights.messages import EngineReport, OrderResult
@@ -55,7 +54,7 @@
         lease = Lease(
             self.log, self.clock, Counters(), "orders", name, DURATION, MARGIN
         )
-        loads = Loads(Use, Health(self.clock, Counters()), self.clock)
+        loads = Loads(Use, self.clock)
         manager = Manager(
             name,
             beliefs,
