--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -127,7 +127,7 @@
         attempt.after_event = job.last_event
         attempt.delay = choice.delay
         if choice.version is not None:
-            self._caching.prepare(attempt, call, choice.version, choice.holder)
+            self._caching.prepare(attempt, call, choice.version)
         self._note_sent(job, attempt, choice)
         request = self._dialect.attempt_request(call, attempt)
         is_bound = not (job.is_repeatable and job.runs + 1 < job.route.max_attempts)
--- a/libs/forward/src/mulberryhub/forward/caching.py
+++ b/libs/forward/src/mulberryhub/forward/caching.py
@@ -21,31 +21,24 @@
         self._clock = clock
         self._saved_at_by_key = OrderedDict()
 
-    def prepare(self, attempt, call, version, holder):
+    def prepare(self, attempt, call, version):
         """Set what makes cached parts of `call` usable at the attempt's upstream.
 
-        What the store does not hold comes from `holder`, another upstream, or None.
+        What the store holds is told late, and a fetch in vain costs little.
         """
         attempt.version = version
         attempt.salt = salt(call.model, version, attempt.workspace)
-        if not call.shared_parts:
+        if not call.shared_parts or not self._kept.is_reachable():
             return
-        store = self._find_store() if self._kept.is_reachable() else None
-        if store is not None and self._is_kept(attempt.salt, call.shared_parts[-1]):
-            attempt.fetch_from = store.cache_address
+        store = self._find_store()
+        if store is None:
             return
-        if holder is not None:
-            attempt.fetch_from = holder.address
-        elif store is not None and self._is_kept(attempt.salt, call.shared_parts[0]):
-            attempt.fetch_from = store.cache_address
+        attempt.fetch_from = store.cache_address
         last = (attempt.salt, call.shared_parts[-1].id)
-        if store is not None and self._is_due(last):
+        if not self._kept.holds(*last) and self._is_due(last):
             self._note_save(last)
             attempt.save_to = store.cache_address
 
-    def _is_kept(self, salt, part):
-        return self._kept.holds(salt, part.id)
-
     def _is_due(self, key):
         saved_at = self._saved_at_by_key.get(key)
         return saved_at is None or self._clock.now() - saved_at >= SAVE_AGAIN
--- a/libs/forward/src/mulberryhub/forward/placing.py
+++ b/libs/forward/src/mulberryhub/forward/placing.py
@@ -125,26 +125,17 @@
         if self._is_known_expired(model, newest):
             return None
         costs = {}
-        ranked_by_version = {}
         for version in set(versions.values()):
             # Parts are kept for one version only, so each has an order of its own.
             same = [item for item in candidates if versions[item.id] == version]
-            ranked = ranked_by_version[version] = self._ranked(call, same)
-            costs |= self._costs(call, same, ranked)
+            costs |= self._costs(call, same, self._ranked(call, same))
         for id, version in versions.items():
             if version < newest:
                 costs[id] += OLD_WEIGHTS_COST * route.target_latency
         upstream = min(allowed, key=lambda item: costs[item.id])
         delay = self._loads.work(upstream.id)
         version = versions[upstream.id]
-        ranked = ranked_by_version[version]
-        return Choice(upstream, delay, version, self._holder(upstream, ranked))
-
-    def _holder(self, chosen, ranked):
-        """Return the first of `ranked` where it is another one that answers."""
-        if not ranked or ranked[0].id == chosen.id:
-            return None
-        return None if self._health.is_avoided(ranked[0].id) else ranked[0]
+        return Choice(upstream, delay, version)
 
     def _is_expired(self, model, version):
         """Tell whether weights may no longer be used, as newer ones are in use."""
--- a/tests/forward/test_caching.py
+++ b/tests/forward/test_caching.py
@@ -22,35 +22,24 @@
         for number, id in enumerate(ids):
             self.kept.learn(KeptPart(salt(MODEL, 1, None), id, 100, 7, number + 1))
 
-    def prepare(self, holder=None):
+    def prepare(self):
         attempt = Attempt(make_upstream("u1", 1), None, 0)
-        self.caching.prepare(attempt, make_call(), 1, holder)
+        self.caching.prepare(attempt, make_call(), 1)
         return attempt
 
 
 def test_what_the_store_holds_is_fetched_there_and_not_saved_again():
     world = World()
     world.keep("top", "key")
-    attempt = world.prepare(make_upstream("u2", 2))
+    attempt = world.prepare()
     assert (attempt.fetch_from, attempt.save_to) == (STORE.cache_address, None)
 
 
-def test_what_the_store_lacks_comes_from_the_upstream_that_holds_it():
+def test_what_the_store_is_not_known_to_hold_is_asked_for_and_saved():
     world = World()
-    holder = make_upstream("u2", 2)
     world.keep("top")
-    attempt = world.prepare(holder)
-    assert (attempt.fetch_from, attempt.save_to) == (
-        holder.address,
-        STORE.cache_address,
-    )
-
-
-def test_the_usual_place_of_a_prompt_fetches_only_what_is_kept():
-    world = World()
-    assert world.prepare().fetch_from is None
-    world.keep("top")
-    assert world.prepare().fetch_from == STORE.cache_address
+    attempt = world.prepare()
+    assert attempt.fetch_from == attempt.save_to == STORE.cache_address
 
 
 def test_a_save_is_repeated_only_after_a_while():
@@ -63,6 +52,5 @@
 
 
 def test_a_store_that_is_not_heard_is_left_alone():
-    holder = make_upstream("u2", 2)
-    attempt = World(heard=False).prepare(holder)
-    assert (attempt.fetch_from, attempt.save_to) == (holder.address, None)
+    attempt = World(heard=False).prepare()
+    assert (attempt.fetch_from, attempt.save_to) == (None, None)
--- a/tests/forward/test_placing.py
+++ b/tests/forward/test_placing.py
@@ -192,11 +192,3 @@
     short = make_call(parts=(("s", 200), ("own", 600)), body=b"x" * 900)
     places = {world.choose(short).upstream.data_centre for _ in range(50)}
     assert places == {"b"}
-
-
-def test_the_usual_upstream_is_named_where_another_takes_the_prompt():
-    world = World(*pool(8))
-    first = world.choose()
-    assert first.holder is None
-    world.load(first.upstream.id, 20)
-    assert world.choose().holder.id == first.upstream.id
