--- a/tests/forward/test_heavy_load.py
+++ b/tests/forward/test_heavy_load.py
@@ -1,7 +1,7 @@
 """A pool of engines under many routers that hear of one another late.
 
-Plays long prompts that share parts, of which an engine's memory holds few, and checks how
-long callers wait for the first event. Engines read one prompt after the other.
+Plays long prompts that share parts, of which an engine's memory holds few, and checks
+how long callers wait for the first event. Engines read one prompt after the other.
 """
 
 from collections import OrderedDict
