--- a/libs/forward/src/mulberryhub/forward/placing.py
+++ b/libs/forward/src/mulberryhub/forward/placing.py
@@ -12,11 +12,11 @@
 from mulberryhub.fleet.records import State
 from mulberryhub.routing.placement import Placement
 
-REMOTE_COST = 3  # ms for each KB that goes to another data centre or comes from there
+REMOTE_COST = 6  # ms for each KB that goes to another data centre or comes from there
 ANSWER_KB = 0.1  # KB of an answer for each token that it may have
-MISS_COST = 0.08  # ms for each shared token that is read again: others wait for it too
+MISS_COST = 0.06  # ms for each shared token that is read again: others wait for it too
 AVOIDED_COST = 10_000  # ms at an upstream that could not be reached lately
-UNSTEADY_COST = 400  # ms at one that cut an answer lately: less than a long queue
+UNSTEADY_COST = 1_200  # ms at one that cut an answer lately: less than a long queue
 OLD_WEIGHTS_COST = 0.2  # of the latency target, where newer weights are in use
 RANKED = 3  # upstreams that hold shared parts of the same prompt at most
 
