--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -168,8 +168,9 @@
         self._subscribers += 1
         try:
             while True:
+                ticked = self._ticked
                 subscriber.channel.send_encoded(self._data_for(subscriber))
-                self._ticked.wait()
+                ticked.wait()
         except ChannelBroken as error:
             name = subscriber.hello.name
             log.debug("publishing ended", subscriber=name, reason=str(error))
