Tell other data centres of use four times a second, and changes without sums

Cause: each change of the beliefs sent the sums of use again to all subscribers, and leaders told one another their sums up to ten times a second.

Sums go out each heartbeat, to other data centres every 250 ms; what changed goes at once, alone.

--- a/libs/fleet/src/mulberryhub/fleet/channel.py
+++ b/libs/fleet/src/mulberryhub/fleet/channel.py
@@ -53,7 +53,8 @@
 class News(msgspec.Struct, tag=True):
     """What a publisher tells: new records and how current they are.
 
-    Where no records are wanted, departures are told all the same.
+    Where no records are wanted, departures are told all the same. News of a change come
+    without sums of use where these are not due.
     `age_by_topic` and `kept_age`, that of the parts of kept cache, are in ms. `use` is
     that of the publisher's data centre, `elsewhere` that of the others together, and
     `admitted_by_data_centre` what these admitted, or where no records are wanted, what
--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -26,6 +26,7 @@
 HEARTBEAT = 250  # ms between two messages without a change, to many subscribers
 SHORT_HEARTBEAT = 100  # ms, to few
 HEARTBEAT_STEP = 12  # ms for each subscriber, so that messages in all are bounded
+READER_PERIOD = 250  # ms between two sums told to another data centre
 GATHERING = 10  # ms in which changes are gathered into one message
 NEWEST_SLOTS = 5  # of what was admitted, told again and again as they may still change
 TOPIC_BY_TYPE = {Upstream: Topic.UPSTREAMS, Member: Topic.MEMBERS}
@@ -45,14 +46,18 @@
 
 
 class Subscriber:
-    """A subscription with its Progress, None before the first news."""
+    """A subscription with its Progress, None before the first news.
 
-    __slots__ = ("channel", "hello", "progress")
+    `told_use_at` is the ms at which it was told the use of this data centre last.
+    """
+
+    __slots__ = ("channel", "hello", "progress", "told_use_at")
 
     def __init__(self, channel, hello):
         self.channel = channel
         self.hello = hello
         self.progress = None
+        self.told_use_at = None
 
 
 class Broadcast:
@@ -77,21 +82,25 @@
         "_beliefs",
         "_use_table",
         "_is_current",
+        "_clock",
         "_listener",
         "_subscribers",
         "_use",
+        "_summed_at",
         "_broadcast",
         "_ticked",
     )
 
-    def __init__(self, address, beliefs, use_table, is_current):
+    def __init__(self, address, beliefs, use_table, is_current, clock):
         self._address = address
         self._beliefs = beliefs
         self._use_table = use_table
         self._is_current = is_current
+        self._clock = clock
         self._listener = None
         self._subscribers = 0
         self._use = None
+        self._summed_at = None
         self._broadcast = Broadcast(None, Progress(), b"")
         self._ticked = Event()
 
@@ -155,10 +164,17 @@
                 self._tick()
 
     def _tick(self):
-        """Make the news of this moment and let all subscribers have them."""
+        """Make the news of this moment and let all subscribers have them.
+
+        Sums are made each heartbeat only; what changed between goes out without them.
+        """
         before = self._broadcast.after
-        self._use = self._use_table.here(NEWEST_SLOTS)
-        news = self._news(before.revision, self._use, NEWEST_SLOTS)
+        now = self._clock.now()
+        news = self._news(before.revision)
+        if self._summed_at is None or now - self._summed_at >= self.heartbeat():
+            self._summed_at = now
+            self._use = self._use_table.here(NEWEST_SLOTS)
+            self._add_sums(news, self._use, NEWEST_SLOTS)
         after = self._add_rest(before, news)
         self._broadcast = Broadcast(before, after, encode(news))
         ticked, self._ticked = self._ticked, Event()
@@ -181,8 +197,9 @@
     def _data_for(self, subscriber):
         """Return the messages that bring `subscriber` up to date."""
         hello, broadcast = subscriber.hello, self._broadcast
-        if not hello.wants_records:
-            return encode(self._news_for_reader(subscriber))
+        if hello.data_centre != self._use_table.data_centre:
+            news = self._news_for_reader(subscriber)
+            return b"" if news is None else encode(news)
         counted = self._use_table.number_counted(hello.name)
         prefix = b"" if counted is None else encode(Counted(counted))
         if subscriber.progress == broadcast.before:
@@ -192,32 +209,53 @@
 
     def _news_for_one(self, subscriber):
         """Return the News of one subscriber, with all that it was not told."""
-        before = subscriber.progress
-        if before is None:
-            before = Progress()
-            news = self._news(0, self._use_table.here())
+        before = subscriber.progress or Progress()
+        news = self._news(before.revision)
+        if subscriber.progress is None:
             hello = subscriber.hello
             news.records = [item for item in news.records if _is_new(item, hello)]
+            self._add_sums(news, self._use_table.here())
         else:
-            news = self._news(before.revision, self._use, NEWEST_SLOTS)
+            self._add_sums(news, self._use, NEWEST_SLOTS)
         subscriber.progress = self._add_rest(before, news)
         return news
 
     def _news_for_reader(self, subscriber):
-        """Return News for the reader of another data centre."""
-        before = subscriber.progress
-        if before is None:
-            before = Progress()
-            news = News(use=self._use_table.here())
-            data_centre = subscriber.hello.data_centre
-            known = self._use_table.known_of(data_centre)
-            news.admitted_by_data_centre = {data_centre: known}
-        else:
-            news = News(use=self._use)
-        news.records = self._beliefs.departures_since(before.revision)
-        subscriber.progress = self._add_rest(before, news, lists=False)
+        """Return News for a router of another data centre, or None without any.
+
+        Links between data centres are dear, so sums go there less often.
+        """
+        before = subscriber.progress or Progress()
+        wants_records = subscriber.hello.wants_records
+        news = self._news(before.revision) if wants_records else News()
+        if subscriber.progress is None:
+            self._add_first(subscriber, news)
+        elif self._clock.now() - subscriber.told_use_at >= READER_PERIOD:
+            news.use = self._use
+        if not wants_records:
+            news.records = self._beliefs.departures_since(before.revision)
+        if news.use is not None:
+            subscriber.told_use_at = self._clock.now()
+        after = self._add_rest(before, news, lists=wants_records)
+        subscriber.progress = after
+        is_empty = news.use is None and not news.records
+        if is_empty and news.rollout is None and news.upstream_ids is None:
+            return None
         return news
 
+    def _add_first(self, subscriber, news):
+        """Add what a router of another data centre is told first."""
+        hello = subscriber.hello
+        news.use = self._use_table.here()
+        known = self._use_table.known_of(hello.data_centre)
+        news.admitted_by_data_centre = {hello.data_centre: known}
+        news.records = [item for item in news.records if _is_new(item, hello)]
+
+    def _add_sums(self, news, use, slots=None):
+        news.use = use
+        news.elsewhere = self._use_table.elsewhere()
+        news.admitted_by_data_centre = self._use_table.admitted_elsewhere(slots)
+
     def _add_rest(self, before, news, lists=True):
         """Add what is told on a change only; return the Progress that `news` bring."""
         beliefs = self._beliefs
@@ -243,11 +281,10 @@
     def _upstreams_position(self):
         return self._beliefs.position_by_topic[Topic.UPSTREAMS]
 
-    def _news(self, revision, use, slots=None):
-        """Return News of all that changed since `revision`."""
-        beliefs, use_table = self._beliefs, self._use_table
-        news = News(use=use, elsewhere=use_table.elsewhere())
-        news.admitted_by_data_centre = use_table.admitted_elsewhere(slots)
+    def _news(self, revision):
+        """Return News, without sums, of all that changed since `revision`."""
+        beliefs = self._beliefs
+        news = News()
         news.reads = self._is_current()
         news.position_by_topic = {
             str(topic): position
--- a/libs/fleet/src/mulberryhub/fleet/subscription.py
+++ b/libs/fleet/src/mulberryhub/fleet/subscription.py
@@ -138,6 +138,8 @@
         self._apply_use(news)
 
     def _apply_use(self, news):
+        if news.use is None:
+            return
         use_table = self._use_table
         admitted = news.admitted_by_data_centre
         if self.member.data_centre != self._me.data_centre:
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -59,7 +59,7 @@
 
     _add_followers(parts, settings, ports, beliefs, use_table, counters, clock)
     parts.publisher = Publisher(
-        settings.peer_address, beliefs, use_table, parts.sources.is_current
+        settings.peer_address, beliefs, use_table, parts.sources.is_current, clock
     )
     health = Health(clock, counters)
     steadiness = Health(clock, counters)
--- a/tests/adapter/test_field_faults.py
+++ b/tests/adapter/test_field_faults.py
@@ -6,6 +6,7 @@
 import struct
 import threading
 import time
+from contextlib import contextmanager
 
 import pytest
 import urllib3
@@ -38,6 +39,21 @@
         fleet.close()
 
 
+def is_http_error(error):
+    """Tell it by its name: eventlet's import of urllib3 leaves two such classes."""
+    return any(kind.__name__ == "HTTPError" for kind in type(error).__mro__)
+
+
+@contextmanager
+def broken_or_not():
+    """Let a request fail by a broken connection, and by nothing else."""
+    try:
+        yield
+    except Exception as error:
+        if not is_http_error(error):
+            raise
+
+
 def event_ids(answer):
     return [int(id) for id in re.findall(rb"id: (\d+)\n", answer.data)]
 
@@ -46,10 +62,8 @@
     """Ask until a request has arrived at `worker`."""
 
     def has_arrived():
-        try:
+        with broken_or_not():
             router.ask(path, "GET", id="known")
-        except urllib3.exceptions.HTTPError:
-            pass
         return bool(worker.runs)
 
     wait_until(has_arrived)
@@ -107,11 +121,8 @@
     router = platform.routers[0]
     ask_until_known(router, path, worker)
     try:
-        answered = router.ask(path, "GET", id="broken")
-    except urllib3.exceptions.HTTPError:
-        pass  # The client sees that the answer broke off.
-    else:
-        assert answered.status in (502, 504)
+        with broken_or_not():  # The client may see that the answer broke off.
+            assert router.ask(path, "GET", id="broken").status in (502, 504)
     finally:
         worker.close()
 
@@ -135,8 +146,10 @@
             conn.sendall(b"1\r\n:\r\n")
 
     assert event_ids(stream_of(platform, "sound", sound)) == list(range(1, events + 1))
-    with pytest.raises(urllib3.exceptions.HTTPError):
-        stream_of(platform, "stalled", stalled)
+    answers = []
+    with broken_or_not():
+        answers.append(stream_of(platform, "stalled", stalled))
+    assert answers == []
 
 
 def stream_of(platform, id, answer):
@@ -185,7 +198,8 @@
             }
             try:
                 answer = pool.request("POST", "/o/x", body=b"o", headers=headers)
-            except urllib3.exceptions.HTTPError:
+            except Exception as error:
+                assert is_http_error(error)
                 self.unanswered.append(id)
                 return
             self.answered.append((id, answer.status))
--- a/tests/fleet/test_exchange.py
+++ b/tests/fleet/test_exchange.py
@@ -29,7 +29,11 @@
         self.use_table = UseTable(self.measure, data_centre, WINDOW, self.clock)
         self.is_reading = False
         self.publisher = Publisher(
-            self.me.address, self.beliefs, self.use_table, lambda: self.is_reading
+            self.me.address,
+            self.beliefs,
+            self.use_table,
+            lambda: self.is_reading,
+            self.clock,
         )
         self.publisher.start()
 
@@ -180,7 +184,7 @@
     "subscribers, period", [(0, 100), (3, 100), (15, 180), (90, 250)]
 )
 def test_few_subscribers_hear_more_often(subscribers, period):
-    publisher = Publisher("127.0.0.1:1", Beliefs(Clock()), None, lambda: False)
+    publisher = Publisher("127.0.0.1:1", Beliefs(Clock()), None, lambda: False, Clock())
     publisher._subscribers = subscribers
     assert publisher.heartbeat() == period
 
