--- a/tests/adapter/raw_workers.py
+++ b/tests/adapter/raw_workers.py
@@ -70,8 +70,21 @@
                     return
 
 
+class RawRequest(msgspec.Struct):
+    """What a worker reads of a request: the id of its attempt, and its body."""
+
+    id: str
+    body: bytes
+
+
 def read_request(conn):
     """Read one request and return the id of its attempt, or None at the end."""
+    request = read_whole_request(conn)
+    return None if request is None else request.id
+
+
+def read_whole_request(conn):
+    """Read one request and return it as RawRequest, or None at the end."""
     data = b""
     while b"\r\n\r\n" not in data:
         received = conn.recv(65_536)
@@ -85,4 +98,4 @@
         fields[name.strip().lower()] = value.strip()
     while len(body) < int(fields.get(b"content-length", 0)):
         body += conn.recv(65_536)
-    return fields[b"x-mulberryhub-attempt-id"].decode()
+    return RawRequest(fields[b"x-mulberryhub-attempt-id"].decode(), body)
