Log what attempts of one request have in common, and who cut an answer

Lines could not tell one request that ends its upstreams from many that fail. Nothing is decided by either yet.

--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -11,7 +11,12 @@
 from mulberryhub.forward.job import LEAST_TIME
 from mulberryhub.forward.refusal import Reason, Refusal
 from mulberryhub.forward.work import work_of
-from mulberryhub.http.messages import AnswerBroken, AnswerTimeout, ConnectFailed
+from mulberryhub.http.messages import (
+    AnswerBroken,
+    AnswerCut,
+    AnswerTimeout,
+    ConnectFailed,
+)
 
 MAX_SENDS = 4  # sends of one request, those that did not run included
 MAX_DIALS = 4  # upstreams that could not be connected to
@@ -253,9 +258,11 @@
         log.info(
             "attempt failed",
             request=job.call.id,
+            fingerprint=job.fingerprint,
             upstream=upstream.id,
             why=why,
             detail=str(detail),
+            is_cut=isinstance(detail, AnswerCut),
             runs=job.runs,
             sends=job.sends,
         )
--- a/libs/forward/src/mulberryhub/forward/job.py
+++ b/libs/forward/src/mulberryhub/forward/job.py
@@ -1,6 +1,7 @@
 """The state of one client's request while it is served."""
 
 from mulberryhub.fleet.records import Kind
+from mulberryhub.forward.fingerprint import fingerprint_of
 
 LEAST_TIME = 15  # ms of work that an upstream must be left with
 
@@ -28,6 +29,7 @@
         "is_started",
         "status",
         "first_ms",
+        "_fingerprint",
     )
 
     def __init__(self, call, route, service, workspace, end):
@@ -44,6 +46,14 @@
         self.is_started = False
         self.status = None
         self.first_ms = None
+        self._fingerprint = None
+
+    @property
+    def fingerprint(self):
+        """Return what all attempts of the same request have in common."""
+        if self._fingerprint is None:
+            self._fingerprint = fingerprint_of(self.call, self.workspace)
+        return self._fingerprint
 
     @property
     def is_stream(self):
--- a/libs/http/src/mulberryhub/http/messages.py
+++ b/libs/http/src/mulberryhub/http/messages.py
@@ -38,6 +38,10 @@
     """The connection failed, or its bytes are no answer, before the answer's end."""
 
 
+class AnswerCut(AnswerBroken):
+    """The upstream closed or reset the connection before the answer's end."""
+
+
 class AnswerTimeout(HttpError):
     """No byte of the answer arrived in time."""
 
--- a/libs/http/src/mulberryhub/http/outbound.py
+++ b/libs/http/src/mulberryhub/http/outbound.py
@@ -5,6 +5,7 @@
 from mulberryhub.base.green import spawn
 from mulberryhub.http.messages import (
     AnswerBroken,
+    AnswerCut,
     AnswerHead,
     AnswerTimeout,
     ConnectFailed,
@@ -47,7 +48,7 @@
         try:
             self._sock.sendall(data)
         except OSError as error:
-            raise AnswerBroken(f"{self.address}: send: {error}") from error
+            raise _broken(f"{self.address}: send: {error}", error) from error
 
     def read_head(self, timeout):
         """Return the head of the answer, waiting up to `timeout` ms for each read."""
@@ -58,7 +59,7 @@
                 self._note_keep_alive(headers)
                 return AnswerHead(event.status_code, headers)
             if not isinstance(event, h11.InformationalResponse):
-                raise AnswerBroken(f"{self.address}: closed before an answer")
+                raise AnswerCut(f"{self.address}: closed before an answer")
 
     def read_data(self, timeout):
         """Return a piece of the body, or None at its end."""
@@ -134,7 +135,9 @@
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
-                raise AnswerBroken(f"{self.address}: {error}") from error
+                is_cut = self._http.trailing_data[1]
+                kind = AnswerCut if is_cut else AnswerBroken
+                raise kind(f"{self.address}: {error}") from error
             if event is not h11.NEED_DATA:
                 return event
             self._http.receive_data(self._receive(timeout))
@@ -146,7 +149,7 @@
         except TimeoutError as error:
             raise AnswerTimeout(f"{self.address}: silent for {timeout} ms") from error
         except OSError as error:
-            raise AnswerBroken(f"{self.address}: {error}") from error
+            raise _broken(f"{self.address}: {error}", error) from error
 
     def _note_keep_alive(self, headers):
         for item in headers.get(b"keep-alive", b"").split(b","):
@@ -155,5 +158,11 @@
                 self.idle_limit = int(value) * 1000
 
 
+def _broken(text, error):
+    """Return the AnswerBroken of a failed socket; only its peer cuts an answer."""
+    is_cut = isinstance(error, (ConnectionResetError, BrokenPipeError))
+    return AnswerCut(text) if is_cut else AnswerBroken(text)
+
+
 def _new_parser():
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_ANSWER_HEAD)
--- a/tests/http/test_outbound.py
+++ b/tests/http/test_outbound.py
@@ -5,6 +5,7 @@
 from mulberryhub.base.green import sleep
 from mulberryhub.http.messages import (
     AnswerBroken,
+    AnswerCut,
     AnswerTimeout,
     ConnectFailed,
     Headers,
@@ -91,6 +92,33 @@
         ask(ScriptedPeer(script))
 
 
+@pytest.mark.parametrize(
+    "answer, ends, is_cut",
+    [
+        (b"", True, True),
+        (b"HTTP/1.1 200 OK\r\nContent-Le", True, True),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", True, True),
+        (b"no answer at all\r\n\r\n", False, False),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", False, False),
+    ],
+)
+@pytest.mark.parametrize("end", [reset, lambda sock: sock.close()])
+def test_answers_that_the_peer_cuts_are_told_from_other_bytes(
+    answer, ends, is_cut, end
+):
+    def script(sock, peer):
+        peer.read_head(sock)
+        sock.sendall(answer)
+        sleep(0.02)
+        if ends:
+            end(sock)
+        sleep(1)
+
+    with pytest.raises(AnswerBroken) as broken:
+        ask(ScriptedPeer(script))
+    assert isinstance(broken.value, AnswerCut) == is_cut
+
+
 def test_extra_bytes_after_an_answer_end_the_connection():
     answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
     peer = ScriptedPeer(answering(answer + answer, close=False))
