Give up bytes without an end, in a head or a body

Cause: timeouts bound the wait for the next byte, not the answer, and nothing bounded what is read meanwhile.

An answer that has begun is no longer run again where it cannot go on.

--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -102,7 +102,8 @@
         """Note that an answer broke off; tell whether another run may go on."""
         exchange.cancel()
         self._note_broken(job, exchange.attempt, "midway", error)
-        return job.may_run_again and job.sends < MAX_SENDS
+        can_go_on = job.is_resumable_stream or not job.is_started
+        return can_go_on and job.may_run_again and job.sends < MAX_SENDS
 
     def ended(self, job):
         """Note that the answer of a job was passed on to its end."""
--- a/libs/forward/src/mulberryhub/forward/events.py
+++ b/libs/forward/src/mulberryhub/forward/events.py
@@ -1,5 +1,9 @@
 """Splits a stream of server-sent events into whole events, kept as raw bytes."""
 
+from mulberryhub.http.messages import AnswerBroken
+
+MAX_EVENT = 262_144  # bytes
+
 
 class RawEvent:
     """The bytes of one event with its blank line, and its id or None."""
@@ -20,7 +24,7 @@
         self.rest = b""
 
     def feed(self, data):
-        """Return the events that `data` completes."""
+        """Return the events that `data` completes, or raise AnswerBroken."""
         buffer = self.rest + data
         events = []
         start = 0
@@ -28,6 +32,8 @@
             end = _event_end(buffer, start)
             if end < 0:
                 self.rest = buffer[start:]
+                if len(self.rest) > MAX_EVENT:
+                    raise AnswerBroken(f"an event of over {MAX_EVENT} bytes")
                 return events
             raw = buffer[start:end]
             events.append(RawEvent(raw, _event_id(raw)))
--- a/libs/forward/src/mulberryhub/forward/exchange.py
+++ b/libs/forward/src/mulberryhub/forward/exchange.py
@@ -69,13 +69,6 @@
         """Return a piece of the answer's body, or None at its end."""
         return self._connection.read_data(timeout)
 
-    def read_all(self, timeout):
-        """Return the whole rest of the body."""
-        pieces = []
-        while (data := self._connection.read_data(timeout)) is not None:
-            pieces.append(data)
-        return b"".join(pieces)
-
     def finish(self):
         """Keep the connection for later requests."""
         if self._connection is not None:
--- a/libs/forward/src/mulberryhub/forward/relay.py
+++ b/libs/forward/src/mulberryhub/forward/relay.py
@@ -6,16 +6,18 @@
 
 STATUS_OK = 200
 MAX_BUFFERED = 1_048_576  # bytes of an answer that is read whole before it is sent
+MOST_BUFFERED = 8_388_608  # bytes of all such answers together
 
 
 class Relay:
     """Relays the answers of jobs; `attempts` finds the upstreams that go on."""
 
-    __slots__ = ("_attempts", "_clock")
+    __slots__ = ("_attempts", "_clock", "_buffered")
 
     def __init__(self, attempts, clock):
         self._attempts = attempts
         self._clock = clock
+        self._buffered = 0
 
     def run(self, job, connection):
         """Serve `job`; return whether the client's connection can be used again."""
@@ -40,14 +42,31 @@
             raise AnswerBroken(f"the stream cannot go on: status {head.status}")
         if job.is_stream or (head.length or 0) > MAX_BUFFERED:
             return self._pass_pieces(job, exchange, connection)
-        body = exchange.read_all(self._time_left(job))
+        return self._pass_whole(job, exchange, connection)
+
+    def _pass_whole(self, job, exchange, connection):
+        """Read an answer to its end before it begins, unless it is too long for that.
+
+        Until then another upstream may still run the request.
+        """
+        body = b""
+        try:
+            while (data := exchange.read(self._time_left(job))) is not None:
+                body += data
+                self._buffered += len(data)
+                if len(body) > MAX_BUFFERED or self._buffered > MOST_BUFFERED:
+                    return self._pass_pieces(job, exchange, connection, body)
+        finally:
+            self._buffered -= len(body)
         exchange.finish()
         self._start(job, exchange, connection, len(body))
         connection.write(body)
         return connection.finish_answer()
 
-    def _pass_pieces(self, job, exchange, connection):
+    def _pass_pieces(self, job, exchange, connection, first=b""):
         self._start(job, exchange, connection, exchange.head.length)
+        if first:
+            connection.write(first)
         while (data := exchange.read(self._time_left(job))) is not None:
             connection.write(data)
         exchange.finish()
--- a/libs/http/src/mulberryhub/http/pool.py
+++ b/libs/http/src/mulberryhub/http/pool.py
@@ -35,7 +35,7 @@
 
     def open(self, address, timeout):
         """Return a new connection or raise ConnectFailed."""
-        return OutboundConnection.open(address, timeout)
+        return OutboundConnection.open(address, timeout, self._clock)
 
     def is_refused(self, address, timeout):
         """Dial and tell whether nobody listens; what connects is kept for later."""
--- a/tests/adapter/raw_workers.py
+++ b/tests/adapter/raw_workers.py
@@ -71,7 +71,7 @@
 
 
 class RawRequest(msgspec.Struct):
-    """What a worker reads of a request: the id of its attempt, and its body."""
+    """What a worker reads of a request: the id of its attempt or "", and its body."""
 
     id: str
     body: bytes
@@ -98,4 +98,4 @@
         fields[name.strip().lower()] = value.strip()
     while len(body) < int(fields.get(b"content-length", 0)):
         body += conn.recv(65_536)
-    return RawRequest(fields[b"x-mulberryhub-attempt-id"].decode(), body)
+    return RawRequest(fields.get(b"x-mulberryhub-attempt-id", b"").decode(), body)
--- a/tests/forward/test_attempts.py
+++ b/tests/forward/test_attempts.py
@@ -262,3 +262,12 @@
         world.attempts.run(world.job)
     assert world.sent == [NOT_RUN] * 6
     assert 2_500 <= refused.value.retry_after <= 3_000
+
+
+@pytest.mark.parametrize("is_started, goes_on", [(False, True), (True, False)])
+def test_an_answer_that_has_begun_is_not_run_again_in_vain(is_started, goes_on):
+    world = World([OK], Kind.IDEMPOTENT, max_attempts=2)
+    exchange = world.attempts.run(world.job)
+    world.job.is_started = is_started
+    error = AnswerBroken("reset")
+    assert world.attempts.failed_midway(world.job, exchange, error) == goes_on
--- a/tests/forward/test_events.py
+++ b/tests/forward/test_events.py
@@ -1,6 +1,8 @@
+import pytest
 from hypothesis import given, strategies as st
 
-from mulberryhub.forward.events import EventSplitter
+from mulberryhub.forward.events import MAX_EVENT, EventSplitter
+from mulberryhub.http.messages import AnswerBroken
 
 STREAM = (
     b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid:3\ndata: c\n\nid: 4\nda"
@@ -17,3 +19,10 @@
     assert [event.id for event in events] == [b"1", b"2", None, b"3"]
     assert b"".join(event.data for event in events) + splitter.rest == STREAM
     assert splitter.rest == b"id: 4\nda"
+
+
+def test_an_event_without_an_end_is_given_up():
+    splitter = EventSplitter()
+    with pytest.raises(AnswerBroken):
+        for _ in range(MAX_EVENT // 1_000 + 2):
+            splitter.feed(b"x" * 1_000)
--- a/tests/http/test_fuzz.py
+++ b/tests/http/test_fuzz.py
@@ -2,6 +2,7 @@
 
 from hypothesis import given, settings, strategies as st
 
+from mulberryhub.base.clock import Clock
 from mulberryhub.base.green import spawn
 from mulberryhub.http.inbound import Limits
 from mulberryhub.http.messages import AnswerBroken, Headers, Request
@@ -60,7 +61,7 @@
         sock.close()
 
     peer = ScriptedPeer(script)
-    connection = OutboundConnection.open(peer.address, 1_000)
+    connection = OutboundConnection.open(peer.address, 1_000, Clock())
     request = Request(b"GET", b"/", Headers.from_pairs([(b"Host", b"x")]))
 
     def ask():
--- a/tests/http/test_outbound.py
+++ b/tests/http/test_outbound.py
@@ -38,7 +38,7 @@
 
 
 def ask(peer, request=None):
-    connection = OutboundConnection.open(peer.address, TIMEOUT)
+    connection = OutboundConnection.open(peer.address, TIMEOUT, Clock())
     connection.send(request or make_request(), TIMEOUT)
     head = connection.read_head(TIMEOUT)
     body = b""
@@ -130,7 +130,7 @@
     stray = b"HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 3\r\n\r\nold"
     mine = b"HTTP/1.1 200 OK\r\nX-Id: new\r\nContent-Length: 3\r\n\r\nnew"
     peer = ScriptedPeer(answering(stray + mine, close=False))
-    connection = OutboundConnection.open(peer.address, TIMEOUT)
+    connection = OutboundConnection.open(peer.address, TIMEOUT, Clock())
     request = make_request()
     connection.send(request, TIMEOUT)
     assert connection.read_head(TIMEOUT).headers.get(b"x-id") == b"old"
@@ -141,7 +141,7 @@
 
 def test_silence_is_a_timeout():
     peer = ScriptedPeer(lambda sock, peer: sleep(5))
-    connection = OutboundConnection.open(peer.address, TIMEOUT)
+    connection = OutboundConnection.open(peer.address, TIMEOUT, Clock())
     connection.send(make_request(), TIMEOUT)
     with pytest.raises(AnswerTimeout):
         connection.read_head(50)
@@ -149,7 +149,7 @@
 
 def test_nobody_listening_is_a_failed_connect():
     with pytest.raises(ConnectFailed):
-        OutboundConnection.open(free_address(), TIMEOUT)
+        OutboundConnection.open(free_address(), TIMEOUT, Clock())
 
 
 def test_answer_before_a_long_body_is_read_leaves_no_reusable_connection():
