Keep verdicts on requests in the platform's store

A kill of all routers lost which requests end their upstreams, so three more ended before the next verdict, beyond the three that are allowed where it had come late. A verdict, or its end, is a record beside the members now, which each router lists at its start anyway. tests/adapter/test_crashing_requests.py (all_start_anew) fails with the saving taken out (502, a worker ended) and passes with it.

--- a/libs/fleet/src/mulberryhub/fleet/beliefs.py
+++ b/libs/fleet/src/mulberryhub/fleet/beliefs.py
@@ -24,6 +24,7 @@
     State,
     Suspect,
     Upstream,
+    Verdict,
     Weights,
 )
 from mulberryhub.fleet.suspects import Suspects
@@ -206,9 +207,15 @@
 
     def learn_suspect(self, suspect):
         """Take what is told of a request under which upstreams ended."""
-        merged = self.suspects.learn(suspect)
-        if merged is not None:
-            self._note_change(_suspect_key(suspect.fingerprint), merged)
+        self._note_suspect(self.suspects.learn(suspect))
+
+    def learn_verdict(self, verdict):
+        """Take what the store keeps of a request that is or was quarantined."""
+        self._note_suspect(self.suspects.learn_verdict(verdict))
+
+    def _note_suspect(self, suspect):
+        if suspect is not None:
+            self._note_change(_suspect_key(suspect.fingerprint), suspect)
             self.drop_old_suspects()
 
     def drop_old_suspects(self):
@@ -393,4 +400,5 @@
     Departure: Beliefs.learn_departure,
     KeptPart: Beliefs.learn_kept,
     Suspect: Beliefs.learn_suspect,
+    Verdict: Beliefs.learn_verdict,
 }
--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -218,6 +218,13 @@
     number: int
 
 
+class Verdict(msgspec.Struct, frozen=True):
+    """A Suspect as it was kept in the store at `at` (ms of wall time)."""
+
+    suspect: Suspect
+    at: int
+
+
 Observation = Departure | Suspect  # what routers see themselves
 Record = Configuration | Weights | Upstream | Removal | Member | KeptPart | Observation
 
--- a/libs/fleet/src/mulberryhub/fleet/suspects.py
+++ b/libs/fleet/src/mulberryhub/fleet/suspects.py
@@ -61,6 +61,12 @@
         _log(known, merged)
         return merged
 
+    def learn_verdict(self, verdict):
+        """Take a Verdict like a Suspect, unless its time is over."""
+        if self._clock.wall() - verdict.at >= KEPT_TIME:
+            return None
+        return self.learn(verdict.suspect)
+
     def drop_old(self):
         """Forget what is over or too much; return the fingerprints."""
         dropped = []
--- a/libs/forward/src/mulberryhub/forward/quarantine.py
+++ b/libs/forward/src/mulberryhub/forward/quarantine.py
@@ -51,21 +51,24 @@
     """Refuses requests that ended their upstreams; `name` is that of this router.
 
     `is_refused(address, timeout)` dials and tells whether nobody listens there.
+    `save(suspect)` keeps a verdict, or its end, for routers that start later.
     """
 
     __slots__ = (
         "_name",
         "_beliefs",
         "_is_refused",
+        "_save",
         "_clock",
         "_counters",
         "_possible_ends_by_id",
     )
 
-    def __init__(self, name, beliefs, is_refused, clock, counters):
+    def __init__(self, name, beliefs, is_refused, save, clock, counters):
         self._name = name
         self._beliefs = beliefs
         self._is_refused = is_refused
+        self._save = save
         self._clock = clock
         self._counters = counters
         self._possible_ends_by_id = {}
@@ -124,7 +127,7 @@
             ]
         suspect = self._beliefs.suspects.get(fingerprint)
         if suspect.ended:
-            self._beliefs.learn(Suspect(fingerprint, suspect.round + 1))
+            self._learn(Suspect(fingerprint, suspect.round + 1))
 
     def _knows_any(self):
         return bool(self._possible_ends_by_id or len(self._beliefs.suspects))
@@ -211,4 +214,13 @@
         for run in runs:
             ended = EndedRun(upstream.id, upstream.started, run.is_repeat)
             suspect = run.suspect
-            self._beliefs.learn(Suspect(suspect.fingerprint, suspect.round, [ended]))
+            self._learn(Suspect(suspect.fingerprint, suspect.round, [ended]))
+
+    def _learn(self, suspect):
+        """Take what this router saw; save it where it makes or ends a verdict."""
+        suspects = self._beliefs.suspects
+        before = suspects.get(suspect.fingerprint)
+        self._beliefs.learn(suspect)
+        after = suspects.get(suspect.fingerprint)
+        if after is not before and (after.is_condemned or before.is_condemned):
+            self._save(after)
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -28,6 +28,7 @@
 from mulberryhub.node.readiness import readiness_server
 from mulberryhub.node.router import Router, RouterParts
 from mulberryhub.node.topics import topic_plans
+from mulberryhub.node.verdicts import verdict_saver
 from mulberryhub.orders.lease import Lease
 from mulberryhub.upstream.health import Health
 from mulberryhub.weights.manager import Manager
@@ -66,7 +67,12 @@
     steadiness = Health(clock, counters)
     withdrawal = Withdrawal(settings.name, beliefs, clock, counters)
     quarantine = Quarantine(
-        settings.name, beliefs, parts.pool.is_refused, clock, counters
+        settings.name,
+        beliefs,
+        parts.pool.is_refused,
+        verdict_saver(ports.store, clock),
+        clock,
+        counters,
     )
     placer = Placer(
         beliefs,
--- a/tests/adapter/test_crashing_requests.py
+++ b/tests/adapter/test_crashing_requests.py
@@ -159,16 +159,41 @@
     wait_until_served(platform.routers[0], "/idempotent/x", "after")
 
 
-def test_a_router_that_starts_knows_which_requests_end_workers(platform, serve, bad):
-    service = serve("idempotent")
-    first = platform.routers[0]
-    seen = len(lines_of(first, "request quarantined"))
+def condemn(router, bad):
+    """Send the bad request until the router refuses it for what it did."""
+    seen = len(lines_of(router, "request quarantined"))
 
     def is_quarantined():
-        send_bad(first, "idempotent", 0, bad)
-        return len(lines_of(first, "request quarantined")) > seen
+        send_bad(router, "idempotent", 0, bad)
+        return len(lines_of(router, "request quarantined")) > seen
 
     wait_until(is_quarantined)
+
+
+def test_routers_that_all_start_anew_know_which_requests_end_workers(
+    platform, serve, bad
+):
+    service = serve("idempotent")
+    condemn(platform.routers[0], bad)
+    time.sleep(service.back_after)
+    ended = len(service.crashes)
+    for router in platform.routers:
+        router.popen.kill()
+        router.popen.wait()
+    for router in platform.routers:
+        router.start()
+    for index, router in enumerate(platform.routers):
+        wait_until(router.is_ready)
+        wait_until_served(router, "/idempotent/x", f"anew{index}")
+        answer, _ = send_bad(router, "idempotent", 1, bad)
+        assert answer.status == 503
+        assert "Retry-After" not in answer.headers
+    assert len(service.crashes) == ended
+
+
+def test_a_router_that_starts_knows_which_requests_end_workers(platform, serve, bad):
+    service = serve("idempotent")
+    condemn(platform.routers[0], bad)
     time.sleep(service.back_after)
     ended = len(service.crashes)
     router = platform.start_router(ROUTERS)
--- a/tests/fleet/test_suspects.py
+++ b/tests/fleet/test_suspects.py
@@ -4,7 +4,7 @@
 
 from mulberryhub.base.clock import ManualClock
 from mulberryhub.fleet.beliefs import Beliefs
-from mulberryhub.fleet.records import CONDEMNING, EndedRun, Suspect
+from mulberryhub.fleet.records import CONDEMNING, EndedRun, Suspect, Verdict
 from mulberryhub.fleet.suspects import (
     KEPT_TIME,
     MOST_ENDED,
@@ -105,3 +105,19 @@
     assert len(beliefs.observations_since(0, but_of="n3")) == 1
     beliefs.learn(Suspect("f", 0, ended("b")))
     assert len(beliefs.observations_since(0, but_of="n2")[0].ended) == 2
+
+
+def test_a_kept_verdict_counts_for_its_time():
+    clock = ManualClock()
+    verdict = Verdict(
+        Suspect("f", 0, ended("a", "b", "c", is_repeat=True)), clock.wall()
+    )
+    clock.advance(KEPT_TIME - 1)
+    beliefs = Beliefs(clock)
+    beliefs.learn(verdict)
+    assert beliefs.suspects.get("f").is_condemned
+    assert len(beliefs.observations_since(0)) == 1
+    clock.advance(1)
+    late = Beliefs(clock)
+    late.learn(verdict)
+    assert not late.suspects.get("f").is_condemned
--- a/tests/forward/test_attempts.py
+++ b/tests/forward/test_attempts.py
@@ -88,7 +88,7 @@
             health,
             steadiness,
             withdrawal,
-            Quarantine("n1", beliefs, self.is_refused, self.clock, Counters()),
+            Quarantine("n1", beliefs, self.is_refused, None, self.clock, Counters()),
             budget,
             beliefs,
             Caching(lambda: None, beliefs.kept, self.clock),
--- a/tests/forward/test_quarantine.py
+++ b/tests/forward/test_quarantine.py
@@ -42,7 +42,12 @@
         self.is_cut_off = False
         self.beliefs = Beliefs(world.time.clock)
         self.quarantine = Quarantine(
-            name, self.beliefs, world.is_refused, world.time.clock, Counters()
+            name,
+            self.beliefs,
+            world.is_refused,
+            world.saved.append,
+            world.time.clock,
+            Counters(),
         )
         self.beliefs.on_change(self.tell_soon)
         self.told = 0
@@ -73,6 +78,7 @@
         self.ends = []  # ms at which a bad request ended a worker
         self.refused = []  # requests that were quarantined
         self.served = 0
+        self.saved = []
         self.workers_by_address = {}
         self.offset = 0
         self.routers = []
@@ -243,6 +249,19 @@
     assert len(world.refused) >= 2
 
 
+def test_a_verdict_and_its_end_are_saved(time):
+    world = World(time, 3, 6)
+    for _ in range(2):
+        world.send(world.routers[0], BAD)
+        time.run(BACK_AFTER + 500)
+    assert world.saved[-1].is_condemned
+    router = world.routers[1]
+    job = Job(make_call(body=BAD), make_route(), make_service(), OWNER, 10**9)
+    router.quarantine.note_answered(job)
+    assert not world.saved[-1].is_condemned
+    assert world.saved[-1].round == 1
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_sound_requests_at_workers_that_end_by_themselves_are_not_refused(time, seed):
     world = World(time, 9, 9, seed)
