Do not condemn what many ask for where upstreams end one after the other

Now a repeat speaks against a request only half a second after an end was known, and a router that has served a request within 1.5 s voids what is told of it. A suspect waits until it is known whether its last upstream ended (some 20 ms), or one attempt could end four more.

test_field_faults sent the same request to twelve workers that cut it and were then closed, which is what a verdict is for: each case has a path of its own now, all its checks stand.

--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -164,7 +164,8 @@
 class EndedRun(msgspec.Struct, frozen=True, array_like=True):
     """A run under which the incarnation `started` of an upstream ended.
 
-    `is_repeat` tells that the router which sent it knew of another such run.
+    `is_repeat` tells that the router which sent it had known of another such run for a
+    while, so that both upstreams did not end at one moment.
     """
 
     upstream: str
--- a/libs/fleet/src/mulberryhub/fleet/suspects.py
+++ b/libs/fleet/src/mulberryhub/fleet/suspects.py
@@ -18,12 +18,13 @@
 
 
 class Entry:
-    """A Suspect, and the ms at which something new was learned of it."""
+    """A Suspect, with the ms at which its round began and something new was learned."""
 
-    __slots__ = ("suspect", "learned_at")
+    __slots__ = ("suspect", "began_at", "learned_at")
 
-    def __init__(self, suspect, learned_at):
+    def __init__(self, suspect, began_at, learned_at):
         self.suspect = suspect
+        self.began_at = began_at
         self.learned_at = learned_at
 
 
@@ -46,6 +47,13 @@
             return Suspect(fingerprint)
         return entry.suspect
 
+    def known_for(self, fingerprint):
+        """Return the ms since an upstream was known to have ended, None if none is."""
+        if not self.get(fingerprint).ended:
+            return None
+        entry = self._entries_by_fingerprint[fingerprint]
+        return self._clock.now() - entry.began_at
+
     def learn(self, suspect):
         """Take what is told of a suspect.
 
@@ -55,8 +63,11 @@
         merged = merge(known, suspect)
         if merged is known:
             return None
-        entry = Entry(merged, self._clock.now())
-        self._entries_by_fingerprint[suspect.fingerprint] = entry
+        now = self._clock.now()
+        before = self._entries_by_fingerprint.get(suspect.fingerprint)
+        goes_on = known.ended and merged.round == known.round
+        began_at = before.began_at if goes_on else now
+        self._entries_by_fingerprint[suspect.fingerprint] = Entry(merged, began_at, now)
         self._entries_by_fingerprint.move_to_end(suspect.fingerprint)
         _log(known, merged)
         return merged
--- a/libs/forward/src/mulberryhub/forward/quarantine.py
+++ b/libs/forward/src/mulberryhub/forward/quarantine.py
@@ -6,6 +6,8 @@
 up what each of them saw, see `fleet.suspects`.
 """
 
+from collections import OrderedDict
+
 from mulberryhub.base.digest import placement_score
 from mulberryhub.base.green import sleep
 from mulberryhub.base.logs import module_logger
@@ -15,6 +17,9 @@
 
 GATHERING = 20  # ms in which the runs that an upstream cut are gathered
 DIAL_TIMEOUT = 300  # ms
+MOMENT = 500  # ms in which upstreams may end together, for another reason
+SERVED_TIME = 1_500  # ms for which a request that was served is above suspicion
+MOST_SERVED = 4_096  # requests that are remembered as served
 WAITING_TIME = 10_000  # ms in which the store tells that an upstream ended
 MOST_BLAMED = 16  # runs that are noted of one upstream, those sent last
 TURN = 250  # ms that each router leaves to those before it to run a doubtful request
@@ -46,6 +51,10 @@
         self.since = since
         self.is_checking = False
 
+    def has_run(self, fingerprint):
+        """Tell whether a request was cut there."""
+        return any(run.suspect.fingerprint == fingerprint for run in self.runs)
+
 
 class Quarantine:
     """Refuses requests that ended their upstreams; `name` is that of this router.
@@ -62,6 +71,8 @@
         "_clock",
         "_counters",
         "_possible_ends_by_id",
+        "_served_at_by_fingerprint",
+        "_looked_to",
     )
 
     def __init__(self, name, beliefs, is_refused, save, clock, counters):
@@ -72,7 +83,10 @@
         self._clock = clock
         self._counters = counters
         self._possible_ends_by_id = {}
+        self._served_at_by_fingerprint = OrderedDict()
+        self._looked_to = 0
         beliefs.on_change(self._look_at_store)
+        beliefs.on_change(self._vouch)
 
     def check(self, job):
         """Raise Refusal for a request that ended its upstreams.
@@ -81,17 +95,28 @@
         allows, so that one run tells all of them.
         """
         suspect = self._suspect(job)
+        if suspect is not None and suspect.ended:
+            self._await_checks(suspect.fingerprint)
+            suspect = self._suspect(job)
         if suspect is not None and suspect.is_doubtful:
             sleep(self._turn(job) / 1000)
             suspect = self._suspect(job)
         if suspect is not None and suspect.is_condemned:
             raise Refusal(Reason.QUARANTINED)
 
+    def _await_checks(self, fingerprint):
+        """Wait until it is known whether the upstreams that cut a suspect ended."""
+        while any(
+            possible_end.is_checking and possible_end.has_run(fingerprint)
+            for possible_end in self._possible_ends_by_id.values()
+        ):
+            sleep(GATHERING / 1000)
+
     def note_sent(self, job, attempt):
         """Note on `attempt` what speaks against its request when it is sent."""
         attempt.sent_at = self._clock.now()
         attempt.suspect = self._suspect(job)
-        attempt.is_repeat = self._has_ended_others(job, attempt.suspect)
+        attempt.is_repeat = self._has_ended_others(attempt.suspect)
 
     def note_cut(self, job, attempt):
         """Note that the upstream of `attempt` cut its answer."""
@@ -116,9 +141,10 @@
 
     def note_answered(self, job):
         """Note that an upstream ran the request to a good end."""
+        fingerprint = job.fingerprint
+        self._note_served(fingerprint)
         if not self._knows_any():
             return
-        fingerprint = job.fingerprint
         for possible_end in self._possible_ends_by_id.values():
             possible_end.runs = [
                 run
@@ -129,6 +155,26 @@
         if suspect.ended:
             self._learn(Suspect(fingerprint, suspect.round + 1))
 
+    def _note_served(self, fingerprint):
+        served = self._served_at_by_fingerprint
+        served[fingerprint] = self._clock.now()
+        served.move_to_end(fingerprint)
+        if len(served) > MOST_SERVED:
+            served.popitem(last=False)
+
+    def _was_served(self, fingerprint):
+        served_at = self._served_at_by_fingerprint.get(fingerprint)
+        return served_at is not None and self._clock.now() - served_at <= SERVED_TIME
+
+    def _vouch(self):
+        """Begin a new round for suspects that this router has just served."""
+        since, self._looked_to = self._looked_to, self._beliefs.revision
+        for record in self._beliefs.observations_since(since):
+            if not isinstance(record, Suspect) or not record.ended:
+                continue
+            if self._was_served(record.fingerprint):
+                self._learn(Suspect(record.fingerprint, record.round + 1))
+
     def _knows_any(self):
         return bool(self._possible_ends_by_id or len(self._beliefs.suspects))
 
@@ -138,15 +184,17 @@
             return None
         return self._beliefs.suspects.get(job.fingerprint)
 
-    def _has_ended_others(self, job, suspect):
+    def _has_ended_others(self, suspect):
+        """Tell whether an upstream ended under the request before this moment."""
         if suspect is None:
             return False
-        if suspect.ended:
+        known_for = self._beliefs.suspects.known_for(suspect.fingerprint)
+        if known_for is not None and known_for >= MOMENT:
             return True
+        before = self._clock.now() - MOMENT
         return any(
-            run.suspect.fingerprint == suspect.fingerprint
+            possible_end.since <= before and possible_end.has_run(suspect.fingerprint)
             for possible_end in self._possible_ends_by_id.values()
-            for run in possible_end.runs
         )
 
     def _turn(self, job):
--- a/tests/adapter/test_field_faults.py
+++ b/tests/adapter/test_field_faults.py
@@ -119,6 +119,7 @@
 
     worker = RawWorker(platform, f"b{time.monotonic_ns()}", service, answer)
     router = platform.routers[0]
+    path += worker.id  # A request whose workers all end would be quarantined.
     ask_until_known(router, path, worker)
     try:
         with broken_or_not():  # The client may see that the answer broke off.
