Blame only what an upstream cut shortly before it ended

Found by reading the change: the runs of an upstream that cut answers were kept from the first cut on, for as long as nothing changed in the store, so a later end blamed requests that had been cut long before, and their list grew. Runs carry the time of their cut now and go after 10 s, 256 at most; a check that fails ends too. tests/forward/test_quarantine.py (cut_long_before_an_end) covers it.

--- a/libs/forward/src/mulberryhub/forward/quarantine.py
+++ b/libs/forward/src/mulberryhub/forward/quarantine.py
@@ -6,7 +6,8 @@
 up what each of them saw, see `fleet.suspects`.
 """
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
+from math import inf
 
 from mulberryhub.base.digest import placement_score
 from mulberryhub.base.green import sleep
@@ -22,6 +23,7 @@
 MOST_SERVED = 4_096  # requests that are remembered as served
 WAITING_TIME = 10_000  # ms in which the store tells that an upstream ended
 MOST_BLAMED = 16  # runs that are noted of one upstream, those sent last
+MOST_CUT = 256  # runs that are kept of one upstream, those cut last
 TURN = 250  # ms that each router leaves to those before it to run a doubtful request
 LONGEST_WAIT = 1_000  # ms
 WAIT_SHARE = 0.5  # of the time left that a doubtful request may wait
@@ -30,30 +32,43 @@
 
 
 class CutRun:
-    """A run whose answer was cut, as known when it was sent."""
+    """A run whose answer was cut at `cut_at` ms, as known when it was sent."""
 
-    __slots__ = ("suspect", "is_repeat", "sent_at")
+    __slots__ = ("suspect", "is_repeat", "sent_at", "cut_at")
 
-    def __init__(self, suspect, is_repeat, sent_at):
+    def __init__(self, suspect, is_repeat, sent_at, cut_at):
         self.suspect = suspect
         self.is_repeat = is_repeat
         self.sent_at = sent_at
+        self.cut_at = cut_at
 
 
 class PossibleEnd:
-    """An upstream that cut answers since `since` (ms), and the CutRuns there."""
+    """An upstream that cut answers lately, and the CutRuns there."""
 
-    __slots__ = ("upstream", "runs", "since", "is_checking")
+    __slots__ = ("upstream", "runs", "is_checking")
 
-    def __init__(self, upstream, since):
+    def __init__(self, upstream):
         self.upstream = upstream
-        self.runs = []
-        self.since = since
+        self.runs = deque(maxlen=MOST_CUT)
         self.is_checking = False
 
-    def has_run(self, fingerprint):
-        """Tell whether a request was cut there."""
-        return any(run.suspect.fingerprint == fingerprint for run in self.runs)
+    def has_run(self, fingerprint, before=inf):
+        """Tell whether a request was cut there, at `before` ms or earlier."""
+        return any(
+            run.suspect.fingerprint == fingerprint and run.cut_at <= before
+            for run in self.runs
+        )
+
+    def drop_runs(self, fingerprint):
+        """Forget the runs of a request."""
+        kept = [run for run in self.runs if run.suspect.fingerprint != fingerprint]
+        self.runs = deque(kept, MOST_CUT)
+
+    def drop_before(self, oldest):
+        """Forget the runs that were cut before `oldest` ms."""
+        while self.runs and self.runs[0].cut_at < oldest:
+            self.runs.popleft()
 
 
 class Quarantine:
@@ -125,10 +140,14 @@
             return
         possible_end = self._possible_ends_by_id.get(upstream.id)
         if possible_end is None or possible_end.upstream.started != upstream.started:
-            possible_end = PossibleEnd(upstream, self._clock.now())
-            self._possible_ends_by_id[upstream.id] = possible_end
+            possible_end = self._possible_ends_by_id[upstream.id] = PossibleEnd(
+                upstream
+            )
+        now = self._clock.now()
+        possible_end.drop_before(now - WAITING_TIME)
         suspect = attempt.suspect or Suspect(job.fingerprint)
-        possible_end.runs.append(CutRun(suspect, attempt.is_repeat, attempt.sent_at))
+        run = CutRun(suspect, attempt.is_repeat, attempt.sent_at, now)
+        possible_end.runs.append(run)
         if not possible_end.is_checking:
             possible_end.is_checking = True
             spawn_task(self._check_end, possible_end)
@@ -146,11 +165,7 @@
         if not self._knows_any():
             return
         for possible_end in self._possible_ends_by_id.values():
-            possible_end.runs = [
-                run
-                for run in possible_end.runs
-                if run.suspect.fingerprint != fingerprint
-            ]
+            possible_end.drop_runs(fingerprint)
         suspect = self._beliefs.suspects.get(fingerprint)
         if suspect.ended:
             self._learn(Suspect(fingerprint, suspect.round + 1))
@@ -193,7 +208,7 @@
             return True
         before = self._clock.now() - MOMENT
         return any(
-            possible_end.since <= before and possible_end.has_run(suspect.fingerprint)
+            possible_end.has_run(suspect.fingerprint, before)
             for possible_end in self._possible_ends_by_id.values()
         )
 
@@ -215,9 +230,12 @@
         return not is_listed or self._beliefs.is_departing(upstream)
 
     def _check_end(self, possible_end):
-        sleep(GATHERING / 1000)
-        is_refused = self._is_refused(possible_end.upstream.address, DIAL_TIMEOUT)
-        possible_end.is_checking = False
+        address = possible_end.upstream.address
+        try:
+            sleep(GATHERING / 1000)
+            is_refused = self._is_refused(address, DIAL_TIMEOUT)
+        finally:
+            possible_end.is_checking = False
         if is_refused:
             self._note_ended(possible_end, "refused")
 
@@ -227,7 +245,8 @@
         for possible_end in list(self._possible_ends_by_id.values()):
             upstream = possible_end.upstream
             current = self._beliefs.upstreams_by_id.get(upstream.id)
-            if possible_end.since < oldest:
+            possible_end.drop_before(oldest)
+            if not possible_end.runs:
                 self._forget(possible_end)
             elif current is None:
                 self._note_ended(possible_end, "removed")
@@ -248,7 +267,10 @@
         """Tell all routers what ran at an upstream that has ended."""
         if not self._forget(possible_end):
             return
+        possible_end.drop_before(self._clock.now() - WAITING_TIME)
         runs = sorted(possible_end.runs, key=lambda run: run.sent_at)[-MOST_BLAMED:]
+        if not runs:
+            return
         upstream = possible_end.upstream
         self._counters.add("upstream.ended")
         log.info(
@@ -256,7 +278,7 @@
             upstream=upstream.id,
             started=upstream.started,
             evidence=evidence,
-            after_ms=self._clock.now() - possible_end.since,
+            after_ms=self._clock.now() - possible_end.runs[-1].cut_at,
             fingerprints=[run.suspect.fingerprint for run in runs],
         )
         for run in runs:
--- a/tests/forward/test_quarantine.py
+++ b/tests/forward/test_quarantine.py
@@ -355,9 +355,9 @@
     assert len(world.ends) > ends
 
 
-def cut(world, router, worker):
+def cut(world, router, worker, body=SOUND):
     """Let an answer of a worker be cut while a request runs there."""
-    job = Job(make_call(body=SOUND), make_route(), make_service(), OWNER, 10**9)
+    job = Job(make_call(body=body), make_route(), make_service(), OWNER, 10**9)
     attempt = Attempt(worker.upstream, OWNER, 0)
     router.quarantine.note_sent(job, attempt)
     router.quarantine.note_cut(job, attempt)
@@ -377,6 +377,21 @@
     assert ended_under(router, job) == 0
 
 
+def test_answers_that_were_cut_long_before_an_end_are_not_blamed(time):
+    world = World(time, 1, 1)
+    router, worker = world.routers[0], next(iter(world.workers_by_address.values()))
+    before = cut(world, router, worker, SOUND)
+    for _ in range(3):
+        time.run(5_000)
+        job = cut(world, router, worker, BAD)
+    worker.is_alive = False
+    time.run(100)
+    cut(world, router, worker, BAD)
+    time.run(100)
+    assert ended_under(router, before) == 0
+    assert ended_under(router, job) == 1
+
+
 @pytest.mark.parametrize("is_restarted", [True, False])
 def test_the_store_tells_of_an_end_that_a_dial_does_not_show(time, is_restarted):
     world = World(time, 1, 1)
