Log the rate limits that upstreams declare

What routers do with requests is unchanged. Values that are no decimal number of 0 or more, or come twice, are not used; the cases are in tests/adapter/test_dialect.py.

--- a/libs/forward/src/mulberryhub/forward/availability.py
+++ b/libs/forward/src/mulberryhub/forward/availability.py
@@ -31,7 +31,14 @@
     applies to this router only.
     """
 
-    __slots__ = ("_name", "_fleet_state", "_clock", "_counters", "_pauses_by_id")
+    __slots__ = (
+        "_name",
+        "_fleet_state",
+        "_clock",
+        "_counters",
+        "_pauses_by_id",
+        "_rate_limit_by_id",
+    )
 
     def __init__(self, name, fleet_state, clock, counters):
         self._name = name
@@ -39,6 +46,7 @@
         self._clock = clock
         self._counters = counters
         self._pauses_by_id = {}
+        self._rate_limit_by_id = {}
 
     def record_answer(self, upstream, facts):
         """Record the departure or pause that the AnswerFacts `facts` announce."""
@@ -47,6 +55,7 @@
             self._fleet_state.apply_departure(departure)
         if facts.pause is not None:
             self._record_pause(upstream, facts.pause)
+        self._log_rate_limit(upstream, facts)
 
     def accepts_requests(self, upstream):
         """Return whether `upstream` accepts requests from this router."""
@@ -67,6 +76,18 @@
         ]
         return min(times, default=None)
 
+    def _log_rate_limit(self, upstream, facts):
+        """Log a change of the rate limit that an upstream declares."""
+        if facts.has_rate_limit:
+            self._counters.add("upstream.limited_answer")
+        if facts.rate_limit != self._rate_limit_by_id.get(upstream.id):
+            self._rate_limit_by_id[upstream.id] = facts.rate_limit
+            log.info(
+                "upstream limits requests",
+                upstream=upstream.id,
+                per_s=facts.rate_limit,
+            )
+
     def _remaining_pause(self, upstream):
         """Return the remaining pause of an upstream in ms, or 0."""
         pause = self._pauses_by_id.get(upstream.id)
--- a/libs/forward/src/mulberryhub/forward/call.py
+++ b/libs/forward/src/mulberryhub/forward/call.py
@@ -106,7 +106,9 @@
     the version of the upstream's weights, None if not given. `is_shutting_down` is set
     if the upstream is shutting down and accepts no more requests. `pause` is the time
     in ms for which it accepts no requests from this router, None if no pause was
-    announced.
+    announced. `has_rate_limit` is set if the upstream limits the requests that it
+    accepts from all routers together, and `rate_limit` is their number per s, None if
+    it cannot be read.
     """
 
     __slots__ = (
@@ -117,6 +119,8 @@
         "version",
         "is_shutting_down",
         "pause",
+        "has_rate_limit",
+        "rate_limit",
     )
 
     def __init__(
@@ -128,6 +132,8 @@
         version,
         is_shutting_down=False,
         pause=None,
+        has_rate_limit=False,
+        rate_limit=None,
     ):
         self.request_id = request_id
         self.not_run = not_run
@@ -136,6 +142,8 @@
         self.version = version
         self.is_shutting_down = is_shutting_down
         self.pause = pause
+        self.has_rate_limit = has_rate_limit
+        self.rate_limit = rate_limit
 
 
 class Dialect:
--- a/tests/adapter/test_dialect.py
+++ b/tests/adapter/test_dialect.py
@@ -144,6 +144,30 @@
     assert read_facts(status, (b"Retry-After", value)).pause == pause
 
 
+@pytest.mark.parametrize(
+    "values, rate_limit",
+    [
+        ([b"12"], 12),
+        ([b"1.5"], 1.5),
+        ([b"0"], 0),
+        ([b"1e9"], 1e9),
+        ([b"-1"], None),
+        ([b"nan"], None),
+        ([b"inf"], None),
+        ([b""], None),
+        ([b"many"], None),
+        ([b"1", b"1"], None),
+        ([b"9" * 4_096], None),
+        ([b"\xff"], None),
+    ],
+)
+def test_response_declares_rate_limit_of_upstream(values, rate_limit):
+    facts = read_facts(200, *((b"Server-Limit", value) for value in values))
+    assert facts.has_rate_limit
+    assert facts.rate_limit == rate_limit
+    assert not read_facts(200).has_rate_limit
+
+
 def test_encoded_response_is_not_sealed():
     seal = (HEADER_PREFIX + b"Response-Seal", b"s")
     assert read_facts(200, seal).is_sealed
