Issue permits for upstreams that limit the requests of all routers

Cause: nothing read the header. By class it is a bound on the sum over all routers that each router must keep before it has heard what the others did; at such limits an equal share is less than one request.

Ruled out: routers that obey late, and retries that gather there.

Fix: a limit is a record that all routers merge.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 setup: $(VENV)/.stamp
 
-$(VENV)/.stamp: requirements/run.txt requirements/dev.txt Makefile
+$(VENV)/.stamp: requirements/run.txt requirements/dev.txt $(wildcard libs/*/pyproject.toml) Makefile
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements/dev.txt
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps \
--- a/libs/fleet/src/mulberryhub/fleet/channel.py
+++ b/libs/fleet/src/mulberryhub/fleet/channel.py
@@ -63,6 +63,7 @@
     known for that data centre. Later updates have only the newest slots. `upstream_ids`
     lists all known upstreams, first and again after a listing, as records of removals
     do not go back that far. `is_current` is set if the publisher's own data is fresh.
+    `coordinator` is the name of the router that the publisher asks for permits.
     """
 
     records: list[Record] = []
@@ -75,6 +76,7 @@
     remote_use: Usage | None = msgspec.field(default=None, name="elsewhere")
     admitted_by_data_centre: dict[str, Admitted] = {}
     rollout: Rollout | None = None
+    coordinator: str = ""
 
 
 class ReportAck(msgspec.Struct, tag="Counted"):
@@ -83,7 +85,36 @@
     number: int
 
 
-Message = Hello | Report | Update | ReportAck
+class PermitRequest(msgspec.Struct, tag=True):
+    """Asks the coordinator for permits to send requests to an upstream.
+
+    `rate` is the limit in requests/s of the incarnation `started`. `wanted` permits
+    are for the flow `flow`, which shares the rate with others by `weight`.
+    `unpermitted` requests were sent without a permit.
+    """
+
+    number: int
+    upstream: str
+    started: int
+    rate: float
+    flow: str
+    weight: float
+    wanted: int
+    unpermitted: int = 0
+
+
+class PermitGrant(msgspec.Struct, tag=True):
+    """Answers the PermitRequest `number` with `count` permits.
+
+    Without any, the router may ask again after `retry_after` ms.
+    """
+
+    number: int
+    count: int
+    retry_after: int
+
+
+Message = Hello | Report | Update | ReportAck | PermitRequest | PermitGrant
 _decoder = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
 
--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -13,6 +13,7 @@
     Channel,
     ChannelError,
     Hello,
+    PermitRequest,
     Report,
     ReportAck,
     Update,
@@ -74,7 +75,9 @@
 class Publisher:
     """Serves subscriptions at `address`.
 
-    `is_current()` returns whether this router's own data is fresh.
+    `is_current()` returns whether this router's own data is fresh, and
+    `find_coordinator()` the Member that it asks for permits. `grant(request)` returns
+    the PermitGrant for a PermitRequest of another router.
     """
 
     __slots__ = (
@@ -82,6 +85,8 @@
         "_fleet_state",
         "_usage_table",
         "_is_current",
+        "_find_coordinator",
+        "_grant",
         "_clock",
         "_listener",
         "_subscriber_count",
@@ -91,11 +96,22 @@
         "_tick_event",
     )
 
-    def __init__(self, address, fleet_state, usage_table, is_current, clock):
+    def __init__(
+        self,
+        address,
+        fleet_state,
+        usage_table,
+        is_current,
+        find_coordinator,
+        grant,
+        clock,
+    ):
         self._address = address
         self._fleet_state = fleet_state
         self._usage_table = usage_table
         self._is_current = is_current
+        self._find_coordinator = find_coordinator
+        self._grant = grant
         self._clock = clock
         self._listener = None
         self._subscriber_count = 0
@@ -133,6 +149,8 @@
         name = None
         try:
             hello = channel.receive()
+            if isinstance(hello, PermitRequest):
+                self._serve_permits(channel, hello)
             if not isinstance(hello, Hello):
                 raise ChannelError("first message is not a Hello")
             name = hello.name
@@ -148,6 +166,12 @@
             if name is not None:
                 self._usage_table.forget(name)
 
+    def _serve_permits(self, channel, request):
+        """Answer PermitRequests, the first of which is `request`, until an error."""
+        while isinstance(request, PermitRequest):
+            channel.send(self._grant(request))
+            request = channel.receive()
+
     def _apply_report(self, name, hello, report):
         if hello.data_centre == self._usage_table.data_centre:
             self._usage_table.record_report(
@@ -295,6 +319,7 @@
         fleet_state = self._fleet_state
         update = Update()
         update.is_current = self._is_current()
+        update.coordinator = self._find_coordinator().name
         update.position_by_topic = {
             str(topic): position
             for topic, position in fleet_state.position_by_topic.items()
--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -162,6 +162,19 @@
     source: str
 
 
+class RateLimit(msgspec.Struct, frozen=True, tag=True):
+    """The requests/s that an upstream accepts from all routers together.
+
+    `started` identifies its incarnation. A higher `number` is newer; a `rate` of None
+    means that it no longer limits requests.
+    """
+
+    id: str
+    started: int
+    number: int
+    rate: float | None
+
+
 class CrashedRun(msgspec.Struct, frozen=True, array_like=True):
     """A run of a request during which the upstream incarnation `started` ended.
 
@@ -229,7 +242,7 @@
     at: int
 
 
-Observation = Departure | Suspect  # facts that routers observe themselves
+Observation = Departure | RateLimit | Suspect  # facts that routers observe themselves
 Record = (
     Configuration | Weights | Upstream | Removal | Member | CachedPart | Observation
 )
@@ -263,8 +276,10 @@
     `rate_by_workspace` is the recent demand per s. `work_by_upstream` is the delay in
     ms that requests in flight cause at an upstream, and `bound_by_upstream` the number
     of requests that cannot continue at any other upstream. `demand_by_service` is the
-    engine time in ms that clients request per s. `max_uptime` is the ms for which the
-    longest running of the routers has run, `min_uptime` that of the latest started.
+    engine time in ms that clients request per s. `followers_by_coordinator` is the
+    number of the routers that ask a coordinator for permits. `max_uptime` is the ms for
+    which the longest running of the routers has run, `min_uptime` that of the latest
+    started.
     """
 
     admitted: Admitted = Admitted()
@@ -275,6 +290,7 @@
     routers: int = 1
     max_uptime: int = msgspec.field(default=0, name="uptime")
     min_uptime: int = msgspec.field(default=MAX_UPTIME_MS, name="youngest")
+    followers_by_coordinator: dict[str, int] = {}
 
     def add(self, other):
         """Add the usage of other routers, except for `admitted`."""
@@ -314,4 +330,5 @@
     "work_by_upstream",
     "bound_by_upstream",
     "demand_by_service",
+    "followers_by_coordinator",
 )
--- a/libs/fleet/src/mulberryhub/fleet/sources.py
+++ b/libs/fleet/src/mulberryhub/fleet/sources.py
@@ -110,6 +110,20 @@
         leader = self._leader_of(self._local_member.data_centre)
         return leader is None or leader.name == self._local_member.name
 
+    def coordinator(self):
+        """Return the Member that issues the permits of this router.
+
+        It is the strongest leader. Only leaders know which of the others are live, so
+        the other routers ask the coordinator of their leader.
+        """
+        if self._leader_subscription is not None and not self.is_leader():
+            name = self._leader_subscription.coordinator
+            followed = self._fleet_state.members_by_name.get(name)
+            if followed is not None:
+                return followed
+        leaders = self._leaders()
+        return leaders[0] if leaders else self._local_member
+
     def is_current(self):
         """Return whether this router's data of the needed topics is fresh."""
         return self._staleness() <= MAX_CURRENT_AGE_MS
--- a/libs/fleet/src/mulberryhub/fleet/state.py
+++ b/libs/fleet/src/mulberryhub/fleet/state.py
@@ -14,12 +14,14 @@
 from mulberryhub.fleet.cache_index import CacheIndex
 from mulberryhub.fleet.changes import ChangeLog
 from mulberryhub.fleet.departures import Departures
+from mulberryhub.fleet.rate_limits import RateLimits
 from mulberryhub.fleet.records import (
     CachedPart,
     Configuration,
     Departure,
     Member,
     Observation,
+    RateLimit,
     Removal,
     Rollout,
     Suspect,
@@ -66,6 +68,7 @@
         "rollout",
         "cache_index",
         "suspects",
+        "rate_limits",
         "position_by_topic",
         "as_of_by_topic",
         "regained_at_by_topic",
@@ -92,6 +95,7 @@
         self.rollout = Rollout()
         self.cache_index = CacheIndex(clock)
         self.suspects = Suspects(clock)
+        self.rate_limits = RateLimits(clock)
         self.position_by_topic = dict.fromkeys(Topic, UNKNOWN_POSITION)
         self.as_of_by_topic = dict.fromkeys(Topic, UNKNOWN_POSITION)
         self.regained_at_by_topic = dict.fromkeys(Topic, UNKNOWN_POSITION)
@@ -206,6 +210,11 @@
         """Return whether this incarnation of an upstream announced its shutdown."""
         return self._departures.has(upstream)
 
+    def apply_rate_limit(self, limit):
+        """Apply a limit that an upstream declared in an answer to any router."""
+        if self.rate_limits.apply(limit):
+            self._record_and_notify(f"limit/{limit.id}", limit)
+
     def apply_suspect(self, suspect):
         """Apply a report on a request during which upstreams ended."""
         self._record_suspect(self.suspects.apply(suspect))
@@ -401,6 +410,7 @@
     Removal: FleetState.apply_removal,
     Member: FleetState.apply_member,
     Departure: FleetState.apply_departure,
+    RateLimit: FleetState.apply_rate_limit,
     CachedPart: FleetState.apply_cached_part,
     Suspect: FleetState.apply_suspect,
     Verdict: FleetState.apply_verdict,
--- a/libs/fleet/src/mulberryhub/fleet/subscription.py
+++ b/libs/fleet/src/mulberryhub/fleet/subscription.py
@@ -45,7 +45,7 @@
     """Applies updates from `member` until the connection fails or is closed.
 
     `is_publisher_current` is whether `member` had current data itself at its last
-    update.
+    update, `coordinator` the name of the router that it asks for permits, or "".
     """
 
     __slots__ = (
@@ -53,6 +53,7 @@
         "opened_at",
         "ended",
         "is_publisher_current",
+        "coordinator",
         "_local_member",
         "wants_records",
         "_fleet_state",
@@ -78,6 +79,7 @@
         self.opened_at = clock.now()
         self.ended = False
         self.is_publisher_current = False
+        self.coordinator = ""
         self._local_member = local_member
         self.wants_records = wants_records
         self._fleet_state = fleet_state
@@ -137,6 +139,7 @@
     def _apply_update(self, update):
         fleet_state = self._fleet_state
         self.is_publisher_current = update.is_current
+        self.coordinator = update.coordinator or self.coordinator
         for record in update.records:
             fleet_state.apply(record, self.member.name)
         self._apply_positions(update)
--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -51,6 +51,7 @@
         "_connect_health",
         "_answer_health",
         "_availability",
+        "_rate_limits",
         "_quarantine",
         "_budget",
         "_fleet_state",
@@ -68,6 +69,7 @@
         connect_health,
         answer_health,
         availability,
+        rate_limits,
         quarantine,
         budget,
         fleet_state,
@@ -82,6 +84,7 @@
         self._connect_health = connect_health
         self._answer_health = answer_health
         self._availability = availability
+        self._rate_limits = rate_limits
         self._quarantine = quarantine
         self._budget = budget
         self._fleet_state = fleet_state
@@ -120,24 +123,40 @@
         if job.status < MIN_SERVER_ERROR_STATUS:
             self._quarantine.record_served(job)
 
-    def _place(self, job):
-        return self._selector.choose(job.call, job.route, job.service, job.tried_ids)
+    def _place(self, job, excluded_ids=frozenset()):
+        return self._selector.choose(
+            job.call,
+            job.route,
+            job.service,
+            job.tried_ids | excluded_ids,
+            job.flow,
+        )
 
     def _choose(self, job):
         """Return the Choice to send the request to, or raise Refusal."""
         self._check_time(job)
         self._check_quarantine(job)
-        choice = self._place(job)
-        if choice is None:
-            raise self._no_upstream_refusal(job)
-        if is_too_late(job, choice.delay):
-            self._counters.add("refusal.delay")
-            raise self._too_late_refusal(job, choice.delay)
+        choice = self._place_with_permit(job)
         if job.sends and not self._budget.try_spend(job.service.name):
             self._counters.add("retry.no_budget")
+            self._rate_limits.put_back(choice.upstream, job.flow)
             raise self._final_refusal(job)
         return choice
 
+    def _place_with_permit(self, job):
+        """Return a Choice with a permit if its upstream limits requests."""
+        denied_ids = set()
+        while True:
+            choice = self._place(job, denied_ids)
+            if choice is None:
+                raise self._no_upstream_refusal(job)
+            if is_too_late(job, choice.delay):
+                self._counters.add("refusal.delay")
+                raise self._too_late_refusal(job, choice.delay)
+            if self._rate_limits.try_take(choice.upstream, job.flow):
+                return choice
+            denied_ids.add(choice.upstream.id)
+
     def _check_time(self, job):
         if job.deadline - self._clock.now() >= MIN_UPSTREAM_TIME_MS:
             return
@@ -230,6 +249,9 @@
         upstream = exchange.attempt.upstream
         if facts.actual_upstream_id in (None, upstream.id):
             self._availability.record_answer(upstream, facts)
+            self._rate_limits.record_answer(
+                upstream, facts, exchange.attempt.sent_at, status in SUCCESS_STATUSES
+            )
         if facts.not_run:
             self._record_not_run(job, exchange)
             return False
@@ -320,7 +342,10 @@
     def _no_upstream_refusal(self, job):
         if job.sends:
             return self._final_refusal(job)
-        return Refusal(Reason.NO_UPSTREAM, self._retry_after(job))
+        reason = Reason.NO_UPSTREAM
+        if self._selector.is_limited(job.service):
+            reason = Reason.UPSTREAMS_LIMITED
+        return Refusal(reason, self._retry_after(job))
 
     def _too_late_refusal(self, job, delay):
         """Return the Refusal of a job whose answer would be too late."""
@@ -347,7 +372,7 @@
     def _retry_after(self, job):
         """Return the time in ms after which an upstream may accept the request."""
         retry_after = uniform(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
-        time_until_open = self._selector.time_until_open(job.service)
+        time_until_open = self._selector.time_until_open(job.service, job.flow)
         return retry_after if time_until_open is None else time_until_open + retry_after
 
 
--- a/libs/forward/src/mulberryhub/forward/availability.py
+++ b/libs/forward/src/mulberryhub/forward/availability.py
@@ -1,8 +1,8 @@
-"""Tracks which upstreams announced a pause or their shutdown.
+"""Tracks which upstreams accept requests: no shutdown, pause or used up rate limit.
 
-An upstream does so while it shuts down or is overloaded; requests are then sent to
-other upstreams. If none accepts requests, a request is refused at once, with the time
-until one does.
+An upstream announces these while it shuts down or is overloaded; requests are then sent
+to other upstreams. If none accepts requests, a request is refused at once, with the
+time until one does.
 """
 
 from mulberryhub.base.logs import module_logger
@@ -28,25 +28,25 @@
     """The shutdowns and pauses that upstreams announced in their answers.
 
     Departures are shared with all routers, as records of the router `name`. A pause
-    applies to this router only.
+    applies to this router only. `rate_limits` are the UpstreamRateLimits.
     """
 
     __slots__ = (
         "_name",
         "_fleet_state",
+        "_rate_limits",
         "_clock",
         "_counters",
         "_pauses_by_id",
-        "_rate_limit_by_id",
     )
 
-    def __init__(self, name, fleet_state, clock, counters):
+    def __init__(self, name, fleet_state, rate_limits, clock, counters):
         self._name = name
         self._fleet_state = fleet_state
+        self._rate_limits = rate_limits
         self._clock = clock
         self._counters = counters
         self._pauses_by_id = {}
-        self._rate_limit_by_id = {}
 
     def record_answer(self, upstream, facts):
         """Record the departure or pause that the AnswerFacts `facts` announce."""
@@ -55,39 +55,33 @@
             self._fleet_state.apply_departure(departure)
         if facts.pause is not None:
             self._record_pause(upstream, facts.pause)
-        self._log_rate_limit(upstream, facts)
 
-    def accepts_requests(self, upstream):
-        """Return whether `upstream` accepts requests from this router."""
+    def accepts_requests(self, upstream, flow):
+        """Return whether `upstream` accepts requests of `flow` from this router."""
         return not (
             self._fleet_state.is_shutting_down(upstream)
             or self._remaining_pause(upstream)
-        )
+        ) and self._rate_limits.accepts_requests(upstream, flow)
 
-    def time_until_open(self, upstreams):
-        """Return the time in ms until one of `upstreams` accepts requests.
+    def is_limited(self, upstreams):
+        """Return whether any of `upstreams` limits the requests that it accepts."""
+        return any(self._rate_limits.is_limited(upstream) for upstream in upstreams)
+
+    def time_until_open(self, upstreams, flow):
+        """Return the time in ms until one of `upstreams` accepts requests of `flow`.
 
         Return None if all of them are shutting down.
         """
         times = [
-            self._remaining_pause(upstream)
+            max(
+                self._remaining_pause(upstream),
+                self._rate_limits.retry_after(upstream, flow),
+            )
             for upstream in upstreams
             if not self._fleet_state.is_shutting_down(upstream)
         ]
         return min(times, default=None)
 
-    def _log_rate_limit(self, upstream, facts):
-        """Log a change of the rate limit that an upstream declares."""
-        if facts.has_rate_limit:
-            self._counters.add("upstream.limited_answer")
-        if facts.rate_limit != self._rate_limit_by_id.get(upstream.id):
-            self._rate_limit_by_id[upstream.id] = facts.rate_limit
-            log.info(
-                "upstream limits requests",
-                upstream=upstream.id,
-                per_s=facts.rate_limit,
-            )
-
     def _remaining_pause(self, upstream):
         """Return the remaining pause of an upstream in ms, or 0."""
         pause = self._pauses_by_id.get(upstream.id)
--- a/libs/forward/src/mulberryhub/forward/budget.py
+++ b/libs/forward/src/mulberryhub/forward/budget.py
@@ -6,7 +6,7 @@
 restart, so it may use only a small part.
 """
 
-from mulberryhub.forward.windows import SlidingSum
+from mulberryhub.base.windows import SlidingSum
 
 RATIO_SHARE = 0.8  # of the allowed ratio, as the windows of routers are not aligned
 SLACK_SHARE = 0.7  # of the allowed slack
--- a/libs/forward/src/mulberryhub/forward/demand.py
+++ b/libs/forward/src/mulberryhub/forward/demand.py
@@ -4,7 +4,7 @@
 that prompts are processed in full.
 """
 
-from mulberryhub.forward.windows import SlidingSum
+from mulberryhub.base.windows import SlidingSum
 from mulberryhub.forward.work import PREFILL_TOKENS_PER_MS
 
 WINDOW_MS = 2_000  # over which demand is measured
--- a/libs/forward/src/mulberryhub/forward/forwarder.py
+++ b/libs/forward/src/mulberryhub/forward/forwarder.py
@@ -89,7 +89,8 @@
             self._quotas.admit(workspace, request_cost(call, workspace))
         self._budget.record_request(service.name)
         self._demand.record(service, call)
-        return Job(call, route, service, workspace, deadline)
+        quota_weight = view.quota_weight(workspace)
+        return Job(call, route, service, workspace, deadline, quota_weight)
 
     def _send_refusal(self, refusal, job, connection):
         if job is not None and job.is_answer_started:
--- a/libs/forward/src/mulberryhub/forward/job.py
+++ b/libs/forward/src/mulberryhub/forward/job.py
@@ -2,8 +2,10 @@
 
 from mulberryhub.fleet.records import RequestKind
 from mulberryhub.forward.fingerprint import fingerprint_of
+from mulberryhub.permits.stock import Flow
 
 MIN_UPSTREAM_TIME_MS = 15  # an attempt with less time left is not sent
+MAX_PRIORITY_STEPS = 3  # with an effect on the share of limited upstreams
 
 
 class Job:
@@ -13,6 +15,7 @@
     complete. `runs` counts the attempts that may have run the request, `sends` all
     attempts that reached an upstream, and `tried_ids` holds the ids of upstreams that
     are not tried again. `last_event_id` is the id of the last event sent to the client.
+    `quota_weight` is the workspace's quota relative to the mean of all workspaces.
     `is_answer_started` is set once the answer has begun, with `status`, and
     `first_byte_ms` after the request arrived.
     """
@@ -23,6 +26,7 @@
         "service",
         "workspace",
         "deadline",
+        "quota_weight",
         "runs",
         "sends",
         "tried_ids",
@@ -32,14 +36,16 @@
         "status",
         "first_byte_ms",
         "_fingerprint",
+        "_flow",
     )
 
-    def __init__(self, call, route, service, workspace, deadline):
+    def __init__(self, call, route, service, workspace, deadline, quota_weight=1.0):
         self.call = call
         self.route = route
         self.service = service
         self.workspace = workspace
         self.deadline = deadline
+        self.quota_weight = quota_weight
         self.runs = 0
         self.sends = 0
         self.tried_ids = set()
@@ -49,6 +55,7 @@
         self.status = None
         self.first_byte_ms = None
         self._fingerprint = None
+        self._flow = None
 
     @property
     def fingerprint(self):
@@ -57,6 +64,18 @@
             self._fingerprint = fingerprint_of(self.call, self.workspace)
         return self._fingerprint
 
+    @property
+    def flow(self):
+        """Return the Flow of the workspace's requests at this priority.
+
+        Its weight halves with each step of priority.
+        """
+        if self._flow is None:
+            name = "" if self.workspace is None else self.workspace.name
+            steps = min(self.priority, MAX_PRIORITY_STEPS)
+            self._flow = Flow(f"{self.priority}/{name}", self.quota_weight / 2**steps)
+        return self._flow
+
     @property
     def is_stream(self):
         """Return whether the answer is a stream of events."""
--- a/libs/forward/src/mulberryhub/forward/quotas.py
+++ b/libs/forward/src/mulberryhub/forward/quotas.py
@@ -9,9 +9,9 @@
 from random import random, uniform
 
 from mulberryhub.base.logs import module_logger
+from mulberryhub.base.windows import SlidingSum
 from mulberryhub.fleet.admissions import SLOT_MS, Admitted
 from mulberryhub.forward.refusal import Reason, Refusal
-from mulberryhub.forward.windows import SlidingSum
 
 log = module_logger(__name__)
 
--- a/libs/forward/src/mulberryhub/forward/refusal.py
+++ b/libs/forward/src/mulberryhub/forward/refusal.py
@@ -16,6 +16,7 @@
     NOT_READY = ("not_ready", 503)
     NO_UPSTREAM = ("no_upstream", 503)
     UPSTREAMS_FULL = ("upstreams_full", 503)
+    UPSTREAMS_LIMITED = ("upstreams_limited", 503)
     OUT_OF_TIME = ("out_of_time", 503)
     QUARANTINED = ("quarantined", 503)
     UPSTREAM_FAILED = ("upstream_failed", 502)
--- a/libs/forward/src/mulberryhub/forward/routes.py
+++ b/libs/forward/src/mulberryhub/forward/routes.py
@@ -4,6 +4,10 @@
 
 from mulberryhub.fleet.records import Configuration
 
+# So that no workspace starves where quotas differ by orders of magnitude.
+MIN_QUOTA_WEIGHT = 0.25
+MAX_QUOTA_WEIGHT = 4.0
+
 
 class ConfigurationView:
     """A configuration with indexes for lookups by request."""
@@ -14,6 +18,7 @@
         "services_by_name",
         "_routes_by_host",
         "_cache_services",
+        "_mean_rate",
     )
 
     def __init__(self, configuration: Configuration):
@@ -24,6 +29,8 @@
             for workspace in configuration.workspaces
             for key in workspace.keys
         }
+        rates = [item.rate for item in configuration.workspaces if item.rate]
+        self._mean_rate = sum(rates) / len(rates) if rates else 0
         self._routes_by_host = {}
         for route in configuration.routes:
             routes_by_prefix = self._routes_by_host.setdefault(route.host.lower(), {})
@@ -45,6 +52,16 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def quota_weight(self, workspace):
+        """Return the rate of a workspace relative to the mean, 1 without a rate.
+
+        It is kept between MIN_QUOTA_WEIGHT and MAX_QUOTA_WEIGHT.
+        """
+        if workspace is None or not workspace.rate:
+            return 1.0
+        weight = workspace.rate / self._mean_rate
+        return min(MAX_QUOTA_WEIGHT, max(MIN_QUOTA_WEIGHT, weight))
+
     def cache_service(self, data_centre):
         """Return the KV cache store to use, or None.
 
--- a/libs/forward/src/mulberryhub/forward/selection.py
+++ b/libs/forward/src/mulberryhub/forward/selection.py
@@ -92,12 +92,16 @@
         self._revision = None
         self._placements_by_ids = {}
 
-    def choose(self, call, route, service, tried_ids):
-        """Return a Choice among upstreams not in `tried_ids`, or None."""
+    def choose(self, call, route, service, tried_ids, flow):
+        """Return a Choice among upstreams not in `tried_ids`, or None.
+
+        `flow` is the Flow of the request.
+        """
         ready = [
             item
             for item in self._ready_upstreams(service.name)
-            if item.id not in tried_ids and self._availability.accepts_requests(item)
+            if item.id not in tried_ids
+            and self._availability.accepts_requests(item, flow)
         ]
         if not ready:
             return None
@@ -107,12 +111,17 @@
             return Choice(upstream, self._loads.work(upstream.id))
         return self._choose_engine(call, route, ready)
 
-    def time_until_open(self, service):
-        """Return the time in ms until `service` accepts requests.
+    def is_limited(self, service):
+        """Return whether an upstream of `service` limits the requests it accepts."""
+        return self._availability.is_limited(self._ready_upstreams(service.name))
+
+    def time_until_open(self, service, flow):
+        """Return the time in ms until `service` accepts requests of `flow`.
 
         Return None if all of its upstreams are shutting down.
         """
-        return self._availability.time_until_open(self._ready_upstreams(service.name))
+        ready = self._ready_upstreams(service.name)
+        return self._availability.time_until_open(ready, flow)
 
     def _choose_engine(self, call, route, ready):
         loading = self._fleet_state.loading_ids()
--- a/libs/node/src/mulberryhub/node/gauges.py
+++ b/libs/node/src/mulberryhub/node/gauges.py
@@ -1,10 +1,10 @@
-"""Gauges of how up to date a router's copy of the platform's store is."""
+"""Gauges of a router's copy of the platform's store, and of its share of permits."""
 
 from mulberryhub.fleet.state import UNKNOWN_POSITION, Topic
 
 
-def add_gauges(counters, fleet_state, followers, removals):
-    """Add gauges of topic ages, positions, store calls and delayed removals.
+def add_gauges(counters, fleet_state, followers, removals, coordinator_share):
+    """Add gauges of topic ages, positions, store calls, delayed removals and permits.
 
     Ages and durations are in ms.
     """
@@ -28,6 +28,11 @@
         "Removals that wait after an outage",
         {Topic.UPSTREAMS: removals.delayed_count},
     )
+    counters.add_gauge(
+        "permit_share",
+        "Share of the rates of limited upstreams that this router may issue",
+        {Topic.UPSTREAMS: coordinator_share.current},
+    )
 
 
 def _age_reader(fleet_state, topic):
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -1,5 +1,6 @@
 """Composition root: builds a router from its settings and its platform's ports."""
 
+from mulberryhub.base.tasks import spawn_task
 from mulberryhub.fleet.cache_watcher import CacheWatcher
 from mulberryhub.fleet.follower import TopicFollower
 from mulberryhub.fleet.publisher import Publisher
@@ -18,6 +19,7 @@
 from mulberryhub.forward.loads import Loads
 from mulberryhub.forward.quarantine import Quarantine
 from mulberryhub.forward.quotas import QuotaRule, Quotas
+from mulberryhub.forward.rate_limits import UpstreamRateLimits
 from mulberryhub.forward.relay import Relay
 from mulberryhub.forward.selection import UpstreamSelector
 from mulberryhub.http.inbound import RequestLimits
@@ -30,6 +32,10 @@
 from mulberryhub.node.topics import topic_plans
 from mulberryhub.node.verdicts import verdict_saver
 from mulberryhub.orders.lease import Lease
+from mulberryhub.permits.allocator import PermitAllocator
+from mulberryhub.permits.client import CoordinatorClient
+from mulberryhub.permits.share import CoordinatorShare
+from mulberryhub.permits.stock import PermitStock
 from mulberryhub.upstream.health import UpstreamHealth
 from mulberryhub.weights.manager import RolloutManager
 from mulberryhub.weights.plan import PoolBuilder
@@ -65,19 +71,25 @@
     parts.store = ports.store
     parts.connection_pool = ConnectionPool(clock)
     demand = Demand(clock)
-    usage_table, quotas, loads = _build_usage(settings, fleet_state, demand, clock)
+    usage_table, quotas, loads = _build_usage(parts, settings, demand, clock)
 
     _add_followers(parts, settings, ports, fleet_state, usage_table, counters, clock)
+    allocator = _build_allocator(parts, usage_table, clock)
     parts.publisher = Publisher(
         settings.peer_address,
         fleet_state,
         usage_table,
         parts.source_selector.is_current,
+        parts.source_selector.coordinator,
+        allocator.grant,
         clock,
     )
+    rate_limits = _build_rate_limits(parts, allocator, counters, clock)
     connect_health = UpstreamHealth(clock, counters)
     answer_health = UpstreamHealth(clock, counters)
-    availability = UpstreamAvailability(settings.name, fleet_state, clock, counters)
+    availability = UpstreamAvailability(
+        settings.name, fleet_state, rate_limits, clock, counters
+    )
     quarantine = Quarantine(
         settings.name,
         fleet_state,
@@ -122,6 +134,7 @@
         connect_health,
         answer_health,
         availability,
+        rate_limits,
         quarantine,
         retry_budget,
         fleet_state,
@@ -151,21 +164,24 @@
         fleet_state, loads.work, connect_health.is_avoided, demand_for
     )
     parts.rollout_manager = _build_rollout_manager(
-        settings, ports, fleet_state, loads, pool_builder, counters, clock
+        settings, ports, fleet_state, rate_limits, loads, pool_builder, counters, clock
     )
     router = Router(settings, parts, clock)
     parts.readiness_server = readiness_server(
         settings.ready_address, ports.readiness_path, router.is_ready, clock
     )
-    add_gauges(counters, fleet_state, parts.followers, parts.removals)
+    add_gauges(
+        counters, fleet_state, parts.followers, parts.removals, parts.coordinator_share
+    )
     parts.metrics_server = None
     if settings.metrics_address:
         parts.metrics_server = metrics_server(settings.metrics_address, counters, clock)
     return router
 
 
-def _build_usage(settings, fleet_state, demand, clock):
+def _build_usage(parts, settings, demand, clock):
     """Return the UsageTable, Quotas and Loads, which depend on each other."""
+    fleet_state = parts.fleet_state
 
     def measure_usage():
         return Usage(
@@ -176,6 +192,7 @@
             demand.engine_time_rates(),
             max_uptime=quotas.uptime(),
             min_uptime=quotas.uptime(),
+            followers_by_coordinator={parts.source_selector.coordinator().name: 1},
         )
 
     bounds = settings.bounds
@@ -246,9 +263,46 @@
     return source_selector.should_read
 
 
+def _build_allocator(parts, usage_table, clock):
+    """Return the PermitAllocator, and set the part that tracks its share."""
+    name = parts.local_member.name
+
+    def count_followers():
+        usage = usage_table.own()
+        others = usage_table.others()
+        if others is not None:
+            usage.add(others)
+        return usage.followers_by_coordinator.get(name, 0)
+
+    def count_routers():
+        return len(parts.fleet_state.members_by_name)
+
+    parts.coordinator_share = CoordinatorShare(count_followers, count_routers, clock)
+    return PermitAllocator(parts.coordinator_share.current, clock)
+
+
+def _build_rate_limits(parts, allocator, counters, clock):
+    coordinator_client = CoordinatorClient(
+        parts.local_member.name,
+        parts.source_selector.coordinator,
+        allocator.grant,
+        clock,
+    )
+    stock = PermitStock(coordinator_client.ask, clock)
+    return UpstreamRateLimits(parts.fleet_state, stock, counters)
+
+
 def _build_rollout_manager(
-    settings, ports, fleet_state, loads, pool_builder, counters, clock
+    settings, ports, fleet_state, rate_limits, loads, pool_builder, counters, clock
 ):
+    def read_report(upstream):
+        spawn_task(rate_limits.charge, upstream)
+        return ports.read_report(upstream)
+
+    def send_order(upstream, order):
+        spawn_task(rate_limits.charge, upstream)
+        return ports.send_order(upstream, order)
+
     lease = Lease(
         ports.log,
         clock,
@@ -262,8 +316,8 @@
         settings.name,
         fleet_state,
         lease,
-        ports.read_report,
-        ports.send_order,
+        read_report,
+        send_order,
         loads,
         pool_builder,
         settings.bounds.lease_time,
--- a/libs/node/src/mulberryhub/node/router.py
+++ b/libs/node/src/mulberryhub/node/router.py
@@ -47,6 +47,7 @@
         for follower in parts.followers:
             follower.start()
         parts.source_selector.start()
+        parts.coordinator_share.start()
         parts.removals.start()
         spawn_task(self._register)
         spawn_task(self._run_expiry)
@@ -136,6 +137,7 @@
         "store",
         "publisher",
         "source_selector",
+        "coordinator_share",
         "followers",
         "removals",
         "rollout_manager",
--- a/tests/fleet/test_admissions.py
+++ b/tests/fleet/test_admissions.py
@@ -3,8 +3,8 @@
 from hypothesis import given, strategies
 
 from mulberryhub.base.clock import ManualClock
+from mulberryhub.base.windows import SlidingSum
 from mulberryhub.fleet.admissions import SLOT_MS, AdmissionHistory, Admitted, SlotSums
-from mulberryhub.forward.windows import SlidingSum
 
 WINDOW_MS = 8_000
 EVENTS = strategies.lists(
--- a/tests/fleet/test_exchange.py
+++ b/tests/fleet/test_exchange.py
@@ -5,6 +5,7 @@
 from benchmarks.ports import free_address
 from mulberryhub.base.clock import Clock
 from mulberryhub.base.green import Timeout, sleep
+from mulberryhub.base.windows import SlidingSum
 from mulberryhub.fleet.admissions import SLOT_MS, Admitted
 from mulberryhub.fleet.publisher import Publisher
 from mulberryhub.fleet.records import Configuration, Member, Rollout, Usage
@@ -12,7 +13,6 @@
 from mulberryhub.fleet.state import FleetState, Topic
 from mulberryhub.fleet.subscription import Subscription
 from mulberryhub.fleet.usage import UsageTable
-from mulberryhub.forward.windows import SlidingSum
 from tests.fleet.test_state import make_upstream
 
 WINDOW_MS = 8_000
@@ -33,6 +33,8 @@
             self.fleet_state,
             self.usage_table,
             lambda: self.is_current,
+            lambda: self.member,
+            lambda request: None,
             self.clock,
         )
         self.publisher.start()
@@ -185,7 +187,7 @@
 )
 def test_heartbeat_is_shorter_with_few_subscribers(subscribers, period):
     publisher = Publisher(
-        "127.0.0.1:1", FleetState(Clock()), None, lambda: False, Clock()
+        "127.0.0.1:1", FleetState(Clock()), None, lambda: False, None, None, Clock()
     )
     publisher._subscriber_count = subscribers
     assert publisher.heartbeat() == period
--- a/tests/forward/fakes.py
+++ b/tests/forward/fakes.py
@@ -11,7 +11,10 @@
     Workspace,
 )
 from mulberryhub.forward.call import Call, PromptPart
+from mulberryhub.forward.rate_limits import UpstreamRateLimits
 from mulberryhub.http.messages import Headers, Request
+from mulberryhub.permits.allocator import PermitAllocator
+from mulberryhub.permits.stock import Flow, PermitStock
 
 MODEL = "m"
 
@@ -70,5 +73,15 @@
     return call
 
 
+FLOW = Flow("0/w")
+
+
+def make_rate_limits(fleet_state, clock):
+    """Return the UpstreamRateLimits of a router that is its own coordinator."""
+    allocator = PermitAllocator(lambda: 1, clock)
+    stock = PermitStock(allocator.grant, clock)
+    return UpstreamRateLimits(fleet_state, stock, Counters())
+
+
 def no_counters():
     return Counters()
--- a/tests/forward/test_attempts.py
+++ b/tests/forward/test_attempts.py
@@ -28,7 +28,13 @@
     ResponseTimeout,
 )
 from mulberryhub.upstream.health import UpstreamHealth
-from tests.forward.fakes import make_call, make_route, make_service, make_upstream
+from tests.forward.fakes import (
+    make_call,
+    make_rate_limits,
+    make_route,
+    make_service,
+    make_upstream,
+)
 
 OK, FAILED, NOT_RUN = "ok", "failed", "not_run"
 UNREACHABLE, BROKEN, SILENT, UNSEALED, STRAY = (
@@ -87,7 +93,10 @@
         self.loads = loads = Loads(Usage, self.clock)
         self.connect_health = connect_health = UpstreamHealth(self.clock, Counters())
         self.answer_health = answer_health = UpstreamHealth(self.clock, Counters())
-        availability = UpstreamAvailability("n1", fleet_state, self.clock, Counters())
+        rate_limits = make_rate_limits(fleet_state, self.clock)
+        availability = UpstreamAvailability(
+            "n1", fleet_state, rate_limits, self.clock, Counters()
+        )
         budget = RetryBudget(BudgetRule(10_000, 0.2, 100), lambda: 1, self.clock)
         dialect = Dialect(None, lambda call, attempt: None, self.read_answer, None)
         self.attempt_runner = AttemptRunner(
@@ -106,6 +115,7 @@
             connect_health,
             answer_health,
             availability,
+            rate_limits,
             Quarantine(
                 "n1", fleet_state, self.is_refused, None, self.clock, Counters()
             ),
--- a/tests/forward/test_availability.py
+++ b/tests/forward/test_availability.py
@@ -11,7 +11,7 @@
 from mulberryhub.fleet.state import FleetState
 from mulberryhub.forward.availability import UpstreamAvailability
 from mulberryhub.forward.call import AnswerFacts
-from tests.forward.fakes import make_upstream
+from tests.forward.fakes import FLOW, make_rate_limits, make_upstream
 
 IDS = ("u1", "u2")
 
@@ -27,11 +27,18 @@
         self.clock = ManualClock(now=1_000)
         self.fleet_state = FleetState(self.clock)
         self.availability = UpstreamAvailability(
-            "n1", self.fleet_state, self.clock, Counters()
+            "n1",
+            self.fleet_state,
+            make_rate_limits(self.fleet_state, self.clock),
+            self.clock,
+            Counters(),
         )
 
+    def accepts_requests(self, upstream):
+        return self.availability.accepts_requests(upstream, FLOW)
+
     def time_until_open(self, *upstreams):
-        return self.availability.time_until_open(upstreams)
+        return self.availability.time_until_open(upstreams, FLOW)
 
 
 def test_departing_upstream_stays_closed_when_registered_again():
@@ -43,7 +50,7 @@
     fixture.fleet_state.apply(Removal("u1", 2))
     again = make_upstream("u1", 3, started=5)
     fixture.fleet_state.apply(again)
-    assert not fixture.availability.accepts_requests(again)
+    assert not fixture.accepts_requests(again)
     assert fixture.time_until_open(again) is None
 
 
@@ -53,8 +60,8 @@
     fixture.availability.record_answer(
         upstream, make_facts(is_shutting_down=True, pause=60_000)
     )
-    assert fixture.availability.accepts_requests(make_upstream("u1", 2, started=6))
-    assert fixture.availability.accepts_requests(make_upstream("u2", 2, started=5))
+    assert fixture.accepts_requests(make_upstream("u1", 2, started=6))
+    assert fixture.accepts_requests(make_upstream("u2", 2, started=5))
 
 
 @pytest.mark.parametrize("pause", [1, 400.5, 31_536_000_000])
@@ -64,10 +71,10 @@
     fixture.availability.record_answer(first, make_facts(pause=pause))
     fixture.availability.record_answer(second, make_facts(pause=pause + 500))
     assert fixture.time_until_open(first, second) == pause
-    assert not fixture.availability.accepts_requests(first)
+    assert not fixture.accepts_requests(first)
     fixture.clock.advance(int(pause) + 1)
-    assert fixture.availability.accepts_requests(first)
-    assert not fixture.availability.accepts_requests(second)
+    assert fixture.accepts_requests(first)
+    assert not fixture.accepts_requests(second)
 
 
 def test_shorter_pause_does_not_end_a_longer_one():
@@ -76,7 +83,7 @@
     fixture.availability.record_answer(upstream, make_facts(pause=5_000))
     fixture.availability.record_answer(upstream, make_facts(pause=100))
     fixture.clock.advance(1_000)
-    assert not fixture.availability.accepts_requests(upstream)
+    assert not fixture.accepts_requests(upstream)
 
 
 class Interleavings(RuleBasedStateMachine):
@@ -141,14 +148,14 @@
             upstream = self._upstream(id)
             key = (id, upstream.started)
             paused = self.paused_until.get(key, 0) > self.first.clock.now()
-            accepts_requests = self.first.availability.accepts_requests(upstream)
+            accepts_requests = self.first.accepts_requests(upstream)
             assert accepts_requests == (key not in self.departed and not paused)
 
     @invariant()
     def shared_departures_apply_to_the_other_router(self):
         for departure in self.second.fleet_state.observations_since(0):
             upstream = make_upstream(departure.id, 1, started=departure.started)
-            assert not self.second.availability.accepts_requests(upstream)
+            assert not self.second.accepts_requests(upstream)
 
     def _upstream(self, id):
         return make_upstream(id, self.offset, started=self.started_by_id[id])
--- a/tests/forward/test_heavy_load.py
+++ b/tests/forward/test_heavy_load.py
@@ -20,7 +20,14 @@
 from mulberryhub.forward.selection import UpstreamSelector
 from mulberryhub.forward.work import estimate_work
 from mulberryhub.upstream.health import UpstreamHealth
-from tests.forward.fakes import make_call, make_route, make_service, make_upstream
+from tests.forward.fakes import (
+    FLOW,
+    make_call,
+    make_rate_limits,
+    make_route,
+    make_service,
+    make_upstream,
+)
 
 ENGINE_COUNT = 14
 ROUTER_COUNT = 40
@@ -77,7 +84,13 @@
             self.loads,
             UpstreamHealth(clock, Counters()),
             UpstreamHealth(clock, Counters()),
-            UpstreamAvailability(name, fleet_state, clock, Counters()),
+            UpstreamAvailability(
+                name,
+                fleet_state,
+                make_rate_limits(fleet_state, clock),
+                clock,
+                Counters(),
+            ),
             data_centre,
             10_000,
         )
@@ -126,7 +139,7 @@
             ("own", OWN_TOKENS),
         )
         call = make_call(prompt_parts=prompt_parts, body=b"x" * 9_000)
-        choice = router.selector.choose(call, make_route(), self.service, set())
+        choice = router.selector.choose(call, make_route(), self.service, set(), FLOW)
         id = choice.upstream.id
         work = estimate_work(call, self.service, choice.upstream, False)
         router.loads.record_sent(id, work)
--- a/tests/forward/test_selection.py
+++ b/tests/forward/test_selection.py
@@ -10,8 +10,10 @@
 from mulberryhub.forward.work import estimate_work
 from mulberryhub.upstream.health import UpstreamHealth
 from tests.forward.fakes import (
+    FLOW,
     MODEL,
     make_call,
+    make_rate_limits,
     make_route,
     make_service,
     make_upstream,
@@ -29,7 +31,11 @@
         self.connect_health = UpstreamHealth(self.clock, Counters())
         self.answer_health = UpstreamHealth(self.clock, Counters())
         self.availability = UpstreamAvailability(
-            "n1", self.fleet_state, self.clock, Counters()
+            "n1",
+            self.fleet_state,
+            make_rate_limits(self.fleet_state, self.clock),
+            self.clock,
+            Counters(),
         )
         self.selector = UpstreamSelector(
             self.fleet_state,
@@ -46,7 +52,7 @@
     def choose(self, call=None, tried_ids=(), service=None):
         call = call or make_call()
         service = service or make_service()
-        return self.selector.choose(call, make_route(), service, set(tried_ids))
+        return self.selector.choose(call, make_route(), service, set(tried_ids), FLOW)
 
     def add_load(self, id, requests):
         upstream = self.fleet_state.upstreams_by_id[id]
