Let workers name rate limits in the soak; tests of their end, bad values and freezes

A step of the soak lets a worker name 0, 0.5, 2 or 10 requests/s for eight seconds and more, over kills, freezes, cuts, restarts of routers and drains; the invariant counts the 4 s windows from 3.5 s after the naming on, with no router excused. The check ends with the naming now. Real processes: a limit that ends, values that cannot be read, a router frozen for 5 s, the coordinator or another one.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -187,7 +187,12 @@
         for worker in self.workers:
             worker.process.send_signal(signal.SIGCONT)
             worker.process.set_faults(
-                shed=None, retry_after=None, error=None, cut=None, silent=None
+                shed=None,
+                retry_after=None,
+                error=None,
+                cut=None,
+                silent=None,
+                limit=None,
             )
         for router in self.routers:
             if router.popen.poll() is not None:
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -21,6 +21,8 @@
 KEY_WITHDRAWAL_MS = 2_500  # limit for a withdrawn key to be refused
 DRAIN_MS = 2_500  # limit for a draining worker to get no more requests
 QUOTA_WINDOW_MS = 8_000
+LIMIT_SETTLE_MS = 3_500  # after a worker named its limit, in which it does not bind
+LIMIT_WINDOW_MS = 4_000
 QUOTA_LIMIT_TOKENS = (
     LIMITED_RATE_TOKENS_PER_S * 8 + LIMITED_RATE_TOKENS_PER_S
 ) * 1.1 + QUOTA_SLACK_TOKENS
@@ -242,6 +244,33 @@
             return
 
 
+def check_worker_limits(observations):
+    """Yield the first window in which a worker got more than the limit it named.
+
+    The limit binds from LIMIT_SETTLE_MS after its naming on.
+    """
+    now = max((item.at for item in observations.executions), default=0)
+    for limit in observations.timeline.limits:
+        start = limit.started_at + LIMIT_SETTLE_MS
+        times = sorted(
+            execution.at
+            for execution in observations.executions
+            if execution.worker == limit.worker
+            and start <= execution.at <= (limit.ended_at or now)
+        )
+        largest = max(
+            (sum(0 <= at - first < LIMIT_WINDOW_MS for at in times) for first in times),
+            default=0,
+        )
+        allowed = 1.5 * limit.rate * LIMIT_WINDOW_MS / 1_000 + 5
+        if largest > allowed:
+            yield Violation(
+                "worker limit",
+                limit.worker,
+                f"{largest} requests in a window, {allowed:.0f} allowed",
+            )
+
+
 CHECKS = (
     check_single_execution,
     check_refusals,
@@ -254,4 +283,5 @@
     check_announced_drains,
     check_outdated_weights,
     check_quotas,
+    check_worker_limits,
 )
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -29,6 +29,7 @@
     WITHDRAW_KEY = "withdraw"
     PUBLISH_WEIGHTS = "new_weights"
     WORKER_DRAIN = "drain"
+    WORKER_LIMIT = "limit"
 
 
 PLANNED_CHANGES = frozenset(
@@ -39,9 +40,11 @@
         StepKind.WITHDRAW_KEY,
         StepKind.PUBLISH_WEIGHTS,
         StepKind.WORKER_DRAIN,
+        StepKind.WORKER_LIMIT,
     )
 )
 STORE_FAULTS = ("refuse", "hang", "lose")
+WORKER_LIMITS = (0, 0.5, 2, 10)  # requests/s
 WORKER_FAULTS = ("shed", "pause", "error", "cut", "silent")
 LINK_FAULTS = tuple(fault for fault in LinkFault if fault is not LinkFault.NONE)
 
@@ -91,5 +94,7 @@
         mode = random.choice(LINK_FAULTS)
     elif kind is StepKind.WORKER_FAULT:
         mode = random.choice(WORKER_FAULTS)
+    elif kind is StepKind.WORKER_LIMIT:
+        mode = random.choice(WORKER_LIMITS)
     duration = random.uniform(*DURATION_RANGE_S)
     return Step(start, duration, kind, random.randrange(1_000), mode)
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,11 +11,12 @@
 from soak.links import LinkFault
 from soak.options import Options
 from soak.plan import StepKind, make_plan
-from soak.timeline import Span, Timeline
+from soak.timeline import Span, Timeline, WorkerLimit
 
 STARTUP_S = 0.15  # A router that starts has no signal handlers for about this time.
 RESTART_DELAY_S = 0.4  # between a router's exit and its next start
 RECOVERY_TIMEOUT_S = 12.0  # for all routers and routes to serve again after the faults
+LIMIT_DURATION_S = 8.0  # at least, as limits bind some seconds after the naming
 STOP_TIMEOUT_S = 6.0  # for a router to exit after a signal
 OK = 200
 
@@ -54,7 +55,11 @@
             StepKind.WORKER_KILL,
         ):
             return self._select(self.fleet.workers, step)
-        if step.kind in (StepKind.WORKER_PAUSE, StepKind.WORKER_DRAIN):
+        if step.kind in (
+            StepKind.WORKER_PAUSE,
+            StepKind.WORKER_DRAIN,
+            StepKind.WORKER_LIMIT,
+        ):
             return self._select(self.fleet.workers, step)
         return self._select(self.fleet.routers, step)
 
@@ -121,6 +126,20 @@
         self.timeline.drained_at_by_worker[worker.id] = now_ms()
         sleep(step.duration)
 
+    def limit_worker(self, step, worker):
+        """Let a worker name a rate limit, unless it names one already."""
+        limits = self.timeline.limits
+        if any(item.worker == worker.id and not item.ended_at for item in limits):
+            return
+        limit = WorkerLimit(worker.id, step.mode, now_ms())
+        limits.append(limit)
+        worker.process.set_faults(limit=step.mode)
+        sleep(LIMIT_DURATION_S + step.duration)
+        if limit.ended_at is None:
+            limit.ended_at = now_ms()
+        if worker in self.fleet.workers:
+            worker.process.set_faults(limit=None)
+
     def kill_router(self, step, router):
         """Kill a router with SIGKILL and restart it."""
         self._restart(router, signal.SIGKILL)
@@ -211,6 +230,7 @@
     StepKind.WITHDRAW_KEY: StepRunner.withdraw_key,
     StepKind.PUBLISH_WEIGHTS: StepRunner.publish_weights,
     StepKind.WORKER_DRAIN: StepRunner.drain_worker,
+    StepKind.WORKER_LIMIT: StepRunner.limit_worker,
 }
 
 
@@ -247,6 +267,7 @@
         for client in clients:
             client.start()
         _execute_plan(runner, make_plan(options.seed, options.seconds), options.seconds)
+        runner.timeline.end_limits(now_ms())
         fleet.clear_faults()
         runner.violations += _check_recovery(fleet, clients[0])
         for client in clients:
--- a/soak/timeline.py
+++ b/soak/timeline.py
@@ -32,11 +32,23 @@
         )
 
 
+class WorkerLimit:
+    """The time in which a worker named a limit of `rate` requests/s."""
+
+    __slots__ = ("worker", "rate", "started_at", "ended_at")
+
+    def __init__(self, worker, rate, started_at):
+        self.worker = worker
+        self.rate = rate
+        self.started_at = started_at
+        self.ended_at = None
+
+
 class Timeline:
     """The Spans of a run and the times of planned changes, in wall-clock ms.
 
     The times are those at which a key was withdrawn, a version of the weights was
-    published and a worker began to drain.
+    published and a worker began to drain. `limits` are the WorkerLimits.
     """
 
     __slots__ = (
@@ -44,6 +56,7 @@
         "withdrawn_at_by_key",
         "published_at_by_version",
         "drained_at_by_worker",
+        "limits",
     )
 
     def __init__(self):
@@ -51,6 +64,13 @@
         self.withdrawn_at_by_key = {}
         self.published_at_by_version = {}
         self.drained_at_by_worker = {}
+        self.limits = []
+
+    def end_limits(self, now):
+        """Record that all workers name no limit from `now` (ms) on."""
+        for limit in self.limits:
+            if limit.ended_at is None:
+                limit.ended_at = now
 
     def is_undisturbed(self, start, end):
         """Return whether no fault and no router outage overlaps `start` to `end`."""
--- a/tests/adapter/test_rate_limits.py
+++ b/tests/adapter/test_rate_limits.py
@@ -3,6 +3,7 @@
 The routers are processes of their own; the workers are stand-ins.
 """
 
+import signal
 import time
 from collections import deque
 from concurrent.futures import ThreadPoolExecutor
@@ -19,6 +20,7 @@
 WINDOW_S = 4.0
 CONTACT_TIME_S = 3.0  # after the first naming, in which no bound holds
 MEASURED_TIME_S = 8.0
+LIMIT_END_TIME_S = 6.0
 MIN_USE_SHARE = 0.8
 MAX_REFUSAL_TIME_S = 0.5
 
@@ -45,13 +47,20 @@
         for id in ids:
             self.platform.workers_by_id[id].set_faults(limit=rate)
 
+    def end_limits(self):
+        """Let the workers name no limit, and wait until the routers know."""
+        self.limit(None, self.ids)
+        deadline = time.monotonic() + LIMIT_END_TIME_S
+        while statuses_of(self.load(1)) != {200}:
+            assert time.monotonic() < deadline
+
     def ask(self, router):
         self._count += 1
         return router.ask("/l/x", "GET", id=f"r{self._count}")
 
-    def load(self, duration, requests_per_s=REQUESTS_PER_S):
+    def load(self, duration, requests_per_s=REQUESTS_PER_S, routers=None):
         """Send requests to the routers in turn; return TimedAnswers."""
-        routers = self.platform.routers
+        routers = routers or self.platform.routers
         with ThreadPoolExecutor(32) as pool:
             futures = []
             start = time.monotonic()
@@ -80,6 +89,10 @@
         self.duration = duration
 
 
+def statuses_of(answers):
+    return {item.answer.status for item in answers}
+
+
 def largest_window(times):
     largest = 0
     window = deque()
@@ -106,8 +119,7 @@
 @pytest.mark.parametrize("limited_count", [1, 2])
 def test_limited_upstream_gets_its_rate_and_not_more(service, rate, limited_count):
     limited_ids = service.ids[:limited_count]
-    service.limit(None, service.ids)
-    service.load(2)
+    service.end_limits()
     service.limit(rate, limited_ids)
     named_at = time.time()
     answers = service.load(CONTACT_TIME_S + 0.5 + MEASURED_TIME_S)
@@ -123,3 +135,39 @@
     for item in refused:
         assert float(item.answer.headers["Retry-After"]) > 0
         assert item.duration < MAX_REFUSAL_TIME_S
+
+
+def test_upstream_that_names_no_limit_any_more_gets_all_requests(service):
+    service.limit(0.5, service.ids)
+    service.load(3)
+    service.end_limits()
+    assert statuses_of(service.load(3)) == {200}
+
+
+@pytest.mark.parametrize("value", ["nan", "1, 2", "9" * 4_096, 1e9])
+def test_unreadable_or_very_high_limit_refuses_nothing(service, value):
+    service.end_limits()
+    service.limit(value, service.ids)
+    assert statuses_of(service.load(3)) == {200}
+
+
+@pytest.mark.parametrize("number", [0, 1])
+def test_frozen_router_lets_no_upstream_get_more_than_its_rate(service, number):
+    routers = service.platform.routers
+    frozen = routers[number % len(routers)]
+    others = [router for router in routers if router is not frozen]
+    rate = 3
+    service.limit(rate, service.ids)
+    named_at = time.time()
+    service.load(CONTACT_TIME_S)
+    frozen.popen.send_signal(signal.SIGSTOP)
+    try:
+        if others:
+            service.load(5, routers=others)
+    finally:
+        frozen.popen.send_signal(signal.SIGCONT)
+    service.load(5)
+    for id in service.ids:
+        arrivals = service.arrivals(id, named_at + CONTACT_TIME_S + 0.5)
+        assert largest_window(arrivals) <= allowed(rate)
+        assert len(arrivals) >= int(MIN_USE_SHARE * rate * 5)
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -7,7 +7,7 @@
 from soak.fleet import LIMITED_WORKSPACE, PERMANENT_KEYS, UNLIMITED_WORKSPACE
 from soak.invariants import Observations, find_violations
 from soak.plan import Step, StepKind
-from soak.timeline import Span, Timeline
+from soak.timeline import Span, Timeline, WorkerLimit
 
 KEY = PERMANENT_KEYS[UNLIMITED_WORKSPACE]
 EVENTS = b"".join(b"id: %d\ndata: w\n\n" % number for number in range(1, 7))
@@ -138,6 +138,15 @@
     assert find_violated([], [make_execution(version=2)], timeline) == []
 
 
+@pytest.mark.parametrize("started_at, violated", [(0, ["worker limit"]), (3_000, [])])
+def test_worker_gets_no_more_than_its_limit_once_it_binds(started_at, violated):
+    timeline = Timeline()
+    timeline.limits.append(WorkerLimit("w0", 0.5, NOW_MS + started_at))
+    executions = [make_execution(str(n), at=NOW_MS + 4_000 + n) for n in range(9)]
+    assert find_violated([], executions, timeline) == violated
+    assert find_violated([], executions[1:], timeline) == []
+
+
 def test_quota_holds_in_each_window():
     def find_violated_by(count):
         requests = [
