Wait a whole lease where records of the log expired unread

Now a router that skips records and does not hold the lease waits for its duration and margin, as one that starts. A last holder whose records all expired has nothing unread and does not wait. Before: tests/orders/test_lease.py::test_lease_whose_records_expired_unread... fails with both leases held; after: it passes.

--- a/libs/orders/src/mulberryhub/orders/lease.py
+++ b/libs/orders/src/mulberryhub/orders/lease.py
@@ -167,16 +167,30 @@
             self._next_offset = max(0, end - PAGE_RECORD_COUNT)
             self._observed_ms = self._clock.now()
         while True:
-            try:
-                page = self._log.read(self._name, self._next_offset, PAGE_RECORD_COUNT)
-            except OffsetExpired as error:
-                self._next_offset = error.oldest
-                continue
+            page = self._read_page()
             for record in page.records:
                 self._apply(record)
             if self._next_offset >= page.end:
                 return
 
+    def _read_page(self):
+        """Return the next page; skip records that the log no longer has.
+
+        Another router's acquisition may be among them, so that the lease counts as
+        taken now, unless this router holds it.
+        """
+        try:
+            return self._log.read(self._name, self._next_offset, PAGE_RECORD_COUNT)
+        except OffsetExpired as error:
+            if not self.is_held:
+                self._current_nonce = None
+                self._observed_ms = self._other_observed_ms = self._clock.now()
+            self._next_offset = error.oldest
+        try:
+            return self._log.read(self._name, self._next_offset, PAGE_RECORD_COUNT)
+        except OffsetExpired as error:
+            raise LogUnavailable(str(error)) from error
+
     def _apply(self, record):
         self._next_offset = record.offset + 1
         try:
--- a/tests/orders/test_lease.py
+++ b/tests/orders/test_lease.py
@@ -130,3 +130,17 @@
         for holder in holders:
             assert holder.offset >= highest_offset
             highest_offset = holder.offset
+
+
+def test_lease_whose_records_expired_unread_is_not_granted_twice():
+    clock = ManualClock()
+    log = MemoryLog(clock)
+    first, second, _ = make_leases(log, clock)
+    second.read_new_records()
+    acquire(first, clock)
+    log.oldest = log.end("lease")
+    second.renew_or_acquire()
+    assert first.is_held and not second.is_held
+    clock.advance(LEASE_DURATION_MS + LEASE_MARGIN_MS + 1)
+    second.renew_or_acquire()
+    assert second.is_held and not first.is_held
--- a/tests/support/memory_log.py
+++ b/tests/support/memory_log.py
@@ -47,6 +47,9 @@
         records = self.records_by_stream.get(stream, [])
         return RecordPage(records[start : start + limit], self.oldest, len(records))
 
+    def end(self, stream):
+        return len(self.records_by_stream.get(stream, []))
+
     def add(self, stream, payloads):
         records = self.records_by_stream.setdefault(stream, [])
         first = len(records)
