Order what the store gives out by its era, so that reverts lose nothing

The store may come back from a copy some seconds old and give out its offsets again. Seen on: moved workers never used, removed ones used on, positions that never go down; and, where a read from beyond the end gets 410, a rollout manager whose task ended at its first step, so that no weights were loaded any more, in a fleet without a revert too.

Positions are the era and the offset as one number, made in the adapter; all comparisons, messages, leases and fencing tokens go by them unchanged.

--- a/libs/external/src/mulberryhub/external/log.py
+++ b/libs/external/src/mulberryhub/external/log.py
@@ -8,6 +8,7 @@
 
 CONNECT_TIMEOUT_MS = 2_000
 READ_TIMEOUT_MS = 5_000
+OFFSET_BEYOND_END = 2**53  # a read from here returns only the end of the stream
 
 
 class LogUnavailable(Exception):
@@ -15,7 +16,7 @@
 
 
 class OffsetExpired(Exception):
-    """The requested records are older than the log's retention.
+    """The log does not have the requested records any more.
 
     `oldest` is the lowest offset that the log still has.
     """
@@ -97,6 +98,10 @@
         response = self._request("GET", url, timeout + wait)
         return _decode(response, RecordPage)
 
+    def end(self, stream):
+        """Return the offset of the next append or raise LogUnavailable."""
+        return self.read(stream, OFFSET_BEYOND_END, 1).end
+
     def _request(self, method, url, timeout, body=None):
         timeouts = urllib3.Timeout(
             connect=min(CONNECT_TIMEOUT_MS, timeout) / 1000, read=timeout / 1000
--- a/libs/fleet/src/mulberryhub/fleet/cache_watcher.py
+++ b/libs/fleet/src/mulberryhub/fleet/cache_watcher.py
@@ -4,7 +4,7 @@
 
 from mulberryhub.base.green import sleep
 from mulberryhub.base.logs import module_logger
-from mulberryhub.base.tasks import spawn_task
+from mulberryhub.base.tasks import spawn_service
 from mulberryhub.fleet.records import CachedPart
 
 IDLE_CHECK_INTERVAL_MS = 200  # between checks of `should_watch()`
@@ -60,7 +60,7 @@
 
     def start(self):
         """Start the watcher in the background."""
-        spawn_task(self._run)
+        spawn_service(self._run)
 
     def step(self, address):
         """Read once and apply the answer; raise CacheStoreUnavailable."""
--- a/libs/fleet/src/mulberryhub/fleet/follower.py
+++ b/libs/fleet/src/mulberryhub/fleet/follower.py
@@ -2,9 +2,15 @@
 
 from mulberryhub.base.green import sleep
 from mulberryhub.base.logs import module_logger
-from mulberryhub.base.tasks import spawn_task
+from mulberryhub.base.tasks import spawn_service
 from mulberryhub.fleet.state import UNKNOWN_POSITION
-from mulberryhub.fleet.store import HistoryLost, StoreUnavailable
+from mulberryhub.fleet.store import (
+    HistoryLost,
+    StoreReverted,
+    StoreUnavailable,
+    era_of,
+    offset_of,
+)
 
 INITIAL_RETRY_DELAY_MS = 200  # after the first failed call
 MAX_RETRY_DELAY_MS = 1_000  # after repeated failed calls
@@ -24,9 +30,10 @@
     detected earlier, so `wait` limits how late a change can arrive. `apply(entry)`
     applies one entry, `on_listing(listing)` removes what a complete listing lacks.
     `on_answer()` is called for each answer of the store before it is applied,
-    `on_failure(called_at)` for each failed call. `is_fully_applied()` returns whether
-    everything that was read has been applied; if not, other routers must read the
-    delayed entries too.
+    `on_failure(called_at)` for each failed call, and `on_reverted()` before the topic
+    is read anew because the store came back from an older copy. `is_fully_applied()`
+    returns whether everything that was read has been applied; if not, other routers
+    must read the delayed entries too.
     """
 
     __slots__ = (
@@ -37,6 +44,7 @@
         "on_listing",
         "on_answer",
         "on_failure",
+        "on_reverted",
         "is_fully_applied",
     )
 
@@ -50,6 +58,7 @@
         on_listing=_no_op,
         on_answer=_no_op,
         on_failure=_no_op,
+        on_reverted=_no_op,
         is_fully_applied=lambda: True,
     ):
         self.topic = topic
@@ -59,6 +68,7 @@
         self.on_listing = on_listing
         self.on_answer = on_answer
         self.on_failure = on_failure
+        self.on_reverted = on_reverted
         self.is_fully_applied = is_fully_applied
 
 
@@ -97,7 +107,7 @@
 
     def start(self):
         """Start following in the background."""
-        spawn_task(self._run)
+        spawn_service(self._run)
 
     def call_duration(self):
         """Return the duration in ms of the call in progress, or 0 without one."""
@@ -137,6 +147,8 @@
         wait = plan.wait if self.failing_since is None else 0
         try:
             batch = self._store.read(plan.topic, position, wait)
+        except StoreReverted as reverted:
+            return self._read_reverted(position, reverted.first)
         except HistoryLost as lost:
             log.info("history lost", topic=plan.topic, first=lost.first)
             return self._read_all()
@@ -146,6 +158,21 @@
         waited_in_full = not batch.entries and self.call_duration() >= wait
         return self._call_started_at + (wait if waited_in_full else 0)
 
+    def _read_reverted(self, position, first):
+        """Read the whole topic of a store that came back from an older copy."""
+        self._plan.on_reverted()
+        as_of = self._read_all()
+        self._counters.add("store.reverted")
+        log.warning(
+            "store reverted",
+            topic=self._plan.topic,
+            era_before=era_of(position),
+            era=era_of(first),
+            offset_before=offset_of(position),
+            offset=offset_of(self._position),
+        )
+        return as_of
+
     def _read_all(self):
         """Read the whole topic; return the ms as of which nothing newer existed."""
         listing = self._store.newest(self._plan.topic)
--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -8,7 +8,7 @@
 
 from mulberryhub.base.green import Event, Timeout, sleep
 from mulberryhub.base.logs import module_logger
-from mulberryhub.base.tasks import spawn_task
+from mulberryhub.base.tasks import spawn_service, spawn_task
 from mulberryhub.fleet.channel import (
     Channel,
     ChannelError,
@@ -123,8 +123,8 @@
     def start(self):
         """Listen and accept subscriptions in the background."""
         self._listener = open_listener(self._address)
-        spawn_task(run_accept_loop, self._listener, self._serve_socket)
-        spawn_task(self._run_ticks)
+        spawn_service(run_accept_loop, self._listener, self._serve_socket)
+        spawn_service(self._run_ticks)
 
     def stop(self):
         """Stop accepting subscriptions."""
--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -138,6 +138,13 @@
     offset: int = 0
     strength: int = 0
 
+    def is_same(self, other):
+        """Return whether `other` differs in the offset of its record at most."""
+        return (
+            other is not None
+            and msgspec.structs.replace(self, offset=other.offset) == other
+        )
+
     @property
     def rank(self):
         """Return the sort key that orders members as candidates for leader."""
--- a/libs/fleet/src/mulberryhub/fleet/removals.py
+++ b/libs/fleet/src/mulberryhub/fleet/removals.py
@@ -2,7 +2,7 @@
 
 from mulberryhub.base.green import sleep
 from mulberryhub.base.logs import module_logger
-from mulberryhub.base.tasks import spawn_task
+from mulberryhub.base.tasks import spawn_service
 from mulberryhub.fleet.records import Removal
 from mulberryhub.fleet.state import OUTAGE_THRESHOLD_MS, Topic
 
@@ -20,6 +20,10 @@
     store counts as down if reads failed and no other router provided current data in
     the meantime: current data from another router means that only this router was cut
     off.
+
+    A store that comes back from an older copy lacks upstreams that registered after the
+    copy was made. They register again, so those that it does not list are removed after
+    the same delay.
     """
 
     __slots__ = (
@@ -27,6 +31,7 @@
         "_clock",
         "_failing_since",
         "_store_returned_at",
+        "_reverted_at",
         "_delayed_by_id",
     )
 
@@ -35,11 +40,12 @@
         self._clock = clock
         self._failing_since = None
         self._store_returned_at = None
+        self._reverted_at = None
         self._delayed_by_id = {}
 
     def start(self):
         """Start applying delayed removals in the background."""
-        spawn_task(self._run)
+        spawn_service(self._run)
 
     def record_failure(self, called_at):
         """Record that the store did not answer a call made at `called_at` ms."""
@@ -55,16 +61,17 @@
             self._store_returned_at = returned_at
         self._failing_since = None
 
+    def record_reverted(self):
+        """Record that the store came back from an older copy."""
+        self._reverted_at = self._clock.now()
+
     def apply_due(self):
         """Apply delayed removals once the topic is known as of the end of the delay.
 
         The data may come from another router, as this one may have stopped reading.
         """
         as_of = self._fleet_state.as_of_by_topic[Topic.UPSTREAMS]
-        if (
-            not self._delayed_by_id
-            or as_of < self._store_returned_at + RELISTING_TIME_MS
-        ):
+        if not self._delayed_by_id or as_of < self._delay_end():
             return
         delayed, self._delayed_by_id = self._delayed_by_id, {}
         log.info("removals applied", count=len(delayed))
@@ -86,12 +93,8 @@
     def remove(self, id, offset):
         """Remove the upstream `id` because of the record at `offset`."""
         removal = Removal(id, offset)
-        if self._is_within_relisting_time():
-            self._delayed_by_id[id] = removal
-            returned_ms = self._clock.now() - self._store_returned_at
-            log.info(
-                "removal held back", upstream=id, offset=offset, returned_ms=returned_ms
-            )
+        if self._is_recent(self._store_returned_at):
+            self._delay(removal)
         else:
             self._fleet_state.apply_removal(removal)
 
@@ -99,7 +102,11 @@
         """Remove upstreams missing from `ids`, the complete listing as of `end`."""
         listed = set(ids)
         for upstream in list(self._fleet_state.upstreams_by_id.values()):
-            if upstream.id not in listed and upstream.offset < end:
+            if upstream.id in listed or upstream.offset >= end:
+                continue
+            if self._is_recent(self._reverted_at):
+                self._delay(Removal(upstream.id, end - 1))
+            else:
                 self.remove(upstream.id, end - 1)
         self._fleet_state.record_listing(end)
 
@@ -108,10 +115,24 @@
             self.apply_due()
             sleep(CHECK_INTERVAL_MS / 1000)
 
-    def _is_within_relisting_time(self):
-        if self._store_returned_at is None:
+    def _delay(self, removal):
+        self._delayed_by_id[removal.id] = removal
+        log.info(
+            "removal held back",
+            upstream=removal.id,
+            offset=removal.offset,
+            for_ms=self._delay_end() - self._clock.now(),
+        )
+
+    def _delay_end(self):
+        """Return the ms as of which the store lists all live upstreams again."""
+        returned = [self._store_returned_at, self._reverted_at]
+        return max(at for at in returned if at is not None) + RELISTING_TIME_MS
+
+    def _is_recent(self, returned_at):
+        if returned_at is None:
             return False
-        return self._clock.now() - self._store_returned_at < RELISTING_TIME_MS
+        return self._clock.now() - returned_at < RELISTING_TIME_MS
 
     def _outage_end(self):
         """Return the ms at which the store returned, or None if there was no outage."""
--- a/libs/fleet/src/mulberryhub/fleet/sources.py
+++ b/libs/fleet/src/mulberryhub/fleet/sources.py
@@ -13,7 +13,7 @@
 
 from mulberryhub.base.green import sleep
 from mulberryhub.base.logs import module_logger
-from mulberryhub.base.tasks import spawn_task
+from mulberryhub.base.tasks import spawn_service
 from mulberryhub.fleet.state import Topic
 
 CHECK_INTERVAL_MS = 100
@@ -83,7 +83,7 @@
 
     def start(self):
         """Start selecting sources in the background."""
-        spawn_task(self._run)
+        spawn_service(self._run)
 
     def should_read(self):
         """Return whether this router should read the store itself."""
@@ -221,7 +221,7 @@
             leader = None
         if (
             self._leader_subscription is not None
-            and self._leader_subscription.member != leader
+            and not self._leader_subscription.member.is_same(leader)
         ):
             self._leader_subscription.close()
             self._leader_subscription = None
@@ -269,7 +269,7 @@
             wanted_leaders = {leader.data_centre: leader for leader in others}
             top_data_centre = None if self._is_reader() else leaders[0].data_centre
         for data_centre, subscription in list(self._remote_subscriptions.items()):
-            if wanted_leaders.get(data_centre) != subscription.member or (
+            if not subscription.member.is_same(wanted_leaders.get(data_centre)) or (
                 subscription.wants_records != (data_centre == top_data_centre)
             ):
                 subscription.close()
--- a/libs/fleet/src/mulberryhub/fleet/state.py
+++ b/libs/fleet/src/mulberryhub/fleet/state.py
@@ -14,6 +14,7 @@
 from mulberryhub.fleet.cache_index import CacheIndex
 from mulberryhub.fleet.changes import ChangeLog
 from mulberryhub.fleet.departures import Departures
+from mulberryhub.fleet.outdated import OutdatedFilter
 from mulberryhub.fleet.rate_limits import RateLimits
 from mulberryhub.fleet.records import (
     CachedPart,
@@ -76,6 +77,7 @@
         "revision",
         "_removed_by_id",
         "_removed_at_by_id",
+        "_outdated_filter",
         "_departures",
         "_versions_by_id",
         "_named_versions_by_model",
@@ -103,6 +105,7 @@
         self.revision = 0
         self._removed_by_id = {}
         self._removed_at_by_id = {}
+        self._outdated_filter = OutdatedFilter()
         self._departures = Departures()
         self._versions_by_id = {}
         self._named_versions_by_model = {}
@@ -182,6 +185,17 @@
             _log_upstream(upstream)
             self._record_and_notify(f"upstream/{upstream.id}", upstream)
 
+    def apply_stored_upstream(self, upstream):
+        """Apply an upstream's record that was read in the store.
+
+        A store that came back from an older copy may list it as it was before. Other
+        routers send only records that they believe.
+        """
+        known = self.upstreams_by_id.get(upstream.id)
+        removal = self._removed_by_id.get(upstream.id)
+        if not self._outdated_filter.is_outdated(upstream, known, removal):
+            self.apply_upstream(upstream)
+
     def apply_removal(self, removal):
         """Remove an upstream unless a newer record of it is known."""
         known = self.upstreams_by_id.get(removal.id)
@@ -193,6 +207,7 @@
         self._removed_by_id[removal.id] = removal
         self._removed_at_by_id[removal.id] = self._clock.now()
         self._drop_old_removals()
+        self._outdated_filter.record_removal(removal, known)
         if self.upstreams_by_id.pop(removal.id, None) is not None:
             self._versions_by_id.pop(removal.id, None)
             log.info("upstream gone", upstream=removal.id, offset=removal.offset)
@@ -340,6 +355,7 @@
             if removed_at < oldest:
                 del self._removed_at_by_id[id]
                 self._removed_by_id.pop(id, None)
+                self._outdated_filter.forget(id)
 
     def _record_change(self, key, record):
         self.revision += 1
--- a/libs/fleet/src/mulberryhub/fleet/suspects.py
+++ b/libs/fleet/src/mulberryhub/fleet/suspects.py
@@ -46,6 +46,14 @@
             return Suspect(fingerprint)
         return entry.suspect
 
+    def quarantined(self):
+        """Return the Suspects that are quarantined."""
+        return [
+            entry.suspect
+            for entry in self._entries_by_fingerprint.values()
+            if entry.suspect.is_quarantined and not self._is_expired(entry)
+        ]
+
     def time_since_first_crash(self, fingerprint):
         """Return the ms since the first known crashed run, or None without any."""
         if not self.get(fingerprint).crashed_runs:
--- a/libs/http/src/mulberryhub/http/server.py
+++ b/libs/http/src/mulberryhub/http/server.py
@@ -2,7 +2,7 @@
 
 from mulberryhub.base.green import getcurrent, kill, sleep
 from mulberryhub.base.logs import module_logger
-from mulberryhub.base.tasks import spawn_task
+from mulberryhub.base.tasks import spawn_service
 from mulberryhub.http.accept_loop import run_accept_loop
 from mulberryhub.http.inbound import InboundConnection
 from mulberryhub.http.messages import BadRequest, ClientDisconnected, Headers, HttpError
@@ -49,7 +49,7 @@
     def start(self):
         """Listen, and accept connections in the background."""
         self._listener = open_listener(self.address)
-        spawn_task(run_accept_loop, self._listener, self._serve)
+        spawn_service(run_accept_loop, self._listener, self._serve)
 
     def drain(self):
         """Close each connection after the response to its next request."""
--- a/libs/node/src/mulberryhub/node/gauges.py
+++ b/libs/node/src/mulberryhub/node/gauges.py
@@ -1,5 +1,6 @@
 """Gauges of a router's copy of the platform's store, and of its share of permits."""
 
+from mulberryhub.base.tasks import task_failures
 from mulberryhub.fleet.state import UNKNOWN_POSITION, Topic
 
 
@@ -34,6 +35,12 @@
         {Topic.UPSTREAMS: coordinator_share.current},
     )
 
+    counters.add_gauge(
+        "task_failures",
+        "Unhandled exceptions in tasks; long-running tasks are started again",
+        {"all": lambda: task_failures.count},
+    )
+
 
 def _age_reader(fleet_state, topic):
     def read_age():
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -236,6 +236,13 @@
             clock,
         )
 
+    save_verdict = verdict_saver(ports.store, clock)
+
+    def save_verdicts():
+        if parts.source_selector.coordinator().name == parts.local_member.name:
+            for suspect in fleet_state.suspects.quarantined():
+                save_verdict(suspect)
+
     def reads_fail():
         return any(follower.failing_since is not None for follower in parts.followers)
 
@@ -248,18 +255,24 @@
             plan,
             ports.store,
             fleet_state,
-            _read_condition(parts.source_selector, plan.topic),
+            _read_condition(parts.source_selector, removals, plan.topic),
             clock,
             counters,
         )
-        for plan in topic_plans(ports, fleet_state, removals)
+        for plan in topic_plans(ports, fleet_state, removals, save_verdicts)
     ]
 
 
-def _read_condition(source_selector, topic):
-    """Return the function that returns whether this router should read `topic`."""
+def _read_condition(source_selector, removals, topic):
+    """Return the function that returns whether this router should read `topic`.
+
+    A router that delays removals reads on, as others do not send it the records that
+    cancel them: these change nothing for those that did not read the store.
+    """
     if topic is Topic.MEMBERS:
         return source_selector.should_read_members
+    if topic is Topic.UPSTREAMS:
+        return lambda: source_selector.should_read() or removals.delayed_count()
     return source_selector.should_read
 
 
--- a/libs/node/src/mulberryhub/node/router.py
+++ b/libs/node/src/mulberryhub/node/router.py
@@ -1,16 +1,19 @@
 """Starts a router and stops it gracefully."""
 
-import msgspec
+from random import uniform
 
 from mulberryhub.base.green import sleep
 from mulberryhub.base.logs import module_logger
-from mulberryhub.base.tasks import spawn_task
+from mulberryhub.base.tasks import spawn_service
 from mulberryhub.fleet.state import Topic
-from mulberryhub.fleet.store import StoreUnavailable
+from mulberryhub.fleet.store import StoreUnavailable, era_of
 
 MEMBERS_TIMEOUT_MS = 500  # for the list of members, before this router registers
 MEMBERS_POLL_INTERVAL_MS = 20
 REGISTRATION_RETRY_DELAY_MS = 500
+# The first check gives routers that read the store time to tell which records it has.
+REGISTRATION_CHECK_INTERVAL_MS = 1_000
+MAX_REGISTRATION_DELAY_MS = 500  # spreads the writes of routers that were all lost
 EXPIRY_CHECK_INTERVAL_MS = 1_000  # for expired connections and suspects
 LISTEN_AFTER_STOP_MS = 2_600  # in which the platform stops sending connections
 REQUEST_STOP_SHARE = 0.9  # of `stop_time`, in which running requests must end
@@ -49,8 +52,8 @@
         parts.source_selector.start()
         parts.coordinator_share.start()
         parts.removals.start()
-        spawn_task(self._register)
-        spawn_task(self._run_expiry)
+        spawn_service(self._run_registration)
+        spawn_service(self._run_expiry)
         parts.front_server.start()
         parts.cache_watcher.start()
         parts.rollout_manager.start()
@@ -90,8 +93,10 @@
 
     def _register(self):
         self._wait_for_members()
-        if self._is_registered():
-            return
+        if not self._is_registered():
+            self._put_registration()
+
+    def _put_registration(self):
         while True:
             try:
                 self._parts.store.put_member(self._parts.local_member)
@@ -112,10 +117,25 @@
     def _is_registered(self):
         local_member = self._parts.local_member
         known = self._parts.fleet_state.members_by_name.get(local_member.name)
-        return (
-            known is not None
-            and msgspec.structs.replace(known, offset=0) == local_member
-        )
+        return known is not None and known.is_same(local_member)
+
+    def _is_registration_lost(self):
+        """Return whether the store came back from a copy without this router."""
+        fleet_state = self._parts.fleet_state
+        known = fleet_state.members_by_name.get(self._parts.local_member.name)
+        position = fleet_state.position_by_topic[Topic.MEMBERS]
+        return known is not None and era_of(known.offset) < era_of(position)
+
+    def _run_registration(self):
+        """Register, and again each time that the store loses the registration."""
+        self._register()
+        while True:
+            sleep(REGISTRATION_CHECK_INTERVAL_MS / 1000)
+            if not self._is_registration_lost():
+                continue
+            sleep(uniform(0, MAX_REGISTRATION_DELAY_MS) / 1000)
+            if self._is_registration_lost():
+                self._put_registration()
 
     def _run_expiry(self):
         while True:
--- a/libs/node/src/mulberryhub/node/topics.py
+++ b/libs/node/src/mulberryhub/node/topics.py
@@ -8,21 +8,24 @@
 UPSTREAMS_READ_DELAY_MS = 700  # between reads; upstreams write continually
 
 
-def topic_plans(ports, fleet_state, removals):
+def topic_plans(ports, fleet_state, removals, save_verdicts):
     """Return the TopicPlans of all topics.
 
     Records are applied to `fleet_state`, removed upstreams go to `removals`.
+    `save_verdicts()` saves the verdicts that a store lost with its newest records.
     """
 
-    def applier(read_record):
+    def applier(read_record, apply_record):
         def apply(entry):
             record = read_record(entry)
             if record is not None:
-                fleet_state.apply(record)
+                apply_record(record)
 
         return apply
 
-    apply_upstream_record = applier(ports.read_upstream)
+    apply_upstream_record = applier(
+        ports.read_upstream, fleet_state.apply_stored_upstream
+    )
 
     def apply_upstream(entry):
         if entry.value is None:
@@ -36,7 +39,7 @@
     return [
         TopicPlan(
             Topic.OPERATOR,
-            applier(ports.read_operator),
+            applier(ports.read_operator, fleet_state.apply),
             wait=OPERATOR_LONG_POLL_MS,
             pause=0,
         ),
@@ -48,12 +51,14 @@
             on_listing=remove_unlisted,
             on_answer=removals.record_answer,
             on_failure=removals.record_failure,
+            on_reverted=removals.record_reverted,
             is_fully_applied=removals.is_fully_applied,
         ),
         TopicPlan(
             Topic.MEMBERS,
-            applier(ports.read_member),
+            applier(ports.read_member, fleet_state.apply),
             wait=MEMBERS_LONG_POLL_MS,
             pause=0,
+            on_reverted=save_verdicts,
         ),
     ]
--- a/libs/orders/src/mulberryhub/orders/lease.py
+++ b/libs/orders/src/mulberryhub/orders/lease.py
@@ -18,7 +18,6 @@
 LEASE_DURATION_MS = 6_000
 LEASE_MARGIN_MS = 1_000  # tolerated clock drift between routers in one duration
 NONCE_BYTES = 12
-OFFSET_BEYOND_END = 2**53  # a read from here returns only the end of the stream
 PAGE_RECORD_COUNT = 100
 
 logger = module_logger(__name__)
@@ -163,7 +162,7 @@
     def _read(self):
         """Apply all new records; on the first call, the last PAGE_RECORD_COUNT."""
         if self._next_offset is None:
-            end = self._log.read(self._name, OFFSET_BEYOND_END, 1).end
+            end = self._log.end(self._name)
             self._next_offset = max(0, end - PAGE_RECORD_COUNT)
             self._observed_ms = self._clock.now()
         while True:
--- a/libs/permits/src/mulberryhub/permits/client.py
+++ b/libs/permits/src/mulberryhub/permits/client.py
@@ -104,7 +104,7 @@
         """Return an open connection to `member`, or None after a recent failure."""
         with self._connect_lock:
             connection = self._connection
-            if connection is not None and connection.member == member:
+            if connection is not None and connection.member.is_same(member):
                 if not connection.is_closed:
                     return connection
             elif connection is not None:
--- a/libs/permits/src/mulberryhub/permits/share.py
+++ b/libs/permits/src/mulberryhub/permits/share.py
@@ -9,7 +9,7 @@
 from collections import deque
 
 from mulberryhub.base.green import sleep
-from mulberryhub.base.tasks import spawn_task
+from mulberryhub.base.tasks import spawn_service
 
 # Of the rate, over all coordinators. Less than 1.5 times the rate may arrive in 4 s,
 # 5 requests aside; the rest is for bursts and for permits issued before the window.
@@ -46,7 +46,7 @@
 
     def start(self):
         """Start sampling the number of followers in the background."""
-        spawn_task(self._run)
+        spawn_service(self._run)
 
     def current(self):
         """Return the share of each rate that this router may issue, from 0 to 1."""
--- a/libs/weights/src/mulberryhub/weights/manager.py
+++ b/libs/weights/src/mulberryhub/weights/manager.py
@@ -3,7 +3,7 @@
 from mulberryhub.base.digest import rendezvous_score
 from mulberryhub.base.green import sleep
 from mulberryhub.base.logs import module_logger
-from mulberryhub.base.tasks import spawn_task
+from mulberryhub.base.tasks import spawn_service, spawn_task
 from mulberryhub.fleet.records import Removal, Rollout
 from mulberryhub.weights.messages import LoadOrder, OrderResult
 from mulberryhub.weights.plan import choose_next_loads, find_outdated
@@ -102,7 +102,7 @@
 
     def start(self):
         """Start a background task that runs until the process ends."""
-        spawn_task(self._run)
+        spawn_service(self._run)
 
     def step(self):
         """Renew the lease, start loads and publish the progress, as far as needed."""
--- a/tests/adapter/raw_workers.py
+++ b/tests/adapter/raw_workers.py
@@ -20,6 +20,7 @@
     def __init__(self, platform, id, service, respond, **entry_fields):
         self.id = id
         self.runs = []
+        self._conns = []
         self._respond = respond
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
@@ -38,11 +39,31 @@
         self._write = lambda body: platform.store.request(
             "POST", f"/worker/{id}", body=body
         )
-        self._write(msgspec.json.encode(entry))
+        self._entry = entry
+        self.write_again()
+
+    def write_again(self):
+        """Write the entry to the store, with the next sequence number."""
+        self._write(msgspec.json.encode(self._entry))
+        self._entry["sequence"] += 1
+
+    def deregister(self):
+        """Remove the entry from the store."""
+        self._write(b"")
+
+    def end(self):
+        """Close the port and all connections, as the end of the process does."""
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        for conn in self._conns:
+            try:
+                conn.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
 
     def close(self):
         """Remove the entry from the store and stop listening."""
-        self._write(b"")
+        self.deregister()
         self._listener.close()
 
     def head(self, id):
@@ -55,6 +76,7 @@
                 conn, _ = self._listener.accept()
             except OSError:
                 return
+            self._conns.append(conn)
             threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
 
     def _serve(self, conn):
