Revert the store in the soak; its workers register again and again

A step lets the store come back from a copy 1 to 30 s old, overlapped with all other faults; the operator's records and removals are written again 0.3 s later, workers register each 1.2 s as on the platform.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -28,6 +28,7 @@
 WEIGHTS_ROLLOUT_MS = 6_000  # limit for new weights to be in use everywhere
 READY_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.05
+HEARTBEAT_S = 1.2  # between two registrations of a worker
 LIMITED_RATE_TOKENS_PER_S = 1_500
 QUOTA_SLACK_TOKENS = 4_320
 UNLIMITED_WORKSPACE = "t1"
@@ -61,6 +62,7 @@
         self.weights_version = 1
         self.configuration_version = 1
         self.spare_keys = ["key-spare-1"]
+        self._deregistered_ids = []
         self._processes = ProcessGroup()
         self.store = self._processes.start("mulberryhub.adapter_standins.store")
         self.store_links = [Link(self.store.address) for _ in range(router_count)]
@@ -92,6 +94,7 @@
             "zone": zone,
             "listed": link.address,
             "runs_path": str(self.runs_path),
+            "heartbeat_s": HEARTBEAT_S,
         }
         if service == "llm":
             entry |= {"model": MODEL, "version": self.weights_version}
@@ -134,11 +137,22 @@
         self._deregister(worker)
 
     def _deregister(self, worker):
+        self._deregistered_ids.append(worker.id)
         self.store.request("POST", f"/worker/{worker.id}", body=b"")
 
+    def write_again(self):
+        """Write what the operator wrote, and removals, to a store that lost them."""
+        self._write_configuration()
+        self._write_weights_version()
+        for id in self._deregistered_ids:
+            self.store.request("POST", f"/worker/{id}", body=b"")
+
     def publish_configuration(self):
         """Write a new configuration version with the permanent and the spare keys."""
         self.configuration_version += 3
+        self._write_configuration()
+
+    def _write_configuration(self):
         unlimited_keys = [PERMANENT_KEYS[UNLIMITED_WORKSPACE], *self.spare_keys]
         limited_keys = [PERMANENT_KEYS[LIMITED_WORKSPACE]]
         tenants = [
@@ -156,6 +170,9 @@
     def publish_weights_version(self):
         """Write the next version number of the model's weights."""
         self.weights_version += 1
+        self._write_weights_version()
+
+    def _write_weights_version(self):
         self.write_operator_record(
             f"version/{MODEL}", {"model": MODEL, "version": self.weights_version}
         )
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -23,6 +23,7 @@
     ROUTER_KILL = "router_kill"
     ROUTER_PAUSE = "router_pause"
     STORE_TRIM = "forget"
+    STORE_REVERT = "revert"
     ROUTER_STOP = "router_stop"
     ROUTER_RELOAD = "router_hup"
     ADD_KEY = "configure"
@@ -44,6 +45,7 @@
     )
 )
 STORE_FAULTS = ("refuse", "hang", "lose")
+REVERT_AGES_S = (1, 3, 10, 30)  # of the copy that the store comes back from
 WORKER_LIMITS = (0, 0.5, 2, 10)  # requests/s
 WORKER_FAULTS = ("shed", "pause", "error", "cut", "silent")
 LINK_FAULTS = tuple(fault for fault in LinkFault if fault is not LinkFault.NONE)
@@ -94,6 +96,8 @@
         mode = random.choice(LINK_FAULTS)
     elif kind is StepKind.WORKER_FAULT:
         mode = random.choice(WORKER_FAULTS)
+    elif kind is StepKind.STORE_REVERT:
+        mode = random.choice(REVERT_AGES_S)
     elif kind is StepKind.WORKER_LIMIT:
         mode = random.choice(WORKER_LIMITS)
     duration = random.uniform(*DURATION_RANGE_S)
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,6 +16,8 @@
 STARTUP_S = 0.15  # A router that starts has no signal handlers for about this time.
 RESTART_DELAY_S = 0.4  # between a router's exit and its next start
 RECOVERY_TIMEOUT_S = 12.0  # for all routers and routes to serve again after the faults
+MAX_STORE_AWAY_S = 1.0
+REWRITE_DELAY_S = 0.3  # until the operator and the workers write again
 LIMIT_DURATION_S = 8.0  # at least, as limits bind some seconds after the naming
 STOP_TIMEOUT_S = 6.0  # for a router to exit after a signal
 OK = 200
@@ -168,6 +170,15 @@
         self.fleet.store.request("POST", "/forget")
         sleep(step.duration)
 
+    def revert_store(self, step, _):
+        """Let the store come back from an older copy, and write to it again."""
+        away = min(step.duration, MAX_STORE_AWAY_S)
+        self.fleet.store.request(
+            "POST", "/revert", json={"age": step.mode, "away": away}
+        )
+        sleep(away + REWRITE_DELAY_S)
+        self.fleet.write_again()
+
     def add_key(self, step, _):
         """Publish a configuration with an additional spare key."""
         self.fleet.spare_keys.append(f"key-spare-{step.start:.3f}")
@@ -224,6 +235,7 @@
     StepKind.ROUTER_KILL: StepRunner.kill_router,
     StepKind.ROUTER_PAUSE: StepRunner.pause_router,
     StepKind.STORE_TRIM: StepRunner.trim_store,
+    StepKind.STORE_REVERT: StepRunner.revert_store,
     StepKind.ROUTER_STOP: StepRunner.stop_router,
     StepKind.ROUTER_RELOAD: StepRunner.reload_router,
     StepKind.ADD_KEY: StepRunner.add_key,
