Lend what is left of a quota from one router, so that no flood gets more

A workspace that was quiet and floods all routers at once got 290 requests of 210 allowed over two routers and 308 over four, within 2.5 s (tests/adapter/test_quota_flood.py, real processes, on the code before).

Cause: a router took the whole room that it knew of (three shares of it above three routers) until it heard of the others, some 400 ms later.

Now a fifth of the room is divided into equal shares, less what was admitted in the last 900 ms and others may not know, and the coordinator of permits lends the rest where it is asked for.

The coordinator is the strongest leader that has sent updates: a frozen one accepts connections and was chosen again for 1.3 s each time its backoff ended, so that a limited upstream got 10 requests of 30 in a test with a freeze, 12 being asked for.

--- a/libs/fleet/src/mulberryhub/fleet/channel.py
+++ b/libs/fleet/src/mulberryhub/fleet/channel.py
@@ -114,7 +114,24 @@
     retry_after: int
 
 
-Message = Hello | Report | Update | ReportAck | PermitRequest | PermitGrant
+class QuotaRequest(msgspec.Struct, tag=True):
+    """Asks the coordinator to admit `cost` of a workspace in place of the router."""
+
+    number: int
+    workspace: str
+    cost: float
+
+
+class QuotaGrant(msgspec.Struct, tag=True):
+    """Answers the QuotaRequest `number`: the coordinator admitted `cost` of it."""
+
+    number: int
+    cost: float
+
+
+CoordinatorRequest = PermitRequest | QuotaRequest
+CoordinatorAnswer = PermitGrant | QuotaGrant
+Message = Hello | Report | Update | ReportAck | CoordinatorRequest | CoordinatorAnswer
 _decoder = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
 
--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -12,8 +12,8 @@
 from mulberryhub.fleet.channel import (
     Channel,
     ChannelError,
+    CoordinatorRequest,
     Hello,
-    PermitRequest,
     Report,
     ReportAck,
     Update,
@@ -76,8 +76,8 @@
     """Serves subscriptions at `address`.
 
     `is_current()` returns whether this router's own data is fresh, and
-    `find_coordinator()` the Member that it asks for permits. `grant(request)` returns
-    the PermitGrant for a PermitRequest of another router.
+    `find_coordinator()` the Member that it asks for permits. `coordinate(request)`
+    returns the CoordinatorAnswer to a CoordinatorRequest of another router.
     """
 
     __slots__ = (
@@ -86,7 +86,7 @@
         "_usage_table",
         "_is_current",
         "_find_coordinator",
-        "_grant",
+        "_coordinate",
         "_clock",
         "_listener",
         "_subscriber_count",
@@ -103,7 +103,7 @@
         usage_table,
         is_current,
         find_coordinator,
-        grant,
+        coordinate,
         clock,
     ):
         self._address = address
@@ -111,7 +111,7 @@
         self._usage_table = usage_table
         self._is_current = is_current
         self._find_coordinator = find_coordinator
-        self._grant = grant
+        self._coordinate = coordinate
         self._clock = clock
         self._listener = None
         self._subscriber_count = 0
@@ -149,8 +149,8 @@
         name = None
         try:
             hello = channel.receive()
-            if isinstance(hello, PermitRequest):
-                self._serve_permits(channel, hello)
+            if isinstance(hello, CoordinatorRequest):
+                self._serve_requests(channel, hello)
             if not isinstance(hello, Hello):
                 raise ChannelError("first message is not a Hello")
             name = hello.name
@@ -166,10 +166,10 @@
             if name is not None:
                 self._usage_table.forget(name)
 
-    def _serve_permits(self, channel, request):
-        """Answer PermitRequests, the first of which is `request`, until an error."""
-        while isinstance(request, PermitRequest):
-            channel.send(self._grant(request))
+    def _serve_requests(self, channel, request):
+        """Answer requests to the coordinator, the first of which is `request`."""
+        while isinstance(request, CoordinatorRequest):
+            channel.send(self._coordinate(request))
             request = channel.receive()
 
     def _apply_report(self, name, hello, report):
@@ -278,6 +278,7 @@
         Records that it already has are removed.
         """
         hello = subscriber.hello
+        update.coordinator = self._find_coordinator().name
         update.use = self._usage_table.sum_local()
         known = self._usage_table.admitted_in(hello.data_centre)
         update.admitted_by_data_centre = {hello.data_centre: known}
--- a/libs/fleet/src/mulberryhub/fleet/sources.py
+++ b/libs/fleet/src/mulberryhub/fleet/sources.py
@@ -62,6 +62,7 @@
         "_fallback_since",
         "_remote_subscriptions",
         "_backoff_by_name",
+        "_coordinator_name",
         "_was_reading",
         "_started_at",
     )
@@ -78,6 +79,7 @@
         self._fallback_since = 0
         self._remote_subscriptions = {}
         self._backoff_by_name = {}
+        self._coordinator_name = ""
         self._was_reading = None
         self._started_at = clock.now()
 
@@ -113,16 +115,30 @@
     def coordinator(self):
         """Return the Member that issues the permits of this router.
 
-        It is the strongest leader. Only leaders know which of the others are live, so
-        the other routers ask the coordinator of their leader.
+        It is the strongest leader that has sent updates. Only leaders know which of the
+        others are live, so the other routers ask the coordinator of their leader, and
+        the last one until a new leader names it.
         """
-        if self._leader_subscription is not None and not self.is_leader():
-            name = self._leader_subscription.coordinator
-            followed = self._fleet_state.members_by_name.get(name)
-            if followed is not None:
-                return followed
-        leaders = self._leaders()
-        return leaders[0] if leaders else self._local_member
+        if self.is_leader():
+            self._coordinator_name = ""
+            live = [leader for leader in self._leaders() if self._is_live(leader)]
+            return live[0] if live else self._local_member
+        subscription = self._leader_subscription
+        if subscription is not None and subscription.coordinator:
+            self._coordinator_name = subscription.coordinator
+        known = self._fleet_state.members_by_name.get(self._coordinator_name)
+        return self._local_member if known is None else known
+
+    def _is_live(self, leader):
+        """Return whether a leader is this router, or has sent updates to it."""
+        if leader.name == self._local_member.name:
+            return True
+        subscription = self._remote_subscriptions.get(leader.data_centre)
+        return (
+            subscription is not None
+            and subscription.member.is_same(leader)
+            and bool(subscription.coordinator)
+        )
 
     def is_current(self):
         """Return whether this router's data of the needed topics is fresh."""
--- a/libs/forward/src/mulberryhub/forward/quotas.py
+++ b/libs/forward/src/mulberryhub/forward/quotas.py
@@ -1,9 +1,12 @@
 """Enforces the rates and bursts of workspaces over all routers together.
 
-What other routers admitted in the window is known as of their last report. The demand
-until the next report may exceed the remaining quota. Each request is then admitted
-with the probability at which all routers together use up the remainder. Without
-reports, a router admits up to an equal share of the whole limit.
+What other routers admitted in the window is known as of their last report. What
+remained then is divided: a part of it in equal shares, and the rest for the
+coordinator, which lends it to the routers that need more. So all routers together stay
+within the limit, however fast demand rises. If the demand until the next report exceeds
+the remaining quota, each request is admitted with the probability at which all routers
+together use it up. Without reports, a router admits up to an equal share of the whole
+limit.
 """
 
 from random import random, uniform
@@ -22,9 +25,12 @@
 # Demand of this duration is kept as a reserve within the rest of the tolerance.
 SURGE_RESERVE_MS = 800
 REPORT_AGE_MS = 450  # by which reports of other routers are out of date
-# Multiple of an equal share of the remaining quota that one router may admit until the
-# next refresh.
-MAX_EQUAL_SHARES = 3
+# In which admissions may be unknown to other routers: two reports and two refreshes.
+UNREPORTED_MS = 900
+LENT_SHARE = 0.8  # of the remaining quota, which the coordinator lends
+BORROWED_DEMAND_MS = 100  # of the demand at a router that one loan covers
+LOAN_VALIDITY_MS = 500
+BORROW_RETRY_MS = 100  # after a loan that was refused
 MEAN_COST_WEIGHT = 0.05  # of a request in the moving average
 MAX_SMALL_REQUEST_FACTOR = 10  # on the probability of a small request
 MIN_LARGE_REQUEST_FACTOR = 0.7  # on the probability of a large request
@@ -62,6 +68,8 @@
     that of admitting a request of mean cost, and `mean_cost` the moving average of the
     cost of requests. `used_by_others` is what other routers admitted in the window, as
     far as known. `refreshed_at` is the time of the last refresh (ms), or None.
+    `borrowed` is the cost that the coordinator lent until `borrowed_until` (ms), and
+    `borrow_at` the time from which more may be borrowed.
     """
 
     __slots__ = (
@@ -72,6 +80,9 @@
         "probability",
         "mean_cost",
         "refreshed_at",
+        "borrowed",
+        "borrowed_until",
+        "borrow_at",
     )
 
     def __init__(self, window):
@@ -82,6 +93,18 @@
         self.probability = 1
         self.mean_cost = 0
         self.refreshed_at = None
+        self.borrowed = 0
+        self.borrowed_until = 0
+        self.borrow_at = 0
+
+    def use_borrowed(self, cost, now):
+        """Use what was borrowed for a request of `cost`; return whether it suffices."""
+        if now > self.borrowed_until:
+            self.borrowed = 0
+        if self.borrowed < cost:
+            return False
+        self.borrowed -= cost
+        return True
 
     def add_cost(self, cost):
         """Include the cost of a request in the moving average."""
@@ -110,6 +133,9 @@
     `read_others()` returns the Usage of other routers or None. `read_admitted(name)`
     returns what they admitted of a workspace in the window. `count_routers()` returns
     the number of routers that may be admitting, including this one.
+    `borrow(name, cost)` returns the cost that the coordinator admits in place of this
+    router, and `read_lending_share()` which share of the lent part this router may
+    lend, from 0 to 1.
     """
 
     __slots__ = (
@@ -118,16 +144,29 @@
         "_read_others",
         "_read_admitted",
         "_count_routers",
+        "_borrow",
+        "_read_lending_share",
         "_clock",
         "_usage_by_name",
     )
 
-    def __init__(self, rule, read_others, read_admitted, count_routers, clock):
+    def __init__(
+        self,
+        rule,
+        read_others,
+        read_admitted,
+        count_routers,
+        borrow,
+        read_lending_share,
+        clock,
+    ):
         self._started = clock.now()
         self._rule = rule
         self._read_others = read_others
         self._read_admitted = read_admitted
         self._count_routers = count_routers
+        self._borrow = borrow
+        self._read_lending_share = read_lending_share
         self._clock = clock
         self._usage_by_name = {}
 
@@ -136,19 +175,29 @@
         if not workspace.rate and not workspace.burst:
             return
         now = self._clock.now()
-        usage = self._usage_of(workspace)
-        if (
-            usage.refreshed_at is None
-            or now - usage.refreshed_at >= REFRESH_INTERVAL_MS
-        ):
-            self._refresh(usage, workspace, now)
+        usage = self._refreshed_usage(workspace, now)
         usage.demand.add(cost, now)
         usage.add_cost(cost)
-        if usage.remaining <= 0 or random() >= usage.admission_probability(cost):
-            self._log_refusal(usage, workspace, cost, now)
-            raise Refusal(Reason.OVER_QUOTA, self._retry_after(usage))
-        usage.remaining -= cost
-        usage.admitted.add(cost, now)
+        if random() < usage.admission_probability(cost):
+            if usage.remaining >= cost:
+                usage.remaining -= cost
+                usage.admitted.add(cost, now)
+                return
+            if usage.use_borrowed(cost, now) or self._try_borrow(
+                usage, workspace, cost, now
+            ):
+                return
+        self._log_refusal(usage, workspace, cost, now)
+        raise Refusal(Reason.OVER_QUOTA, self._retry_after(usage))
+
+    def lend(self, workspace, cost):
+        """Admit up to `cost` in place of another router; return what is admitted."""
+        now = self._clock.now()
+        usage = self._refreshed_usage(workspace, now)
+        lent = max(0, min(cost, usage.remaining))
+        usage.remaining -= lent
+        usage.admitted.add(lent, now)
+        return lent
 
     def refund(self, workspace, cost):
         """Refund the cost of a request that was admitted but did not run."""
@@ -183,6 +232,27 @@
             self._usage_by_name[workspace.name] = usage
         return usage
 
+    def _refreshed_usage(self, workspace, now):
+        usage = self._usage_of(workspace)
+        refreshed_at = usage.refreshed_at
+        if refreshed_at is None or now - refreshed_at >= REFRESH_INTERVAL_MS:
+            self._refresh(usage, workspace, now)
+        return usage
+
+    def _try_borrow(self, usage, workspace, cost, now):
+        """Borrow for a request of `cost`; return whether it is admitted."""
+        if now < usage.borrow_at:
+            return False
+        demand_rate = usage.demand.total_at(now) * 1000 / RATE_WINDOW_MS
+        wanted = max(cost, demand_rate * BORROWED_DEMAND_MS / 1000)
+        usage.borrow_at = now + BORROW_RETRY_MS
+        lent = self._borrow(workspace.name, wanted)
+        if lent >= wanted:
+            usage.borrow_at = now
+        usage.borrowed += lent
+        usage.borrowed_until = now + LOAN_VALIDITY_MS
+        return usage.use_borrowed(cost, now)
+
     def _refresh(self, usage, workspace, now):
         usage.refreshed_at = now
         admitted = usage.admitted.total_at(now)
@@ -201,8 +271,9 @@
         used_by_others = limit * unknown_share + self._read_admitted(workspace.name)
         usage.used_by_others = used_by_others
         remaining = limit - admitted - used_by_others
-        # A shift of demand between routers is known only after a delay.
-        usage.remaining = remaining * min(1, MAX_EQUAL_SHARES / routers)
+        unreported = usage.admitted.recent(UNREPORTED_MS, now)
+        share = (1 - LENT_SHARE) / routers + LENT_SHARE * self._read_lending_share()
+        usage.remaining = (remaining + unreported) * min(1, share) - unreported
         expected_demand = demand_rate * REPORT_AGE_MS / 1000
         usage.probability = (
             1 if expected_demand <= 0 else min(1, max(0, remaining) / expected_demand)
--- a/libs/forward/src/mulberryhub/forward/routes.py
+++ b/libs/forward/src/mulberryhub/forward/routes.py
@@ -15,6 +15,7 @@
     __slots__ = (
         "configuration",
         "workspaces_by_key",
+        "workspaces_by_name",
         "services_by_name",
         "_routes_by_host",
         "_cache_services",
@@ -24,6 +25,7 @@
     def __init__(self, configuration: Configuration):
         self.configuration = configuration
         self.services_by_name = {item.name: item for item in configuration.services}
+        self.workspaces_by_name = {item.name: item for item in configuration.workspaces}
         self.workspaces_by_key = {
             key: workspace
             for workspace in configuration.workspaces
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -2,6 +2,7 @@
 
 from mulberryhub.base.tasks import spawn_task
 from mulberryhub.fleet.cache_watcher import CacheWatcher
+from mulberryhub.fleet.channel import PermitRequest, QuotaGrant, QuotaRequest
 from mulberryhub.fleet.follower import TopicFollower
 from mulberryhub.fleet.publisher import Publisher
 from mulberryhub.fleet.records import Member, Usage
@@ -34,7 +35,7 @@
 from mulberryhub.orders.lease import Lease
 from mulberryhub.permits.allocator import PermitAllocator
 from mulberryhub.permits.client import CoordinatorClient
-from mulberryhub.permits.share import CoordinatorShare
+from mulberryhub.permits.share import MAX_SHARE, CoordinatorShare
 from mulberryhub.permits.stock import PermitStock
 from mulberryhub.upstream.health import UpstreamHealth
 from mulberryhub.weights.manager import RolloutManager
@@ -71,20 +72,24 @@
     parts.store = ports.store
     parts.connection_pool = ConnectionPool(clock)
     demand = Demand(clock)
-    usage_table, quotas, loads = _build_usage(parts, settings, demand, clock)
+    coordinator_client = _build_coordinator_client(parts, clock)
+    usage_table, quotas, loads = _build_usage(
+        parts, settings, demand, coordinator_client, clock
+    )
 
     _add_followers(parts, settings, ports, fleet_state, usage_table, counters, clock)
-    allocator = _build_allocator(parts, usage_table, clock)
+    coordinate = _build_coordinator(parts, usage_table, quotas, clock)
     parts.publisher = Publisher(
         settings.peer_address,
         fleet_state,
         usage_table,
         parts.source_selector.is_current,
         parts.source_selector.coordinator,
-        allocator.grant,
+        coordinate,
         clock,
     )
-    rate_limits = _build_rate_limits(parts, allocator, counters, clock)
+    stock = PermitStock(coordinator_client.ask, clock)
+    rate_limits = UpstreamRateLimits(fleet_state, stock, counters)
     connect_health = UpstreamHealth(clock, counters)
     answer_health = UpstreamHealth(clock, counters)
     availability = UpstreamAvailability(
@@ -179,9 +184,19 @@
     return router
 
 
-def _build_usage(parts, settings, demand, clock):
+def _build_usage(parts, settings, demand, coordinator_client, clock):
     """Return the UsageTable, Quotas and Loads, which depend on each other."""
     fleet_state = parts.fleet_state
+    name = parts.local_member.name
+
+    def borrow(workspace_name, cost):
+        if parts.source_selector.coordinator().name == name:
+            return 0
+        grant = coordinator_client.ask(QuotaRequest(0, workspace_name, cost))
+        return 0 if grant is None else grant.cost
+
+    def read_lending_share():
+        return parts.coordinator_share.current() / MAX_SHARE
 
     def measure_usage():
         return Usage(
@@ -207,6 +222,8 @@
         usage_table.others,
         usage_table.admitted_by_others,
         lambda: len(fleet_state.members_by_name),
+        borrow,
+        read_lending_share,
         clock,
     )
     loads = Loads(usage_table.others, clock)
@@ -276,8 +293,18 @@
     return source_selector.should_read
 
 
-def _build_allocator(parts, usage_table, clock):
-    """Return the PermitAllocator, and set the part that tracks its share."""
+def _build_coordinator_client(parts, clock):
+    """Return the CoordinatorClient; it uses parts that are set later."""
+    return CoordinatorClient(
+        parts.local_member.name,
+        lambda: parts.source_selector.coordinator(),
+        lambda request: parts.coordinate(request),
+        clock,
+    )
+
+
+def _build_coordinator(parts, usage_table, quotas, clock):
+    """Return the function that answers a CoordinatorRequest, and set its parts."""
     name = parts.local_member.name
 
     def count_followers():
@@ -290,19 +317,18 @@
     def count_routers():
         return len(parts.fleet_state.members_by_name)
 
-    parts.coordinator_share = CoordinatorShare(count_followers, count_routers, clock)
-    return PermitAllocator(parts.coordinator_share.current, clock)
-
+    def coordinate(request):
+        if isinstance(request, PermitRequest):
+            return allocator.grant(request)
+        view = parts.forwarder.view()
+        workspace = view and view.workspaces_by_name.get(request.workspace)
+        lent = quotas.lend(workspace, request.cost) if workspace else 0
+        return QuotaGrant(request.number, lent)
 
-def _build_rate_limits(parts, allocator, counters, clock):
-    coordinator_client = CoordinatorClient(
-        parts.local_member.name,
-        parts.source_selector.coordinator,
-        allocator.grant,
-        clock,
-    )
-    stock = PermitStock(coordinator_client.ask, clock)
-    return UpstreamRateLimits(parts.fleet_state, stock, counters)
+    parts.coordinator_share = CoordinatorShare(count_followers, count_routers, clock)
+    allocator = PermitAllocator(parts.coordinator_share.current, clock)
+    parts.coordinate = coordinate
+    return coordinate
 
 
 def _build_rollout_manager(
--- a/libs/node/src/mulberryhub/node/router.py
+++ b/libs/node/src/mulberryhub/node/router.py
@@ -158,6 +158,7 @@
         "publisher",
         "source_selector",
         "coordinator_share",
+        "coordinate",
         "followers",
         "removals",
         "rollout_manager",
--- a/libs/permits/src/mulberryhub/permits/client.py
+++ b/libs/permits/src/mulberryhub/permits/client.py
@@ -1,4 +1,4 @@
-"""Asks the coordinator for permits, over one connection."""
+"""Sends requests to the coordinator over one connection."""
 
 from itertools import count
 
@@ -7,7 +7,7 @@
 from mulberryhub.base.green import Event, Semaphore, Timeout
 from mulberryhub.base.logs import module_logger
 from mulberryhub.base.tasks import spawn_task
-from mulberryhub.fleet.channel import Channel, ChannelError, PermitGrant
+from mulberryhub.fleet.channel import Channel, ChannelError, CoordinatorAnswer
 
 ANSWER_TIMEOUT_MS = 150
 RECONNECT_DELAY_MS = 500
@@ -16,7 +16,7 @@
 
 
 class CoordinatorConnection:
-    """A connection to the router `member` for permit requests."""
+    """A connection to the router `member` for requests to the coordinator."""
 
     __slots__ = ("member", "is_closed", "_channel", "_numbers", "_events_by_number")
 
@@ -26,10 +26,10 @@
         self._channel = Channel.open(member.address)
         self._numbers = count(1)
         self._events_by_number = {}
-        spawn_task(self._receive_grants)
+        spawn_task(self._receive_answers)
 
     def ask(self, request):
-        """Return the PermitGrant for `request`, or None if it is late."""
+        """Return the CoordinatorAnswer to `request`, or None if it is late."""
         number = next(self._numbers)
         event = self._events_by_number[number] = Event()
         try:
@@ -45,15 +45,15 @@
         self.is_closed = True
         self._channel.close()
 
-    def _receive_grants(self):
+    def _receive_answers(self):
         try:
             while True:
-                grant = self._channel.receive()
-                if not isinstance(grant, PermitGrant):
-                    raise ChannelError("message is not a PermitGrant")
-                event = self._events_by_number.get(grant.number)
+                answer = self._channel.receive()
+                if not isinstance(answer, CoordinatorAnswer):
+                    raise ChannelError("message is not an answer of a coordinator")
+                event = self._events_by_number.get(answer.number)
                 if event is not None and not event.ready():
-                    event.send(grant)
+                    event.send(answer)
         except ChannelError as error:
             if not self.is_closed:
                 log.info("coordinator lost", member=self.member.name, reason=str(error))
@@ -62,41 +62,43 @@
 
 
 class CoordinatorClient:
-    """Sends permit requests to the coordinator, which may be this router itself.
+    """Sends requests to the coordinator, which may be this router itself.
 
-    `find_coordinator()` returns its Member. `grant(request)` returns the PermitGrant of
-    this router, whose name is `name`.
+    `find_coordinator()` returns its Member. `coordinate(request)` returns the
+    CoordinatorAnswer of this router, whose name is `name`.
     """
 
     __slots__ = (
         "_name",
         "_find_coordinator",
-        "_grant",
+        "_coordinate",
         "_clock",
         "_connection",
         "_connect_at",
         "_connect_lock",
     )
 
-    def __init__(self, name, find_coordinator, grant, clock):
+    def __init__(self, name, find_coordinator, coordinate, clock):
         self._name = name
         self._find_coordinator = find_coordinator
-        self._grant = grant
+        self._coordinate = coordinate
         self._clock = clock
         self._connection = None
         self._connect_at = 0
         self._connect_lock = Semaphore()
 
     def ask(self, request):
-        """Return the PermitGrant for `request`, or None if there is no answer."""
+        """Return the CoordinatorAnswer to `request`, or None if there is none."""
         member = self._find_coordinator()
         if member.name == self._name:
-            return self._grant(request)
+            return self._coordinate(request)
         try:
             connection = self._connection_to(member)
             return None if connection is None else connection.ask(request)
         except ChannelError as error:
-            log.info("permits not granted", member=member.name, reason=str(error))
+            log.info(
+                "coordinator does not answer", member=member.name, reason=str(error)
+            )
             self._connect_at = self._clock.now() + RECONNECT_DELAY_MS
             return None
 
--- a/tests/fleet/test_sources.py
+++ b/tests/fleet/test_sources.py
@@ -27,6 +27,7 @@
         self.ended = False
         self.closed = False
         self.is_publisher_current = True
+        self.coordinator = ""
 
     def start(self):
         pass
@@ -228,3 +229,27 @@
         if harness.source_selector.should_read_members()
     }
     assert readers == {"b00", "c00"}
+
+
+def test_coordinator_is_the_strongest_leader_that_sent_updates():
+    harness = SourcesHarness("b0")
+    harness.source_selector.step()
+    assert harness.source_selector.coordinator().name == "b0"
+    subscription = next(item for item in harness.opened if item.member.name == "a0")
+    subscription.coordinator = "a0"
+    assert harness.source_selector.coordinator().name == "a0"
+    subscription.ended = True
+    harness.source_selector.step()
+    assert harness.source_selector.coordinator().name == "b0"
+
+
+def test_other_members_ask_the_coordinator_of_their_leader():
+    harness = SourcesHarness("a2")
+    harness.source_selector.step()
+    assert harness.source_selector.coordinator().name == "a2"
+    harness.opened[0].coordinator = "b0"
+    assert harness.source_selector.coordinator().name == "b0"
+    harness.opened[0].ended = True
+    harness.source_selector.step()
+    assert harness.open_subscriptions() == ["a1"]
+    assert harness.source_selector.coordinator().name == "b0"
--- a/tests/forward/test_quotas.py
+++ b/tests/forward/test_quotas.py
@@ -42,8 +42,15 @@
             self.table.others,
             self.table.admitted_by_others,
             lambda: len(fleet.nodes),
+            self._borrow,
+            lambda: float(fleet.nodes[0] is self),
             fleet.clock,
         )
+        self._fleet = fleet
+
+    def _borrow(self, name, cost):
+        coordinator = self._fleet.nodes[0]
+        return 0 if coordinator is self else coordinator.quotas.lend(WORKSPACE, cost)
 
     def _measure(self):
         quotas = self.quotas
@@ -61,6 +68,7 @@
         self.admitted = deque()
         self.demand = 0
         self.refused = 0
+        self.senders = None
         self.nodes = []
         self.nodes = [self._make(index) for index in range(routers)]
 
@@ -75,12 +83,13 @@
         end = self.clock.now() + duration
         due = 0.0
         request_count = 0
+        senders = self.senders or self.nodes
         while self.clock.now() < end:
             due += tokens_per_s * STEP_MS / 1000
             while due >= COST_TOKENS:
                 due -= COST_TOKENS
                 request_count += 1
-                self._send_request(self.nodes[request_count % len(self.nodes)])
+                self._send_request(senders[request_count % len(senders)])
             if self.clock.now() % REPORT_PERIOD_MS == 0:
                 self._exchange_reports()
             self.clock.advance(STEP_MS)
@@ -282,7 +291,15 @@
 
 def test_workspace_without_a_rate_has_no_limit():
     clock = ManualClock()
-    quotas = Quotas(RULE, lambda: None, lambda name: 0, lambda: 1, clock)
+    quotas = Quotas(
+        RULE,
+        lambda: None,
+        lambda name: 0,
+        lambda: 1,
+        lambda name, cost: 0,
+        lambda: 1,
+        clock,
+    )
     for _ in range(1_000):
         quotas.admit(Workspace("free", []), 1_000_000)
 
@@ -294,3 +311,24 @@
             fleet.nodes[0].quotas.admit(WORKSPACE, COST_TOKENS)
     assert 0 < refused.value.retry_after <= 6_000
     assert refused.value.reason.status == 429
+
+
+@pytest.mark.parametrize("routers", [2, 6, 60, 200])
+@pytest.mark.parametrize("load_factor", [3, 10, 50])
+def test_quiet_workspace_that_floods_stays_within_the_limit(routers, load_factor):
+    fleet = Fleet(routers)
+    fleet.run(10_000, 0)
+    fleet.run(3_000, RATE_TOKENS_PER_S * load_factor)
+    assert fleet.largest_window() <= MAX_WINDOW_TOKENS
+
+
+@pytest.mark.parametrize("routers", [2, 6, 60, 200])
+def test_demand_below_the_rate_at_a_single_router_is_rarely_refused(routers):
+    fleet = Fleet(routers)
+    fleet.run(10_000, 0)
+    for _ in range(4):
+        all_nodes = fleet.nodes
+        number = random.randrange(len(all_nodes))
+        fleet.senders = [all_nodes[number]]
+        fleet.run(6_000, RATE_TOKENS_PER_S * 0.9)
+    assert fleet.refused <= 0.005 * fleet.demand
