Let requests wait for a loan that is on its way; build rates in a module

Found by reading: while one request asked the coordinator for quota, all others of its workspace at the same router were refused, some 3 ms for each 100 ms of its demand. They wait for the loan now, as requests do for permits.

The share of a coordinator is sampled each 200 ms instead of at each grant, as the sum over all routers' usage grows with upstreams.

--- a/libs/forward/src/mulberryhub/forward/quotas.py
+++ b/libs/forward/src/mulberryhub/forward/quotas.py
@@ -11,6 +11,7 @@
 
 from random import random, uniform
 
+from mulberryhub.base.green import Event
 from mulberryhub.base.logs import module_logger
 from mulberryhub.base.windows import SlidingSum
 from mulberryhub.fleet.admissions import SLOT_MS, Admitted
@@ -69,7 +70,8 @@
     cost of requests. `used_by_others` is what other routers admitted in the window, as
     far as known. `refreshed_at` is the time of the last refresh (ms), or None.
     `borrowed` is the cost that the coordinator lent until `borrowed_until` (ms), and
-    `borrow_at` the time from which more may be borrowed.
+    `borrow_at` the time from which more may be borrowed. `pending_loan` is the Event of
+    a loan on its way, or None.
     """
 
     __slots__ = (
@@ -83,6 +85,7 @@
         "borrowed",
         "borrowed_until",
         "borrow_at",
+        "pending_loan",
     )
 
     def __init__(self, window):
@@ -96,6 +99,7 @@
         self.borrowed = 0
         self.borrowed_until = 0
         self.borrow_at = 0
+        self.pending_loan = None
 
     def use_borrowed(self, cost, now):
         """Use what was borrowed for a request of `cost`; return whether it suffices."""
@@ -183,9 +187,7 @@
                 usage.remaining -= cost
                 usage.admitted.add(cost, now)
                 return
-            if usage.use_borrowed(cost, now) or self._try_borrow(
-                usage, workspace, cost, now
-            ):
+            if self._try_borrow(usage, workspace, cost):
                 return
         self._log_refusal(usage, workspace, cost, now)
         raise Refusal(Reason.OVER_QUOTA, self._retry_after(usage))
@@ -239,19 +241,35 @@
             self._refresh(usage, workspace, now)
         return usage
 
-    def _try_borrow(self, usage, workspace, cost, now):
-        """Borrow for a request of `cost`; return whether it is admitted."""
-        if now < usage.borrow_at:
-            return False
-        demand_rate = usage.demand.total_at(now) * 1000 / RATE_WINDOW_MS
+    def _try_borrow(self, usage, workspace, cost):
+        """Borrow for a request of `cost`; return whether it is admitted.
+
+        Requests that come while a loan is on its way wait for it.
+        """
+        while not usage.use_borrowed(cost, self._clock.now()):
+            if self._clock.now() < usage.borrow_at:
+                return False
+            if usage.pending_loan is None:
+                self._borrow_more(usage, workspace, cost)
+            else:
+                usage.pending_loan.wait()
+        return True
+
+    def _borrow_more(self, usage, workspace, cost):
+        asked_at = self._clock.now()
+        demand_rate = usage.demand.total_at(asked_at) * 1000 / RATE_WINDOW_MS
         wanted = max(cost, demand_rate * BORROWED_DEMAND_MS / 1000)
-        usage.borrow_at = now + BORROW_RETRY_MS
-        lent = self._borrow(workspace.name, wanted)
-        if lent >= wanted:
-            usage.borrow_at = now
-        usage.borrowed += lent
-        usage.borrowed_until = now + LOAN_VALIDITY_MS
-        return usage.use_borrowed(cost, now)
+        usage.pending_loan = Event()
+        lent = 0
+        try:
+            lent = self._borrow(workspace.name, wanted)
+        finally:
+            usage.borrowed += lent
+            usage.borrowed_until = asked_at + LOAN_VALIDITY_MS
+            if lent < wanted:
+                usage.borrow_at = self._clock.now() + BORROW_RETRY_MS
+            pending_loan, usage.pending_loan = usage.pending_loan, None
+            pending_loan.send()
 
     def _refresh(self, usage, workspace, now):
         usage.refreshed_at = now
--- /dev/null
+++ b/libs/node/src/mulberryhub/node/coordination.py
@@ -0,0 +1,94 @@
+"""Builds the parts that keep rates over all routers, for the composition root."""
+
+from mulberryhub.fleet.channel import PermitRequest, QuotaGrant, QuotaRequest
+from mulberryhub.fleet.records import Usage
+from mulberryhub.fleet.usage import UsageTable
+from mulberryhub.forward.loads import Loads
+from mulberryhub.forward.quotas import QuotaRule, Quotas
+from mulberryhub.permits.allocator import PermitAllocator
+from mulberryhub.permits.client import CoordinatorClient
+from mulberryhub.permits.share import MAX_SHARE, CoordinatorShare
+
+
+def build_coordinator_client(parts, clock):
+    """Return the CoordinatorClient; it uses parts that are set later."""
+    return CoordinatorClient(
+        parts.local_member.name,
+        lambda: parts.source_selector.coordinator(),
+        lambda request: parts.coordinate(request),
+        clock,
+    )
+
+
+def build_coordinator(parts, usage_table, quotas, clock):
+    """Return the function that answers a CoordinatorRequest, and set its parts."""
+    name = parts.local_member.name
+
+    def count_followers():
+        usage = usage_table.own()
+        others = usage_table.others()
+        if others is not None:
+            usage.add(others)
+        return usage.followers_by_coordinator.get(name, 0)
+
+    def count_routers():
+        return len(parts.fleet_state.members_by_name)
+
+    def coordinate(request):
+        if isinstance(request, PermitRequest):
+            return allocator.grant(request)
+        view = parts.forwarder.view()
+        workspace = view and view.workspaces_by_name.get(request.workspace)
+        lent = quotas.lend(workspace, request.cost) if workspace else 0
+        return QuotaGrant(request.number, lent)
+
+    parts.coordinator_share = CoordinatorShare(count_followers, count_routers, clock)
+    allocator = PermitAllocator(parts.coordinator_share.current, clock)
+    parts.coordinate = coordinate
+    return coordinate
+
+
+def build_usage(parts, settings, demand, coordinator_client, clock):
+    """Return the UsageTable, Quotas and Loads, which depend on each other."""
+    fleet_state = parts.fleet_state
+    name = parts.local_member.name
+
+    def borrow(workspace_name, cost):
+        if parts.source_selector.coordinator().name == name:
+            return 0
+        grant = coordinator_client.ask(QuotaRequest(0, workspace_name, cost))
+        return 0 if grant is None else grant.cost
+
+    def read_lending_share():
+        return parts.coordinator_share.current() / MAX_SHARE
+
+    def measure_usage():
+        return Usage(
+            quotas.admitted(),
+            quotas.demand_rates(),
+            loads.local_work_by_upstream(),
+            loads.local_bound_by_upstream(),
+            demand.engine_time_rates(),
+            max_uptime=quotas.uptime(),
+            min_uptime=quotas.uptime(),
+            followers_by_coordinator={parts.source_selector.coordinator().name: 1},
+        )
+
+    bounds = settings.bounds
+    usage_table = UsageTable(
+        measure_usage, settings.data_centre, bounds.quota_window, clock
+    )
+    quota_rule = QuotaRule(
+        bounds.quota_window, bounds.quota_overage, bounds.quota_slack
+    )
+    quotas = Quotas(
+        quota_rule,
+        usage_table.others,
+        usage_table.admitted_by_others,
+        lambda: len(fleet_state.members_by_name),
+        borrow,
+        read_lending_share,
+        clock,
+    )
+    loads = Loads(usage_table.others, clock)
+    return usage_table, quotas, loads
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -2,30 +2,31 @@
 
 from mulberryhub.base.tasks import spawn_task
 from mulberryhub.fleet.cache_watcher import CacheWatcher
-from mulberryhub.fleet.channel import PermitRequest, QuotaGrant, QuotaRequest
 from mulberryhub.fleet.follower import TopicFollower
 from mulberryhub.fleet.publisher import Publisher
-from mulberryhub.fleet.records import Member, Usage
+from mulberryhub.fleet.records import Member
 from mulberryhub.fleet.removals import DelayedRemovals
 from mulberryhub.fleet.sources import SourceSelector
 from mulberryhub.fleet.state import FleetState, Topic
 from mulberryhub.fleet.subscription import Subscription
-from mulberryhub.fleet.usage import UsageTable
 from mulberryhub.forward.attempts import AttemptRunner
 from mulberryhub.forward.availability import UpstreamAvailability
 from mulberryhub.forward.budget import BudgetRule, RetryBudget
 from mulberryhub.forward.cache_directives import CacheDirectives
 from mulberryhub.forward.demand import Demand
 from mulberryhub.forward.forwarder import Forwarder
-from mulberryhub.forward.loads import Loads
 from mulberryhub.forward.quarantine import Quarantine
-from mulberryhub.forward.quotas import QuotaRule, Quotas
 from mulberryhub.forward.rate_limits import UpstreamRateLimits
 from mulberryhub.forward.relay import Relay
 from mulberryhub.forward.selection import UpstreamSelector
 from mulberryhub.http.inbound import RequestLimits
 from mulberryhub.http.pool import ConnectionPool
 from mulberryhub.http.server import HttpServer
+from mulberryhub.node.coordination import (
+    build_coordinator,
+    build_coordinator_client,
+    build_usage,
+)
 from mulberryhub.node.gauges import add_gauges
 from mulberryhub.node.metrics import metrics_server
 from mulberryhub.node.readiness import readiness_server
@@ -33,9 +34,6 @@
 from mulberryhub.node.topics import topic_plans
 from mulberryhub.node.verdicts import verdict_saver
 from mulberryhub.orders.lease import Lease
-from mulberryhub.permits.allocator import PermitAllocator
-from mulberryhub.permits.client import CoordinatorClient
-from mulberryhub.permits.share import MAX_SHARE, CoordinatorShare
 from mulberryhub.permits.stock import PermitStock
 from mulberryhub.upstream.health import UpstreamHealth
 from mulberryhub.weights.manager import RolloutManager
@@ -72,13 +70,13 @@
     parts.store = ports.store
     parts.connection_pool = ConnectionPool(clock)
     demand = Demand(clock)
-    coordinator_client = _build_coordinator_client(parts, clock)
-    usage_table, quotas, loads = _build_usage(
+    coordinator_client = build_coordinator_client(parts, clock)
+    usage_table, quotas, loads = build_usage(
         parts, settings, demand, coordinator_client, clock
     )
 
     _add_followers(parts, settings, ports, fleet_state, usage_table, counters, clock)
-    coordinate = _build_coordinator(parts, usage_table, quotas, clock)
+    coordinate = build_coordinator(parts, usage_table, quotas, clock)
     parts.publisher = Publisher(
         settings.peer_address,
         fleet_state,
@@ -184,52 +182,6 @@
     return router
 
 
-def _build_usage(parts, settings, demand, coordinator_client, clock):
-    """Return the UsageTable, Quotas and Loads, which depend on each other."""
-    fleet_state = parts.fleet_state
-    name = parts.local_member.name
-
-    def borrow(workspace_name, cost):
-        if parts.source_selector.coordinator().name == name:
-            return 0
-        grant = coordinator_client.ask(QuotaRequest(0, workspace_name, cost))
-        return 0 if grant is None else grant.cost
-
-    def read_lending_share():
-        return parts.coordinator_share.current() / MAX_SHARE
-
-    def measure_usage():
-        return Usage(
-            quotas.admitted(),
-            quotas.demand_rates(),
-            loads.local_work_by_upstream(),
-            loads.local_bound_by_upstream(),
-            demand.engine_time_rates(),
-            max_uptime=quotas.uptime(),
-            min_uptime=quotas.uptime(),
-            followers_by_coordinator={parts.source_selector.coordinator().name: 1},
-        )
-
-    bounds = settings.bounds
-    usage_table = UsageTable(
-        measure_usage, settings.data_centre, bounds.quota_window, clock
-    )
-    quota_rule = QuotaRule(
-        bounds.quota_window, bounds.quota_overage, bounds.quota_slack
-    )
-    quotas = Quotas(
-        quota_rule,
-        usage_table.others,
-        usage_table.admitted_by_others,
-        lambda: len(fleet_state.members_by_name),
-        borrow,
-        read_lending_share,
-        clock,
-    )
-    loads = Loads(usage_table.others, clock)
-    return usage_table, quotas, loads
-
-
 def _build_retry_budget(settings, fleet_state, clock):
     bounds = settings.bounds
     budget_rule = BudgetRule(
@@ -293,44 +245,6 @@
     return source_selector.should_read
 
 
-def _build_coordinator_client(parts, clock):
-    """Return the CoordinatorClient; it uses parts that are set later."""
-    return CoordinatorClient(
-        parts.local_member.name,
-        lambda: parts.source_selector.coordinator(),
-        lambda request: parts.coordinate(request),
-        clock,
-    )
-
-
-def _build_coordinator(parts, usage_table, quotas, clock):
-    """Return the function that answers a CoordinatorRequest, and set its parts."""
-    name = parts.local_member.name
-
-    def count_followers():
-        usage = usage_table.own()
-        others = usage_table.others()
-        if others is not None:
-            usage.add(others)
-        return usage.followers_by_coordinator.get(name, 0)
-
-    def count_routers():
-        return len(parts.fleet_state.members_by_name)
-
-    def coordinate(request):
-        if isinstance(request, PermitRequest):
-            return allocator.grant(request)
-        view = parts.forwarder.view()
-        workspace = view and view.workspaces_by_name.get(request.workspace)
-        lent = quotas.lend(workspace, request.cost) if workspace else 0
-        return QuotaGrant(request.number, lent)
-
-    parts.coordinator_share = CoordinatorShare(count_followers, count_routers, clock)
-    allocator = PermitAllocator(parts.coordinator_share.current, clock)
-    parts.coordinate = coordinate
-    return coordinate
-
-
 def _build_rollout_manager(
     settings, ports, fleet_state, rate_limits, loads, pool_builder, counters, clock
 ):
--- a/libs/permits/src/mulberryhub/permits/share.py
+++ b/libs/permits/src/mulberryhub/permits/share.py
@@ -3,7 +3,7 @@
 It follows the number of routers that follow this coordinator, so that the shares of
 several coordinators never add up to more than FLEET_SHARE. A router that changes its
 coordinator still counts for the former one for a while. A share therefore grows only
-after SETTLE_TIME_MS, and falls at once.
+after SETTLE_TIME_MS, and falls with the next sample.
 """
 
 from collections import deque
@@ -50,7 +50,9 @@
 
     def current(self):
         """Return the share of each rate that this router may issue, from 0 to 1."""
-        self.sample()
+        now = self._clock.now()
+        if not self._samples or now - self._samples[-1].at >= SAMPLE_INTERVAL_MS:
+            self.sample()
         routers = self._count_routers()
         if not routers:
             return 0
--- a/libs/permits/src/mulberryhub/permits/stock.py
+++ b/libs/permits/src/mulberryhub/permits/stock.py
@@ -12,7 +12,7 @@
 NO_ANSWER_RETRY_MS = 200  # if the coordinator does not answer
 DEMAND_WINDOW_MS = 1_000
 PREFETCH_TIME_MS = 200  # for which one request to the coordinator covers the use
-MAX_HOLDING_COUNT = 20_000  # pairs of an upstream and a flow
+MAX_HOLDING_COUNT = 5_000  # pairs of an upstream and a flow
 MIN_RETRY_AFTER_MS = 200  # that clients are told
 MAX_RETRY_AFTER_MS = 4_000
 RETRY_AFTER_SPREAD = 1.5  # factor over which clients are spread
--- a/tests/forward/test_quotas.py
+++ b/tests/forward/test_quotas.py
@@ -12,6 +12,7 @@
 import pytest
 
 from mulberryhub.base.clock import ManualClock
+from mulberryhub.base.green import sleep, spawn
 from mulberryhub.fleet.records import Usage, Workspace
 from mulberryhub.fleet.usage import UsageTable
 from mulberryhub.forward.quotas import QuotaRule, Quotas
@@ -332,3 +333,33 @@
         fleet.senders = [all_nodes[number]]
         fleet.run(6_000, RATE_TOKENS_PER_S * 0.9)
     assert fleet.refused <= 0.005 * fleet.demand
+
+
+def test_requests_wait_for_a_loan_that_is_on_its_way():
+    loans = []
+
+    def borrow(name, cost):
+        loans.append(cost)
+        sleep(0.02)
+        return 6 * cost if len(loans) == 1 else 0
+
+    quotas = Quotas(
+        RULE,
+        lambda: Usage(routers=10_000),
+        lambda name: 0,
+        lambda: 10_001,
+        borrow,
+        lambda: 0,
+        ManualClock(),
+    )
+    admitted = []
+
+    def admit():
+        quotas.admit(WORKSPACE, COST_TOKENS)
+        admitted.append(COST_TOKENS)
+
+    for _ in range(5):
+        spawn(admit)
+    sleep(0.1)
+    assert len(admitted) == 5
+    assert len(loans) == 1
