--- a/soak/run.py
+++ b/soak/run.py
@@ -100,7 +100,8 @@
         else:
             worker.process.set_faults(**{step.mode: request_count})
         sleep(step.duration)
-        worker.process.set_faults(retry_after=None)
+        if worker in self.fleet.workers:
+            worker.process.set_faults(retry_after=None)
 
     def kill_worker(self, step, worker):
         """Kill a worker and start a replacement."""
