Bound the wait for permits of one request over all upstreams

By reading: a request waits for a request on its way, then for its own, 150 ms at most each, and does so at each limited upstream that is tried.

--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -34,6 +34,7 @@
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 400
 MIN_BUSY_RETRY_AFTER_MS = 200
+MAX_PERMIT_WAIT_MS = 150  # after which no further upstream is tried for a permit
 MIN_SERVER_ERROR_STATUS = 500
 SUCCESS_STATUSES = range(200, 300)
 
@@ -146,6 +147,7 @@
     def _place_with_permit(self, job):
         """Return a Choice with a permit if its upstream limits requests."""
         denied_ids = set()
+        deadline = self._clock.now() + MAX_PERMIT_WAIT_MS
         while True:
             choice = self._place(job, denied_ids)
             if choice is None:
@@ -153,7 +155,7 @@
             if is_too_late(job, choice.delay):
                 self._counters.add("refusal.delay")
                 raise self._too_late_refusal(job, choice.delay)
-            if self._rate_limits.try_take(choice.upstream, job.flow):
+            if self._rate_limits.try_take(choice.upstream, job.flow, deadline):
                 return choice
             denied_ids.add(choice.upstream.id)
 
--- a/libs/forward/src/mulberryhub/forward/rate_limits.py
+++ b/libs/forward/src/mulberryhub/forward/rate_limits.py
@@ -49,10 +49,13 @@
             return True
         return self._stock.is_open(upstream, flow)
 
-    def try_take(self, upstream, flow):
-        """Take a permit for one request; return whether it may be sent."""
+    def try_take(self, upstream, flow, deadline):
+        """Take a permit for one request; return whether it may be sent.
+
+        No permit is requested from the coordinator after `deadline` (ms).
+        """
         rate = self._fleet_state.rate_limits.rate(upstream)
-        if rate is None or self._stock.take(upstream, rate, flow):
+        if rate is None or self._stock.take(upstream, rate, flow, deadline):
             return True
         self._counters.add("upstream.no_permit")
         return False
--- a/libs/permits/src/mulberryhub/permits/stock.py
+++ b/libs/permits/src/mulberryhub/permits/stock.py
@@ -93,15 +93,16 @@
         holding.wanted.add(1, now)
         return holding.is_open(now)
 
-    def take(self, upstream, rate, flow):
+    def take(self, upstream, rate, flow, deadline):
         """Use a permit for one request; return whether there was one.
 
         If none is left, one is requested from the coordinator, and the call blocks
-        until its answer. `rate` is the limit of the upstream in requests/s.
+        until its answer. From `deadline` (ms) on, none is requested. `rate` is the
+        limit of the upstream in requests/s.
         """
         holding = self._holding(upstream, flow)
         while not holding.use(self._clock.now()):
-            if self._clock.now() < holding.ask_at:
+            if self._clock.now() >= deadline or self._clock.now() < holding.ask_at:
                 return False
             if holding.pending is None:
                 self._request_more(holding, upstream, rate, flow)
--- a/tests/forward/test_rate_limits.py
+++ b/tests/forward/test_rate_limits.py
@@ -28,6 +28,10 @@
     def record_unlimited(self, **more):
         self.record(None, has_limit=False, **more)
 
+    def try_take(self):
+        deadline = self.clock.now() + 150
+        return self.rate_limits.try_take(UPSTREAM, FLOW, deadline)
+
     @property
     def rate(self):
         return self.fleet_state.rate_limits.rate(UPSTREAM)
@@ -108,17 +112,17 @@
     taken = 0
     for _ in range(1_000):
         fixture.clock.advance(20)
-        taken += fixture.rate_limits.try_take(UPSTREAM, FLOW)
+        taken += fixture.try_take()
     assert 3 <= taken <= 8
 
 
 def test_request_that_is_not_sent_returns_its_permit():
     fixture = Fixture()
     fixture.record(1)
-    assert fixture.rate_limits.try_take(UPSTREAM, FLOW)
+    assert fixture.try_take()
     fixture.rate_limits.put_back(UPSTREAM, FLOW)
-    assert fixture.rate_limits.try_take(UPSTREAM, FLOW)
-    assert not fixture.rate_limits.try_take(UPSTREAM, FLOW)
+    assert fixture.try_take()
+    assert not fixture.try_take()
     assert fixture.rate_limits.retry_after(UPSTREAM, FLOW) > 0
 
 
@@ -128,4 +132,12 @@
     for _ in range(3):
         fixture.rate_limits.charge(UPSTREAM)
     fixture.clock.advance(1_500)
-    assert not fixture.rate_limits.try_take(UPSTREAM, FLOW)
+    assert not fixture.try_take()
+
+
+def test_no_permit_is_requested_after_the_deadline():
+    fixture = Fixture()
+    fixture.record(1)
+    now = fixture.clock.now()
+    assert not fixture.rate_limits.try_take(UPSTREAM, FLOW, now)
+    assert fixture.rate_limits.try_take(UPSTREAM, FLOW, now + 1)
--- a/tests/node/test_tasks.py
+++ b/tests/node/test_tasks.py
@@ -78,9 +78,9 @@
             raise ValueError("unexpected")
 
     monkeypatch.setattr(tasks, "RESTART_DELAY_MS", 1)
-    for name in ("_run_ticks", "_run_registration", "_run_expiry"):
-        if hasattr(owner, name):
-            monkeypatch.setattr(owner, name, lambda self: None)
+    monkeypatch.setattr(Publisher, "_run_ticks", lambda self: None)
+    for name in ("_run_registration", "_run_expiry"):
+        monkeypatch.setattr(Router, name, lambda self: None)
     monkeypatch.setattr(owner, task, run)
     make().start()
     sleep(0.05)
--- a/tests/permits/fleet_model.py
+++ b/tests/permits/fleet_model.py
@@ -146,8 +146,9 @@
         return largest
 
     def _request(self, router, flow):
+        deadline = self.time.clock.now() + ASK_TIMEOUT_MS
         if router.stock.is_open(UPSTREAM, flow) and router.stock.take(
-            UPSTREAM, self.rate, flow
+            UPSTREAM, self.rate, flow, deadline
         ):
             self.arrivals.append(Arrival(self.time.clock.now(), flow, router.number))
             return
