Log how long newer weights have been named when a request is sent

The lines could not tell a router that doesn't know an age from one that knows a wrong one, nor either from a request that waited at its upstream. superseded_ms is null without newer weights and -1 if the age is unknown. Nothing is decided by it.

--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -5,6 +5,7 @@
 run by the route's `max_attempts` too.
 """
 
+from math import inf
 from random import uniform
 
 from mulberryhub.base.logs import module_logger
@@ -37,6 +38,7 @@
 MAX_PERMIT_WAIT_MS = 150  # after which no further upstream is tried for a permit
 MIN_SERVER_ERROR_STATUS = 500
 MAX_LOGGED_PARTS = 16  # of one request
+UNKNOWN_AGE = -1  # ms, in logs
 SUCCESS_STATUSES = range(200, 300)
 
 log = module_logger(__name__)
@@ -216,6 +218,7 @@
             request=job.call.id,
             upstream=choice.upstream.id,
             version=choice.version,
+            superseded_ms=self._superseded_ms(job.call.model, choice.version),
             delay_ms=round(choice.delay),
             time_left_ms=attempt.time_left,
             after_event=None
@@ -226,6 +229,16 @@
             upstreams_age_ms=self._fleet_state.age(Topic.UPSTREAMS),
         )
 
+    def _superseded_ms(self, model, version):
+        """Return how long newer weights have been named, as logged.
+
+        None stands for weights that are the newest, UNKNOWN_AGE for an unknown time.
+        """
+        if version is None:
+            return None
+        age = self._fleet_state.time_since_superseded(model, version)
+        return UNKNOWN_AGE if age == inf else age
+
     def _send_and_read_head(self, job, exchange):
         """Send the request and read the head of the answer.
 
