--- /dev/null
+++ b/tests/adapter/test_replaced_weights.py
@@ -0,0 +1,146 @@
+"""Old weights end in time though no upstream has newer ones. Routers are processes."""
+
+import signal
+import time
+from itertools import count
+
+import msgspec
+import pytest
+
+from mulberryhub.adapter_standins.documents import MODEL
+from mulberryhub.adapter_standins.fleet import PlatformFleet, wait_until
+from mulberryhub.adapter_standins.worker import RunLine
+
+ROUTERS = 3
+VERSION_TIME_S = 8.0
+CONTACT_TIME_S = 3.0  # after a start or a freeze, in which a router is not judged
+REQUEST_INTERVAL_S = 0.1
+WORKER_IDS = ("w1", "w2")
+ALWAYS = 1_000_000  # requests that a fault affects
+
+
+class MutedPlatform:
+    """Routers before two upstreams that leave all orders unanswered."""
+
+    def __init__(self, folder):
+        self.runs_path = folder / "runs.jsonl"
+        self.runs_path.touch()
+        self.fleet = PlatformFleet(
+            folder, ROUTERS, version_time=int(VERSION_TIME_S * 1000)
+        )
+        for id, zone in zip(WORKER_IDS, "ab"):
+            self.fleet.start_worker(
+                f"{id}x",
+                "llm",
+                zone,
+                model=MODEL,
+                version=1,
+                runs_path=str(self.runs_path),
+            )
+        self.fleet.configure()
+        for id in WORKER_IDS:
+            self.fleet.workers_by_id[id].request(
+                "POST", "/faults", json={"shed": ALWAYS}
+            )
+            self.mute(f"{id}x")
+        self.numbers = count()
+        for router in self.fleet.routers:
+            wait_until(lambda router=router: self.ask(router) == 200)
+
+    def mute(self, id):
+        faults = {"mute_orders": ALWAYS}
+        self.fleet.workers_by_id[id].request("POST", "/faults", json=faults)
+
+    def ask(self, router):
+        """Return the status of a prompt, None without an answer."""
+        try:
+            return router.ask_model(id=f"r{next(self.numbers)}").status
+        except Exception:
+            return None
+
+    def name_weights(self, version):
+        """Let the operator name `version`; return the Unix time in s."""
+        document = {"model": MODEL, "version": version}
+        self.fleet.write(f"version/{MODEL}", document)
+        return time.time()
+
+    def ask_until(self, end, routers):
+        """Send prompts through `routers` until the Unix time `end` in s."""
+        while time.time() < end:
+            for router in routers:
+                self.ask(router)
+            time.sleep(REQUEST_INTERVAL_S)
+
+    def restart_routers(self):
+        """Kill all routers at once and start them; return when they are ready."""
+        for router in self.fleet.routers:
+            router.popen.kill()
+        for router in self.fleet.routers:
+            router.popen.wait()
+            router.start()
+        wait_until(lambda: all(router.is_ready() for router in self.fleet.routers))
+
+    def late_runs(self, after):
+        """Return the ids of runs on version 1 that began after `after` in s."""
+        lines = self.runs_path.read_bytes().splitlines()
+        runs = [msgspec.json.decode(line, type=RunLine) for line in lines]
+        return [run.id for run in runs if run.version == 1 and run.at / 1000 > after]
+
+    def runs_between(self, start, end):
+        """Return how many runs began between two Unix times in s."""
+        lines = self.runs_path.read_bytes().splitlines()
+        runs = [msgspec.json.decode(line, type=RunLine) for line in lines]
+        return sum(start <= run.at / 1000 < end for run in runs)
+
+
+@pytest.fixture
+def platform(tmp_path):
+    platform = MutedPlatform(tmp_path)
+    yield platform
+    platform.fleet.close()
+
+
+def test_first_weights_named_end_the_use_of_older_ones(platform):
+    named_at = platform.name_weights(2)
+    platform.ask_until(named_at + VERSION_TIME_S + 2, platform.fleet.routers)
+    assert platform.runs_between(named_at, named_at + VERSION_TIME_S / 2)
+    assert not platform.late_runs(named_at + VERSION_TIME_S)
+
+
+@pytest.mark.parametrize("restart_after", [1.0, 6.0])
+def test_restarted_routers_do_not_go_on_with_replaced_weights(platform, restart_after):
+    named_at = platform.name_weights(2)
+    platform.ask_until(named_at + restart_after, platform.fleet.routers)
+    platform.restart_routers()
+    ready_at = time.time()
+    end = max(named_at + VERSION_TIME_S, ready_at + CONTACT_TIME_S)
+    platform.ask_until(end + 2, platform.fleet.routers)
+    assert not platform.late_runs(end)
+
+
+@pytest.mark.parametrize("is_first", [True, False])
+def test_router_frozen_during_the_naming_does_not_count_from_its_return(
+    platform, is_first
+):
+    if not is_first:
+        platform.name_weights(1)
+        time.sleep(1)
+    frozen = platform.fleet.routers[-1]
+    frozen.popen.send_signal(signal.SIGSTOP)
+    try:
+        time.sleep(0.5)
+        named_at = platform.name_weights(2)
+        time.sleep(VERSION_TIME_S - CONTACT_TIME_S - 0.5)
+    finally:
+        frozen.popen.send_signal(signal.SIGCONT)
+    end = max(named_at + VERSION_TIME_S, time.time() + CONTACT_TIME_S)
+    platform.ask_until(end + 2, [frozen])
+    assert not platform.late_runs(end)
+
+
+def test_calm_restart_of_all_routers_serves_at_once(platform):
+    platform.restart_routers()
+    ready_at = time.time()
+    platform.ask_until(ready_at + 6, platform.fleet.routers)
+    for second in range(5):
+        assert platform.runs_between(ready_at + second, ready_at + second + 1) > 5
