Bound the age of named weights by what was read before, and learn it from others

Cause: the age of a naming was the time since this router had read it, and unknown where it was the first record of its model, as no record exists before the first naming; an unknown age forbade nothing where no upstream had newer weights. So it was unknown at all routers after the first naming, at routers started after any naming, and too short where a router stood still. Ruled out by the lines: a wrong belief on an upstream's weights, and waiting at the upstream.

A version was named after the last time at which the operator's topic was known without it, which bounds its age from above whether it is the first record or not; a failed read of the store moves that time, as nothing is named while it is away. A router that has just started knows no such time: it learns the ages from the routers that it follows or that follow it, and without them it uses old weights for two seconds at most. Versions between two namings are told too, so that each is judged from its own naming. This lives in fleet.named_weights now; fleet.state only applies records.

--- a/libs/fleet/src/mulberryhub/fleet/channel.py
+++ b/libs/fleet/src/mulberryhub/fleet/channel.py
@@ -8,7 +8,7 @@
 
 from mulberryhub.base.green import Semaphore
 from mulberryhub.fleet.admissions import Admitted
-from mulberryhub.fleet.records import Observation, Record, Rollout, Usage
+from mulberryhub.fleet.records import Observation, Record, Rollout, Usage, Weights
 from mulberryhub.http.sockets import close, connect, receive
 
 LENGTH_BYTES = 4
@@ -38,8 +38,9 @@
     """Sent by a subscriber: its own usage, new observations and rollouts.
 
     `admitted_by_data_centre` is set in the first report: it holds all admissions
-    known to the subscriber, and restores the state of a restarted publisher. Later
-    reports have only the newest slots of the subscriber's own admissions.
+    known to the subscriber, and restores the state of a restarted publisher, as does
+    `weights` with the ages of the named versions. Later reports have only the newest
+    slots of the subscriber's own admissions.
     `observations` are new ones, without those that the publisher sent.
     """
 
@@ -50,6 +51,7 @@
     )
     rollout: Rollout | None = None
     observations: list[Observation] = []
+    weights: list[Weights] = []
 
 
 class Update(msgspec.Struct, tag="News"):
--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -179,6 +179,8 @@
             )
         for observation in report.observations:
             self._fleet_state.apply(observation, name)
+        for weights in report.weights:
+            self._fleet_state.apply(weights, name)
         if report.rollout is not None:
             self._fleet_state.apply_rollout(report.rollout)
 
--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -103,10 +103,15 @@
 
 
 class Weights(msgspec.Struct, frozen=True, tag=True):
-    """The newest version of a model's weights that the operator announced."""
+    """The newest version of a model's weights that the operator announced.
+
+    Between routers, `ages` has for how many ms at most each version has been named, of
+    the versions whose age the sender knows.
+    """
 
     model: str
     version: int
+    ages: dict[int, int] = {}
 
 
 class Upstream(msgspec.Struct, frozen=True, tag=True):
--- a/libs/fleet/src/mulberryhub/fleet/state.py
+++ b/libs/fleet/src/mulberryhub/fleet/state.py
@@ -7,13 +7,13 @@
 """
 
 from enum import StrEnum
-from math import inf
 
 from mulberryhub.base.green import Event
 from mulberryhub.base.logs import module_logger
 from mulberryhub.fleet.cache_index import CacheIndex
 from mulberryhub.fleet.changes import ChangeLog
 from mulberryhub.fleet.departures import Departures
+from mulberryhub.fleet.named_weights import NamedWeights
 from mulberryhub.fleet.outdated import OutdatedFilter
 from mulberryhub.fleet.rate_limits import RateLimits
 from mulberryhub.fleet.records import (
@@ -62,7 +62,7 @@
 
     __slots__ = (
         "configuration",
-        "version_by_model",
+        "named_weights",
         "upstreams_by_id",
         "members_by_name",
         "ranked_by_data_centre",
@@ -80,7 +80,7 @@
         "_outdated_filter",
         "_departures",
         "_versions_by_id",
-        "_named_versions_by_model",
+        "_unreadable_at",
         "_changes",
         "_rollout_at",
         "_clock",
@@ -90,7 +90,7 @@
 
     def __init__(self, clock):
         self.configuration = None
-        self.version_by_model = {}
+        self.named_weights = NamedWeights(clock)
         self.upstreams_by_id = {}
         self.members_by_name = {}
         self.ranked_by_data_centre = {}
@@ -108,7 +108,7 @@
         self._outdated_filter = OutdatedFilter()
         self._departures = Departures()
         self._versions_by_id = {}
-        self._named_versions_by_model = {}
+        self._unreadable_at = UNKNOWN_POSITION
         self._changes = ChangeLog()
         self._rollout_at = None
         self._clock = clock
@@ -160,15 +160,27 @@
         self._record_and_notify("configuration", configuration)
 
     def apply_weights(self, weights):
-        """Apply the weights version that the operator named if it is newer."""
-        if weights.version <= self.version_by_model.get(weights.model, 0):
+        """Apply what is known of the weights versions that the operator named."""
+        newest = self.named_weights.newest(weights.model)
+        if not self.named_weights.apply(weights, self._operator_absent_at()):
             return
-        is_first = weights.model not in self.version_by_model
-        self.version_by_model[weights.model] = weights.version
-        named = NamedVersion(weights.version, None if is_first else self._clock.now())
-        self._named_versions_by_model.setdefault(weights.model, []).append(named)
-        log.info("weights named", model=weights.model, version=weights.version)
-        self._record_and_notify(f"weights/{weights.model}", weights)
+        if weights.version > newest:
+            log.info("weights named", model=weights.model, version=weights.version)
+        newest = self.named_weights.newest(weights.model)
+        known = Weights(weights.model, newest)
+        self._record_and_notify(f"weights/{weights.model}", known)
+
+    def record_unreadable(self, called_at):
+        """Record that a read of the operator's topic, sent at `called_at` ms, failed.
+
+        While the store is away, nothing new is named in it.
+        """
+        self._unreadable_at = max(self._unreadable_at, called_at)
+
+    def _operator_absent_at(self):
+        """Return the last time in ms without news of the operator, None if unknown."""
+        as_of = self.as_of_by_topic[Topic.OPERATOR]
+        return None if as_of == UNKNOWN_POSITION else max(as_of, self._unreadable_at)
 
     def apply_upstream(self, upstream):
         """Apply an upstream's own record if it is newer."""
@@ -310,18 +322,6 @@
         known = self._versions_by_id.get(id)
         return 0 if known is None else known.by_model.get(model, 0)
 
-    def time_since_superseded(self, model, version):
-        """Return the ms since a newer version than `version` was named.
-
-        Return None if none was named, and inf if that was before this process started.
-        """
-        for named in self._named_versions_by_model.get(model, ()):
-            if named.version > version:
-                if named.at is None:
-                    return inf
-                return self._clock.now() - named.at
-        return None
-
     def apply(self, record, sender=None):
         """Apply a record of any type; `sender` is the router that sent it, if any."""
         APPLY_BY_TYPE[type(record)](self, record)
@@ -329,8 +329,16 @@
             self._changes.set_sender(record, sender)
 
     def changes_since(self, revision):
-        """Return the newest records of everything that changed after `revision`."""
-        return [change.record for change in self._changes.since(revision)]
+        """Return the newest records of everything that changed after `revision`.
+
+        Weights are returned with their present ages.
+        """
+        return [
+            self.named_weights.with_ages(change.record)
+            if isinstance(change.record, Weights)
+            else change.record
+            for change in self._changes.since(revision)
+        ]
 
     def _rank_members(self, data_centre):
         members = self.members_by_name.values()
@@ -370,19 +378,6 @@
         changed.send()
 
 
-class NamedVersion:
-    """A weights version named by the operator, and the ms at which it was received.
-
-    `at` is None for a version that was named before this process started.
-    """
-
-    __slots__ = ("version", "at")
-
-    def __init__(self, version, at):
-        self.version = version
-        self.at = at
-
-
 class RunningVersions:
     """The highest weights versions reported by one incarnation of an upstream."""
 
--- a/libs/fleet/src/mulberryhub/fleet/subscription.py
+++ b/libs/fleet/src/mulberryhub/fleet/subscription.py
@@ -210,6 +210,7 @@
         report = Report(number, usage)
         if last_sent is None:
             report.admitted_by_data_centre = self._usage_table.admitted_by_data_centre()
+            report.weights = self._fleet_state.named_weights.records()
         else:
             report.use = msgspec.structs.replace(
                 usage, admitted=usage.admitted.newest(REPEATED_SLOT_COUNT)
--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -236,7 +236,7 @@
         """
         if version is None:
             return None
-        age = self._fleet_state.time_since_superseded(model, version)
+        age = self._fleet_state.named_weights.time_since_superseded(model, version)
         return UNKNOWN_AGE if age == inf else age
 
     def _send_and_read_head(self, job, exchange):
--- a/libs/forward/src/mulberryhub/forward/selection.py
+++ b/libs/forward/src/mulberryhub/forward/selection.py
@@ -20,6 +20,7 @@
 # Cost at an upstream that cut an answer recently, which is less than a long queue.
 CUT_ANSWER_COST_MS = 1_200
 OLD_WEIGHTS_COST_SHARE = 0.2  # of the latency target, if newer weights are in use
+UNKNOWN_AGE_TIME_MS = 2_000  # of use of weights that were replaced an unknown time ago
 MAX_RANKED_UPSTREAMS = 3  # that cache the shared parts of the same prompt
 
 
@@ -137,7 +138,7 @@
             if versions[item.id] == newest
             or not self._is_expired(model, versions[item.id])
         ]
-        if self._is_known_expired(model, newest):
+        if self._is_expired_everywhere(model, newest):
             return None
         costs = {}
         for version in set(versions.values()):
@@ -156,13 +157,20 @@
 
     def _is_expired(self, model, version):
         """Return whether weights may no longer be used, given newer ones in use."""
-        age = self._fleet_state.time_since_superseded(model, version)
+        age = self._fleet_state.named_weights.time_since_superseded(model, version)
         return age is not None and age >= self._version_time
 
-    def _is_known_expired(self, model, version):
-        """Return whether weights are too old although none newer are in use."""
-        age = self._fleet_state.time_since_superseded(model, version)
-        return age is not None and self._version_time <= age < inf
+    def _is_expired_everywhere(self, model, version):
+        """Return whether weights are too old although none newer are in use.
+
+        Weights of unknown age are used for a short time only, in which other routers
+        may tell their age and upstreams may load newer ones.
+        """
+        named = self._fleet_state.named_weights
+        age = named.time_since_superseded(model, version)
+        if age == inf:
+            return named.time_known_superseded(model, version) >= UNKNOWN_AGE_TIME_MS
+        return age is not None and age >= self._version_time
 
     def _costs(self, call, upstreams, ranked):
         """Return the expected cost in ms by the id of each upstream.
--- a/libs/node/src/mulberryhub/node/topics.py
+++ b/libs/node/src/mulberryhub/node/topics.py
@@ -42,6 +42,7 @@
             applier(ports.read_operator, fleet_state.apply),
             wait=OPERATOR_LONG_POLL_MS,
             pause=0,
+            on_failure=fleet_state.record_unreadable,
         ),
         TopicPlan(
             Topic.UPSTREAMS,
--- a/libs/weights/src/mulberryhub/weights/plan.py
+++ b/libs/weights/src/mulberryhub/weights/plan.py
@@ -108,10 +108,10 @@
         ):
             continue
         for model in upstream.versions_by_model:
-            newest = fleet_state.version_by_model.get(model, 0)
+            newest = fleet_state.named_weights.newest(model)
             version = fleet_state.version_at(upstream.id, model)
             if version < newest:
-                age = fleet_state.time_since_superseded(model, version)
+                age = fleet_state.named_weights.time_since_superseded(model, version)
                 outdated.append(OutdatedUpstream(upstream, model, newest, age))
                 break
     return outdated
--- a/tests/adapter/test_replaced_weights.py
+++ b/tests/adapter/test_replaced_weights.py
@@ -118,14 +118,15 @@
     assert not platform.late_runs(end)
 
 
+@pytest.mark.parametrize("index", range(ROUTERS))
 @pytest.mark.parametrize("is_first", [True, False])
 def test_router_frozen_during_the_naming_does_not_count_from_its_return(
-    platform, is_first
+    platform, is_first, index
 ):
     if not is_first:
         platform.name_weights(1)
         time.sleep(1)
-    frozen = platform.fleet.routers[-1]
+    frozen = platform.fleet.routers[index]
     frozen.popen.send_signal(signal.SIGSTOP)
     try:
         time.sleep(0.5)
--- a/tests/fleet/test_exchange.py
+++ b/tests/fleet/test_exchange.py
@@ -1,5 +1,7 @@
 """Tests of Publisher and Subscription over a real connection."""
 
+from math import inf
+
 import pytest
 
 from benchmarks.ports import free_address
@@ -8,7 +10,13 @@
 from mulberryhub.base.windows import SlidingSum
 from mulberryhub.fleet.admissions import SLOT_MS, Admitted
 from mulberryhub.fleet.publisher import Publisher
-from mulberryhub.fleet.records import Configuration, Member, Rollout, Usage
+from mulberryhub.fleet.records import (
+    Configuration,
+    Member,
+    Rollout,
+    Usage,
+    Weights,
+)
 from mulberryhub.fleet.removals import OUTAGE_THRESHOLD_MS, DelayedRemovals
 from mulberryhub.fleet.state import FleetState, Topic
 from mulberryhub.fleet.subscription import Subscription
@@ -198,3 +206,37 @@
     assert not before.work_differs(Usage(work_by_upstream={"u0": 90, "u1": 50}), 40)
     assert before.work_differs(Usage(work_by_upstream={"u0": 100}), 40)
     assert before.work_differs(Usage(work_by_upstream={"u0": 80, "u1": 75}), 40)
+
+
+def age_at(node):
+    return node.fleet_state.named_weights.time_since_superseded("m", 1)
+
+
+def test_router_that_starts_learns_the_age_of_weights_from_its_publisher(pair):
+    leader, follower = pair
+    leader.fleet_state.mark_read_up_to(Topic.OPERATOR, 5, leader.clock.now() - 4_000)
+    leader.fleet_state.apply(Weights("m", 2))
+    subscription = follower.subscribe(leader)
+    wait_until(lambda: follower.fleet_state.named_weights.newest("m") == 2)
+    assert 4_000 <= age_at(follower) < 5_000
+    subscription.close()
+
+
+def test_publisher_that_starts_learns_the_age_of_weights_and_tells_it(pair):
+    leader, follower = pair
+    leader.fleet_state.apply(Weights("m", 2))
+    other = Node("n3")
+    others_subscription = other.subscribe(leader)
+    wait_until(lambda: other.fleet_state.named_weights.newest("m") == 2)
+    assert age_at(other) == inf
+    now = follower.clock.now()
+    follower.fleet_state.mark_read_up_to(Topic.OPERATOR, 5, now - 4_000)
+    follower.fleet_state.apply(Weights("m", 2))
+    subscription = follower.subscribe(leader)
+    wait_until(lambda: age_at(leader) < inf)
+    wait_until(lambda: age_at(other) < inf)
+    assert 4_000 <= age_at(leader) < 5_000
+    assert 4_000 <= age_at(other) < 5_000
+    subscription.close()
+    others_subscription.close()
+    other.publisher.stop()
--- /dev/null
+++ b/tests/fleet/test_named_weights.py
@@ -0,0 +1,91 @@
+from math import inf
+
+import pytest
+
+from mulberryhub.base.clock import ManualClock
+from mulberryhub.fleet.named_weights import MAX_VERSION_COUNT, NamedWeights
+from mulberryhub.fleet.records import Weights
+
+MODEL = "m"
+
+
+class Fixture:
+    def __init__(self):
+        self.clock = ManualClock(now=100_000)
+        self.named = NamedWeights(self.clock)
+
+    def apply(self, version, absent_for=None, **ages):
+        absent_at = None if absent_for is None else self.clock.now() - absent_for
+        ages_by_version = {int(name[1:]): age for name, age in ages.items()}
+        return self.named.apply(Weights(MODEL, version, ages_by_version), absent_at)
+
+    def age(self, version):
+        return self.named.time_since_superseded(MODEL, version)
+
+
+@pytest.fixture
+def fixture():
+    return Fixture()
+
+
+def test_first_version_counts_from_the_last_time_without_it(fixture):
+    fixture.apply(2, absent_for=700)
+    fixture.clock.advance(1_000)
+    assert fixture.age(1) == 1_700
+    assert fixture.age(2) is None
+
+
+def test_version_from_before_the_start_has_an_unknown_age(fixture):
+    fixture.apply(2)
+    fixture.clock.advance(1_000)
+    assert fixture.age(1) == inf
+    assert fixture.named.time_known_superseded(MODEL, 1) == 1_000
+
+
+def test_unknown_age_of_one_version_is_not_hidden_by_a_later_one(fixture):
+    fixture.apply(2)
+    fixture.apply(3, absent_for=100)
+    assert fixture.age(1) == inf
+    assert fixture.age(2) == 100
+
+
+def test_age_is_learned_from_a_router_that_knows_it(fixture):
+    fixture.apply(2)
+    assert fixture.apply(2, v2=4_000)
+    fixture.clock.advance(500)
+    assert fixture.age(1) == 4_500
+
+
+def test_versions_between_are_learned(fixture):
+    fixture.apply(4)
+    fixture.apply(4, v2=9_000, v3=5_000, v4=1_000)
+    assert [fixture.age(version) for version in (1, 2, 3)] == [9_000, 5_000, 1_000]
+
+
+def test_known_age_is_not_replaced(fixture):
+    fixture.apply(2, absent_for=300)
+    assert not fixture.apply(2, v2=10)
+    assert fixture.age(1) == 300
+
+
+def test_older_bound_counts_for_news_of_another_router(fixture):
+    fixture.apply(2, absent_for=5_000, v2=10)
+    assert fixture.age(1) == 5_000
+
+
+def test_ages_are_sent_as_of_now(fixture):
+    fixture.apply(2, absent_for=300)
+    fixture.clock.advance(200)
+    assert fixture.named.with_ages(Weights(MODEL, 2)).ages == {2: 500}
+    assert fixture.named.records() == [Weights(MODEL, 2, {2: 500})]
+
+
+def test_unknown_ages_are_not_sent(fixture):
+    fixture.apply(2)
+    assert fixture.named.records() == [Weights(MODEL, 2)]
+
+
+def test_only_the_newest_versions_are_kept(fixture):
+    for version in range(1, MAX_VERSION_COUNT * 2):
+        fixture.apply(version, absent_for=0)
+    assert len(fixture.named.records()[0].ages) == MAX_VERSION_COUNT
--- a/tests/fleet/test_state.py
+++ b/tests/fleet/test_state.py
@@ -14,7 +14,7 @@
     UpstreamState,
     Weights,
 )
-from mulberryhub.fleet.state import FleetState
+from mulberryhub.fleet.state import FleetState, Topic
 
 IDS = ("u1", "u2", "u3")
 MODEL = "m"
@@ -129,11 +129,12 @@
     fleet_state.apply(Weights(MODEL, 1))
     fleet_state.apply(Weights(MODEL, 2))
     clock.advance(500)
+    fleet_state.mark_read_up_to(Topic.OPERATOR, 0, clock.now())
     fleet_state.apply(Weights(MODEL, 3))
     clock.advance(500)
-    assert fleet_state.time_since_superseded(MODEL, 1) == 1_000
-    assert fleet_state.time_since_superseded(MODEL, 2) == 500
-    assert fleet_state.time_since_superseded(MODEL, 3) is None
+    assert fleet_state.named_weights.time_since_superseded(MODEL, 1) == 1_000
+    assert fleet_state.named_weights.time_since_superseded(MODEL, 2) == 500
+    assert fleet_state.named_weights.time_since_superseded(MODEL, 3) is None
 
 
 def test_changes_since_returns_only_newest_record_of_each_key():
--- a/tests/forward/test_selection.py
+++ b/tests/forward/test_selection.py
@@ -6,7 +6,7 @@
 from mulberryhub.fleet.state import FleetState
 from mulberryhub.forward.availability import UpstreamAvailability
 from mulberryhub.forward.loads import Loads
-from mulberryhub.forward.selection import UpstreamSelector
+from mulberryhub.forward.selection import UNKNOWN_AGE_TIME_MS, UpstreamSelector
 from mulberryhub.forward.work import estimate_work
 from mulberryhub.upstream.health import UpstreamHealth
 from tests.forward.fakes import (
@@ -148,6 +148,20 @@
         fixture.fleet_state.apply(Weights(MODEL, 2))
         assert fixture.choose().version == 1
 
+    def test_old_weights_of_unknown_age_are_not_used_for_long_after_a_start(self):
+        fixture = Fixture(make_upstream("old", 1, version=1))
+        fixture.fleet_state.apply(Weights(MODEL, 2))
+        fixture.clock.advance(UNKNOWN_AGE_TIME_MS)
+        assert fixture.choose() is None
+
+    def test_old_weights_of_an_age_told_after_a_start_are_used(self):
+        fixture = Fixture(make_upstream("old", 1, version=1))
+        fixture.fleet_state.apply(Weights(MODEL, 2, {2: 1_000}))
+        fixture.clock.advance(VERSION_TIME_MS - 1_001)
+        assert fixture.choose().version == 1
+        fixture.clock.advance(1)
+        assert fixture.choose() is None
+
     def test_upstreams_about_to_load_get_no_requests(self):
         fixture = Fixture(*pool(3))
         fixture.fleet_state.apply_rollout(
