Keep in the store when weights were named, for routers that start later

The leader that reads the store writes the time of a naming to the members topic, one record of each model, once per naming; another reader does if it has not after a second. Routers read that topic when they start. The time is a wall clock's: one that is behind makes the age too short by as much, one that is ahead makes it too long; a time in the future counts as now. Ages that are known otherwise are never replaced by it. Weighed and left: a wall clock in each update (the routers that run know the age by themselves), ages written again and again while loads are due (bounds the error by the time since the last one, at some six writes a naming), the order of the log (it has no times).

test_restarted_routers_serve_on_weights_that_were_replaced_lately fails on the commit before.

--- a/libs/fleet/src/mulberryhub/fleet/named_weights.py
+++ b/libs/fleet/src/mulberryhub/fleet/named_weights.py
@@ -2,12 +2,13 @@
 
 The store does not tell when a record was written. A router that follows the store knows
 that a version was named after the last time at which it was not there yet. A router
-that has just started does not know it, unless another router tells.
+that has just started does not know that time, unless another router tells it or it
+finds it in the store.
 """
 
 from math import inf
 
-from mulberryhub.fleet.records import Weights
+from mulberryhub.fleet.records import NamingTimes, Weights
 
 MAX_VERSION_COUNT = 16  # of one model, the newest ones
 
@@ -26,12 +27,13 @@
 
 
 class NamedWeights:
-    """The named versions of all models."""
+    """The named versions of all models, and which of their times are in the store."""
 
-    __slots__ = ("_versions_by_model", "_clock")
+    __slots__ = ("_versions_by_model", "_stored_by_model", "_clock")
 
     def __init__(self, clock):
         self._versions_by_model = {}
+        self._stored_by_model = {}
         self._clock = clock
 
     def newest(self, model):
@@ -102,6 +104,42 @@
             for model in self._versions_by_model
         ]
 
+    def apply_times(self, times):
+        """Apply times from the store; return whether they told anything new.
+
+        A time ahead of the wall clock counts as now.
+        """
+        self.record_stored(times)
+        wall = self._clock.wall()
+        ages = {
+            version: max(0, wall - named_at)
+            for version, named_at in times.named_at_by_version.items()
+        }
+        return self.apply(Weights(times.model, self.newest(times.model), ages), None)
+
+    def record_stored(self, times):
+        """Record that `times` are in the store."""
+        stored = self._stored_by_model.setdefault(times.model, set())
+        stored.update(times.named_at_by_version)
+
+    def unstored_times(self):
+        """Return the NamingTimes of each model that has versions not in the store.
+
+        Versions whose age is unknown are left out.
+        """
+        return [
+            self._times(record)
+            for record in self.records()
+            if record.ages.keys() - self._stored_by_model.get(record.model, set())
+        ]
+
+    def _times(self, record):
+        wall = self._clock.wall()
+        named_at_by_version = {
+            version: wall - age for version, age in record.ages.items()
+        }
+        return NamingTimes(record.model, named_at_by_version)
+
     def _newer(self, model, version):
         known = self._versions_by_model.get(model, {})
         return [named for number, named in known.items() if number > version]
--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -114,6 +114,16 @@
     ages: dict[int, int] = {}
 
 
+class NamingTimes(msgspec.Struct, frozen=True):
+    """When versions of a model's weights were named, as Unix times in ms at the latest.
+
+    Routers keep it in the store for those that start later.
+    """
+
+    model: str
+    named_at_by_version: dict[int, int]
+
+
 class Upstream(msgspec.Struct, frozen=True, tag=True):
     """The record that an upstream writes about itself, ordered by `offset`.
 
--- a/libs/fleet/src/mulberryhub/fleet/sources.py
+++ b/libs/fleet/src/mulberryhub/fleet/sources.py
@@ -112,6 +112,17 @@
         leader = self._leader_of(self._local_member.data_centre)
         return leader is None or leader.name == self._local_member.name
 
+    def reader_rank(self):
+        """Return the rank of this router among the leaders that read the store.
+
+        Return None if it is none of them.
+        """
+        if not self.is_leader():
+            return None
+        names = self._reader_names()
+        name = self._local_member.name
+        return names.index(name) if name in names else None
+
     def coordinator(self):
         """Return the Member that issues the permits of this router.
 
@@ -168,9 +179,12 @@
     def _is_reader(self):
         if not self.is_leader():
             return False
-        names = [leader.name for leader in self._leaders()[:READER_COUNT]]
+        names = self._reader_names()
         return self._local_member.name in names or len(names) < READER_COUNT
 
+    def _reader_names(self):
+        return [leader.name for leader in self._leaders()[:READER_COUNT]]
+
     def _members_ahead(self):
         """Return the number of live local members that rank before this one."""
         count = 0
--- a/libs/fleet/src/mulberryhub/fleet/state.py
+++ b/libs/fleet/src/mulberryhub/fleet/state.py
@@ -21,6 +21,7 @@
     Configuration,
     Departure,
     Member,
+    NamingTimes,
     Observation,
     RateLimit,
     Removal,
@@ -170,6 +171,15 @@
         known = Weights(weights.model, newest)
         self._record_and_notify(f"weights/{weights.model}", known)
 
+    def apply_naming_times(self, times):
+        """Apply when versions were named, as routers keep it in the store."""
+        if self.named_weights.apply_times(times):
+            newest = self.named_weights.newest(times.model)
+            log.info("age of weights known", model=times.model, newest=newest)
+            self._record_and_notify(
+                f"weights/{times.model}", Weights(times.model, newest)
+            )
+
     def record_unreadable(self, called_at):
         """Record that a read of the operator's topic, sent at `called_at` ms, failed.
 
@@ -417,6 +427,7 @@
 APPLY_BY_TYPE = {
     Configuration: FleetState.apply_configuration,
     Weights: FleetState.apply_weights,
+    NamingTimes: FleetState.apply_naming_times,
     Upstream: FleetState.apply_upstream,
     Removal: FleetState.apply_removal,
     Member: FleetState.apply_member,
--- a/libs/node/src/mulberryhub/node/ports.py
+++ b/libs/node/src/mulberryhub/node/ports.py
@@ -5,8 +5,9 @@
     """The functions and clients that a platform's adapter provides.
 
     `store` has `read(topic, position, wait)`, a long poll of `wait` ms that returns a
-    Batch; `newest(topic)`, which returns a Listing; and `put_member(member)` and
-    `put_verdict(verdict)`. All may raise StoreUnavailable, and `read` also HistoryLost.
+    Batch; `newest(topic)`, which returns a Listing; `put_member(member)`; and
+    `put_record(record)` for a Verdict or NamingTimes. All may raise StoreUnavailable,
+    and `read` also HistoryLost.
     `read_operator(entry)`, `read_upstream(entry)` and `read_member(entry)` return the
     record in an Entry, or None if it has none.
 
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -29,6 +29,7 @@
 )
 from mulberryhub.node.gauges import add_gauges
 from mulberryhub.node.metrics import metrics_server
+from mulberryhub.node.naming_times import NamingTimesSaver
 from mulberryhub.node.readiness import readiness_server
 from mulberryhub.node.router import Router, RouterParts
 from mulberryhub.node.topics import topic_plans
@@ -169,6 +170,12 @@
     parts.rollout_manager = _build_rollout_manager(
         settings, ports, fleet_state, rate_limits, loads, pool_builder, counters, clock
     )
+    parts.naming_times_saver = NamingTimesSaver(
+        ports.store,
+        fleet_state.named_weights,
+        parts.source_selector.reader_rank,
+        clock,
+    )
     router = Router(settings, parts, clock)
     parts.readiness_server = readiness_server(
         settings.ready_address, ports.readiness_path, router.is_ready, clock
--- a/libs/node/src/mulberryhub/node/router.py
+++ b/libs/node/src/mulberryhub/node/router.py
@@ -57,6 +57,7 @@
         parts.front_server.start()
         parts.cache_watcher.start()
         parts.rollout_manager.start()
+        parts.naming_times_saver.start()
         log.info("started", router=self._settings.name)
 
     def stop(self):
@@ -162,6 +163,7 @@
         "followers",
         "removals",
         "rollout_manager",
+        "naming_times_saver",
         "cache_watcher",
         "forwarder",
         "front_server",
--- a/libs/node/src/mulberryhub/node/verdicts.py
+++ b/libs/node/src/mulberryhub/node/verdicts.py
@@ -24,7 +24,7 @@
 def _save(store, verdict):
     for _ in range(MAX_SAVE_ATTEMPTS):
         try:
-            store.put_verdict(verdict)
+            store.put_record(verdict)
         except StoreUnavailable as error:
             reason = str(error)
             sleep(RETRY_DELAY_MS / 1000)
--- a/tests/adapter/test_replaced_weights.py
+++ b/tests/adapter/test_replaced_weights.py
@@ -13,7 +13,9 @@
 
 ROUTERS = 3
 VERSION_TIME_S = 8.0
+SAVE_TIME_S = 1.0  # in which a router has written the time of a naming
 CONTACT_TIME_S = 3.0  # after a start or a freeze, in which a router is not judged
+MARGIN_S = 2.0  # before the time limit, for runs that begin late
 REQUEST_INTERVAL_S = 0.1
 WORKER_IDS = ("w1", "w2")
 ALWAYS = 1_000_000  # requests that a fault affects
@@ -65,11 +67,15 @@
         return time.time()
 
     def ask_until(self, end, routers):
-        """Send prompts through `routers` until the Unix time `end` in s."""
+        """Send prompts through `routers` until the Unix time `end` in s.
+
+        Return their statuses.
+        """
+        statuses = []
         while time.time() < end:
-            for router in routers:
-                self.ask(router)
+            statuses += [self.ask(router) for router in routers]
             time.sleep(REQUEST_INTERVAL_S)
+        return statuses
 
     def restart_routers(self):
         """Kill all routers at once and start them; return when they are ready."""
@@ -118,6 +124,19 @@
     assert not platform.late_runs(end)
 
 
+def test_restarted_routers_serve_on_weights_that_were_replaced_lately(platform):
+    named_at = platform.name_weights(2)
+    time.sleep(SAVE_TIME_S)
+    platform.restart_routers()
+    ready_at = time.time()
+    end = named_at + VERSION_TIME_S
+    platform.ask_until(ready_at + CONTACT_TIME_S, platform.fleet.routers)
+    statuses = platform.ask_until(end - MARGIN_S, platform.fleet.routers)
+    assert statuses and set(statuses) == {200}
+    platform.ask_until(end + 2, platform.fleet.routers)
+    assert not platform.late_runs(end)
+
+
 @pytest.mark.parametrize("index", range(ROUTERS))
 @pytest.mark.parametrize("is_first", [True, False])
 def test_router_frozen_during_the_naming_does_not_count_from_its_return(
--- a/tests/fleet/test_named_weights.py
+++ b/tests/fleet/test_named_weights.py
@@ -4,7 +4,7 @@
 
 from mulberryhub.base.clock import ManualClock
 from mulberryhub.fleet.named_weights import MAX_VERSION_COUNT, NamedWeights
-from mulberryhub.fleet.records import Weights
+from mulberryhub.fleet.records import NamingTimes, Weights
 
 MODEL = "m"
 
@@ -85,6 +85,30 @@
     assert fixture.named.records() == [Weights(MODEL, 2)]
 
 
+def test_age_is_learned_from_the_store_after_a_start(fixture):
+    fixture.apply(2, absent_for=300)
+    times = fixture.named.unstored_times()
+    fixture.named.record_stored(times[0])
+    assert fixture.named.unstored_times() == []
+    restarted = NamedWeights(fixture.clock)
+    fixture.clock.advance(5_000)
+    restarted.apply(Weights(MODEL, 2), None)
+    assert restarted.apply_times(times[0])
+    assert restarted.time_since_superseded(MODEL, 1) == 5_300
+    assert restarted.unstored_times() == []
+
+
+def test_times_may_be_read_before_the_name_itself(fixture):
+    fixture.named.apply_times(NamingTimes(MODEL, {2: fixture.clock.wall() - 5_000}))
+    fixture.apply(2)
+    assert fixture.age(1) == 5_000
+
+
+def test_time_ahead_of_the_wall_clock_counts_as_now(fixture):
+    fixture.named.apply_times(NamingTimes(MODEL, {2: fixture.clock.wall() + 5_000}))
+    assert fixture.age(1) == 0
+
+
 def test_only_the_newest_versions_are_kept(fixture):
     for version in range(1, MAX_VERSION_COUNT * 2):
         fixture.apply(version, absent_for=0)
