Judge the age of weights at the time when a request is expected to begin

The expected wait at the upstream, which the selection knows, is added to the age. The new case fails before (2 of 2).

--- a/libs/forward/src/mulberryhub/forward/selection.py
+++ b/libs/forward/src/mulberryhub/forward/selection.py
@@ -135,10 +135,9 @@
         allowed = [
             item
             for item in candidates
-            if versions[item.id] == newest
-            or not self._is_expired(model, versions[item.id])
+            if self._may_begin(item, model, versions[item.id], newest)
         ]
-        if self._is_expired_everywhere(model, newest):
+        if not allowed:
             return None
         costs = {}
         for version in set(versions.values()):
@@ -155,22 +154,20 @@
         version = versions[upstream.id]
         return Choice(upstream, delay, version)
 
-    def _is_expired(self, model, version):
-        """Return whether weights may no longer be used, given newer ones in use."""
-        age = self._fleet_state.named_weights.time_since_superseded(model, version)
-        return age is not None and age >= self._version_time
+    def _may_begin(self, upstream, model, version, newest):
+        """Return whether a request sent now would begin on weights in time.
 
-    def _is_expired_everywhere(self, model, version):
-        """Return whether weights are too old although none newer are in use.
-
-        Weights of unknown age are used for a short time only, in which other routers
-        may tell their age and upstreams may load newer ones.
+        `newest` is the newest version in use. Where none newer is in use, weights of
+        unknown age are used for a short time only, in which other routers may tell
+        their age and upstreams may load newer ones.
         """
         named = self._fleet_state.named_weights
         age = named.time_since_superseded(model, version)
-        if age == inf:
-            return named.time_known_superseded(model, version) >= UNKNOWN_AGE_TIME_MS
-        return age is not None and age >= self._version_time
+        if age is None:
+            return True
+        if age == inf and version == newest:
+            return named.time_known_superseded(model, version) < UNKNOWN_AGE_TIME_MS
+        return age + self._loads.work(upstream.id) < self._version_time
 
     def _costs(self, call, upstreams, ranked):
         """Return the expected cost in ms by the id of each upstream.
--- a/tests/forward/test_selection.py
+++ b/tests/forward/test_selection.py
@@ -143,6 +143,17 @@
         fixture.clock.advance(VERSION_TIME_MS)
         assert fixture.choose() is None
 
+    @pytest.mark.parametrize("new", [0, 1])
+    def test_request_that_would_begin_on_expired_weights_after_its_wait_is_not_sent(
+        self, new
+    ):
+        fixture = self.make_fixture(new=new, old=1)
+        fixture.clock.advance(VERSION_TIME_MS - 500)
+        assert fixture.choose(tried_ids=["new0"]).version == 1
+        fixture.add_load("old0", 50)
+        assert fixture.loads.work("old0") > 500
+        assert fixture.choose(tried_ids=["new0"]) is None
+
     def test_old_weights_are_used_after_a_start_if_there_are_no_others(self):
         fixture = Fixture(make_upstream("old", 1, version=1))
         fixture.fleet_state.apply(Weights(MODEL, 2))
