Keep the crashed runs of a suspect in one order, whatever order reports arrive in

Cause: merge returned a report as it came if it had the same runs as the result, in whatever order they were listed, and took a report of a newer round over without looking into it. So the list of runs depended on which report came first, and a report with more runs than are kept stayed whole.

Now runs are merged by incarnation, ordered by all of their fields and bounded, in each report that is applied. Equal sets give equal lists, and a report is handed back only if it is in that form. The format on the wire is the same.

The order of delivery is a drawn permutation now, which takes fixed examples; what is compared is the same.

--- a/libs/fleet/src/mulberryhub/fleet/suspects.py
+++ b/libs/fleet/src/mulberryhub/fleet/suspects.py
@@ -210,27 +210,19 @@
 def merge(known, other):
     """Return the union of two Suspects with one fingerprint.
 
-    If the result equals one of them, that object is returned.
+    Its runs are in a fixed order. If the result equals one of them, that object is
+    returned, which is `known` if both do.
     """
-    if other.round != known.round:
-        return max(known, other, key=lambda suspect: suspect.round)
-    runs = {}
-    for run in (*known.crashed_runs, *other.crashed_runs):
-        if run.incarnation in runs:
-            run = _merge_runs(runs[run.incarnation], run)
-        runs[run.incarnation] = run
-    crashed_runs = sorted(runs.values(), key=_run_order)[:MAX_CRASHED_RUN_COUNT]
+    newest_round = max(known.round, other.round)
+    current = [item for item in (known, other) if item.round == newest_round]
     merged = Suspect(
         known.fingerprint,
-        known.round,
-        crashed_runs,
-        max(known.breadth, other.breadth),
-        max(known.relapses, other.relapses),
+        newest_round,
+        _merge_runs(run for suspect in current for run in suspect.crashed_runs),
+        max(suspect.breadth for suspect in current),
+        max(suspect.relapses for suspect in current),
     )
-    for suspect in (known, other):
-        if _sorted(suspect) == merged:
-            return suspect
-    return merged
+    return next((item for item in (known, other) if item == merged), merged)
 
 
 def _log_fields(suspect):
@@ -241,20 +233,14 @@
     }
 
 
-def _merge_runs(run, other):
-    """Return one of two runs at the same upstream incarnation."""
-    return min(run, other, key=lambda item: (not item.is_repeat, item.request))
-
-
-def _sorted(suspect):
-    return Suspect(
-        suspect.fingerprint,
-        suspect.round,
-        sorted(suspect.crashed_runs, key=_run_order),
-        suspect.breadth,
-        suspect.relapses,
-    )
+def _merge_runs(runs):
+    """Return one run at each upstream incarnation, in order and bounded in number."""
+    runs_by_incarnation = {}
+    for run in runs:
+        known = runs_by_incarnation.get(run.incarnation, run)
+        runs_by_incarnation[run.incarnation] = min(known, run, key=_run_order)
+    return sorted(runs_by_incarnation.values(), key=_run_order)[:MAX_CRASHED_RUN_COUNT]
 
 
 def _run_order(run):
-    return (not run.is_repeat, run.upstream, run.started)
+    return (not run.is_repeat, run.upstream, run.started, run.request)
--- a/tests/fleet/test_suspects.py
+++ b/tests/fleet/test_suspects.py
@@ -1,7 +1,7 @@
 from functools import reduce
 
 import msgspec
-from hypothesis import given, strategies as st
+from hypothesis import example, given, strategies as st
 
 from mulberryhub.base.clock import ManualClock
 from mulberryhub.fleet.blame import SETTLE_MS
@@ -50,11 +50,48 @@
     return table.get("f")
 
 
-@given(st.lists(SUSPECTS, max_size=6), st.randoms())
-def test_reports_merge_in_any_order(reports, random):
-    shuffled = reports * 2
-    random.shuffle(shuffled)
-    assert apply_all(shuffled) == apply_all(reports)
+def in_another_order(reports):
+    return st.tuples(st.just(reports), st.permutations(reports * 2))
+
+
+UNSORTED_RUNS = [
+    CrashedRun("a", 0, True, "r2"),
+    CrashedRun("b", 0, False, "r2"),
+    CrashedRun("c", 0, False),
+    CrashedRun("a", 1, False, "r1"),
+]
+SORTED_RUNS = [UNSORTED_RUNS[index] for index in (0, 3, 1, 2)]
+EQUAL_RUNS = [
+    Suspect("f"),
+    Suspect("f", 2, [], 2, 1),
+    Suspect("f", 2, SORTED_RUNS),
+    Suspect("f", 2, UNSORTED_RUNS, 2, 1),
+]
+
+
+@given(st.lists(SUSPECTS, max_size=6).flatmap(in_another_order))
+@example((EQUAL_RUNS, EQUAL_RUNS[::-1] * 2))
+@example((EQUAL_RUNS, EQUAL_RUNS[3:] + EQUAL_RUNS[:3] + EQUAL_RUNS))
+@example((EQUAL_RUNS[2:], EQUAL_RUNS[:1:-1] * 2))
+def test_reports_merge_in_any_order(orders):
+    reports, reordered = orders
+    assert apply_all(reordered) == apply_all(reports)
+
+
+def test_report_with_two_runs_at_one_upstream_merges_in_any_order():
+    reports = [
+        Suspect("f", 0, [CrashedRun("a", 1, False, "r2")]),
+        Suspect("f", 0, [CrashedRun("a", 1, False, r) for r in ("r2", "r1")]),
+    ]
+    for order in (reports, reports[::-1]):
+        assert apply_all(order).crashed_runs == [CrashedRun("a", 1, False, "r1")]
+
+
+def test_report_with_too_many_runs_merges_in_any_order():
+    many = [CrashedRun(f"u{n:02}", 1, False) for n in range(MAX_CRASHED_RUN_COUNT + 4)]
+    reports = [Suspect("f", 1, many[::-1]), Suspect("f", 1, many[:1])]
+    for order in (reports[:1], reports, reports[::-1]):
+        assert apply_all(order).crashed_runs == many[:MAX_CRASHED_RUN_COUNT]
 
 
 @given(st.lists(SUSPECTS, min_size=1, max_size=6))
