--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 from pathlib import Path
 
 import pytest
+from hypothesis import settings
 
 from benchmarks.ports import use_slice
 from tests.support.processes import ProcessGroup
@@ -14,6 +15,21 @@
 
 use_slice(int(WORKER.removeprefix("gw")), WORKERS)
 
+CI_EXAMPLE_COUNT = 200  # twice as many as are drawn at random by hand
+MORE_EXAMPLE_COUNT = 5_000
+EXAMPLE_TIME_MS = 200  # the default of hypothesis, which drops it if CI is set
+
+settings.register_profile(
+    "fixed",
+    derandomize=True,
+    max_examples=CI_EXAMPLE_COUNT,
+    deadline=EXAMPLE_TIME_MS,
+    print_blob=True,
+)
+settings.register_profile("more", max_examples=MORE_EXAMPLE_COUNT, derandomize=False)
+if "CI" in os.environ:
+    settings.load_profile("fixed")
+
 
 INTERMITTENT = "intermittent"
 
