Take a router that moved to another data centre off the list of the earlier one

What was seen: of two routers that got the same two records of a member, the one that got both in order went on ranking it in the data centre that it had left, with its old address; the one that got the later record first did not. A member ranked there may be taken for that data centre's leader. No caller is known to have met it.

Cause: a member's record had only its own data centre ranked again, not the one of the record before.

--- a/libs/fleet/src/mulberryhub/fleet/state.py
+++ b/libs/fleet/src/mulberryhub/fleet/state.py
@@ -267,6 +267,8 @@
             return
         self.members_by_name[member.name] = member
         self._rank_members(member.data_centre)
+        if known is not None and known.data_centre != member.data_centre:
+            self._rank_members(known.data_centre)
         log.info("member known", member=member.name, address=member.address)
         self._record_and_notify(f"member/{member.name}", member)
 
@@ -334,12 +336,9 @@
 
     def _rank_members(self, data_centre):
         members = self.members_by_name.values()
-        local_members = [
-            member for member in members if member.data_centre == data_centre
-        ]
-        self.ranked_by_data_centre[data_centre] = sorted(
-            local_members, key=lambda member: member.rank
-        )
+        local_members = [item for item in members if item.data_centre == data_centre]
+        ranked_members = sorted(local_members, key=lambda member: member.rank)
+        self.ranked_by_data_centre[data_centre] = ranked_members
 
     def _update_versions(self, id, started, versions):
         known = self._versions_by_id.get(id)
