Count all refusals again in the tests of crashing requests

Only requests that had not run counted as refused, those that ran and were not repeated went into a list that no test read, sound requests began to answer within 200 ms, and test_request_that_turns_bad had its requests crash workers after 20 ms, no longer after 1 ms.

`refused` has all of them again, sound requests of test_quarantine.py answer at their end, and bad ones crash after CRASH_DELAY_MS unless they are sent with send_bad_part. test_part_quarantine.py keeps what it had from its first version: refusals without a run, and a first byte within 200 ms.

--- a/tests/forward/crash_simulation.py
+++ b/tests/forward/crash_simulation.py
@@ -19,7 +19,6 @@
 REPORT_DELAY_MS = 10  # in which observations are collected
 DELIVERY_MS = (5, 170)  # from a router to the first one, and from that to the others
 CRASH_DELAY_MS = 1  # until a bad request crashes its worker
-MAX_FIRST_BYTE_MS = 200  # until a worker begins to answer a sound request
 RESTART_MS = 2_000  # until a crashed worker is replaced
 REMOVAL_MS = 4_500  # until the store reports that a worker is gone
 BAD, SOUND = b"bad", b"sound"
@@ -76,15 +75,24 @@
 
 
 class Simulation:
-    def __init__(self, time, routers, workers, seed=1, max_attempts=2):
+    """Routers and workers that serve requests; records what became of them.
+
+    Workers begin to answer sound requests after `max_first_byte` ms, or at their end if
+    that is sooner or None.
+    """
+
+    def __init__(
+        self, time, routers, workers, seed=1, max_attempts=2, max_first_byte=None
+    ):
         self.time = time
+        self.max_first_byte = max_first_byte
         self.random = Random(seed)
         self.max_attempts = max_attempts
         self.crash_times = []  # ms at which bad requests crashed workers
         self.arrival_times = []  # ms at which bad requests reached workers
         self._numbers = count()
-        self.refused = []  # bodies of quarantined requests that did not run
-        self.not_repeated = []  # bodies of those that ran and were not sent again
+        self.refused = []  # bodies of quarantined requests, whether they ran or not
+        self.refused_without_run = []
         self.served = 0
         self.saved = []
         self.workers_by_address = {}
@@ -149,15 +157,20 @@
     def send(
         self, router, body, work=20, owner=OWNER, crashes_workers=None, parts=PARTS
     ):
-        """Send a client's request to a router; `parts` are those it may share."""
+        """Send a client's request to a router; `parts` are those it may share.
+
+        A bad one crashes its worker after CRASH_DELAY_MS.
+        """
         if crashes_workers is None:
             crashes_workers = body == BAD
+        if crashes_workers:
+            work = CRASH_DELAY_MS
         self.time.spawn(self._serve, router, body, work, owner, crashes_workers, parts)
 
     def send_bad_part(self, router, *parts, work=20):
         """Send a request unlike all others that crashes its worker after `work` ms."""
         body = b"bad %d" % next(self._numbers)
-        self.send(router, body, work, crashes_workers=True, parts=parts)
+        self.time.spawn(self._serve, router, body, work, OWNER, True, parts)
 
     def _serve(self, router, body, work, owner, crashes_workers, parts):
         prompt_parts = [(id, 100) for id in (*parts, f"own {body}")]
@@ -169,8 +182,9 @@
             try:
                 router.quarantine.check(job)
             except Refusal:
-                answers = self.not_repeated if job.runs else self.refused
-                answers.append(body)
+                self.refused.append(body)
+                if not job.runs:
+                    self.refused_without_run.append(body)
                 return
             worker = self._choose(router, job)
             if worker is None:
@@ -191,14 +205,13 @@
         return self.random.choice(workers) if workers else None
 
     def _run(self, router, job, worker, work, crashes_workers):
-        body = job.call.request.body
         attempt = Attempt(worker.upstream, job.workspace, 0)
         router.quarantine.record_sent(job, attempt)
         cuts = []
         worker.end_callbacks.append(lambda: cuts.append(True))
         if crashes_workers:
             self.arrival_times.append(self.time.clock.now())
-            self.time.sleep((CRASH_DELAY_MS if body == BAD else work) / 1000)
+            self.time.sleep(work / 1000)
             if worker.is_alive:
                 self.crash_times.append(self.time.clock.now())
                 self.crash_worker(worker)
@@ -210,7 +223,9 @@
 
     def _answer(self, worker, attempt, work):
         """Begin to answer after a while, and go on until `work` ms have passed."""
-        wait = min(work, MAX_FIRST_BYTE_MS)
+        wait = work
+        if self.max_first_byte is not None:
+            wait = min(work, self.max_first_byte)
         self.time.sleep(wait / 1000)
         if worker.is_alive:
             attempt.answered_at = self.time.clock.now()
--- a/tests/forward/test_part_quarantine.py
+++ b/tests/forward/test_part_quarantine.py
@@ -5,6 +5,8 @@
 time; no two bad requests are alike.
 """
 
+from functools import partial
+
 import pytest
 from loguru import logger
 
@@ -21,8 +23,11 @@
 BAD_INTERVAL_MS = 1_200
 DAY_MS = 22_000
 SOUND_WORK_MS = (80, 150, 400, 900)
+MAX_FIRST_BYTE_MS = 200  # until a worker begins to answer a sound request
 SEEDS = range(12)
 
+simulate = partial(Simulation, max_first_byte=MAX_FIRST_BYTE_MS)
+
 
 @pytest.fixture(autouse=True)
 def no_logs():
@@ -105,14 +110,16 @@
 def test_bad_part_is_refused_in_time_and_no_sound_request_is(time, place, max_attempts):
     crash_counts = []
     for seed in SEEDS:
-        simulation = Simulation(time, 6, 5, seed, max_attempts)
+        simulation = simulate(time, 6, 5, seed, max_attempts)
         is_long = place == "among 64"
         send_sound_traffic(simulation, long_parts if is_long else sound_parts)
         send_bad_traffic(simulation, BAD_PARTS[place])
         time.run(DAY_MS + 10_000)
         assert count_late_arrivals(simulation) <= MAX_LATE_ARRIVALS
-        assert any(map(is_bad, simulation.refused))
-        assert [body for body in simulation.refused if not is_bad(body)] == []
+        assert any(map(is_bad, simulation.refused_without_run))
+        assert [
+            body for body in simulation.refused_without_run if not is_bad(body)
+        ] == []
         crash_counts.append(len(simulation.crash_times))
     assert sum(crash_counts) / len(crash_counts) <= FIFTH + 1
 
@@ -124,20 +131,20 @@
     time, routers, workers, max_attempts, interval
 ):
     for seed in range(3):
-        simulation = Simulation(time, routers, workers, seed, max_attempts)
+        simulation = simulate(time, routers, workers, seed, max_attempts)
         for _ in range(max(6, 12_000 // interval)):
             for router in simulation.routers:
                 delay = simulation.random.uniform(0, 100)
                 time.after(delay, simulation.send_bad_part, router, "hot", "bad")
             time.run(interval)
         assert count_late_arrivals(simulation) <= MAX_LATE_ARRIVALS
-        assert simulation.refused
+        assert simulation.refused_without_run
 
 
 @pytest.mark.parametrize("interval", [300, 1_200])
 def test_two_bad_parts_in_turn_are_refused_in_time(time, interval):
     for seed in SEEDS:
-        simulation = Simulation(time, 6, 5, seed)
+        simulation = simulate(time, 6, 5, seed)
         send_sound_traffic(simulation, sound_parts)
         send_bad_traffic(
             simulation,
@@ -146,11 +153,13 @@
         )
         time.run(DAY_MS + 10_000)
         assert len(simulation.crash_times) <= 2 * (FIFTH + 1) + MAX_LATE_ARRIVALS
-        assert [body for body in simulation.refused if not is_bad(body)] == []
+        assert [
+            body for body in simulation.refused_without_run if not is_bad(body)
+        ] == []
 
 
 def test_part_that_one_workspace_holds_is_refused_in_all(time):
-    simulation = Simulation(time, 6, 5)
+    simulation = simulate(time, 6, 5)
     send_bad_traffic(simulation, BAD_PARTS["middle"])
     time.run(DAY_MS)
     crash_count = len(simulation.crash_times)
@@ -162,22 +171,22 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_rare_parts_at_workers_that_crash_by_themselves_are_served(time, seed):
-    simulation = Simulation(time, 6, 5, seed)
+    simulation = simulate(time, 6, 5, seed)
     send_sound_traffic(simulation, sound_parts)
     for number in range(19):
         time.after(1_000 * number, crash_some, simulation, 1)
     time.run(DAY_MS + 5_000)
-    assert simulation.refused == []
+    assert simulation.refused_without_run == []
 
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_rare_parts_at_workers_that_crash_together_are_served(time, seed):
-    simulation = Simulation(time, 9, 9, seed)
+    simulation = simulate(time, 9, 9, seed)
     send_sound_traffic(simulation, sound_parts)
     for number in range(5):
         time.after(4_000 * number, crash_some, simulation, 5)
     time.run(DAY_MS + 5_000)
-    assert simulation.refused == []
+    assert simulation.refused_without_run == []
 
 
 def crash_some(simulation, number):
@@ -188,18 +197,20 @@
 
 def test_bad_part_beside_workers_that_crash_by_themselves_is_refused_in_time(time):
     for seed in SEEDS:
-        simulation = Simulation(time, 6, 5, seed)
+        simulation = simulate(time, 6, 5, seed)
         send_sound_traffic(simulation, sound_parts)
         send_bad_traffic(simulation, BAD_PARTS["middle"])
         for number in range(10):
             time.after(2_000 * number, crash_some, simulation, 1)
         time.run(DAY_MS + 10_000)
         assert count_late_arrivals(simulation) <= MAX_LATE_ARRIVALS
-        assert [body for body in simulation.refused if not is_bad(body)] == []
+        assert [
+            body for body in simulation.refused_without_run if not is_bad(body)
+        ] == []
 
 
 def test_verdict_on_a_part_reaches_new_and_reconnected_routers(time):
-    simulation = Simulation(time, 3, 6)
+    simulation = simulate(time, 3, 6)
     simulation.routers[2].is_isolated = True
     for _ in range(4):
         simulation.send_bad_part(simulation.routers[0], "hot", "bad")
@@ -216,19 +227,19 @@
 
 
 def test_part_is_served_again_after_its_workers_are_mended(time):
-    simulation = Simulation(time, 6, 5)
+    simulation = simulate(time, 6, 5)
     send_bad_traffic(simulation, BAD_PARTS["middle"], duration=6_000)
     time.run(6_000)
-    refused = len(simulation.refused)
+    refused = len(simulation.refused_without_run)
     time.run(600_000)
     simulation.send(simulation.routers[0], b"mended", 20, parts=("hot", "bad"))
     time.run(2_000)
     assert simulation.served == 1
-    assert len(simulation.refused) == refused
+    assert len(simulation.refused_without_run) == refused
 
 
 def test_ends_of_a_quarantine_let_few_bad_requests_through(time):
-    simulation = Simulation(time, 6, 5)
+    simulation = simulate(time, 6, 5)
     send_bad_traffic(
         simulation, BAD_PARTS["middle"], duration=7_200_000, interval=20_000
     )
@@ -239,7 +250,7 @@
 
 
 def test_reports_on_one_crash_are_bounded(time):
-    simulation = Simulation(time, 2, 2)
+    simulation = simulate(time, 2, 2)
     router = simulation.routers[0]
     for number in range(60):
         parts = [f"{number}-{place}" for place in range(63)]
