Tell routers of the second crash of a request before its client is answered

Cause: the first two requests end two engines each, and the third one's first crash is the fifth, with which the prefix is blamed at once. But of the second crash of a request, which runs with a lease, only the quarantine of the request itself was told before its client was answered. The crashed runs of its prefixes followed in the background, 20 ms later or more on a busy machine. A router that got the next request in between counted four crashes after its own, waited for the fifth and ended a sixth engine.

A crash of a request that ran with a lease is now told with its prefixes before the return, as the quarantine of a prefix was. Ruled out: fewer crashes to a verdict (blames prefixes of sound requests), and telling each first crash before the retry (each request beside a crash would wait for all routers).

Evidence: a new unit test of three routers failed, as a router did not know the crashes of a request that another had refused, and passes.

--- a/libs/gateway/src/mulberryhub/gateway/suspects.py
+++ b/libs/gateway/src/mulberryhub/gateway/suspects.py
@@ -113,15 +113,15 @@
         """Record that an engine crashed while it ran a request with `prefixes`.
 
         `incarnation` names the start of the engine. Prefixes are given from the
-        shortest to the longest one. If one of them is quarantined by this, all
-        reachable routers have been informed on return.
+        shortest to the longest one. If one of them is quarantined by this, or the
+        request ran with a lease, all reachable routers have been informed on return.
         """
         run = CrashedRun(incarnation, 0, had_lease, fingerprint)
         shared = prefixes[:MAX_PREFIX_COUNT]
         for breadth, prefix in enumerate(reversed(shared), start=1):
             round = self._prefixes.get(prefix).round
             self._apply_prefix(Suspect(prefix, round, [run], breadth))
-        if self.has_quarantined_prefix(shared):
+        if had_lease or self.has_quarantined_prefix(shared):
             self._broadcast_unreported()
         self._report_soon()
 
--- a/tests/gateway/test_suspects.py
+++ b/tests/gateway/test_suspects.py
@@ -107,6 +107,18 @@
         assert suspects.has_quarantined_prefix(["p", "q"])
 
 
+def test_router_knows_crashes_of_a_request_refused_by_another_before(network):
+    first, second = network.suspects_by_vm["a"], network.suspects_by_vm["b"]
+    for suspects, number in ((first, 1), (second, 2)):
+        crash_with_prefix(suspects, f"e{number}", f"r{number}", False)
+        suspects.record_crash(f"r{number}", had_lease=False)
+        crash_with_prefix(suspects, f"f{number}", f"r{number}", True)
+        suspects.record_crash(f"r{number}", had_lease=True)
+    crash_with_prefix(first, "e3", "r3", False)
+    for suspects in network.suspects_by_vm.values():
+        assert suspects.has_quarantined_prefix(["p"])
+
+
 def test_prefix_of_completed_requests_is_not_quarantined(network):
     suspects = network.suspects_by_vm["a"]
     for number in range(8):
