Send reports of crashes again to routers that did not acknowledge them

What would be seen: a router that was unreachable for a moment, or took more than half a second to answer, never heard of the crashes and quarantines reported then. It would run a quarantined request, and count fewer crashes of a prefix than the others.

Cause: a report that failed was counted and dropped. Now it is sent again in the background, up to five times at half a second, so callers wait no longer than before. Reports may arrive twice and in any order: prefixes merge by round, and a repeated quarantine or suspicion lasts as much longer as it came late.

Evidence: a unit test with a router that is unreachable while crashes are reported failed, and passes.

--- a/libs/gateway/src/mulberryhub/gateway/suspects.py
+++ b/libs/gateway/src/mulberryhub/gateway/suspects.py
@@ -29,6 +29,8 @@
 PURGE_THRESHOLD_COUNT = 10_000  # entries above which expired ones are removed
 PEER_TIMEOUT_MS = 500
 REPORT_BATCH_DELAY_MS = 20
+REPORT_RETRY_DELAY_MS = 500
+MAX_REPORT_RETRIES = 5  # after which members no longer list a router that is gone
 MAX_CONCURRENT_REPORTS = 16
 LEASE_RETRY_DELAY_RANGE_MS = (50, 150)
 MAX_COORDINATORS = 3
@@ -265,9 +267,22 @@
         pool.waitall()
 
     def _send_report(self, address, report):
+        if not self._try_report(address, report):
+            spawn_n(self._retry_report, address, report)
+
+    def _retry_report(self, address, report):
+        for _ in range(MAX_REPORT_RETRIES):
+            sleep(REPORT_RETRY_DELAY_MS / 1000)
+            if self._try_report(address, report):
+                return
+
+    def _try_report(self, address, report):
+        """Return whether the router at `address` acknowledged the report."""
         try:
             self._peers.call(
                 address, "suspect_report", report, SuspectReportAnswer, PEER_TIMEOUT_MS
             )
         except PeerUnavailable:
             self._counters.add("suspects.report_failed")
+            return False
+        return True
--- a/tests/gateway/test_suspects.py
+++ b/tests/gateway/test_suspects.py
@@ -8,7 +8,11 @@
     LeaseRequest,
     SuspectLeaseTable,
 )
-from mulberryhub.gateway.suspects import QUARANTINE_DURATION_MS, Suspects
+from mulberryhub.gateway.suspects import (
+    QUARANTINE_DURATION_MS,
+    REPORT_RETRY_DELAY_MS,
+    Suspects,
+)
 from mulberryhub.peers.client import PeerUnavailable
 from mulberryhub.peers.members import Member, MembershipState, MembershipView
 
@@ -119,6 +123,18 @@
         assert suspects.has_quarantined_prefix(["p"])
 
 
+def test_report_reaches_router_that_was_unreachable_for_a_moment(network):
+    network.unreachable_vms = {"b"}
+    for number in range(5):
+        crash_with_prefix(network.suspects_by_vm["a"], f"e{number}", f"r{number}", True)
+    network.suspects_by_vm["a"].record_crash("f", had_lease=True)
+    assert not network.suspects_by_vm["b"].has_quarantined_prefix(["p"])
+    network.unreachable_vms = set()
+    sleep((REPORT_RETRY_DELAY_MS + 100) / 1000)
+    assert network.suspects_by_vm["b"].has_quarantined_prefix(["p"])
+    assert network.suspects_by_vm["b"].is_quarantined("f")
+
+
 def test_prefix_of_completed_requests_is_not_quarantined(network):
     suspects = network.suspects_by_vm["a"]
     for number in range(8):
