--- a/libs/gateway/src/mulberryhub/gateway/suspects.py
+++ b/libs/gateway/src/mulberryhub/gateway/suspects.py
@@ -29,6 +29,8 @@
 PURGE_THRESHOLD_COUNT = 10_000  # entries above which expired ones are removed
 PEER_TIMEOUT_MS = 500
 REPORT_BATCH_DELAY_MS = 20
+REPORT_RETRY_DELAY_MS = 500
+MAX_REPORT_RETRIES = 5  # after which members no longer list a router that is gone
 MAX_CONCURRENT_REPORTS = 16
 LEASE_RETRY_DELAY_RANGE_MS = (50, 150)
 MAX_COORDINATORS = 3
@@ -113,15 +115,15 @@
         """Record that an engine crashed while it ran a request with `prefixes`.
 
         `incarnation` names the start of the engine. Prefixes are given from the
-        shortest to the longest one. If one of them is quarantined by this, all
-        reachable routers have been informed on return.
+        shortest to the longest one. If one of them is quarantined by this, or the
+        request ran with a lease, all reachable routers have been informed on return.
         """
         run = CrashedRun(incarnation, 0, had_lease, fingerprint)
         shared = prefixes[:MAX_PREFIX_COUNT]
         for breadth, prefix in enumerate(reversed(shared), start=1):
             round = self._prefixes.get(prefix).round
             self._apply_prefix(Suspect(prefix, round, [run], breadth))
-        if self.has_quarantined_prefix(shared):
+        if had_lease or self.has_quarantined_prefix(shared):
             self._broadcast_unreported()
         self._report_soon()
 
@@ -265,9 +267,22 @@
         pool.waitall()
 
     def _send_report(self, address, report):
+        if not self._try_report(address, report):
+            spawn_n(self._retry_report, address, report)
+
+    def _retry_report(self, address, report):
+        for _ in range(MAX_REPORT_RETRIES):
+            sleep(REPORT_RETRY_DELAY_MS / 1000)
+            if self._try_report(address, report):
+                return
+
+    def _try_report(self, address, report):
+        """Return whether the router at `address` acknowledged the report."""
         try:
             self._peers.call(
                 address, "suspect_report", report, SuspectReportAnswer, PEER_TIMEOUT_MS
             )
         except PeerUnavailable:
             self._counters.add("suspects.report_failed")
+            return False
+        return True
