--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -14,9 +14,9 @@
 from mulberryhub.external.vm_list import VmListClient
 from mulberryhub.gateway.admin import AdminApi
 from mulberryhub.gateway.app import Endpoint, Gateway
-from mulberryhub.gateway.attempts import RelayDependencies
 from mulberryhub.gateway.completions import Completions
 from mulberryhub.gateway.models import list_models
+from mulberryhub.gateway.relay_dependencies import RelayDependencies
 from mulberryhub.gateway.resume_token import ResumeTokenSigner
 from mulberryhub.gateway.router_admin import RouterAdminApi
 from mulberryhub.gateway.server import HttpServer
--- a/libs/gateway/src/mulberryhub/gateway/attempts.py
+++ b/libs/gateway/src/mulberryhub/gateway/attempts.py
@@ -2,6 +2,7 @@
 
 from mulberryhub.base.errors import ApiError, ErrorCode, ExecutionState
 from mulberryhub.base.green import sleep, spawn_n
+from mulberryhub.gateway.suspect_runs import SuspectRuns
 from mulberryhub.upstream.budget import backoff_ms
 from mulberryhub.upstream.errors import (
     ConnectFailed,
@@ -18,7 +19,6 @@
 BAD_REQUEST_STATUSES = frozenset({400, 413, 422})
 MAX_TRIES_PER_ENGINE = 3
 LEASE_TIMEOUT_MS = 60_000
-SUSPECT_CLEARANCE_TOKENS = 8  # new tokens after which a request is no longer a suspect
 
 # Consecutive resumptions without a new token after which another engine is tried.
 # Silence before the first token does not count, as the engine may not have begun.
@@ -28,51 +28,6 @@
 CONNECTION_FAILURES = (ResponseMismatch, EngineTimeout, StreamInterrupted)
 
 
-class RelayDependencies:
-    """The dependencies that all relays of a router share.
-
-    `confirmed_view()` returns the configuration in force, or raises ApiError while
-    it is not confirmed. `resume_token_signer` signs resume tokens.
-    """
-
-    __slots__ = (
-        "engine_client",
-        "policy",
-        "health",
-        "engine_monitor",
-        "retry_budget",
-        "resume_token_signer",
-        "suspects",
-        "confirmed_view",
-        "counters",
-        "clock",
-    )
-
-    def __init__(
-        self,
-        engine_client,
-        policy,
-        health,
-        engine_monitor,
-        retry_budget,
-        resume_token_signer,
-        suspects,
-        confirmed_view,
-        counters,
-        clock,
-    ):
-        self.engine_client = engine_client
-        self.policy = policy
-        self.health = health
-        self.engine_monitor = engine_monitor
-        self.retry_budget = retry_budget
-        self.resume_token_signer = resume_token_signer
-        self.suspects = suspects
-        self.confirmed_view = confirmed_view
-        self.counters = counters
-        self.clock = clock
-
-
 class EngineAttempts:
     """The successive attempts to serve one engine request.
 
@@ -102,11 +57,8 @@
         "_stall_count",
         "_last_break_token_count",
         "_retry_count",
-        "_fingerprint",
-        "_prefixes",
         "_has_reached_engine",
-        "_leased_engine_id",
-        "_clearance_token_count",
+        "_suspect_runs",
     )
 
     def __init__(self, dependencies, decision, engine_request):
@@ -128,11 +80,10 @@
         self._stall_count = 0
         self._last_break_token_count = -1
         self._retry_count = 0
-        self._fingerprint = decision.request.chain[-1].hex()
-        self._prefixes = [prefix.hex() for prefix in decision.request.chain[:-1]]
         self._has_reached_engine = False
-        self._leased_engine_id = None
-        self._clearance_token_count = 0
+        self._suspect_runs = SuspectRuns(
+            dependencies.suspects, engine_request.request_id, decision.request.chain
+        )
 
     def open(self):
         """Open a stream on the first engine that accepts the call.
@@ -187,18 +138,8 @@
             if isinstance(item, Token):
                 self._texts.append(item.text)
                 self.token_count += 1
-        if isinstance(items[-1], StreamEnd):
-            self._dependencies.suspects.record_served(self._prefixes)
-        if self._leased_engine_id is not None:
-            self._clear_suspect_if_harmless(items)
-
-    def _clear_suspect_if_harmless(self, items):
-        """Clear the suspect and release its lease once enough output has arrived."""
-        if self.token_count >= self._clearance_token_count or isinstance(
-            items[-1], StreamEnd
-        ):
-            self._dependencies.suspects.clear(self._fingerprint)
-            self._release_lease()
+        is_end = isinstance(items[-1], StreamEnd)
+        self._suspect_runs.record_output(self.token_count, is_end)
 
     def _record_first_items(self):
         self._has_received_items = True
@@ -251,7 +192,7 @@
         while upstreams:
             for upstream in list(upstreams):
                 self._reject_if_quarantined()
-                if self._acquire_permission(upstream):
+                if self._suspect_runs.acquire_permission(upstream.id, self.token_count):
                     upstreams.remove(upstream)
                     yield upstream
             if self._dependencies.clock.now() > deadline:
@@ -259,35 +200,11 @@
             if upstreams:
                 self._dependencies.suspects.wait_for_retry()
 
-    def _acquire_permission(self, upstream):
-        """Return whether the request may run on `upstream`.
-
-        A suspect needs a lease, which this acquires if possible.
-        """
-        suspects = self._dependencies.suspects
-        if not suspects.is_suspect(self._fingerprint):
-            return True
-        if not suspects.acquire_lease(upstream.id, self._engine_request.request_id):
-            return False
-        self._leased_engine_id = upstream.id
-        self._clearance_token_count = self.token_count + SUSPECT_CLEARANCE_TOKENS
-        return True
-
-    def _release_lease(self):
-        engine_id, self._leased_engine_id = self._leased_engine_id, None
-        if engine_id is not None:
-            self._dependencies.suspects.release_lease(
-                engine_id, self._engine_request.request_id
-            )
-
     def _reject_if_quarantined(self):
         """Raise ApiError if the request, or a prefix of it, crashes engines."""
-        suspects = self._dependencies.suspects
-        is_quarantined = suspects.is_quarantined(self._fingerprint)
-        if not is_quarantined and not suspects.has_quarantined_prefix(self._prefixes):
-            return
-        message = "the request crashes engines"
-        raise ApiError(ErrorCode.QUARANTINED, message, self._execution_state())
+        if self._suspect_runs.is_quarantined():
+            message = "the request crashes engines"
+            raise ApiError(ErrorCode.QUARANTINED, message, self._execution_state())
 
     def _record_crash(self, failure):
         """Record a crash if the engine is gone or restarted after it got the request.
@@ -298,15 +215,7 @@
         if isinstance(failure, StreamNotFound) and failure.incarnation:
             is_gone = failure.incarnation != self.incarnation
         if is_gone and self._has_reached_engine:
-            had_lease = self._leased_engine_id is not None
-            suspects = self._dependencies.suspects
-            suspects.record_prefix_crash(
-                f"{self.upstream_id}/{self.incarnation}",
-                self._fingerprint,
-                self._prefixes,
-                had_lease,
-            )
-            suspects.record_crash(self._fingerprint, had_lease)
+            self._suspect_runs.record_crash(f"{self.upstream_id}/{self.incarnation}")
 
     def _wait_for_retry(self):
         """Wait before a retry; return False if the retry budget is exhausted.
@@ -395,7 +304,7 @@
         self._dependencies.policy.record_sent(self._decision, upstream_id)
 
     def _end_attempt(self):
-        self._release_lease()
+        self._suspect_runs.release_lease()
         if self.upstream_id is not None:
             self._dependencies.policy.record_ended(self._decision, self.upstream_id)
             self.upstream_id = None
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -6,7 +6,8 @@
 from mulberryhub.base.counters import Counters
 from mulberryhub.base.errors import ApiError, ErrorCode, ExecutionState
 from mulberryhub.config.inventory import Upstream
-from mulberryhub.gateway.attempts import EngineAttempts, RelayDependencies
+from mulberryhub.gateway.attempts import EngineAttempts
+from mulberryhub.gateway.relay_dependencies import RelayDependencies
 from mulberryhub.routing.policies import make_policy
 from mulberryhub.routing.prefix_chain import text_request
 from mulberryhub.routing.request import Decision, Scope
