Give the workers of each crashing stand-in service ids of their own

What was seen: nothing that is shown to come from it. It was suspected where test_new_router_learns_of_quarantine once found nothing served within 20 s after the start of its workers.

Cause: a crashed stand-in worker is taken off the store's list 3.6 s after its crash, a test's service may be closed by then, and the next test of the same service starts workers under the same ids. So a late removal took live workers of the next test off the list for good, as each writes its entry once.

Ids are numbered through the whole process now. Ruled out: waiting for the removals at the end of each test (3.6 s each), and removing the entries at once (another order of events than the tests had).

--- a/tests/adapter/crashing_workers.py
+++ b/tests/adapter/crashing_workers.py
@@ -4,6 +4,7 @@
 import struct
 import threading
 import time
+from itertools import count
 
 import msgspec
 
@@ -25,6 +26,8 @@
 )
 EVENT_COUNT = 4  # of a stream
 
+_worker_numbers = count(1)
+
 
 class Crash(msgspec.Struct):
     """Crash of a worker at the monotonic time `at` (s)."""
@@ -37,6 +40,7 @@
 class CrashingService:
     """Workers of `service` that listen on loopback and restart under new ids.
 
+    Later services get other ids, as entries of crashed workers are removed late.
     A worker crashes on a request whose body starts with CRASH_BODY_PREFIX: its
     connections and its listener close. Its entry in the store is removed after
     `deregister_delay` s if `deregisters` is set, otherwise after ENTRY_EXPIRY_S.
@@ -55,7 +59,6 @@
         self._platform = platform
         self._service = service
         self._lock = threading.Lock()
-        self._started = 0
         self._closed = False
         self._workers = {}
         for _ in range(workers):
@@ -105,8 +108,7 @@
         with self._lock:
             if self._closed:
                 return
-            self._started += 1
-            worker = Worker(f"{self._service}-{self._started}", self)
+            worker = Worker(f"{self._service}-{next(_worker_numbers)}", self)
             self._workers[worker.id] = worker
         entry = {
             "service": self._service,
