Test that an odd entry of the store hides no other and fails no request

Another writer left one odd entry among those of the workers: nested deeply, with a number too large, or with a port out of range. Callers saw 500 while it was there, and routers stopped to publish.

What the runs show: an entry of 400 digits ends `Publisher._run_ticks` (OverflowError when it encodes the update) a second after each start, so subscribers hear nothing while it is there. The reader of the store does not end. An address that cannot be parsed raises ValueError, OverflowError or UnicodeError where only OSError counts as a failed connection.

--- a/tests/http/test_outbound.py
+++ b/tests/http/test_outbound.py
@@ -14,6 +14,7 @@
 from mulberryhub.http.outbound import OutboundConnection
 from mulberryhub.http.pool import ConnectionPool
 from mulberryhub.http.sockets import reset
+from tests.adapter.odd_entries import ODD_ADDRESSES_BY_NAME
 from tests.http.support import ScriptedUpstream
 
 TIMEOUT_MS = 1_000
@@ -187,3 +188,29 @@
     pool.release(connection)
     sleep(0.1)
     assert pool.take_idle(upstream.address) is None
+
+
+@pytest.mark.parametrize("name", ODD_ADDRESSES_BY_NAME)
+def test_connection_to_address_that_cannot_be_parsed_fails_as_any_other(name):
+    with pytest.raises(ConnectionFailed):
+        OutboundConnection.open(ODD_ADDRESSES_BY_NAME[name], TIMEOUT_MS, Clock())
+
+
+@pytest.mark.parametrize("digits", [400, 5_000])
+def test_keep_alive_timeout_out_of_range_is_ignored(digits):
+    upstream = ScriptedUpstream(
+        respond_with(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout="
+            + b"9" * digits
+            + b"\r\n\r\nok",
+            close=False,
+        )
+    )
+    pool = ConnectionPool(Clock())
+    connection = pool.open(upstream.address, TIMEOUT_MS)
+    connection.send(make_request(), TIMEOUT_MS)
+    assert connection.read_head(TIMEOUT_MS).status == 200
+    assert connection.read_data(TIMEOUT_MS) == b"ok"
+    assert connection.read_data(TIMEOUT_MS) is None
+    pool.release(connection)
+    assert pool.take_idle(upstream.address) is connection
