Count an address that cannot be parsed as a failed connection

Connecting to one that cannot be parsed raised ValueError, OverflowError or TypeError (a host with NUL or that no encoding takes), so a request was answered 500 in place of a try at another upstream. `http.sockets.connect` raises OSError for each of them now, which callers turn into ConnectionFailed or ChannelError as for any other failed connection.

--- a/libs/http/src/mulberryhub/http/sockets.py
+++ b/libs/http/src/mulberryhub/http/sockets.py
@@ -24,7 +24,7 @@
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.settimeout(timeout / 1000)
-        sock.connect(split_address(address))
+        _connect(sock, address)
         set_socket_options(sock, user_timeout)
     except BaseException:
         sock.close()
@@ -32,6 +32,14 @@
     return sock
 
 
+def _connect(sock, address):
+    """Connect `sock`; raise OSError, also for an address that cannot be parsed."""
+    try:
+        sock.connect(split_address(address))
+    except (ValueError, TypeError, OverflowError) as error:
+        raise OSError(f"not an address: {error}") from error
+
+
 def set_socket_options(sock, user_timeout=USER_TIMEOUT_MS):
     """Disable Nagle's algorithm and let the kernel detect an unreachable peer.
 
