Use no upstream whose newest entry is odd

When another writer replaced the entry of a worker by one that names no worker to use, routers that had read the sound entry before went on with it, and those that started later did not know the worker: what a router used depended on when it began to read.

Such an entry removes the upstream now, as an entry without a value does and in the same order by offset: subscribers hear of it, it is held back after an outage of the store as other removals are, and the worker's next sound entry, a heartbeat later, brings it back.

--- a/libs/node/src/mulberryhub/node/topics.py
+++ b/libs/node/src/mulberryhub/node/topics.py
@@ -23,15 +23,13 @@
 
         return apply
 
-    apply_upstream_record = applier(
-        ports.read_upstream, fleet_state.apply_stored_upstream
-    )
-
     def apply_upstream(entry):
-        if entry.value is None:
+        """Apply the entry of an upstream; one without a record names none to use."""
+        record = None if entry.value is None else ports.read_upstream(entry)
+        if record is None:
             removals.remove(entry.key, entry.offset)
         else:
-            apply_upstream_record(entry)
+            fleet_state.apply_stored_upstream(record)
 
     def remove_unlisted(listing):
         removals.remove_unlisted([entry.key for entry in listing.entries], listing.end)
