Skip odd records of other routers, and keep the others of their message

A router of an earlier build passes on what it read: an address without a port, a start beyond what a float holds, slots below zero. The subscriber took such records as they were. Deep nesting in a message raised RecursionError, which ended the task of the connection ("task failed").

Updates have what changed, all of it only at the begin of a subscription. A message with an odd value is decoded again with its records one by one, and an odd one is skipped with a line in the log; one that cannot be decoded at all ends its connection as an invalid message did before. Verdicts in the store are checked by the same types.

What remains: a subscriber skips the odd record of an upstream and keeps the one before it until the router it follows, of an earlier build, sends a removal.

--- a/libs/base/src/mulberryhub/base/ranges.py
+++ b/libs/base/src/mulberryhub/base/ranges.py
@@ -28,3 +28,7 @@
 Address = Annotated[
     str, Meta(max_length=MAX_TEXT_LENGTH, pattern=_ADDRESS_PATTERN)
 ]  # host:port
+Name = Annotated[str, Meta(max_length=MAX_TEXT_LENGTH)]  # for comparison only
+Fingerprint = Annotated[
+    str, Meta(max_length=MAX_TEXT_LENGTH, pattern=r"\A[0-9a-f]+\Z")
+]  # hexadecimal
--- a/libs/fleet/src/mulberryhub/fleet/channel.py
+++ b/libs/fleet/src/mulberryhub/fleet/channel.py
@@ -7,8 +7,10 @@
 import msgspec
 
 from mulberryhub.base.green import Semaphore
+from mulberryhub.base.logs import module_logger
 from mulberryhub.fleet.admissions import Admitted
-from mulberryhub.fleet.records import Observation, Record, Rollout, Usage
+from mulberryhub.fleet.records import Observation, Record, Usage
+from mulberryhub.fleet.rollout import Rollout
 from mulberryhub.http.sockets import close, connect, receive
 
 LENGTH_BYTES = 4
@@ -17,6 +19,9 @@
 SEND_TIMEOUT_MS = 1_000
 
 
+log = module_logger(__name__)
+
+
 class ChannelError(Exception):
     """The other router is unreachable or sent an invalid message."""
 
@@ -135,7 +140,24 @@
 CoordinatorRequest = PermitRequest | QuotaRequest
 CoordinatorAnswer = PermitGrant | QuotaGrant
 Message = Hello | Report | Update | ReportAck | CoordinatorRequest | CoordinatorAnswer
+
+
+class RawUpdate(Update, tag="News"):
+    """An Update whose records are not decoded."""
+
+    records: list[msgspec.Raw] = []
+
+
+class RawReport(Report, tag="Report"):
+    """A Report whose observations are not decoded."""
+
+    observations: list[msgspec.Raw] = []
+
+
 _decoder = msgspec.msgpack.Decoder(Message)
+_raw_decoder = msgspec.msgpack.Decoder(RawUpdate | RawReport)
+_record_decoder = msgspec.msgpack.Decoder(Record)
+_observation_decoder = msgspec.msgpack.Decoder(Observation)
 _encoder = msgspec.msgpack.Encoder()
 
 
@@ -145,6 +167,41 @@
     return len(payload).to_bytes(LENGTH_BYTES) + payload
 
 
+def decode(payload):
+    """Return the message in `payload` without odd records; raise ChannelError."""
+    try:
+        return _decode_message(payload)
+    except (msgspec.DecodeError, RecursionError, ValueError) as error:
+        raise ChannelError(f"invalid message: {error}") from error
+
+
+def _decode_message(payload):
+    try:
+        return _decoder.decode(payload)
+    except msgspec.ValidationError:
+        return _decode_one_by_one(_raw_decoder.decode(payload))
+
+
+def _decode_one_by_one(raw):
+    """Return the Update or Report of a raw one, without its odd records."""
+    fields = {name: getattr(raw, name) for name in raw.__struct_fields__}
+    if isinstance(raw, RawUpdate):
+        fields["records"] = _decode_good(raw.records, _record_decoder)
+        return Update(**fields)
+    fields["observations"] = _decode_good(raw.observations, _observation_decoder)
+    return Report(**fields)
+
+
+def _decode_good(raw_records, decoder):
+    records = []
+    for raw_record in raw_records:
+        try:
+            records.append(decoder.decode(raw_record))
+        except msgspec.DecodeError as error:
+            log.warning("odd record", reason=str(error))
+    return records
+
+
 class Channel:
     """Sends and receives messages over one socket."""
 
@@ -181,10 +238,7 @@
         length = int.from_bytes(self._read_exactly(LENGTH_BYTES))
         if length > MAX_MESSAGE_BYTES:
             raise ChannelError(f"message of {length} bytes exceeds the limit")
-        try:
-            return _decoder.decode(self._read_exactly(length))
-        except msgspec.DecodeError as error:
-            raise ChannelError(f"invalid message: {error}") from error
+        return decode(self._read_exactly(length))
 
     def close(self):
         """Close the connection, which ends a blocked `receive()`."""
--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -4,6 +4,15 @@
 
 import msgspec
 
+from mulberryhub.base.ranges import (
+    Address,
+    Amount,
+    Count,
+    Fingerprint,
+    Name,
+    Number,
+    Text,
+)
 from mulberryhub.fleet.admissions import Admitted
 
 
@@ -25,30 +34,29 @@
 class Target(msgspec.Struct, frozen=True):
     """A service and its share of a route's requests."""
 
-    service: str
-    weight: float
+    service: Text
+    weight: Amount
 
 
 class Route(msgspec.Struct, frozen=True):
     """Where requests of one host and path prefix are sent, and with which limits.
 
     `timeout`, `target_latency` and `target_gap` are in ms. A `priority` of 0 is the
-    most urgent. `max_attempts` limits the number of upstreams that a request is sent
-    to.
+    most urgent. `max_attempts` limits the number of upstreams that a request goes to.
     """
 
-    name: str
-    host: str
-    path_prefix: str
+    name: Text
+    host: Text
+    path_prefix: Text
     kind: RequestKind
     targets: list[Target]
-    timeout: int
-    target_latency: int
-    priority: int = 0
-    max_attempts: int = 1
+    timeout: Number
+    target_latency: Number
+    priority: Number = 0
+    max_attempts: Number = 1
     is_open: bool = False
     is_resumable: bool = False
-    target_gap: int = 0
+    target_gap: Number = 0
 
 
 class Service(msgspec.Struct, frozen=True):
@@ -58,12 +66,12 @@
     a KV cache store, which serves no requests.
     """
 
-    name: str
-    slots: int = 0
-    models: list[str] = []
-    kv_capacity: int = 0
-    cache_address: str = ""
-    cache_data_centre: str = ""
+    name: Text
+    slots: Count = 0
+    models: list[Text] = []
+    kv_capacity: Number = 0
+    cache_address: Text = ""
+    cache_data_centre: Text = ""
 
 
 class Workspace(msgspec.Struct, frozen=True):
@@ -73,29 +81,29 @@
     requests. A request that states no number of tokens counts as `default_tokens`.
     """
 
-    name: str
-    keys: list[str]
-    priority: int | None = None
-    rate: float = 0
-    burst: float = 0
+    name: Text
+    keys: list[Text]
+    priority: Number | None = None
+    rate: Amount = 0
+    burst: Amount = 0
     counts_tokens: bool = False
-    default_tokens: int = 0
+    default_tokens: Number = 0
     is_isolated: bool = False
 
 
 class ClientLimits(msgspec.Struct, frozen=True):
     """Limits on the size (bytes), read time and idle time (ms) of client requests."""
 
-    header_bytes: int = 16_384
-    body_bytes: int = 4_194_304
-    header_time: int = 3_000
-    idle_time: int = 15_000
+    header_bytes: Number = 16_384
+    body_bytes: Number = 4_194_304
+    header_time: Number = 3_000
+    idle_time: Number = 15_000
 
 
 class Configuration(msgspec.Struct, frozen=True, tag=True):
     """The operator's complete configuration; a higher version is newer."""
 
-    version: int
+    version: Number
     routes: list[Route]
     services: list[Service]
     workspaces: list[Workspace]
@@ -105,8 +113,8 @@
 class Weights(msgspec.Struct, frozen=True, tag=True):
     """The newest version of a model's weights that the operator announced."""
 
-    model: str
-    version: int
+    model: Text
+    version: Count
 
 
 class Upstream(msgspec.Struct, frozen=True, tag=True):
@@ -115,15 +123,15 @@
     `started` is the start of the incarnation as wall time in ms.
     """
 
-    id: str
-    service: str
-    address: str
-    data_centre: str
+    id: Text
+    service: Text
+    address: Address
+    data_centre: Text
     state: UpstreamState
-    offset: int
-    started: int = 0
-    slots: int = 0
-    versions_by_model: dict[str, int] = {}
+    offset: Number
+    started: Count = 0
+    slots: Count = 0
+    versions_by_model: dict[Text, Count] = {}
 
 
 class Member(msgspec.Struct, frozen=True, tag=True):
@@ -132,11 +140,11 @@
     Members of higher `strength` (CPU and network capacity) are preferred as leaders.
     """
 
-    name: str
-    address: str
-    data_centre: str
-    offset: int = 0
-    strength: int = 0
+    name: Text
+    address: Address
+    data_centre: Text
+    offset: Number = 0
+    strength: Number = 0
 
     def is_same(self, other):
         """Return whether `other` differs in the offset of its record at most."""
@@ -154,8 +162,8 @@
 class Removal(msgspec.Struct, frozen=True, tag=True):
     """An upstream that the store no longer lists."""
 
-    id: str
-    offset: int
+    id: Text
+    offset: Number
 
 
 class Departure(msgspec.Struct, frozen=True, tag=True):
@@ -164,9 +172,9 @@
     `started` identifies its incarnation; a later one may take requests again.
     """
 
-    id: str
-    started: int
-    source: str
+    id: Text
+    started: Count
+    source: Text
 
 
 class RateLimit(msgspec.Struct, frozen=True, tag=True):
@@ -176,10 +184,10 @@
     means that it no longer limits requests.
     """
 
-    id: str
-    started: int
-    number: int
-    rate: float | None
+    id: Text
+    started: Count
+    number: Number
+    rate: Amount | None
 
 
 class CrashedRun(msgspec.Struct, frozen=True, array_like=True):
@@ -190,10 +198,10 @@
     fingerprint of the request, "" in reports of routers that do not send it.
     """
 
-    upstream: str
-    started: int
+    upstream: Text
+    started: Count
     is_repeat: bool
-    request: str = ""
+    request: Text = ""
 
     @property
     def incarnation(self):
@@ -213,11 +221,11 @@
     `relapses` counts the quarantines that ended and were followed by another crash.
     """
 
-    fingerprint: str
-    round: int = 0
+    fingerprint: Fingerprint
+    round: Number = 0
     crashed_runs: list[CrashedRun] = msgspec.field(default=[], name="ended")
-    breadth: int = 0
-    relapses: int = 0
+    breadth: Number = 0
+    relapses: Number = 0
 
     @property
     def has_enough_crashed_runs(self):
@@ -231,18 +239,18 @@
     `number` orders the changes within one `epoch`, which is one start of the store.
     """
 
-    salt: str
-    id: str
-    tokens: int
-    epoch: int
-    number: int
+    salt: Name
+    id: Name
+    tokens: Count
+    epoch: Number
+    number: Number
 
 
 class Verdict(msgspec.Struct, frozen=True):
     """A Suspect as saved in the store at `at` (wall time in ms)."""
 
     suspect: Suspect
-    at: int
+    at: Number
 
 
 Observation = Departure | RateLimit | Suspect  # facts that routers observe themselves
@@ -251,24 +259,6 @@
 )
 
 
-class Rollout(msgspec.Struct, frozen=True):
-    """The progress of a weights rollout, published by the router that controls it.
-
-    A higher pair of `fence` and `revision` is newer. `loading` lists the ids of
-    upstreams that are loading weights or about to.
-    """
-
-    fence: int = -1
-    revision: int = 0
-    loading: list[str] = []
-    versions_by_id: dict[str, dict[str, int]] = {}
-
-    @property
-    def order(self):
-        """Return the sort key that orders rollouts by age."""
-        return (self.fence, self.revision)
-
-
 MAX_UPTIME_MS = 2**53  # larger than any uptime
 
 
--- /dev/null
+++ b/libs/fleet/src/mulberryhub/fleet/rollout.py
@@ -0,0 +1,21 @@
+"""The progress of a weights rollout, as routers exchange it."""
+
+import msgspec
+
+
+class Rollout(msgspec.Struct, frozen=True):
+    """The progress of a weights rollout, published by the router that controls it.
+
+    A higher pair of `fence` and `revision` is newer. `loading` lists the ids of
+    upstreams that are loading weights or about to.
+    """
+
+    fence: int = -1
+    revision: int = 0
+    loading: list[str] = []
+    versions_by_id: dict[str, dict[str, int]] = {}
+
+    @property
+    def order(self):
+        """Return the sort key that orders rollouts by age."""
+        return (self.fence, self.revision)
--- a/libs/fleet/src/mulberryhub/fleet/state.py
+++ b/libs/fleet/src/mulberryhub/fleet/state.py
@@ -24,13 +24,13 @@
     Observation,
     RateLimit,
     Removal,
-    Rollout,
     Suspect,
     Upstream,
     UpstreamState,
     Verdict,
     Weights,
 )
+from mulberryhub.fleet.rollout import Rollout
 from mulberryhub.fleet.suspects import Suspects
 
 REMOVAL_RETENTION_MS = 120_000  # to ignore late records of removed upstreams
--- a/libs/weights/src/mulberryhub/weights/manager.py
+++ b/libs/weights/src/mulberryhub/weights/manager.py
@@ -4,7 +4,8 @@
 from mulberryhub.base.green import sleep
 from mulberryhub.base.logs import module_logger
 from mulberryhub.base.tasks import spawn_service, spawn_task
-from mulberryhub.fleet.records import Removal, Rollout
+from mulberryhub.fleet.records import Removal
+from mulberryhub.fleet.rollout import Rollout
 from mulberryhub.weights.messages import LoadOrder, OrderResult
 from mulberryhub.weights.plan import choose_next_loads, find_outdated
 
@@ -34,10 +35,9 @@
 
     `read_report(upstream)` returns an EngineReport or None, and
     `send_order(upstream, order)` returns an OrderResult. `loads` are the requests in
-    flight by upstream, `pool_builder` is a PoolBuilder.
-    `handover_delay` is the time in ms that must pass between the end of another
-    router's lease and the first order of this one. `version_time` is the time limit in
-    ms for new weights to be loaded everywhere.
+    flight by upstream, `pool_builder` is a PoolBuilder. `handover_delay` is the time in
+    ms that must pass between the end of another router's lease and the first order of
+    this one. `version_time` limits the ms until new weights are loaded everywhere.
     """
 
     __slots__ = (
--- a/tests/fleet/test_exchange.py
+++ b/tests/fleet/test_exchange.py
@@ -8,8 +8,9 @@
 from mulberryhub.base.windows import SlidingSum
 from mulberryhub.fleet.admissions import SLOT_MS, Admitted
 from mulberryhub.fleet.publisher import Publisher
-from mulberryhub.fleet.records import Configuration, Member, Rollout, Usage
+from mulberryhub.fleet.records import Configuration, Member, Usage
 from mulberryhub.fleet.removals import OUTAGE_THRESHOLD_MS, DelayedRemovals
+from mulberryhub.fleet.rollout import Rollout
 from mulberryhub.fleet.state import FleetState, Topic
 from mulberryhub.fleet.subscription import Subscription
 from mulberryhub.fleet.usage import UsageTable
--- a/tests/fleet/test_state.py
+++ b/tests/fleet/test_state.py
@@ -9,11 +9,11 @@
     Configuration,
     Member,
     Removal,
-    Rollout,
     Upstream,
     UpstreamState,
     Weights,
 )
+from mulberryhub.fleet.rollout import Rollout
 from mulberryhub.fleet.state import FleetState
 
 IDS = ("u1", "u2", "u3")
--- a/tests/forward/test_selection.py
+++ b/tests/forward/test_selection.py
@@ -2,7 +2,8 @@
 
 from mulberryhub.base.clock import ManualClock
 from mulberryhub.base.counters import Counters
-from mulberryhub.fleet.records import Rollout, UpstreamState, Usage, Weights
+from mulberryhub.fleet.records import UpstreamState, Usage, Weights
+from mulberryhub.fleet.rollout import Rollout
 from mulberryhub.fleet.state import FleetState
 from mulberryhub.forward.availability import UpstreamAvailability
 from mulberryhub.forward.loads import Loads
