--- a/libs/node/src/mulberryhub/node/settings.py
+++ b/libs/node/src/mulberryhub/node/settings.py
@@ -3,6 +3,9 @@
 import msgspec
 
 from mulberryhub.base.findings import Findings
+from mulberryhub.base.ranges import Address
+
+MAX_SHOWN_LENGTH = 80  # characters of an invalid address
 
 
 class OperatorLimits(msgspec.Struct, frozen=True):
@@ -60,6 +63,8 @@
 
 
 def _check_address(findings, path, address):
-    host, colon, port = address.rpartition(":")
-    if not host or not colon or not port.isdigit() or not 0 < int(port) < 65_536:
-        findings.error(path, f"{address!r} is not host:port")
+    try:
+        msgspec.convert(address, Address)
+    except msgspec.ValidationError:
+        shown = address[:MAX_SHOWN_LENGTH]
+        findings.error(path, f"{shown!r} is not host:port")
