--- a/tests/fleet/test_record_order.py
+++ b/tests/fleet/test_record_order.py
@@ -10,11 +10,11 @@
     Member,
     RateLimit,
     Removal,
-    Rollout,
     Upstream,
     UpstreamState,
     Weights,
 )
+from mulberryhub.fleet.rollout import Rollout
 from mulberryhub.fleet.state import FleetState
 
 IDS = ("u1", "u2")
