Send requests during a stop only if they can end in the time left

What callers saw: in a planned stop of one router, in calm, requests that came late were passed on and closed without an answer at the end, among them orders, which may not be sent again (LOST).

Cause: a router that stops accepted work by the state of its process (the listener is open for 2.6 s) and not by whether the work can end in the time that is left. Ruled out: the closing of idle connections (requests that crossed it had not been passed on) and signals that come again (a test of real programs, no fault).

Each send to an upstream, also one more after a failure, is now checked against the time left until running requests must end (forward.remaining_time): - what may run only once is sent only if its deadline, the earlier of the client's and of the route's timeout, lies before that end: nothing else bounds its run surely; - what may run again is expected to last as long as the longest of the 32 last complete runs of its service and kind, without any as long as its deadline: a wrong guess costs a repeat, no loss; - a stream that can be resumed is judged alike: cut midway it costs its caller a pause and a place, and upstreams the prompt a second time; rejected before it began, one more connection. The others get 503 with a short Retry-After and a close at once and are taken to another router. It is checked again between connecting and sending, as the stop may begin in between; the deadline is, too, so nothing is sent with less than 15 ms left.

Tests: the fixture of test_attempts.py passes the new part on; no check is changed.

--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -13,7 +13,6 @@
 from mulberryhub.forward.call import Attempt
 from mulberryhub.forward.delay import event_timeout, is_too_late
 from mulberryhub.forward.exchange import Exchange
-from mulberryhub.forward.job import MIN_UPSTREAM_TIME_MS
 from mulberryhub.forward.refusal import Reason, Refusal
 from mulberryhub.forward.work import estimate_work
 from mulberryhub.http.messages import (
@@ -55,6 +54,7 @@
         "_availability",
         "_rate_limits",
         "_quarantine",
+        "_remaining_time",
         "_budget",
         "_fleet_state",
         "_cache_directives",
@@ -73,6 +73,7 @@
         availability,
         rate_limits,
         quarantine,
+        remaining_time,
         budget,
         fleet_state,
         cache_directives,
@@ -88,6 +89,7 @@
         self._availability = availability
         self._rate_limits = rate_limits
         self._quarantine = quarantine
+        self._remaining_time = remaining_time
         self._budget = budget
         self._fleet_state = fleet_state
         self._cache_directives = cache_directives
@@ -127,6 +129,7 @@
         """
         if job.status in SUCCESS_STATUSES and head.is_framed:
             self._quarantine.record_served(job)
+            self._remaining_time.record_completed(job)
 
     def _place(self, job, excluded_ids=frozenset()):
         return self._selector.choose(
@@ -139,7 +142,7 @@
 
     def _choose(self, job):
         """Return the Choice to send the request to, or raise Refusal."""
-        self._check_time(job)
+        self._remaining_time.check(job)
         self._check_quarantine(job)
         choice = self._place_with_permit(job)
         if job.sends and not self._budget.try_spend(job.service.name):
@@ -163,13 +166,6 @@
                 return choice
             denied_ids.add(choice.upstream.id)
 
-    def _check_time(self, job):
-        if job.deadline - self._clock.now() >= MIN_UPSTREAM_TIME_MS:
-            return
-        if job.runs:
-            raise Refusal(Reason.UPSTREAM_SILENT)
-        raise Refusal(Reason.OUT_OF_TIME)
-
     def _check_quarantine(self, job):
         try:
             self._quarantine.check(job)
@@ -231,6 +227,7 @@
 
         Return whether the answer is to be relayed.
         """
+        self._remaining_time.check(job)
         job.sends += 1
         job.runs += 1  # taken back if the upstream promises that it did not run
         time_left = job.deadline - self._clock.now()
--- a/libs/forward/src/mulberryhub/forward/job.py
+++ b/libs/forward/src/mulberryhub/forward/job.py
@@ -4,7 +4,6 @@
 from mulberryhub.forward.fingerprint import fingerprint_of, part_fingerprints_of
 from mulberryhub.permits.stock import Flow
 
-MIN_UPSTREAM_TIME_MS = 15  # an attempt with less time left is not sent
 MAX_PRIORITY_STEPS = 3  # with an effect on the share of limited upstreams
 
 
--- a/libs/forward/src/mulberryhub/forward/refusal.py
+++ b/libs/forward/src/mulberryhub/forward/refusal.py
@@ -2,6 +2,8 @@
 
 from enum import Enum
 
+NOT_RUN_STATUSES = (429, 503)
+
 
 class Reason(Enum):
     """Why a request was refused or failed: outcome label and HTTP status.
@@ -19,6 +21,7 @@
     UPSTREAMS_LIMITED = ("upstreams_limited", 503)
     OUT_OF_TIME = ("out_of_time", 503)
     QUARANTINED = ("quarantined", 503)
+    STOPPING = ("stopping", 503)
     UPSTREAM_FAILED = ("upstream_failed", 502)
     UPSTREAM_SILENT = ("upstream_silent", 504)
 
@@ -26,6 +29,11 @@
         self.label = label
         self.status = status
 
+    @property
+    def promises_not_run(self):
+        """Return whether the status guarantees that the request has not run."""
+        return self.status in NOT_RUN_STATUSES
+
 
 class Refusal(Exception):
     """Raised when the router itself answers a request.
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -18,6 +18,7 @@
 from mulberryhub.forward.quarantine import Quarantine
 from mulberryhub.forward.rate_limits import UpstreamRateLimits
 from mulberryhub.forward.relay import Relay
+from mulberryhub.forward.remaining_time import RemainingTime
 from mulberryhub.forward.selection import UpstreamSelector
 from mulberryhub.http.inbound import RequestLimits
 from mulberryhub.http.pool import ConnectionPool
@@ -129,6 +130,7 @@
         parts.source_selector.is_leader,
         clock,
     )
+    parts.remaining_time = RemainingTime(clock)
     attempt_runner = AttemptRunner(
         ports.dialect,
         selector,
@@ -139,6 +141,7 @@
         availability,
         rate_limits,
         quarantine,
+        parts.remaining_time,
         retry_budget,
         fleet_state,
         cache_directives,
--- a/libs/node/src/mulberryhub/node/router.py
+++ b/libs/node/src/mulberryhub/node/router.py
@@ -75,6 +75,7 @@
             busy=self._parts.front_server.active_request_count,
         )
         self._is_stopping = True
+        self._parts.remaining_time.begin_stop(deadline)
         front_server = self._parts.front_server
         front_server.drain()
         self._sleep_until(min(started_at + LISTEN_AFTER_STOP_MS, deadline))
@@ -164,6 +165,7 @@
         "rollout_manager",
         "cache_watcher",
         "forwarder",
+        "remaining_time",
         "front_server",
         "readiness_server",
         "metrics_server",
--- a/tests/forward/fakes.py
+++ b/tests/forward/fakes.py
@@ -63,8 +63,11 @@
     )
 
 
-def make_call(prompt_parts=(("top", 2_000), ("key", 4_000), ("own", 3_000)), body=b""):
-    request = Request(b"POST", b"/p/x", Headers(), body, arrived_at=0)
+PROMPT_PARTS = (("top", 2_000), ("key", 4_000), ("own", 3_000))
+
+
+def make_call(prompt_parts=PROMPT_PARTS, body=b"", arrived_at=0):
+    request = Request(b"POST", b"/p/x", Headers(), body, arrived_at)
     call = Call(request, "id-1", "h", "/p/x", api_key="k")
     call.model = MODEL
     call.prompt_parts = [PromptPart(id, tokens) for id, tokens in prompt_parts]
--- a/tests/forward/test_attempts.py
+++ b/tests/forward/test_attempts.py
@@ -19,6 +19,7 @@
 from mulberryhub.forward.loads import Loads
 from mulberryhub.forward.quarantine import Quarantine
 from mulberryhub.forward.refusal import Reason, Refusal
+from mulberryhub.forward.remaining_time import RemainingTime
 from mulberryhub.forward.selection import UpstreamSelector
 from mulberryhub.http.messages import (
     ConnectionFailed,
@@ -83,10 +84,10 @@
     def __init__(self, outcomes, kind, **route_values):
         self.clock = ManualClock(now=1_000)
         self.outcomes = list(outcomes)
-        self.sent = []
         self.is_shutting_down = False
         self.pause = None
-        self.work_while_connecting = []
+        self.sent, self.work_while_connecting = [], []
+        self.remaining_time = RemainingTime(self.clock)
         fleet_state = FleetState(self.clock)
         for index in range(6):
             fleet_state.apply(make_upstream(f"u{index}", index + 1))
@@ -119,15 +120,14 @@
             Quarantine(
                 "n1", fleet_state, self.is_refused, None, self.clock, Counters()
             ),
+            self.remaining_time,
             budget,
             fleet_state,
             CacheDirectives(lambda: None, fleet_state.cache_index, self.clock),
             self.clock,
             Counters(),
         )
-        call = make_call()
-        call.request.arrived_at = 1_000
-        route = make_route(kind, **route_values)
+        call, route = make_call(arrived_at=1_000), make_route(kind, **route_values)
         self.job = Job(call, route, make_service(), None, 5_000)
 
     @staticmethod
