Answer the requests that still run at the end of a stop

What callers saw: a request that was running when a router was told to stop and lasted beyond nine tenths of the time to stop got a bare close of its connection, whichever its kind. A bare close also does not tell its caller whether the request was read.

Cause: the process ended after the wait for running requests, which closes their sockets.

The server now ends the handlers that are left at that time (ServerEnding), like those of clients that disconnect. Each answers by what is true of its request: 504 if an upstream may have run it, 503 with Retry-After if none has, both framed and with Connection: close. An answer that has begun is broken off by a reset, so that it does not look complete and a client can resume its stream elsewhere. Half of the last tenth is left for these answers. The log line of the end says how many requests were ended.

--- a/libs/forward/src/mulberryhub/forward/forwarder.py
+++ b/libs/forward/src/mulberryhub/forward/forwarder.py
@@ -3,8 +3,14 @@
 from mulberryhub.base.logs import module_logger
 from mulberryhub.forward.job import Job
 from mulberryhub.forward.refusal import Reason, Refusal
+from mulberryhub.forward.remaining_time import stop_refusal
 from mulberryhub.forward.routes import ConfigurationView, choose_service
-from mulberryhub.http.messages import ClientDisconnected, Headers, HttpError
+from mulberryhub.http.messages import (
+    ClientDisconnected,
+    Headers,
+    HttpError,
+    ServerEnding,
+)
 
 NOT_READY_RETRY_AFTER_MS = 500
 
@@ -56,8 +62,9 @@
             job = self._admit(call)
             is_reusable = self._relay.run(job, connection)
         except Refusal as refusal:
-            self._record_not_served(request, call, job, refusal.reason.label)
-            return self._send_refusal(refusal, job, connection)
+            return self._refuse(refusal, request, call, job, connection)
+        except ServerEnding:
+            return self._refuse(stop_refusal(job), request, call, job, connection)
         except ClientDisconnected:
             self._record_not_served(request, call, job, "client_gone")
             raise
@@ -92,8 +99,12 @@
         quota_weight = view.quota_weight(workspace)
         return Job(call, route, service, workspace, deadline, quota_weight)
 
+    def _refuse(self, refusal, request, call, job, connection):
+        self._record_not_served(request, call, job, refusal.reason.label)
+        return self._send_refusal(refusal, job, connection)
+
     def _send_refusal(self, refusal, job, connection):
-        if job is not None and job.is_answer_started:
+        if not connection.can_send_head():
             raise HttpError("request was refused after its answer had begun")
         if job is not None and job.workspace is not None and not job.runs:
             cost = request_cost(job.call, job.workspace)
--- a/libs/forward/src/mulberryhub/forward/refusal.py
+++ b/libs/forward/src/mulberryhub/forward/refusal.py
@@ -24,6 +24,7 @@
     STOPPING = ("stopping", 503)
     UPSTREAM_FAILED = ("upstream_failed", 502)
     UPSTREAM_SILENT = ("upstream_silent", 504)
+    STOPPED = ("stopped", 504)
 
     def __init__(self, label, status):
         self.label = label
--- a/libs/forward/src/mulberryhub/forward/remaining_time.py
+++ b/libs/forward/src/mulberryhub/forward/remaining_time.py
@@ -67,3 +67,13 @@
             return time_left
         longest = self._run_times.longest(job)
         return time_left if longest is None else min(longest, time_left)
+
+
+def stop_refusal(job):
+    """Return the Refusal of `job`, or of None, whose router ends before its answer.
+
+    It states that the request has not run only if that is true.
+    """
+    if job is not None and job.runs:
+        return Refusal(Reason.STOPPED)
+    return Refusal(Reason.STOPPING, STOPPING_RETRY_AFTER_MS)
--- a/libs/http/src/mulberryhub/http/messages.py
+++ b/libs/http/src/mulberryhub/http/messages.py
@@ -52,6 +52,10 @@
     """The client closed the connection while its request was being handled."""
 
 
+class ServerEnding(Exception):
+    """The server ends while the request is being handled; an answer is due at once."""
+
+
 class HeaderField:
     """Header field: name as sent, name in lower case, and value, all bytes."""
 
--- a/libs/http/src/mulberryhub/http/server.py
+++ b/libs/http/src/mulberryhub/http/server.py
@@ -5,7 +5,13 @@
 from mulberryhub.base.tasks import spawn_service
 from mulberryhub.http.accept_loop import run_accept_loop
 from mulberryhub.http.inbound import InboundConnection
-from mulberryhub.http.messages import BadRequest, ClientDisconnected, Headers, HttpError
+from mulberryhub.http.messages import (
+    BadRequest,
+    ClientDisconnected,
+    Headers,
+    HttpError,
+    ServerEnding,
+)
 from mulberryhub.http.sockets import close, open_listener, set_socket_options
 
 log = module_logger(__name__)
@@ -20,13 +26,12 @@
     """Serves requests at `address` with `handle(request, connection)`.
 
     `handle` writes the whole response and returns whether the connection can serve
-    another request. ClientDisconnected is raised within it when the client disconnects.
-    `read_limits()` returns the current RequestLimits. `active_request_count` is the
-    number of running requests.
+    another request. ClientDisconnected is raised within it when the client disconnects,
+    and ServerEnding when it must answer at once. `read_limits()` returns the current
+    RequestLimits.
     """
 
     __slots__ = (
-        "active_request_count",
         "draining",
         "address",
         "_handle",
@@ -34,10 +39,10 @@
         "_clock",
         "_listener",
         "_connections",
+        "_handlers_by_connection",
     )
 
     def __init__(self, address, handle, read_limits, clock):
-        self.active_request_count = 0
         self.draining = False
         self.address = address
         self._handle = handle
@@ -45,6 +50,12 @@
         self._clock = clock
         self._listener = None
         self._connections = set()
+        self._handlers_by_connection = {}
+
+    @property
+    def active_request_count(self):
+        """Return the number of running requests."""
+        return len(self._handlers_by_connection)
 
     def start(self):
         """Listen, and accept connections in the background."""
@@ -71,6 +82,12 @@
         while self.active_request_count and self._clock.now() < deadline:
             sleep(IDLE_POLL_INTERVAL_MS / 1000)
 
+    def end_running(self):
+        """Raise ServerEnding within the handlers of all running requests."""
+        for connection, handler in list(self._handlers_by_connection.items()):
+            connection.close_after_response = True
+            kill(handler, ServerEnding())
+
     def _serve(self, sock):
         try:
             set_socket_options(sock)
@@ -81,7 +98,7 @@
         self._connections.add(connection)
         try:
             self._serve_requests(connection)
-        except ClientDisconnected:
+        except (ClientDisconnected, ServerEnding):
             connection.abort()
         except BadRequest as error:
             self._send_error(connection, error)
@@ -108,16 +125,16 @@
             return False
         current = getcurrent()
         buffer.on_close = lambda: kill(current, ClientDisconnected())
-        self.active_request_count += 1
+        self._handlers_by_connection[connection] = current
         try:
             return self._handle(request, connection)
-        except (ClientDisconnected, HttpError):
+        except (ClientDisconnected, HttpError, ServerEnding):
             raise
         except Exception:
             log.exception("request handler failed")
             raise BadRequest(STATUS_INTERNAL_ERROR, "the request handler failed")
         finally:
-            self.active_request_count -= 1
+            del self._handlers_by_connection[connection]
             buffer.on_close = None
 
     @staticmethod
--- a/libs/node/src/mulberryhub/node/router.py
+++ b/libs/node/src/mulberryhub/node/router.py
@@ -17,6 +17,7 @@
 EXPIRY_CHECK_INTERVAL_MS = 1_000  # for expired connections and suspects
 LISTEN_AFTER_STOP_MS = 2_600  # in which the platform stops sending connections
 REQUEST_STOP_SHARE = 0.9  # of `stop_time`, in which running requests must end
+FINAL_ANSWER_SHARE = 0.95  # of `stop_time`, in which those that did not are answered
 
 log = module_logger(__name__)
 
@@ -60,15 +61,15 @@
         log.info("started", router=self._settings.name)
 
     def stop(self):
-        """Drain client connections; return when requests ended or time ran out.
+        """Drain client connections; return when all requests were answered.
 
-        The router is not ready from now on, but keeps listening for a while, until the
+        Requests that last too long are ended, which leaves time to answer them. The
+        router is not ready from now on, but keeps listening for a while, until the
         platform sends no new connections.
         """
         started_at = self._clock.now()
-        deadline = started_at + int(
-            self._settings.bounds.stop_time * REQUEST_STOP_SHARE
-        )
+        stop_time = self._settings.bounds.stop_time
+        deadline = started_at + int(stop_time * REQUEST_STOP_SHARE)
         log.info(
             "stopping",
             router=self._settings.name,
@@ -82,9 +83,13 @@
         front_server.stop_listening()
         front_server.close_idle()
         front_server.wait_until_idle(deadline)
+        ended_count = front_server.active_request_count
+        front_server.end_running()
+        front_server.wait_until_idle(started_at + int(stop_time * FINAL_ANSWER_SHARE))
         log.info(
             "stopped",
             router=self._settings.name,
+            ended=ended_count,
             busy=front_server.active_request_count,
             took_ms=self._clock.now() - started_at,
         )
--- a/tests/adapter/test_planned_stop.py
+++ b/tests/adapter/test_planned_stop.py
@@ -237,3 +237,22 @@
         outcome = future.result()
     assert (outcome.status, outcome.is_complete) == (200, True)
     assert router.popen.wait(4) == 0
+
+
+@pytest.mark.parametrize("kind", METHOD_BY_KIND)
+def test_request_running_at_the_end_of_a_stop_gets_an_answer(platform, workers, kind):
+    stop_time = 2
+    router = start_router(platform, stop_time)
+    connection = KeptConnection(router, kind, LONG_RUN_TIME_MS, 0)
+    worker = next(worker for worker in workers if worker.id == f"w-{kind}")
+    with ThreadPoolExecutor(1) as pool:
+        future = pool.submit(connection.ask, "cut")
+        wait_until(lambda: any("cut" in id for id in worker.runs))
+        router.popen.terminate()
+        outcome = future.result()
+    assert router.popen.wait(stop_time) == 0
+    if kind == "stream":
+        assert (outcome.status, outcome.is_complete) == (200, False)
+    else:
+        assert (outcome.status, outcome.is_complete) == (504, True)
+        assert outcome.closes
--- a/tests/forward/test_remaining_time.py
+++ b/tests/forward/test_remaining_time.py
@@ -10,6 +10,7 @@
     ANSWER_MARGIN_MS,
     MIN_UPSTREAM_TIME_MS,
     RemainingTime,
+    stop_refusal,
 )
 from mulberryhub.forward.run_times import RECENT_RUN_COUNT
 from tests.forward import test_attempts
@@ -150,6 +151,14 @@
     assert 0 < caught.value.retry_after < TIMEOUT_MS / 3
 
 
+@pytest.mark.parametrize("runs, status", [(0, 503), (1, 504), (2, 504)])
+def test_refusal_at_the_end_of_a_stop_promises_only_what_is_true(runs, status):
+    job = StoppingRouter(*KINDS[0]).job()
+    job.runs = runs
+    assert stop_refusal(job).reason.status == status
+    assert stop_refusal(None).reason.status == 503
+
+
 class StopWhileConnecting(test_attempts.Fixture):
     """A router that is asked to stop while it connects to an upstream."""
 
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -1,7 +1,7 @@
 import pytest
 
 from mulberryhub.base.green import Event, Timeout, sleep
-from mulberryhub.http.messages import ClientDisconnected, Headers
+from mulberryhub.http.messages import ClientDisconnected, Headers, ServerEnding
 from tests.http.support import connect, read_all, running_server, send_and_read_all
 
 
@@ -196,6 +196,43 @@
         assert read_all(late_client).startswith(b"HTTP/1.1 200")
 
 
+def test_running_requests_are_answered_when_the_server_ends():
+    def handle(request, connection):
+        try:
+            sleep(10)
+        except ServerEnding:
+            connection.start_response(504, Headers(), 0)
+            return connection.finish_response()
+
+    with running_server(handle) as server:
+        clients = [connect(server.address) for _ in range(3)]
+        for client in clients:
+            client.sendall(request_head(b"Content-Length: 0"))
+        sleep(0.05)
+        server.end_running()
+        for client in clients:
+            response = read_all(client)
+            assert response.startswith(b"HTTP/1.1 504")
+            assert b"Connection: close" in response
+        assert server.active_request_count == 0
+
+
+def test_begun_response_does_not_look_complete_when_the_server_ends():
+    def handle(request, connection):
+        connection.start_response(200, Headers())
+        connection.write(b"piece")
+        sleep(10)
+
+    with running_server(handle) as server:
+        client = connect(server.address)
+        client.sendall(request_head(b"Content-Length: 0"))
+        sleep(0.05)
+        server.end_running()
+        response = read_all(client)
+    assert b"piece" in response
+    assert not response.endswith(b"0\r\n\r\n")
+
+
 def test_idle_connection_is_closed_after_the_idle_timeout():
     with running_server() as server:
         sock = connect(server.address)
