Announce the close in answers that are due when a router stops

What callers saw: the answer to a request that was running when a router was told to stop did not say Connection: close, so its client sent one more request to the router that stops. Only requests read after the stop had begun got the announcement.

Cause: the announcement was decided when a request is read, not when its answer begins. Connections whose next answer has not begun are now told at the start of the stop. One whose answer has begun without the announcement serves one more request, whose answer has it: it is not closed unannounced.

Evidence, tests/http/test_server.py: "announces the close" failed before and passes now; "without an announcement" passes on both.

--- a/libs/http/src/mulberryhub/http/inbound.py
+++ b/libs/http/src/mulberryhub/http/inbound.py
@@ -122,6 +122,11 @@
         """Return whether the protocol state still allows a response head."""
         return self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE)
 
+    def announce_close(self):
+        """Close after the next response whose head has not been sent."""
+        if self.can_send_head():
+            self.close_after_response = True
+
     def close_if_idle(self):
         """Close now if no byte of a request has arrived, else after its response."""
         self.close_after_response = True
--- a/libs/http/src/mulberryhub/http/server.py
+++ b/libs/http/src/mulberryhub/http/server.py
@@ -63,8 +63,10 @@
         spawn_service(run_accept_loop, self._listener, self._serve)
 
     def drain(self):
-        """Close each connection after the response to its next request."""
+        """Close each connection after its next response, which announces the close."""
         self.draining = True
+        for connection in self._connections:
+            connection.announce_close()
 
     def close_idle(self):
         """Close the connections on which no request has begun to arrive."""
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -169,6 +169,44 @@
     assert b"Connection: close" in response
 
 
+def test_response_in_progress_announces_the_close_when_the_server_drains():
+    may_respond = Event()
+
+    def handle(request, connection):
+        may_respond.wait()
+        connection.start_response(200, Headers(), 0)
+        return connection.finish_response()
+
+    with running_server(handle) as server:
+        client = connect(server.address)
+        client.sendall(request_head(b"Content-Length: 0"))
+        sleep(0.05)
+        server.drain()
+        may_respond.send()
+        assert b"Connection: close" in read_all(client)
+
+
+def test_begun_response_does_not_close_without_an_announcement():
+    may_respond = Event()
+
+    def handle(request, connection):
+        connection.start_response(200, Headers(), 2)
+        may_respond.wait()
+        connection.write(b"ok")
+        return connection.finish_response()
+
+    with running_server(handle) as server:
+        client = connect(server.address)
+        client.sendall(request_head(b"Content-Length: 0"))
+        sleep(0.05)
+        server.drain()
+        may_respond.send()
+        client.sendall(request_head(b"Content-Length: 0"))
+        responses = read_all(client)
+    assert responses.count(b"HTTP/1.1 200") == 2
+    assert responses.count(b"Connection: close") == 1
+
+
 def test_connection_with_a_buffered_request_is_not_closed_as_idle():
     """A request may be in the receive buffer before the parser has seen it."""
     with running_server() as server:
