Test that a stop signal during the start ends the router

No fault found: SIGTERM 0.1, 0.3, 0.5, 0.7, 0.9 and 1.2 s after the start of the process ended it each time, by the default action while it imports and with 0 afterwards; it served nobody yet. Three of these moments stay as a test of real programs. No code is changed.

--- a/tests/adapter/test_planned_stop.py
+++ b/tests/adapter/test_planned_stop.py
@@ -256,3 +256,12 @@
     else:
         assert (outcome.status, outcome.is_complete) == (504, True)
         assert outcome.closes
+
+
+@pytest.mark.parametrize("delay", [0.1, 0.5, 0.9])
+def test_stop_signal_during_start_ends_the_router(platform, workers, delay):
+    router = platform.start_router(len(platform.routers), stop_time=2)
+    platform.routers.append(router)
+    time.sleep(delay)
+    router.popen.terminate()
+    assert router.popen.wait(6) in (0, -signal.SIGTERM)
