Answer calls that still run at the end of a stop in the product's own interface, too

What callers saw in a test: a call to a service that lasts longer than a router's stop got a bare close of its connection, an order with an idempotency key as well as a call that may be repeated.

Cause: the process ended after `stop_timeout`, which closes the sockets of running handlers. By default that is 600 s, longer than an order's 30 s and its caller's wait of 10 s, so it takes a shorter setting to see it. Here every request that is accepted has the whole `stop_timeout` from the close of the listener on, so nothing is accepted late.

The gateway now keeps the green threads of requests whose response has not begun, and the stop ends them after the running orders had their time: 504 `upstream_silent`, "ran": "unknown". An order runs in a thread of its own, which is not touched: its claim stays, and a repeat with its key is answered as before. Streams that have begun are broken off without an end, as before.

Tests: the order fleet's `send` takes a path; no check is changed.

--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -134,6 +134,7 @@
     ]
     stop_hooks = [
         service_forwarder.stop,
+        gateway.end_running,
         limiter.close,
         membership.close,
         replica.stop,
--- a/libs/gateway/src/mulberryhub/gateway/app.py
+++ b/libs/gateway/src/mulberryhub/gateway/app.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from mulberryhub.base.errors import ApiError, ErrorCode, ExecutionState
+from mulberryhub.base.green import getcurrent, kill
 from mulberryhub.base.logs import module_logger
 from mulberryhub.gateway.http_messages import HttpRequest, HttpResponse
 from mulberryhub.gateway.responses import error_response, json_response
@@ -53,6 +54,7 @@
         "_is_stopping",
         "_holds_shares",
         "_counters",
+        "_running_handlers",
     )
 
     def __init__(
@@ -66,6 +68,7 @@
         self._is_stopping = is_stopping
         self._holds_shares = holds_shares
         self._counters = counters
+        self._running_handlers = set()
 
     def __call__(self, environ, start_response):
         """Serve one request as a WSGI application."""
@@ -82,8 +85,20 @@
         start_response(f"{response.status} {reason_phrase}", headers)
         return body
 
+    def end_running(self):
+        """End the requests whose responses have not begun with an error response."""
+        for handler in list(self._running_handlers):
+            error = ApiError(
+                ErrorCode.UPSTREAM_SILENT,
+                "the router stopped before the answer",
+                ExecutionState.UNKNOWN,
+            )
+            kill(handler, error)
+
     def _respond(self, request):
         """Return the response; an exception becomes an error response."""
+        handler = getcurrent()
+        self._running_handlers.add(handler)
         try:
             return self._dispatch(request)
         except ApiError as error:
@@ -98,6 +113,8 @@
                 execution_state=ExecutionState.UNKNOWN,
             )
             return error_response(internal_error)
+        finally:
+            self._running_handlers.discard(handler)
 
     def _dispatch(self, request):
         if not self._is_served_unready(request.path):
--- a/tests/system/test_at_most_once.py
+++ b/tests/system/test_at_most_once.py
@@ -57,10 +57,10 @@
         ]
         return document
 
-    def send(self, index, key):
+    def send(self, index, key, path="/orders"):
         headers = {"Authorization": f"Bearer {CALLER_KEY}", "Idempotency-Key": key}
         return self.routers[index].request(
-            "POST", "/orders", headers=headers, json={"part": "seal"}, timeout=60
+            "POST", path, headers=headers, json={"part": "seal"}, timeout=60
         )
 
     def submit(self, index, key):
