--- a/tests/adapter/raw_workers.py
+++ b/tests/adapter/raw_workers.py
@@ -13,13 +13,14 @@
     """A worker of `service` whose responses a function sends.
 
     `respond(conn, request_id, worker)` returns true if the connection can serve another
-    request. `runs` lists the ids of the requests that arrived. Other keyword arguments
-    replace fields of the entry in the store.
+    request. `runs` lists the ids of the requests that arrived, and `requests_by_id` has
+    the RawRequests. Other keyword arguments replace fields of the entry in the store.
     """
 
     def __init__(self, platform, id, service, respond, **entry_fields):
         self.id = id
         self.runs = []
+        self.requests_by_id = {}
         self._conns = []
         self._respond = respond
         self._listener = socket.create_server(("127.0.0.1", 0))
@@ -42,8 +43,12 @@
         self._entry = entry
         self.write_again()
 
-    def write_again(self):
-        """Write the entry to the store, with the next sequence number."""
+    def write_again(self, **entry_fields):
+        """Write the entry to the store, with the next sequence number.
+
+        `entry_fields` replace fields of it.
+        """
+        self._entry.update(entry_fields)
         self._write(msgspec.json.encode(self._entry))
         self._entry["sequence"] += 1
 
@@ -85,11 +90,12 @@
             is_reusable = True
             while is_reusable:
                 try:
-                    id = read_request(conn)
-                    if id is None:
+                    request = read_whole_request(conn)
+                    if request is None:
                         return
-                    self.runs.append(id)
-                    is_reusable = self._respond(conn, id, self)
+                    self.requests_by_id[request.id] = request
+                    self.runs.append(request.id)
+                    is_reusable = self._respond(conn, request.id, self)
                 except OSError:
                     return
 
@@ -98,13 +104,15 @@
     """A request as received.
 
     `id` is that of the attempt, or "" without one. `parts` are the ids of the prompt's
-    parts, and `last_event_id` is the one after which the answer continues.
+    parts, and `last_event_id` is the one after which the answer continues. `resumes` is
+    the id of the attempt that the client resumes, or "".
     """
 
     id: str
     body: bytes
     parts: list[str]
     last_event_id: int
+    resumes: str = ""
 
 
 def read_request(conn):
@@ -134,4 +142,5 @@
         body,
         [part.partition(":")[0] for part in prefix.split(",")],
         int(fields.get(b"last-event-id", 0)),
+        fields.get(b"resumes", b"").decode("latin-1"),
     )
