Move the refusals of jobs out of the attempt runner

What builds the refusals needs only the selector and is a module of its own now; nothing else changes.

--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -5,8 +5,6 @@
 run by the route's `max_attempts` too.
 """
 
-from random import uniform
-
 from mulberryhub.base.logs import module_logger
 from mulberryhub.fleet.records import Removal
 from mulberryhub.fleet.state import Topic
@@ -15,6 +13,7 @@
 from mulberryhub.forward.exchange import Exchange
 from mulberryhub.forward.job import MIN_UPSTREAM_TIME_MS
 from mulberryhub.forward.refusal import Reason, Refusal
+from mulberryhub.forward.refusals import Refusals
 from mulberryhub.forward.work import estimate_work
 from mulberryhub.http.messages import (
     ConnectionFailed,
@@ -31,9 +30,6 @@
 # upstreams more time.
 HEAD_TIMEOUT_DELAYS = 2
 MIN_HEAD_TIMEOUT_SHARE = 0.45  # of the time left, where another attempt may follow
-MIN_RETRY_AFTER_MS = 100
-MAX_RETRY_AFTER_MS = 400
-MIN_BUSY_RETRY_AFTER_MS = 200
 MAX_PERMIT_WAIT_MS = 150  # after which no further upstream is tried for a permit
 MIN_SERVER_ERROR_STATUS = 500
 MAX_LOGGED_PARTS = 16  # of one request
@@ -48,6 +44,7 @@
     __slots__ = (
         "_dialect",
         "_selector",
+        "_refusals",
         "_pool",
         "_loads",
         "_connect_health",
@@ -81,6 +78,7 @@
     ):
         self._dialect = dialect
         self._selector = selector
+        self._refusals = Refusals(selector)
         self._pool = pool
         self._loads = loads
         self._connect_health = connect_health
@@ -103,12 +101,12 @@
             if exchange is None:
                 connect_failures += 1
                 if connect_failures >= MAX_CONNECT_FAILURES:
-                    raise self._final_refusal(job)
+                    raise self._refusals.final(job)
                 continue
             if self._has_usable_answer(job, exchange):
                 return exchange
             if not job.may_run_again or job.sends >= MAX_SENDS:
-                raise self._final_refusal(job)
+                raise self._refusals.final(job)
 
     def record_broken_answer(self, job, exchange, error):
         """Record that an answer broke off.
@@ -145,7 +143,7 @@
         if job.sends and not self._budget.try_spend(job.service.name):
             self._counters.add("retry.no_budget")
             self._rate_limits.put_back(choice.upstream, job.flow)
-            raise self._final_refusal(job)
+            raise self._refusals.final(job)
         return choice
 
     def _place_with_permit(self, job):
@@ -155,10 +153,10 @@
         while True:
             choice = self._place(job, denied_ids)
             if choice is None:
-                raise self._no_upstream_refusal(job)
+                raise self._refusals.no_upstream(job)
             if is_too_late(job, choice.delay):
                 self._counters.add("refusal.delay")
-                raise self._too_late_refusal(job, choice.delay)
+                raise self._refusals.too_late(job, choice.delay)
             if self._rate_limits.try_take(choice.upstream, job.flow, deadline):
                 return choice
             denied_ids.add(choice.upstream.id)
@@ -175,7 +173,7 @@
             self._quarantine.check(job)
         except Refusal:
             if job.runs:
-                raise self._final_refusal(job)
+                raise self._refusals.final(job)
             raise
 
     def _open(self, job, choice):
@@ -350,43 +348,3 @@
             runs=job.runs,
             sends=job.sends,
         )
-
-    def _no_upstream_refusal(self, job):
-        if job.sends:
-            return self._final_refusal(job)
-        reason = Reason.NO_UPSTREAM
-        if self._selector.is_limited(job.service):
-            reason = Reason.UPSTREAMS_LIMITED
-        return Refusal(reason, self._retry_after(job))
-
-    def _too_late_refusal(self, job, delay):
-        """Return the Refusal of a job whose answer would be too late."""
-        if job.runs:
-            return self._final_refusal(job)
-        retry_after = uniform(
-            MIN_BUSY_RETRY_AFTER_MS, max(MIN_BUSY_RETRY_AFTER_MS, delay)
-        )
-        return Refusal(Reason.UPSTREAMS_FULL, retry_after)
-
-    def _final_refusal(self, job):
-        """Return the Refusal that ends a job.
-
-        It states that the request has not run only if that is true.
-        """
-        if job.runs:
-            return Refusal(
-                job.failure_reason
-                if _is_upstream_failure(job)
-                else Reason.UPSTREAM_FAILED
-            )
-        return Refusal(job.failure_reason or Reason.NO_UPSTREAM, self._retry_after(job))
-
-    def _retry_after(self, job):
-        """Return the time in ms after which an upstream may accept the request."""
-        retry_after = uniform(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
-        time_until_open = self._selector.time_until_open(job.service, job.flow)
-        return retry_after if time_until_open is None else time_until_open + retry_after
-
-
-def _is_upstream_failure(job):
-    return job.failure_reason in (Reason.UPSTREAM_FAILED, Reason.UPSTREAM_SILENT)
--- /dev/null
+++ b/libs/forward/src/mulberryhub/forward/refusals.py
@@ -0,0 +1,59 @@
+"""Builds the refusals of jobs that no upstream answers."""
+
+from random import uniform
+
+from mulberryhub.forward.refusal import Reason, Refusal
+
+MIN_RETRY_AFTER_MS = 100
+MAX_RETRY_AFTER_MS = 400
+MIN_BUSY_RETRY_AFTER_MS = 200
+
+
+class Refusals:
+    """Builds Refusals with the time after which an upstream may accept the request.
+
+    They state that a request has not run only if that is true.
+    """
+
+    __slots__ = ("_selector",)
+
+    def __init__(self, selector):
+        self._selector = selector
+
+    def no_upstream(self, job):
+        """Return the Refusal of a job for which there is no upstream."""
+        if job.sends:
+            return self.final(job)
+        reason = Reason.NO_UPSTREAM
+        if self._selector.is_limited(job.service):
+            reason = Reason.UPSTREAMS_LIMITED
+        return Refusal(reason, self._retry_after(job))
+
+    def too_late(self, job, delay):
+        """Return the Refusal of a job whose answer would be too late."""
+        if job.runs:
+            return self.final(job)
+        retry_after = uniform(
+            MIN_BUSY_RETRY_AFTER_MS, max(MIN_BUSY_RETRY_AFTER_MS, delay)
+        )
+        return Refusal(Reason.UPSTREAMS_FULL, retry_after)
+
+    def final(self, job):
+        """Return the Refusal that ends a job after attempts."""
+        if job.runs:
+            return Refusal(
+                job.failure_reason
+                if _is_upstream_failure(job)
+                else Reason.UPSTREAM_FAILED
+            )
+        return Refusal(job.failure_reason or Reason.NO_UPSTREAM, self._retry_after(job))
+
+    def _retry_after(self, job):
+        """Return the time in ms after which an upstream may accept the request."""
+        retry_after = uniform(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
+        time_until_open = self._selector.time_until_open(job.service, job.flow)
+        return retry_after if time_until_open is None else time_until_open + retry_after
+
+
+def _is_upstream_failure(job):
+    return job.failure_reason in (Reason.UPSTREAM_FAILED, Reason.UPSTREAM_SILENT)
