Decode the software version of upstreams; name it in the log

The lines "upstream known" and "attempt sent" name the software version now, so that a log shows whether a stream went on at another one. Until now the entry's field was not decoded, and two upstreams whose streams do not fit together looked the same.

A text is taken as it is and a number as it is written, as rounding could make two versions equal; anything else is an unknown version. A change of it alone is sent to other routers. In the records that routers exchange the field stands last: earlier builds skip it, and their records name none.

--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -112,7 +112,8 @@
 class Upstream(msgspec.Struct, frozen=True, tag=True):
     """The record that an upstream writes about itself, ordered by `offset`.
 
-    `started` is the start of the incarnation as wall time in ms.
+    `started` is the start of the incarnation as wall time in ms. `software_version` is
+    that of its software, None if it is unknown.
     """
 
     id: str
@@ -124,6 +125,7 @@
     started: int = 0
     slots: int = 0
     versions_by_model: dict[str, int] = {}
+    software_version: str | None = None
 
 
 class Member(msgspec.Struct, frozen=True, tag=True):
@@ -312,10 +314,7 @@
         return sum(abs(mine.get(id, 0) - others.get(id, 0)) for id in ids) >= threshold
 
     def minus(self, other):
-        """Return this usage minus a part of it, with each amount at least 0.
-
-        `admitted` is left out.
-        """
+        """Return this usage minus a part, each amount 0 or more, without `admitted`."""
         rest = Usage(
             routers=self.routers - other.routers,
             max_uptime=self.max_uptime,
--- a/libs/fleet/src/mulberryhub/fleet/state.py
+++ b/libs/fleet/src/mulberryhub/fleet/state.py
@@ -27,11 +27,11 @@
     Rollout,
     Suspect,
     Upstream,
-    UpstreamState,
     Verdict,
     Weights,
 )
 from mulberryhub.fleet.suspects import Suspects
+from mulberryhub.fleet.upstream_changes import is_relevant_change, log_upstream
 
 REMOVAL_RETENTION_MS = 120_000  # to ignore late records of removed upstreams
 OUTAGE_THRESHOLD_MS = 1_500  # without current data before records may expire
@@ -181,8 +181,8 @@
         self._removed_by_id.pop(upstream.id, None)
         self.upstreams_by_id[upstream.id] = upstream
         self._update_versions(upstream.id, upstream.started, upstream.versions_by_model)
-        if known is None or _is_relevant_change(known, upstream):
-            _log_upstream(upstream)
+        if known is None or is_relevant_change(known, upstream):
+            log_upstream(upstream)
             self._record_and_notify(f"upstream/{upstream.id}", upstream)
 
     def apply_stored_upstream(self, upstream):
@@ -393,32 +393,10 @@
         self.by_model = {}
 
 
-def _is_relevant_change(known, upstream):
-    """Return whether request handling depends on the change between two records."""
-    return (
-        known.state is not upstream.state
-        or known.address != upstream.address
-        or known.service != upstream.service
-        or known.started != upstream.started
-        or known.versions_by_model != upstream.versions_by_model
-    )
-
-
 def _suspect_key(fingerprint):
     return f"suspect/{fingerprint}"
 
 
-def _log_upstream(upstream):
-    state = "leaving" if upstream.state is UpstreamState.DRAINING else "ready"
-    log.info(
-        "upstream known",
-        upstream=upstream.id,
-        state=state,
-        offset=upstream.offset,
-        versions=upstream.versions_by_model,
-    )
-
-
 APPLY_BY_TYPE = {
     Configuration: FleetState.apply_configuration,
     Weights: FleetState.apply_weights,
--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -214,6 +214,7 @@
             request=job.call.id,
             upstream=choice.upstream.id,
             version=choice.version,
+            software_version=choice.upstream.software_version,
             delay_ms=round(choice.delay),
             time_left_ms=attempt.time_left,
             after_event=None
--- a/tests/fleet/test_state.py
+++ b/tests/fleet/test_state.py
@@ -2,6 +2,7 @@
 
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from msgspec.structs import replace
 
 from mulberryhub.base.clock import ManualClock
 from mulberryhub.fleet.records import (
@@ -155,3 +156,12 @@
     assert not fleet_state.cache_index.holds("s", "p")
     fleet_state.apply(CachedPart("s", "q", 0, epoch=2, number=2))
     assert not fleet_state.cache_index.holds("s", "q")
+
+
+def test_change_of_software_version_is_sent_to_other_routers():
+    fleet_state = FleetState(ManualClock())
+    fleet_state.apply(replace(make_upstream("u1", 1), software_version="4.1"))
+    revision = fleet_state.revision
+    changed = replace(make_upstream("u1", 2), software_version="4.2")
+    fleet_state.apply(changed)
+    assert fleet_state.changes_since(revision) == [changed]
