--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -19,7 +19,6 @@
 from mulberryhub.forward.rate_limits import UpstreamRateLimits
 from mulberryhub.forward.relay import Relay
 from mulberryhub.forward.selection import UpstreamSelector
-from mulberryhub.http.inbound import RequestLimits
 from mulberryhub.http.pool import ConnectionPool
 from mulberryhub.http.server import HttpServer
 from mulberryhub.node.coordination import (
@@ -30,6 +29,7 @@
 from mulberryhub.node.gauges import add_gauges
 from mulberryhub.node.metrics import metrics_server
 from mulberryhub.node.readiness import readiness_server
+from mulberryhub.node.request_limits import request_limits
 from mulberryhub.node.router import Router, RouterParts
 from mulberryhub.node.topics import topic_plans
 from mulberryhub.node.verdicts import verdict_saver
@@ -44,13 +44,6 @@
 LEASE_NAME = "orders"
 LEASE_DURATION_MS = 2_000
 LEASE_MARGIN_MS = 300  # tolerated clock drift between routers in one duration
-# Used until the first configuration is read.
-DEFAULT_REQUEST_LIMITS = RequestLimits(
-    max_header_bytes=16_384,
-    max_body_bytes=4_194_304,
-    header_timeout_ms=3_000,
-    idle_timeout_ms=15_000,
-)
 
 
 def build_router(settings, ports, counters, clock):
@@ -152,7 +145,7 @@
     parts.front_server = HttpServer(
         settings.front_address,
         parts.forwarder.handle,
-        lambda: _request_limits(fleet_state),
+        lambda: request_limits(fleet_state),
         clock,
     )
 
@@ -278,12 +271,3 @@
         clock,
         counters,
     )
-
-
-def _request_limits(fleet_state):
-    if fleet_state.configuration is None:
-        return DEFAULT_REQUEST_LIMITS
-    limits = fleet_state.configuration.limits
-    return RequestLimits(
-        limits.header_bytes, limits.body_bytes, limits.header_time, limits.idle_time
-    )
