--- a/tests/forward/test_attempts.py
+++ b/tests/forward/test_attempts.py
@@ -6,181 +6,20 @@
 
 import pytest
 
-from mulberryhub.base.clock import ManualClock
-from mulberryhub.base.counters import Counters
-from mulberryhub.fleet.records import RequestKind, Usage
-from mulberryhub.fleet.state import FleetState
-from mulberryhub.forward.attempts import AttemptRunner
-from mulberryhub.forward.availability import UpstreamAvailability
-from mulberryhub.forward.budget import BudgetRule, RetryBudget
-from mulberryhub.forward.cache_directives import CacheDirectives
-from mulberryhub.forward.call import AnswerFacts, Dialect
-from mulberryhub.forward.job import Job
-from mulberryhub.forward.loads import Loads
-from mulberryhub.forward.quarantine import Quarantine
+from mulberryhub.fleet.records import RequestKind
 from mulberryhub.forward.refusal import Reason, Refusal
-from mulberryhub.forward.selection import UpstreamSelector
-from mulberryhub.http.messages import (
-    ConnectionFailed,
-    Headers,
-    ResponseBroken,
-    ResponseHead,
-    ResponseTimeout,
+from mulberryhub.http.messages import ResponseBroken
+from tests.forward.attempt_fixture import (
+    BROKEN,
+    FAILED,
+    NOT_RUN,
+    OK,
+    SILENT,
+    STRAY,
+    UNREACHABLE,
+    UNSEALED,
+    Fixture,
 )
-from mulberryhub.upstream.health import UpstreamHealth
-from tests.forward.fakes import (
-    make_call,
-    make_rate_limits,
-    make_route,
-    make_service,
-    make_upstream,
-)
-
-OK, FAILED, NOT_RUN = "ok", "failed", "not_run"
-UNREACHABLE, BROKEN, SILENT, UNSEALED, STRAY = (
-    "unreachable",
-    "broken",
-    "silent",
-    "unsealed",
-    "stray",
-)
-STATUS_BY_OUTCOME = {OK: 200, FAILED: 500, NOT_RUN: 503, UNSEALED: 200, STRAY: 200}
-MAY_HAVE_RUN = {OK, FAILED, BROKEN, SILENT, UNSEALED}
-
-
-class FakeConnection:
-    def __init__(self, outcome, fixture):
-        self.outcome = outcome
-        self._fixture = fixture
-        self._strays = 1 if outcome == STRAY else 0
-
-    def send(self, request, timeout):
-        self._fixture.sent.append(self.outcome)
-
-    def read_head(self, timeout):
-        if self.outcome == BROKEN:
-            raise ResponseBroken("reset")
-        if self.outcome == SILENT:
-            self._fixture.clock.advance(timeout)
-            raise ResponseTimeout("silent")
-        head = ResponseHead(STATUS_BY_OUTCOME[self.outcome], Headers())
-        head.is_stray = bool(self._strays)
-        head.outcome = self.outcome
-        return head
-
-    def skip_response(self, request, timeout):
-        self._strays -= 1
-
-    def close(self):
-        pass
-
-
-class FakeHead(ResponseHead):
-    __slots__ = ("is_stray", "outcome")
-
-
-class Fixture:
-    def __init__(self, outcomes, kind, **route_values):
-        self.clock = ManualClock(now=1_000)
-        self.outcomes = list(outcomes)
-        self.sent = []
-        self.is_shutting_down = False
-        self.pause = None
-        self.work_while_connecting = []
-        fleet_state = FleetState(self.clock)
-        for index in range(6):
-            fleet_state.apply(make_upstream(f"u{index}", index + 1))
-        self.loads = loads = Loads(Usage, self.clock)
-        self.connect_health = connect_health = UpstreamHealth(self.clock, Counters())
-        self.answer_health = answer_health = UpstreamHealth(self.clock, Counters())
-        rate_limits = make_rate_limits(fleet_state, self.clock)
-        availability = UpstreamAvailability(
-            "n1", fleet_state, rate_limits, self.clock, Counters()
-        )
-        budget = RetryBudget(BudgetRule(10_000, 0.2, 100), lambda: 1, self.clock)
-        dialect = Dialect(None, lambda call, attempt: None, self.read_answer, None)
-        self.attempt_runner = AttemptRunner(
-            dialect,
-            UpstreamSelector(
-                fleet_state,
-                loads,
-                connect_health,
-                answer_health,
-                availability,
-                "a",
-                11_000,
-            ),
-            self,
-            loads,
-            connect_health,
-            answer_health,
-            availability,
-            rate_limits,
-            Quarantine(
-                "n1", fleet_state, self.is_refused, None, self.clock, Counters()
-            ),
-            budget,
-            fleet_state,
-            CacheDirectives(lambda: None, fleet_state.cache_index, self.clock),
-            self.clock,
-            Counters(),
-        )
-        call = make_call()
-        call.request.arrived_at = 1_000
-        route = make_route(kind, **route_values)
-        self.job = Job(call, route, make_service(), None, 5_000)
-
-    @staticmethod
-    def is_refused(address, timeout):
-        return False
-
-    def read_answer(self, head, attempt):
-        request_id = "other" if head.is_stray else "id-1"
-        is_sealed = head.outcome != UNSEALED
-        return AnswerFacts(
-            request_id,
-            head.outcome == NOT_RUN,
-            None,
-            is_sealed,
-            None,
-            self.is_shutting_down,
-            self.pause,
-        )
-
-    def take_idle(self, address, max_idle=None):
-        return None
-
-    def open(self, address, timeout):
-        index = int(address.split(":")[0].rpartition(".")[2]) - 1
-        self.work_while_connecting.append(self.loads.work(f"u{index}"))
-        outcome = self.outcomes.pop(0) if self.outcomes else OK
-        if outcome == UNREACHABLE:
-            raise ConnectionFailed("unreachable")
-        return FakeConnection(outcome, self)
-
-    def close_idle(self, address):
-        pass
-
-    def run(self):
-        """Return the status that the client receives."""
-        try:
-            exchange = self.attempt_runner.run(self.job)
-        except Refusal as refusal:
-            return refusal.reason.status
-        exchange.cancel()
-        return exchange.head.status
-
-    def start_next_job(self):
-        """Replace the job by another request of the same kind."""
-        self.job = Job(self.job.call, self.job.route, self.job.service, None, 5_000)
-
-    def runs(self):
-        return sum(1 for outcome in self.sent if outcome in MAY_HAVE_RUN)
-
-
-@pytest.fixture(autouse=True)
-def fake_heads(monkeypatch):
-    monkeypatch.setattr("tests.forward.test_attempts.ResponseHead", FakeHead)
 
 
 @pytest.mark.parametrize(
