Keep a stream at the software version that sent its first event

What callers saw: streams that were complete and sealed, with the first events of one software version of the service and the rest of another one. It happened in one answer, when an upstream broke off and the router went on elsewhere, and over a client's tries, at any router.

Cause: a stream's software version was nobody's knowledge. The entry's version was not decoded, the attempt that a client names was not read, and the selector took whatever upstream cost least. A belief about a stream ended with the attempt that held it.

Ruled out: the joins are not the client's (the second take-up names the first attempt, as it must), not an upstream's own (each event of the test names its sender), and not the weights' version, which a stream may change.

Now the first event fixes the version of a resumable stream, before the client gets that event. All later choices for it, in the same answer or for a take-up, see only upstreams of that version. A take-up asks which version began the named attempt; a stream without an event may begin anywhere. Where any version may go on (the service has had one only), the stream stays at the one chosen first, as another may come up before its next attempt. An unknown version equals none but another unknown one.

Why 503: nothing was sent to an upstream, so "has not run and never will" is true of this attempt. 4xx of our own would deny a proper request, and clients give up on some of them instead of beginning anew; 429 would name a quota, 408 and 421 a cause that is not there; 502, 504 and a close promise nothing, so they would leave a doubt that does not exist. Clients repeat a 503 a few times within their deadline only, and the quota spent is given back. The log tells a version that is gone from an unknown one.

A take-up without a usable attempt id (none, two, a list, no visible ASCII, over 256 bytes) cannot be known: refused while more than one version may have begun it, else as before. Nothing changes for a service of one version: no call, no refusal.

This router remembers the streams that it began itself, so a take-up at another router is refused while two versions serve: no join, but no stream that goes on either. For the same reason a router that has just started, and lists one version only, still takes any stream up there: the joins after a restart of all routers are not mended by this.

Fakes of the attempt runner and its fixture take the new part; no check is changed.

--- a/libs/cli/src/mulberryhub/cli/why.py
+++ b/libs/cli/src/mulberryhub/cli/why.py
@@ -15,6 +15,8 @@
     "not_ready": "the router had no configuration yet",
     "no_upstream": "no listed upstream of its service had weights that it may use",
     "upstreams_full": "all upstreams were busy or refused it; it was not run",
+    "stream_version_gone": "no upstream of the version that began its stream is ready",
+    "stream_origin_unknown": "it is not known which version began its stream",
     "upstreams_limited": "all upstreams had named a rate limit that was used up",
     "quarantined": "upstreams ended while they ran it; this time it was not run",
     "out_of_time": "its deadline passed before it could be sent; it was not run",
--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -52,6 +52,7 @@
         "_availability",
         "_rate_limits",
         "_quarantine",
+        "_stream_versions",
         "_budget",
         "_fleet_state",
         "_cache_directives",
@@ -70,6 +71,7 @@
         availability,
         rate_limits,
         quarantine,
+        stream_versions,
         budget,
         fleet_state,
         cache_directives,
@@ -78,7 +80,7 @@
     ):
         self._dialect = dialect
         self._selector = selector
-        self._refusals = Refusals(selector)
+        self._refusals = Refusals(selector, stream_versions)
         self._pool = pool
         self._loads = loads
         self._connect_health = connect_health
@@ -86,6 +88,7 @@
         self._availability = availability
         self._rate_limits = rate_limits
         self._quarantine = quarantine
+        self._stream_versions = stream_versions
         self._budget = budget
         self._fleet_state = fleet_state
         self._cache_directives = cache_directives
@@ -108,6 +111,10 @@
             if not job.may_run_again or job.sends >= MAX_SENDS:
                 raise self._refusals.final(job)
 
+    def record_first_event(self, job, exchange):
+        """Record that the first event of an answer arrived, before it is relayed."""
+        self._stream_versions.record_first_event(job, exchange.attempt.upstream)
+
     def record_broken_answer(self, job, exchange, error):
         """Record that an answer broke off.
 
@@ -133,6 +140,7 @@
             job.service,
             job.tried_ids | excluded_ids,
             job.flow,
+            self._stream_versions.filter_for(job),
         )
 
     def _choose(self, job):
@@ -144,6 +152,7 @@
             self._counters.add("retry.no_budget")
             self._rate_limits.put_back(choice.upstream, job.flow)
             raise self._refusals.final(job)
+        self._stream_versions.record_chosen(job, choice.upstream)
         return choice
 
     def _place_with_permit(self, job):
--- a/libs/forward/src/mulberryhub/forward/call.py
+++ b/libs/forward/src/mulberryhub/forward/call.py
@@ -17,7 +17,9 @@
     `deadline` is the time on the router's clock (ms) at which the client gives up, or
     None. `prompt_tokens` is the length of the prompt and `output_tokens` the maximum
     length of the answer; both are None if not declared. `prompt_parts` are in order;
-    the last one belongs to this request only.
+    the last one belongs to this request only. `is_resumption` is set if the client has
+    events of the stream from earlier attempts. `resumed_attempt_id` is the id of the
+    attempt that brought the first of them, None if it names none.
     """
 
     __slots__ = (
@@ -31,6 +33,8 @@
         "prompt_tokens",
         "output_tokens",
         "prompt_parts",
+        "is_resumption",
+        "resumed_attempt_id",
     )
 
     def __init__(self, request, id, host, path, api_key=None, deadline=None):
@@ -44,6 +48,8 @@
         self.prompt_tokens = None
         self.output_tokens = None
         self.prompt_parts = []
+        self.is_resumption = False
+        self.resumed_attempt_id = None
 
     @property
     def shared_parts(self):
--- a/libs/forward/src/mulberryhub/forward/forwarder.py
+++ b/libs/forward/src/mulberryhub/forward/forwarder.py
@@ -20,6 +20,7 @@
         "_quotas",
         "_demand",
         "_budget",
+        "_stream_versions",
         "_relay",
         "_clock",
         "_counters",
@@ -27,13 +28,23 @@
     )
 
     def __init__(
-        self, fleet_state, dialect, quotas, demand, budget, relay, clock, counters
+        self,
+        fleet_state,
+        dialect,
+        quotas,
+        demand,
+        budget,
+        stream_versions,
+        relay,
+        clock,
+        counters,
     ):
         self._fleet_state = fleet_state
         self._dialect = dialect
         self._quotas = quotas
         self._demand = demand
         self._budget = budget
+        self._stream_versions = stream_versions
         self._relay = relay
         self._clock = clock
         self._counters = counters
@@ -54,6 +65,7 @@
         try:
             call = self._dialect.read_call(request)
             job = self._admit(call)
+            self._stream_versions.find_origin(job)
             is_reusable = self._relay.run(job, connection)
         except Refusal as refusal:
             self._record_not_served(request, call, job, refusal.reason.label)
--- a/libs/forward/src/mulberryhub/forward/job.py
+++ b/libs/forward/src/mulberryhub/forward/job.py
@@ -15,6 +15,7 @@
     complete. `runs` counts the attempts that may have run the request, `sends` all
     attempts that reached an upstream, and `tried_ids` holds the ids of upstreams that
     are not tried again. `last_event_id` is the id of the last event sent to the client.
+    `stream_version` is the StreamVersion at which a stream must go on, or None.
     `quota_weight` is the workspace's quota relative to the mean of all workspaces.
     `is_answer_started` is set once the answer has begun, with `status`, and
     `first_byte_ms` after the request arrived.
@@ -32,6 +33,7 @@
         "tried_ids",
         "failure_reason",
         "last_event_id",
+        "stream_version",
         "is_answer_started",
         "status",
         "first_byte_ms",
@@ -52,6 +54,7 @@
         self.tried_ids = set()
         self.failure_reason = None
         self.last_event_id = None
+        self.stream_version = None
         self.is_answer_started = False
         self.status = None
         self.first_byte_ms = None
@@ -100,6 +103,11 @@
         """Return whether another upstream can resume the stream."""
         return self.is_stream and self.route.is_resumable
 
+    @property
+    def is_taken_up(self):
+        """Return whether the client has events of this stream from earlier attempts."""
+        return self.is_resumable_stream and self.call.is_resumption
+
     @property
     def is_repeatable(self):
         """Return whether the request may run more than once."""
--- a/libs/forward/src/mulberryhub/forward/refusal.py
+++ b/libs/forward/src/mulberryhub/forward/refusal.py
@@ -19,6 +19,8 @@
     UPSTREAMS_LIMITED = ("upstreams_limited", 503)
     OUT_OF_TIME = ("out_of_time", 503)
     QUARANTINED = ("quarantined", 503)
+    STREAM_VERSION_GONE = ("stream_version_gone", 503)
+    STREAM_ORIGIN_UNKNOWN = ("stream_origin_unknown", 503)
     UPSTREAM_FAILED = ("upstream_failed", 502)
     UPSTREAM_SILENT = ("upstream_silent", 504)
 
--- a/libs/forward/src/mulberryhub/forward/refusals.py
+++ b/libs/forward/src/mulberryhub/forward/refusals.py
@@ -3,6 +3,7 @@
 from random import uniform
 
 from mulberryhub.forward.refusal import Reason, Refusal
+from mulberryhub.forward.stream_versions import final_refusal
 
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 400
@@ -15,15 +16,20 @@
     They state that a request has not run only if that is true.
     """
 
-    __slots__ = ("_selector",)
+    __slots__ = ("_selector", "_stream_versions")
 
-    def __init__(self, selector):
+    def __init__(self, selector, stream_versions):
         self._selector = selector
+        self._stream_versions = stream_versions
 
     def no_upstream(self, job):
         """Return the Refusal of a job for which there is no upstream."""
         if job.sends:
             return self.final(job)
+        accepts = self._stream_versions.filter_for(job)
+        is_bound = job.stream_version is not None
+        if is_bound and not self._selector.has_ready(job.service, accepts):
+            return final_refusal(Reason.STREAM_VERSION_GONE)
         reason = Reason.NO_UPSTREAM
         if self._selector.is_limited(job.service):
             reason = Reason.UPSTREAMS_LIMITED
@@ -51,7 +57,9 @@
     def _retry_after(self, job):
         """Return the time in ms after which an upstream may accept the request."""
         retry_after = uniform(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
-        time_until_open = self._selector.time_until_open(job.service, job.flow)
+        time_until_open = self._selector.time_until_open(
+            job.service, job.flow, self._stream_versions.filter_for(job)
+        )
         return retry_after if time_until_open is None else time_until_open + retry_after
 
 
--- a/libs/forward/src/mulberryhub/forward/relay.py
+++ b/libs/forward/src/mulberryhub/forward/relay.py
@@ -100,6 +100,8 @@
             events = splitter.feed(data)
             if not events:
                 continue
+            if not has_events:
+                self._attempt_runner.record_first_event(job, exchange)
             has_events = True
             connection.write(b"".join(event.data for event in events))
             for event in events:
--- a/libs/forward/src/mulberryhub/forward/selection.py
+++ b/libs/forward/src/mulberryhub/forward/selection.py
@@ -10,6 +10,7 @@
 from random import random
 
 from mulberryhub.fleet.records import UpstreamState
+from mulberryhub.forward.stream_versions import accept_all
 from mulberryhub.routing.placement import Placement
 
 REMOTE_COST_MS_PER_KB = 6  # for transfers between data centres
@@ -92,15 +93,17 @@
         self._revision = None
         self._placements_by_ids = {}
 
-    def choose(self, call, route, service, tried_ids, flow):
+    def choose(self, call, route, service, tried_ids, flow, accepts=accept_all):
         """Return a Choice among upstreams not in `tried_ids`, or None.
 
-        `flow` is the Flow of the request.
+        `flow` is the Flow of the request; `accepts(upstream)` returns whether an
+        upstream may serve it.
         """
         ready = [
             item
             for item in self._ready_upstreams(service.name)
             if item.id not in tried_ids
+            and accepts(item)
             and self._availability.accepts_requests(item, flow)
         ]
         if not ready:
@@ -115,12 +118,17 @@
         """Return whether an upstream of `service` limits the requests it accepts."""
         return self._availability.is_limited(self._ready_upstreams(service.name))
 
-    def time_until_open(self, service, flow):
+    def has_ready(self, service, accepts):
+        """Return whether `accepts` returns true for a ready upstream of `service`."""
+        return any(accepts(item) for item in self._ready_upstreams(service.name))
+
+    def time_until_open(self, service, flow, accepts=accept_all):
         """Return the time in ms until `service` accepts requests of `flow`.
 
-        Return None if all of its upstreams are shutting down.
+        Only upstreams that `accepts` returns true for count. Return None if all of them
+        are shutting down.
         """
-        ready = self._ready_upstreams(service.name)
+        ready = [item for item in self._ready_upstreams(service.name) if accepts(item)]
         return self._availability.time_until_open(ready, flow)
 
     def _choose_engine(self, call, route, ready):
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -8,6 +8,7 @@
 from mulberryhub.fleet.removals import DelayedRemovals
 from mulberryhub.fleet.sources import SourceSelector
 from mulberryhub.fleet.state import FleetState, Topic
+from mulberryhub.fleet.stream_origins import StreamOrigins
 from mulberryhub.fleet.subscription import Subscription
 from mulberryhub.forward.attempts import AttemptRunner
 from mulberryhub.forward.availability import UpstreamAvailability
@@ -19,6 +20,7 @@
 from mulberryhub.forward.rate_limits import UpstreamRateLimits
 from mulberryhub.forward.relay import Relay
 from mulberryhub.forward.selection import UpstreamSelector
+from mulberryhub.forward.stream_versions import StreamVersions
 from mulberryhub.http.pool import ConnectionPool
 from mulberryhub.http.server import HttpServer
 from mulberryhub.node.coordination import (
@@ -122,6 +124,8 @@
         parts.source_selector.is_leader,
         clock,
     )
+    stream_origins = StreamOrigins(fleet_state, clock)
+    stream_versions = StreamVersions(stream_origins)
     attempt_runner = AttemptRunner(
         ports.dialect,
         selector,
@@ -132,6 +136,7 @@
         availability,
         rate_limits,
         quarantine,
+        stream_versions,
         retry_budget,
         fleet_state,
         cache_directives,
@@ -140,7 +145,15 @@
     )
     relay = Relay(attempt_runner, clock)
     parts.forwarder = Forwarder(
-        fleet_state, ports.dialect, quotas, demand, retry_budget, relay, clock, counters
+        fleet_state,
+        ports.dialect,
+        quotas,
+        demand,
+        retry_budget,
+        stream_versions,
+        relay,
+        clock,
+        counters,
     )
     parts.front_server = HttpServer(
         settings.front_address,
--- a/tests/adapter/test_dialect.py
+++ b/tests/adapter/test_dialect.py
@@ -84,6 +84,35 @@
     assert request.headers.get_all(HEADER_PREFIX.lower() + b"tenant") == [b"w"]
 
 
+@pytest.mark.parametrize(
+    "values, attempt_id",
+    [
+        ([], None),
+        ([b"9c41d07be2a35f68"], "9c41d07be2a35f68"),
+        ([b"s-1"], "s-1"),
+        ([b""], None),
+        ([b"s-1", b"s-1"], None),
+        ([b"s-1,s-2"], None),
+        ([b"s-1 s-2"], None),
+        ([b"\xe9"], None),
+        ([b"9" * 5_000], None),
+    ],
+)
+def test_attempt_that_a_client_resumes_is_one_well_formed_id(values, attempt_id):
+    pairs = [(b"Resumes", value) for value in values]
+    call = read_call(make_request((b"Last-Event-Id", b"3"), *pairs))
+    assert (call.is_resumption, call.resumed_attempt_id) == (True, attempt_id)
+
+
+def test_request_without_last_event_id_is_no_resumption():
+    assert not read_call(make_request((b"Resumes", b"s-1"))).is_resumption
+
+
+def test_attempt_that_a_client_resumes_is_forwarded():
+    pairs = [(b"Last-Event-Id", b"3"), (b"Resumes", b"s-1")]
+    assert translate(make_request(*pairs)).headers.get_all(b"resumes") == [b"s-1"]
+
+
 def test_hop_by_hop_headers_are_dropped():
     request = translate(
         make_request(
--- a/tests/forward/attempt_fixture.py
+++ b/tests/forward/attempt_fixture.py
@@ -4,6 +4,7 @@
 from mulberryhub.base.counters import Counters
 from mulberryhub.fleet.records import Usage
 from mulberryhub.fleet.state import FleetState
+from mulberryhub.fleet.stream_origins import StreamOrigins
 from mulberryhub.forward.attempts import AttemptRunner
 from mulberryhub.forward.availability import UpstreamAvailability
 from mulberryhub.forward.budget import BudgetRule, RetryBudget
@@ -14,6 +15,7 @@
 from mulberryhub.forward.quarantine import Quarantine
 from mulberryhub.forward.refusal import Refusal
 from mulberryhub.forward.selection import UpstreamSelector
+from mulberryhub.forward.stream_versions import StreamVersions
 from mulberryhub.http.messages import (
     ConnectionFailed,
     Headers,
@@ -78,9 +80,12 @@
 
 
 class Fixture:
-    """An AttemptRunner with six upstreams whose attempts have the given outcomes."""
+    """An AttemptRunner with upstreams whose attempts have the given outcomes.
 
-    def __init__(self, outcomes, kind, **route_values):
+    There is one upstream for each of `software_versions`.
+    """
+
+    def __init__(self, outcomes, kind, software_versions=(None,) * 6, **route_values):
         self.clock = ManualClock(now=1_000)
         self.outcomes = list(outcomes)
         self.sent = []
@@ -88,8 +93,10 @@
         self.pause = None
         self.work_while_connecting = []
         fleet_state = FleetState(self.clock)
-        for index in range(6):
-            fleet_state.apply(make_upstream(f"u{index}", index + 1))
+        for index, version in enumerate(software_versions):
+            fleet_state.apply(
+                make_upstream(f"u{index}", index + 1, software_version=version)
+            )
         self.loads = loads = Loads(Usage, self.clock)
         self.connect_health = connect_health = UpstreamHealth(self.clock, Counters())
         self.answer_health = answer_health = UpstreamHealth(self.clock, Counters())
@@ -99,6 +106,8 @@
         )
         budget = RetryBudget(BudgetRule(10_000, 0.2, 100), lambda: 1, self.clock)
         dialect = Dialect(None, lambda call, attempt: None, self.read_answer, None)
+        self.origins = StreamOrigins(fleet_state, self.clock)
+        self.stream_versions = StreamVersions(self.origins)
         self.attempt_runner = AttemptRunner(
             dialect,
             UpstreamSelector(
@@ -119,6 +128,7 @@
             Quarantine(
                 "n1", fleet_state, self.is_refused, None, self.clock, Counters()
             ),
+            self.stream_versions,
             budget,
             fleet_state,
             CacheDirectives(lambda: None, fleet_state.cache_index, self.clock),
--- a/tests/forward/test_relay.py
+++ b/tests/forward/test_relay.py
@@ -75,6 +75,9 @@
         job.runs += 1
         return self._exchanges.popleft()
 
+    def record_first_event(self, job, exchange):
+        pass
+
     def record_broken_answer(self, job, exchange, error):
         return job.is_resumable_stream or not job.is_answer_started
 
--- /dev/null
+++ b/tests/forward/test_stream_versions.py
@@ -0,0 +1,198 @@
+"""Resumable streams while upstreams of several software versions serve."""
+
+import pytest
+
+from mulberryhub.fleet.records import RequestKind
+from mulberryhub.fleet.stream_origins import OriginUnknown, StreamOrigin
+from mulberryhub.forward.job import Job
+from mulberryhub.forward.refusal import Reason, Refusal
+from mulberryhub.forward.stream_versions import StreamVersion, StreamVersions
+from mulberryhub.http.messages import ResponseBroken
+from tests.forward.attempt_fixture import BROKEN, NOT_RUN, OK, Fixture
+from tests.forward.fakes import make_call, make_route, make_service, make_upstream
+
+OLD, NEW = "4.1", "4.2"
+ANY = StreamOrigin(is_any=True)
+
+
+class FakeOrigins:
+    """Origins of which `origin` is found, and `barred` may not begin streams."""
+
+    def __init__(self, origin=None, barred=()):
+        self.origin = origin
+        self.barred = barred
+        self.asked = []
+        self.begun = []
+
+    def find(self, service, attempt_id):
+        self.asked.append((service, attempt_id))
+        if self.origin is None:
+            raise OriginUnknown
+        return self.origin
+
+    def record_begun(self, service, attempt_id, software_version):
+        self.begun.append((service, attempt_id, software_version))
+
+    def may_begin(self, service, software_version):
+        return software_version not in self.barred
+
+
+def make_job(is_resumption=False, kind=RequestKind.STREAMING, is_resumable=True):
+    call = make_call()
+    call.is_resumption = is_resumption
+    call.resumed_attempt_id = "id-0" if is_resumption else None
+    route = make_route(kind, is_resumable=is_resumable)
+    return Job(call, route, make_service(), None, 5_000)
+
+
+def accepted(stream_versions, job, versions=(OLD, NEW, None)):
+    accepts = stream_versions.filter_for(job)
+    return [
+        version
+        for version in versions
+        if accepts(make_upstream("u", software_version=version))
+    ]
+
+
+def resumable_fixture(outcomes, software_versions, max_attempts=2):
+    return Fixture(
+        outcomes,
+        RequestKind.STREAMING,
+        software_versions,
+        is_resumable=True,
+        max_attempts=max_attempts,
+    )
+
+
+@pytest.mark.parametrize("version", [OLD, None])
+def test_stream_goes_on_only_at_the_version_of_its_first_event(version):
+    origins, job = FakeOrigins(), make_job()
+    stream_versions = StreamVersions(origins)
+    assert accepted(stream_versions, job) == [OLD, NEW, None]
+    for each in (version, NEW):
+        upstream = make_upstream("u", software_version=each)
+        stream_versions.record_first_event(job, upstream)
+    assert accepted(stream_versions, job) == [version]
+    assert origins.begun == [("llm", "id-1", version)]
+
+
+@pytest.mark.parametrize(
+    "kind, is_resumable",
+    [(RequestKind.STREAMING, False), (RequestKind.IDEMPOTENT, True)],
+)
+def test_other_requests_go_to_any_version_and_are_not_recorded(kind, is_resumable):
+    origins = FakeOrigins(barred=(NEW,))
+    job = make_job(is_resumption=True, kind=kind, is_resumable=is_resumable)
+    stream_versions = StreamVersions(origins)
+    stream_versions.find_origin(job)
+    stream_versions.record_first_event(job, make_upstream("u", software_version=OLD))
+    assert accepted(stream_versions, job) == [OLD, NEW, None]
+    assert (origins.asked, origins.begun) == ([], [])
+
+
+def test_new_streams_do_not_begin_at_a_version_that_may_not_begin_any():
+    stream_versions = StreamVersions(FakeOrigins(barred=(NEW,)))
+    assert accepted(stream_versions, make_job()) == [OLD, None]
+
+
+def test_stream_goes_on_at_a_version_that_may_not_begin_any():
+    stream_versions = StreamVersions(FakeOrigins(StreamOrigin(NEW), barred=(NEW,)))
+    job = make_job(is_resumption=True)
+    stream_versions.find_origin(job)
+    assert accepted(stream_versions, job) == [NEW]
+
+
+@pytest.mark.parametrize("version", [OLD, None])
+def test_stream_taken_up_goes_on_at_the_version_that_began_it(version):
+    origins, job = FakeOrigins(StreamOrigin(version)), make_job(is_resumption=True)
+    stream_versions = StreamVersions(origins)
+    stream_versions.find_origin(job)
+    assert origins.asked == [("llm", "id-0")]
+    assert accepted(stream_versions, job) == [version]
+    stream_versions.record_first_event(
+        job, make_upstream("u", software_version=version)
+    )
+    assert origins.begun == []
+
+
+def test_new_stream_asks_for_no_origin():
+    origins = FakeOrigins()
+    StreamVersions(origins).find_origin(make_job())
+    assert origins.asked == []
+
+
+def test_stream_that_any_version_may_go_on_with_stays_at_the_first_one_chosen():
+    stream_versions = StreamVersions(FakeOrigins(ANY))
+    job = make_job(is_resumption=True)
+    stream_versions.find_origin(job)
+    assert accepted(stream_versions, job) == [OLD, NEW, None]
+    stream_versions.record_chosen(job, make_upstream("u", software_version=OLD))
+    assert accepted(stream_versions, job) == [OLD]
+
+
+def test_stream_of_unknown_origin_is_refused_with_a_retry_time():
+    with pytest.raises(Refusal) as refused:
+        StreamVersions(FakeOrigins()).find_origin(make_job(is_resumption=True))
+    assert refused.value.reason is Reason.STREAM_ORIGIN_UNKNOWN
+    assert refused.value.reason.status == 503
+    assert refused.value.retry_after > 0
+
+
+def test_failover_before_the_first_event_may_go_to_another_version():
+    fixture = resumable_fixture([BROKEN, OK], [OLD, NEW])
+    assert fixture.run() == 200
+    assert fixture.sent == [BROKEN, OK]
+
+
+def test_failover_after_an_event_ends_the_stream_without_its_version():
+    fixture = resumable_fixture([OK, OK], [OLD, NEW])
+    exchange = fixture.attempt_runner.run(fixture.job)
+    fixture.attempt_runner.record_first_event(fixture.job, exchange)
+    fixture.attempt_runner.record_broken_answer(
+        fixture.job, exchange, ResponseBroken("reset")
+    )
+    with pytest.raises(Refusal) as refused:
+        fixture.attempt_runner.run(fixture.job)
+    assert refused.value.reason is Reason.UPSTREAM_FAILED
+    assert fixture.sent == [OK]
+
+
+def test_failover_after_an_event_goes_on_at_its_version():
+    fixture = resumable_fixture([OK, OK], [OLD, NEW, NEW, NEW, OLD, NEW])
+    exchange = fixture.attempt_runner.run(fixture.job)
+    version = exchange.attempt.upstream.software_version
+    fixture.attempt_runner.record_first_event(fixture.job, exchange)
+    fixture.attempt_runner.record_broken_answer(
+        fixture.job, exchange, ResponseBroken("reset")
+    )
+    second = fixture.attempt_runner.run(fixture.job).attempt.upstream
+    assert second.software_version == version
+    assert second.id != exchange.attempt.upstream.id
+
+
+def test_stream_taken_up_without_its_version_is_refused_unsent():
+    fixture = resumable_fixture([OK], [NEW, NEW])
+    fixture.job.stream_version = StreamVersion(OLD)
+    with pytest.raises(Refusal) as refused:
+        fixture.attempt_runner.run(fixture.job)
+    assert refused.value.reason is Reason.STREAM_VERSION_GONE
+    assert refused.value.retry_after > 0
+    assert fixture.sent == []
+
+
+def test_stream_taken_up_is_refused_as_busy_if_its_version_is_busy():
+    fixture = resumable_fixture([NOT_RUN], [OLD, NEW])
+    fixture.job.stream_version = StreamVersion(OLD)
+    with pytest.raises(Refusal) as refused:
+        fixture.attempt_runner.run(fixture.job)
+    assert refused.value.reason is Reason.UPSTREAMS_FULL
+    assert fixture.sent == [NOT_RUN]
+
+
+def test_pause_of_another_version_does_not_count_for_the_retry_time():
+    fixture = resumable_fixture([NOT_RUN], [OLD, NEW])
+    fixture.pause = 2_500.0
+    fixture.job.stream_version = StreamVersion(OLD)
+    with pytest.raises(Refusal) as refused:
+        fixture.attempt_runner.run(fixture.job)
+    assert 2_500 <= refused.value.retry_after <= 3_000
