Relay no event of an upstream whose software version changed since it was chosen

What callers saw: a stream taken up at its own version went on with events of another one, if the upstream had been restarted under its id and its new entry arrived while the request waited for its first event. The same may happen to the router's own failover.

Cause: the version is that of the entry at the time of the choice, and what answers is whatever listens at the address by then. Expecting the instance does not help, as a restarted upstream may keep its id.

On the first event of each run the entry is compared once more. If its version has changed, it is not known which one sent the event: the run counts as broken off, and another upstream of the stream's version goes on, if there is one. A new stream is not recorded either.

Evidence: test_stream_is_broken_off_if_its_worker_changed_its_version_before_an_event failed before (events 4 to 6 of the other version, answer complete) and passes now. A restart of which the router has not heard by the first event, as when it is cut off from the store, is not covered.

--- a/libs/forward/src/mulberryhub/forward/stream_versions.py
+++ b/libs/forward/src/mulberryhub/forward/stream_versions.py
@@ -9,6 +9,7 @@
 from mulberryhub.base.logs import module_logger
 from mulberryhub.fleet.stream_origins import OriginUnknown
 from mulberryhub.forward.refusal import Reason, Refusal
+from mulberryhub.http.messages import ResponseBroken
 
 MIN_RETRY_AFTER_MS = 300
 MAX_RETRY_AFTER_MS = 900  # spreads the clients that come back after a common failure
@@ -28,13 +29,14 @@
 class StreamVersions:
     """Decides which upstreams may begin a stream or go on with it.
 
-    `origins` are the StreamOrigins.
+    `origins` are the StreamOrigins; `fleet_state` lists the upstreams.
     """
 
-    __slots__ = ("_origins",)
+    __slots__ = ("_origins", "_fleet_state")
 
-    def __init__(self, origins):
+    def __init__(self, origins, fleet_state):
         self._origins = origins
+        self._fleet_state = fleet_state
 
     def find_origin(self, job):
         """Set the version of a stream that the client takes up, or raise Refusal."""
@@ -72,8 +74,15 @@
             job.stream_version = StreamVersion(upstream.software_version)
 
     def record_first_event(self, job, upstream):
-        """Record the upstream that sent the first event, before the client gets it."""
-        if not job.is_resumable_stream or job.stream_version is not None:
+        """Record the upstream that sent the first event, before the client gets it.
+
+        Raise ResponseBroken if the upstream was restarted with another version since it
+        was chosen, so that it is not known which one sent the event.
+        """
+        if not job.is_resumable_stream:
+            return
+        self._check_version(upstream)
+        if job.stream_version is not None:
             return
         job.stream_version = StreamVersion(upstream.software_version)
         if job.call.id is not None:
@@ -81,6 +90,11 @@
                 job.service.name, job.call.id, upstream.software_version
             )
 
+    def _check_version(self, upstream):
+        known = self._fleet_state.upstreams_by_id.get(upstream.id, upstream)
+        if known.software_version != upstream.software_version:
+            raise ResponseBroken("the software version of the upstream has changed")
+
     def _begin_filter(self, service):
         may_begin_by_version = {}
 
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -125,7 +125,7 @@
         clock,
     )
     stream_origins = StreamOrigins(fleet_state, clock)
-    stream_versions = StreamVersions(stream_origins)
+    stream_versions = StreamVersions(stream_origins, fleet_state)
     attempt_runner = AttemptRunner(
         ports.dialect,
         selector,
--- a/tests/adapter/test_software_versions.py
+++ b/tests/adapter/test_software_versions.py
@@ -4,31 +4,32 @@
 wrong are in the router's own zone, so a router without a rule sends streams to them.
 """
 
-from itertools import count
 from threading import Thread
 
 import pytest
 
-from mulberryhub.adapter_standins.documents import make_config, route
+from mulberryhub.adapter_standins.documents import make_config
 from mulberryhub.adapter_standins.fleet import PlatformFleet, wait_until
+from tests.adapter.versioned_services import (
+    CUT_AFTER,
+    NEW,
+    OLD,
+    REST,
+    VersionedService,
+    assert_refused_at_once,
+    begin_and_break_off,
+    break_off_in_answer,
+    routes_of,
+)
 from tests.adapter.versioned_workers import (
-    EVENT_COUNT,
-    VersionedWorker,
     ask_stream,
     begin_stream,
     known_count,
     take_up,
-    wait_until_gone,
-    wait_until_known,
 )
 
-OLD, NEW = "4.1", "4.2"
 SERVICE_COUNT = 48  # each test has one, as a router remembers versions that were there
-CUT_AFTER = 3
-REST = list(range(CUT_AFTER + 1, EVENT_COUNT + 1))
-MAX_REFUSAL_S = 1.0
 NEVER_BEGUN = "never-begun"
-NAMES = count()
 UNUSABLE_RESUMES = {
     "missing": [],
     "empty": [""],
@@ -43,19 +44,9 @@
 @pytest.fixture(scope="module")
 def platform(tmp_path_factory):
     fleet = PlatformFleet(tmp_path_factory.mktemp("platform"), routers=2)
-    routes = []
-    for number in range(SERVICE_COUNT):
-        for kind, attempts in (("once", 1), ("twice", 2)):
-            routes.append(
-                route(
-                    f"{kind}-{number}",
-                    f"/{kind}/s{number}/",
-                    "streaming",
-                    f"s{number}",
-                    maxAttempts=attempts,
-                    canResume=True,
-                )
-            )
+    routes = [
+        each for number in range(SERVICE_COUNT) for each in routes_of(f"s{number}")
+    ]
     services = [{"name": f"s{number}"} for number in range(SERVICE_COUNT)]
     fleet.configure(make_config(routes=routes, services=services))
     try:
@@ -64,39 +55,6 @@
         fleet.close()
 
 
-class VersionedService:
-    """A service without workers at first.
-
-    `path` is that of requests that go to one worker at most, `failover_path` that of
-    requests which may go to two.
-    """
-
-    def __init__(self, platform):
-        self.name = f"s{next(NAMES)}"
-        self.path = f"/once/{self.name}/x"
-        self.failover_path = f"/twice/{self.name}/x"
-        self.workers = []
-        self._platform = platform
-
-    def start(self, version, **more):
-        """Start a worker that all routers know."""
-        worker = VersionedWorker(self._platform, self.name, version, **more)
-        self.workers.append(worker)
-        wait_until_known(self._platform, worker)
-        return worker
-
-    def remove(self, *workers):
-        """Remove the entries of `workers`."""
-        for worker in workers:
-            worker.close()
-            self.workers.remove(worker)
-        wait_until_gone(self._platform, *workers)
-
-    def runs(self):
-        """Return the number of requests that arrived at the workers."""
-        return sum(len(worker.runs) for worker in self.workers)
-
-
 @pytest.fixture
 def service(platform):
     service = VersionedService(platform)
@@ -114,39 +72,6 @@
     return platform.routers[1]
 
 
-def begin_and_break_off(service, router, zone="b"):
-    """Begin a stream at the old version; return the attempt's id and the worker."""
-    worker = service.start(OLD, cut_after=CUT_AFTER, zone=zone)
-    id, answer = begin_stream(router, service.path)
-    assert answer.versions == {OLD}
-    assert (len(answer.events), answer.is_complete) == (CUT_AFTER, False)
-    return id, worker
-
-
-def assert_refused_at_once(answer):
-    assert answer.status == 503
-    assert answer.events == []
-    assert 0 < answer.retry_after <= MAX_REFUSAL_S
-    assert answer.took_s < MAX_REFUSAL_S
-
-
-def break_off_in_answer(service, router, start_others):
-    """Return the StreamAnswer of a stream whose first worker breaks off midway."""
-    first = service.start(OLD, cut_after=CUT_AFTER, waits=True)
-    answers = []
-
-    def ask():
-        answers.append(begin_stream(router, service.failover_path)[1])
-
-    client = Thread(target=ask)
-    client.start()
-    wait_until(lambda: first.runs)
-    start_others()
-    first.go_on.set()
-    client.join()
-    return answers[0]
-
-
 def test_failover_in_an_answer_does_not_join_two_software_versions(service, router):
     answer = break_off_in_answer(service, router, lambda: service.start(NEW))
     assert answer.versions == {OLD}
@@ -212,6 +137,28 @@
     assert service.runs() == runs
 
 
+def test_stream_is_broken_off_if_its_worker_changed_its_version_before_an_event(
+    service, router
+):
+    id, worker = begin_and_break_off(service, router)
+    worker.may_send.clear()
+    runs = len(worker.runs)
+    answers = []
+
+    def ask():
+        answers.append(take_up(router, service.path, CUT_AFTER, id))
+
+    client = Thread(target=ask)
+    client.start()
+    wait_until(lambda: len(worker.runs) > runs)
+    worker.version = NEW
+    worker.write_again(version=NEW, born=2)
+    wait_until(lambda: known_count(router, worker) == 2)
+    worker.may_send.set()
+    client.join()
+    assert (answers[0].events, answers[0].is_complete) == ([], False)
+
+
 def test_another_router_does_not_join_two_software_versions(
     service, router, other_router
 ):
--- a/tests/adapter/versioned_workers.py
+++ b/tests/adapter/versioned_workers.py
@@ -27,12 +27,15 @@
     """A worker that names its software version in each event that it sends.
 
     A run breaks off after the event `cut_after`, if it is set and the run sent it. A
-    worker with `waits` does so once `go_on` is set.
+    worker with `waits` does so once `go_on` is set. No run sends its first event before
+    `may_send` is set, as it is at first.
     """
 
     def __init__(self, platform, service, version, cut_after=None, waits=False, **more):
         self.version = version
         self.cut_after = cut_after
+        self.may_send = Event()
+        self.may_send.set()
         self.go_on = Event()
         if not waits:
             self.go_on.set()
@@ -45,6 +48,7 @@
 def send_stream(conn, id, worker):
     """Send the events that the client lacks; return false as the connection ends."""
     conn.sendall(worker.head(id) + STREAM_HEAD)
+    worker.may_send.wait(TIMEOUT_S)
     first = worker.requests_by_id[id].last_event_id + 1
     text = str(worker.version).replace(" ", "")
     for number in range(first, EVENT_COUNT + 1):
--- a/tests/forward/attempt_fixture.py
+++ b/tests/forward/attempt_fixture.py
@@ -107,7 +107,7 @@
         budget = RetryBudget(BudgetRule(10_000, 0.2, 100), lambda: 1, self.clock)
         dialect = Dialect(None, lambda call, attempt: None, self.read_answer, None)
         self.origins = StreamOrigins(fleet_state, self.clock)
-        self.stream_versions = StreamVersions(self.origins)
+        self.stream_versions = StreamVersions(self.origins, fleet_state)
         self.attempt_runner = AttemptRunner(
             dialect,
             UpstreamSelector(
--- a/tests/forward/test_stream_versions.py
+++ b/tests/forward/test_stream_versions.py
@@ -2,7 +2,9 @@
 
 import pytest
 
+from mulberryhub.base.clock import ManualClock
 from mulberryhub.fleet.records import RequestKind
+from mulberryhub.fleet.state import FleetState
 from mulberryhub.fleet.stream_origins import OriginUnknown, StreamOrigin
 from mulberryhub.forward.job import Job
 from mulberryhub.forward.refusal import Reason, Refusal
@@ -37,6 +39,13 @@
         return software_version not in self.barred
 
 
+def make_stream_versions(origins, *upstreams):
+    fleet_state = FleetState(ManualClock())
+    for upstream in upstreams:
+        fleet_state.apply(upstream)
+    return StreamVersions(origins, fleet_state)
+
+
 def make_job(is_resumption=False, kind=RequestKind.STREAMING, is_resumable=True):
     call = make_call()
     call.is_resumption = is_resumption
@@ -67,7 +76,7 @@
 @pytest.mark.parametrize("version", [OLD, None])
 def test_stream_goes_on_only_at_the_version_of_its_first_event(version):
     origins, job = FakeOrigins(), make_job()
-    stream_versions = StreamVersions(origins)
+    stream_versions = make_stream_versions(origins)
     assert accepted(stream_versions, job) == [OLD, NEW, None]
     for each in (version, NEW):
         upstream = make_upstream("u", software_version=each)
@@ -83,7 +92,7 @@
 def test_other_requests_go_to_any_version_and_are_not_recorded(kind, is_resumable):
     origins = FakeOrigins(barred=(NEW,))
     job = make_job(is_resumption=True, kind=kind, is_resumable=is_resumable)
-    stream_versions = StreamVersions(origins)
+    stream_versions = make_stream_versions(origins)
     stream_versions.find_origin(job)
     stream_versions.record_first_event(job, make_upstream("u", software_version=OLD))
     assert accepted(stream_versions, job) == [OLD, NEW, None]
@@ -91,12 +100,14 @@
 
 
 def test_new_streams_do_not_begin_at_a_version_that_may_not_begin_any():
-    stream_versions = StreamVersions(FakeOrigins(barred=(NEW,)))
+    stream_versions = make_stream_versions(FakeOrigins(barred=(NEW,)))
     assert accepted(stream_versions, make_job()) == [OLD, None]
 
 
 def test_stream_goes_on_at_a_version_that_may_not_begin_any():
-    stream_versions = StreamVersions(FakeOrigins(StreamOrigin(NEW), barred=(NEW,)))
+    stream_versions = make_stream_versions(
+        FakeOrigins(StreamOrigin(NEW), barred=(NEW,))
+    )
     job = make_job(is_resumption=True)
     stream_versions.find_origin(job)
     assert accepted(stream_versions, job) == [NEW]
@@ -105,7 +116,7 @@
 @pytest.mark.parametrize("version", [OLD, None])
 def test_stream_taken_up_goes_on_at_the_version_that_began_it(version):
     origins, job = FakeOrigins(StreamOrigin(version)), make_job(is_resumption=True)
-    stream_versions = StreamVersions(origins)
+    stream_versions = make_stream_versions(origins)
     stream_versions.find_origin(job)
     assert origins.asked == [("llm", "id-0")]
     assert accepted(stream_versions, job) == [version]
@@ -115,14 +126,29 @@
     assert origins.begun == []
 
 
+@pytest.mark.parametrize("required", [None, StreamVersion(OLD)])
+def test_event_of_an_upstream_that_changed_its_version_is_not_relayed(required):
+    origins, job = FakeOrigins(), make_job()
+    job.stream_version = required
+    stream_versions = make_stream_versions(
+        origins, make_upstream("u", 2, software_version=NEW)
+    )
+    with pytest.raises(ResponseBroken):
+        stream_versions.record_first_event(
+            job, make_upstream("u", 1, software_version=OLD)
+        )
+    assert job.stream_version is required
+    assert origins.begun == []
+
+
 def test_new_stream_asks_for_no_origin():
     origins = FakeOrigins()
-    StreamVersions(origins).find_origin(make_job())
+    make_stream_versions(origins).find_origin(make_job())
     assert origins.asked == []
 
 
 def test_stream_that_any_version_may_go_on_with_stays_at_the_first_one_chosen():
-    stream_versions = StreamVersions(FakeOrigins(ANY))
+    stream_versions = make_stream_versions(FakeOrigins(ANY))
     job = make_job(is_resumption=True)
     stream_versions.find_origin(job)
     assert accepted(stream_versions, job) == [OLD, NEW, None]
@@ -132,7 +158,7 @@
 
 def test_stream_of_unknown_origin_is_refused_with_a_retry_time():
     with pytest.raises(Refusal) as refused:
-        StreamVersions(FakeOrigins()).find_origin(make_job(is_resumption=True))
+        make_stream_versions(FakeOrigins()).find_origin(make_job(is_resumption=True))
     assert refused.value.reason is Reason.STREAM_ORIGIN_UNKNOWN
     assert refused.value.reason.status == 503
     assert refused.value.retry_after > 0
