--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -6,7 +6,6 @@
 """
 
 from math import inf
-from random import uniform
 
 from mulberryhub.base.logs import module_logger
 from mulberryhub.fleet.records import Removal
@@ -15,6 +14,7 @@
 from mulberryhub.forward.delay import event_timeout, is_too_late
 from mulberryhub.forward.exchange import Exchange
 from mulberryhub.forward.refusal import Reason, Refusal
+from mulberryhub.forward.refusals import Refusals
 from mulberryhub.forward.work import estimate_work
 from mulberryhub.http.messages import (
     ConnectionFailed,
@@ -31,9 +31,6 @@
 # upstreams more time.
 HEAD_TIMEOUT_DELAYS = 2
 MIN_HEAD_TIMEOUT_SHARE = 0.45  # of the time left, where another attempt may follow
-MIN_RETRY_AFTER_MS = 100
-MAX_RETRY_AFTER_MS = 400
-MIN_BUSY_RETRY_AFTER_MS = 200
 MAX_PERMIT_WAIT_MS = 150  # after which no further upstream is tried for a permit
 MIN_SERVER_ERROR_STATUS = 500
 MAX_LOGGED_PARTS = 16  # of one request
@@ -49,6 +46,7 @@
     __slots__ = (
         "_dialect",
         "_selector",
+        "_refusals",
         "_pool",
         "_loads",
         "_connect_health",
@@ -57,6 +55,7 @@
         "_rate_limits",
         "_quarantine",
         "_remaining_time",
+        "_stream_versions",
         "_budget",
         "_fleet_state",
         "_cache_directives",
@@ -76,6 +75,7 @@
         rate_limits,
         quarantine,
         remaining_time,
+        stream_versions,
         budget,
         fleet_state,
         cache_directives,
@@ -84,6 +84,7 @@
     ):
         self._dialect = dialect
         self._selector = selector
+        self._refusals = Refusals(selector, stream_versions)
         self._pool = pool
         self._loads = loads
         self._connect_health = connect_health
@@ -92,6 +93,7 @@
         self._rate_limits = rate_limits
         self._quarantine = quarantine
         self._remaining_time = remaining_time
+        self._stream_versions = stream_versions
         self._budget = budget
         self._fleet_state = fleet_state
         self._cache_directives = cache_directives
@@ -107,12 +109,16 @@
             if exchange is None:
                 connect_failures += 1
                 if connect_failures >= MAX_CONNECT_FAILURES:
-                    raise self._final_refusal(job)
+                    raise self._refusals.final(job)
                 continue
             if self._has_usable_answer(job, exchange):
                 return exchange
             if not job.may_run_again or job.sends >= MAX_SENDS:
-                raise self._final_refusal(job)
+                raise self._refusals.final(job)
+
+    def record_first_event(self, job, exchange):
+        """Record that the first event of an answer arrived, before it is relayed."""
+        self._stream_versions.record_first_event(job, exchange.attempt.upstream)
 
     def record_broken_answer(self, job, exchange, error):
         """Record that an answer broke off.
@@ -140,6 +146,7 @@
             job.service,
             job.tried_ids | excluded_ids,
             job.flow,
+            self._stream_versions.filter_for(job),
         )
 
     def _choose(self, job):
@@ -150,7 +157,8 @@
         if job.sends and not self._budget.try_spend(job.service.name):
             self._counters.add("retry.no_budget")
             self._rate_limits.put_back(choice.upstream, job.flow)
-            raise self._final_refusal(job)
+            raise self._refusals.final(job)
+        self._stream_versions.record_chosen(job, choice.upstream)
         return choice
 
     def _place_with_permit(self, job):
@@ -160,10 +168,10 @@
         while True:
             choice = self._place(job, denied_ids)
             if choice is None:
-                raise self._no_upstream_refusal(job)
+                raise self._refusals.no_upstream(job)
             if is_too_late(job, choice.delay):
                 self._counters.add("refusal.delay")
-                raise self._too_late_refusal(job, choice.delay)
+                raise self._refusals.too_late(job, choice.delay)
             if self._rate_limits.try_take(choice.upstream, job.flow, deadline):
                 return choice
             denied_ids.add(choice.upstream.id)
@@ -173,7 +181,7 @@
             self._quarantine.check(job)
         except Refusal:
             if job.runs:
-                raise self._final_refusal(job)
+                raise self._refusals.final(job)
             raise
 
     def _open(self, job, choice):
@@ -215,6 +223,7 @@
             upstream=choice.upstream.id,
             version=choice.version,
             superseded_ms=self._superseded_ms(job.call.model, choice.version),
+            software_version=choice.upstream.software_version,
             delay_ms=round(choice.delay),
             time_left_ms=attempt.time_left,
             after_event=None
@@ -360,43 +369,3 @@
             runs=job.runs,
             sends=job.sends,
         )
-
-    def _no_upstream_refusal(self, job):
-        if job.sends:
-            return self._final_refusal(job)
-        reason = Reason.NO_UPSTREAM
-        if self._selector.is_limited(job.service):
-            reason = Reason.UPSTREAMS_LIMITED
-        return Refusal(reason, self._retry_after(job))
-
-    def _too_late_refusal(self, job, delay):
-        """Return the Refusal of a job whose answer would be too late."""
-        if job.runs:
-            return self._final_refusal(job)
-        retry_after = uniform(
-            MIN_BUSY_RETRY_AFTER_MS, max(MIN_BUSY_RETRY_AFTER_MS, delay)
-        )
-        return Refusal(Reason.UPSTREAMS_FULL, retry_after)
-
-    def _final_refusal(self, job):
-        """Return the Refusal that ends a job.
-
-        It states that the request has not run only if that is true.
-        """
-        if job.runs:
-            return Refusal(
-                job.failure_reason
-                if _is_upstream_failure(job)
-                else Reason.UPSTREAM_FAILED
-            )
-        return Refusal(job.failure_reason or Reason.NO_UPSTREAM, self._retry_after(job))
-
-    def _retry_after(self, job):
-        """Return the time in ms after which an upstream may accept the request."""
-        retry_after = uniform(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
-        time_until_open = self._selector.time_until_open(job.service, job.flow)
-        return retry_after if time_until_open is None else time_until_open + retry_after
-
-
-def _is_upstream_failure(job):
-    return job.failure_reason in (Reason.UPSTREAM_FAILED, Reason.UPSTREAM_SILENT)
--- a/libs/forward/src/mulberryhub/forward/refusal.py
+++ b/libs/forward/src/mulberryhub/forward/refusal.py
@@ -22,6 +22,8 @@
     OUT_OF_TIME = ("out_of_time", 503)
     QUARANTINED = ("quarantined", 503)
     STOPPING = ("stopping", 503)
+    STREAM_VERSION_GONE = ("stream_version_gone", 503)
+    STREAM_ORIGIN_UNKNOWN = ("stream_origin_unknown", 503)
     UPSTREAM_FAILED = ("upstream_failed", 502)
     UPSTREAM_SILENT = ("upstream_silent", 504)
     STOPPED = ("stopped", 504)
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -8,6 +8,7 @@
 from mulberryhub.fleet.removals import DelayedRemovals
 from mulberryhub.fleet.sources import SourceSelector
 from mulberryhub.fleet.state import FleetState, Topic
+from mulberryhub.fleet.stream_origins import StreamOrigins
 from mulberryhub.fleet.subscription import Subscription
 from mulberryhub.forward.attempts import AttemptRunner
 from mulberryhub.forward.availability import UpstreamAvailability
@@ -20,7 +21,7 @@
 from mulberryhub.forward.relay import Relay
 from mulberryhub.forward.remaining_time import RemainingTime
 from mulberryhub.forward.selection import UpstreamSelector
-from mulberryhub.http.inbound import RequestLimits
+from mulberryhub.forward.stream_versions import StreamVersions
 from mulberryhub.http.pool import ConnectionPool
 from mulberryhub.http.server import HttpServer
 from mulberryhub.node.coordination import (
@@ -32,6 +33,7 @@
 from mulberryhub.node.metrics import metrics_server
 from mulberryhub.node.naming_times import NamingTimesSaver
 from mulberryhub.node.readiness import readiness_server
+from mulberryhub.node.request_limits import request_limits
 from mulberryhub.node.router import Router, RouterParts
 from mulberryhub.node.topics import topic_plans
 from mulberryhub.node.verdicts import verdict_saver
@@ -46,13 +48,6 @@
 LEASE_NAME = "orders"
 LEASE_DURATION_MS = 2_000
 LEASE_MARGIN_MS = 300  # tolerated clock drift between routers in one duration
-# Used until the first configuration is read.
-DEFAULT_REQUEST_LIMITS = RequestLimits(
-    max_header_bytes=16_384,
-    max_body_bytes=4_194_304,
-    header_timeout_ms=3_000,
-    idle_timeout_ms=15_000,
-)
 
 
 def build_router(settings, ports, counters, clock):
@@ -132,6 +127,8 @@
         clock,
     )
     parts.remaining_time = RemainingTime(clock)
+    stream_origins = StreamOrigins(fleet_state, clock)
+    stream_versions = StreamVersions(stream_origins, fleet_state)
     attempt_runner = AttemptRunner(
         ports.dialect,
         selector,
@@ -143,6 +140,7 @@
         rate_limits,
         quarantine,
         parts.remaining_time,
+        stream_versions,
         retry_budget,
         fleet_state,
         cache_directives,
@@ -151,12 +149,20 @@
     )
     relay = Relay(attempt_runner, clock)
     parts.forwarder = Forwarder(
-        fleet_state, ports.dialect, quotas, demand, retry_budget, relay, clock, counters
+        fleet_state,
+        ports.dialect,
+        quotas,
+        demand,
+        retry_budget,
+        stream_versions,
+        relay,
+        clock,
+        counters,
     )
     parts.front_server = HttpServer(
         settings.front_address,
         parts.forwarder.handle,
-        lambda: _request_limits(fleet_state),
+        lambda: request_limits(fleet_state),
         clock,
     )
 
@@ -288,12 +294,3 @@
         clock,
         counters,
     )
-
-
-def _request_limits(fleet_state):
-    if fleet_state.configuration is None:
-        return DEFAULT_REQUEST_LIMITS
-    limits = fleet_state.configuration.limits
-    return RequestLimits(
-        limits.header_bytes, limits.body_bytes, limits.header_time, limits.idle_time
-    )
