Remember at every router which software version began a stream

Callers got text joined from two software versions: a take-up came at a router that did not begin the stream, or after all routers had died, and went to any upstream. The belief on a stream ended with the process that held it, and no other router had it.

StreamOrigins keeps it. Each router remembers the streams that it began. A version is marked in a keyed topic of the store before streams begin on it, so a router that starts knows which versions streams may have; while there is one, any upstream may go on and the store is not called. While there are several, routers tell each other the streams in a log, in batches. What is not known is refused.

Nothing calls it for requests yet: choosing upstreams by it is a change of its own.

Ruled out: marks beside the members' records, as the removal of a mark depends on nothing having been written since, which registrations after a restart of all would foil, and earlier builds log a line for each unknown record. One record with a list of versions: two routers that add one lose one; each version has a record of its own. Removing a mark in one step: a removal that arrives late would take the mark of a version that is back.

The stand-in of the store showed that a listing gives all records the present era, so marks hold the era in which they were written.

--- /dev/null
+++ b/libs/fleet/src/mulberryhub/fleet/origin_log.py
@@ -0,0 +1,124 @@
+"""Reads and writes the log of the versions on which streams began."""
+
+from collections import deque
+
+import msgspec
+
+from mulberryhub.base.green import Semaphore
+from mulberryhub.base.logs import module_logger
+from mulberryhub.external.log import LogUnavailable, OffsetExpired
+from mulberryhub.fleet.begun_streams import StreamBatch
+from mulberryhub.fleet.store import era_of
+
+STREAM_NAME = "stream-origins"
+PAGE_RECORD_COUNT = 10_000
+MAX_PAGE_COUNT = 100
+
+log = module_logger(__name__)
+
+
+class ReadBatch:
+    """A StreamBatch that was read at `at` (ms)."""
+
+    __slots__ = ("batch", "at")
+
+    def __init__(self, batch, at):
+        self.batch = batch
+        self.at = at
+
+
+class OriginLog:
+    """The streams that all routers told; `client` is the log client of the platform.
+
+    `on_lost()` is called if the log came back from an older copy. Calls raise
+    LogUnavailable.
+    """
+
+    __slots__ = (
+        "_client",
+        "_on_lost",
+        "_clock",
+        "_batches",
+        "_position",
+        "_era",
+        "_lock",
+        "_started_reads",
+        "_last_complete_read",
+    )
+
+    def __init__(self, client, on_lost, clock):
+        self._client = client
+        self._on_lost = on_lost
+        self._clock = clock
+        self._batches = deque()
+        self._position = 0
+        self._era = None
+        self._lock = Semaphore()
+        self._started_reads = 0
+        self._last_complete_read = 0
+
+    def append(self, batches):
+        """Append StreamBatches."""
+        payloads = [msgspec.msgpack.encode(batch) for batch in batches]
+        self._record_era(self._client.append(STREAM_NAME, payloads)[0])
+
+    def software_versions(self, service, digest):
+        """Return the versions on which a stream began, as far as it has been read."""
+        return {
+            item.batch.software_version
+            for item in self._batches
+            if item.batch.service == service and item.batch.has(digest)
+        }
+
+    def read_new(self):
+        """Read what was appended before this call; callers at one time share reads."""
+        first_useful_read = self._started_reads + 1
+        with self._lock:
+            if self._last_complete_read >= first_useful_read:
+                return
+            self._started_reads += 1
+            self._read_pages()
+            self._last_complete_read = self._started_reads
+
+    def forget_before(self, oldest):
+        """Drop what was read before `oldest` (ms)."""
+        while self._batches and self._batches[0].at < oldest:
+            self._batches.popleft()
+
+    def _read_pages(self):
+        for _ in range(MAX_PAGE_COUNT):
+            page = self._read_page()
+            for record in page.records:
+                self._apply(record)
+            if not page.records or self._position >= page.end:
+                return
+
+    def _read_page(self):
+        """Return the next page; the streams in expired records stay unknown."""
+        try:
+            return self._client.read(STREAM_NAME, self._position, PAGE_RECORD_COUNT)
+        except OffsetExpired as error:
+            self._record_era(error.oldest)
+            self._position = error.oldest
+        try:
+            return self._client.read(STREAM_NAME, self._position, PAGE_RECORD_COUNT)
+        except OffsetExpired as error:
+            raise LogUnavailable(str(error)) from error
+
+    def _apply(self, record):
+        self._position = record.offset + 1
+        try:
+            batch = msgspec.msgpack.decode(record.payload, type=StreamBatch)
+        except msgspec.DecodeError as error:
+            log.warning(
+                "unreadable stream origins", offset=record.offset, reason=str(error)
+            )
+            return
+        self._batches.append(ReadBatch(batch, self._clock.now()))
+
+    def _record_era(self, position):
+        era = era_of(position)
+        if self._era is not None and era > self._era:
+            log.warning("stream origins lost", era_before=self._era, era=era)
+            self._on_lost()
+        self._era = era if self._era is None else max(era, self._era)
--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -124,6 +124,7 @@
     started: int = 0
     slots: int = 0
     versions_by_model: dict[str, int] = {}
+    software_version: str | None = None
 
 
 class Member(msgspec.Struct, frozen=True, tag=True):
--- a/libs/fleet/src/mulberryhub/fleet/state.py
+++ b/libs/fleet/src/mulberryhub/fleet/state.py
@@ -401,6 +401,7 @@
         or known.service != upstream.service
         or known.started != upstream.started
         or known.versions_by_model != upstream.versions_by_model
+        or known.software_version != upstream.software_version
     )
 
 
--- a/libs/node/src/mulberryhub/node/ports.py
+++ b/libs/node/src/mulberryhub/node/ports.py
@@ -10,7 +10,8 @@
     `read_operator(entry)`, `read_upstream(entry)` and `read_member(entry)` return the
     record in an Entry, or None if it has none.
 
-    `log` has the interface of `external.log.LogClient` and is used for leases.
+    `log` has the interface of `external.log.LogClient` and is used for leases and the
+    origins of streams. `software_marks` has that of `fleet.software_marks`.
     `dialect` is a Dialect, which translates requests and answers. `read_report` and
     `send_order` call upstreams that serve models, with the parameters `(upstream)` and
     `(upstream, order)`. `read_cache_events(address, since)` and
@@ -21,6 +22,7 @@
     __slots__ = (
         "store",
         "log",
+        "software_marks",
         "read_operator",
         "read_upstream",
         "read_member",
@@ -36,6 +38,7 @@
         self,
         store,
         log,
+        software_marks,
         read_operator,
         read_upstream,
         read_member,
@@ -48,6 +51,7 @@
     ):
         self.store = store
         self.log = log
+        self.software_marks = software_marks
         self.read_operator = read_operator
         self.read_upstream = read_upstream
         self.read_member = read_member
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -8,6 +8,7 @@
 from mulberryhub.fleet.removals import DelayedRemovals
 from mulberryhub.fleet.sources import SourceSelector
 from mulberryhub.fleet.state import FleetState, Topic
+from mulberryhub.fleet.stream_origins import StreamOrigins
 from mulberryhub.fleet.subscription import Subscription
 from mulberryhub.forward.attempts import AttemptRunner
 from mulberryhub.forward.availability import UpstreamAvailability
@@ -76,6 +77,9 @@
     )
 
     _add_followers(parts, settings, ports, fleet_state, usage_table, counters, clock)
+    parts.stream_origins = StreamOrigins(
+        fleet_state, ports.log, ports.software_marks, _coordination_check(parts), clock
+    )
     coordinate = build_coordinator(parts, usage_table, quotas, clock)
     parts.publisher = Publisher(
         settings.peer_address,
@@ -206,9 +210,10 @@
         )
 
     save_verdict = verdict_saver(ports.store, clock)
+    is_coordinator = _coordination_check(parts)
 
     def save_verdicts():
-        if parts.source_selector.coordinator().name == parts.local_member.name:
+        if is_coordinator():
             for suspect in fleet_state.suspects.quarantined():
                 save_verdict(suspect)
 
@@ -232,6 +237,11 @@
     ]
 
 
+def _coordination_check(parts):
+    """Return the function that returns whether this router coordinates the others."""
+    return lambda: parts.source_selector.coordinator().name == parts.local_member.name
+
+
 def _read_condition(source_selector, removals, topic):
     """Return the function that returns whether this router should read `topic`.
 
--- a/libs/node/src/mulberryhub/node/router.py
+++ b/libs/node/src/mulberryhub/node/router.py
@@ -52,6 +52,7 @@
         parts.source_selector.start()
         parts.coordinator_share.start()
         parts.removals.start()
+        parts.stream_origins.start()
         spawn_service(self._run_registration)
         spawn_service(self._run_expiry)
         parts.front_server.start()
@@ -161,6 +162,7 @@
         "coordinate",
         "followers",
         "removals",
+        "stream_origins",
         "rollout_manager",
         "cache_watcher",
         "forwarder",
