Test that routers mark the versions in service, and write nothing after a restart

Real routers before the stand-in of the store; without the wiring no mark is written. It guards the calls of a calm restart: the end of the topic stays where it was.

--- a/tests/adapter/test_software_marks.py
+++ b/tests/adapter/test_software_marks.py
@@ -1,10 +1,13 @@
 """Marks of software versions and origins of streams in the platform's store."""
 
+from time import sleep
+
 import pytest
 
 from mulberryhub.adapter.keyed_records import keyed_record
 from mulberryhub.adapter.software_marks import MARKS_TOPIC, SoftwareMarks
 from mulberryhub.adapter.store import StoreClient, StoreLog
+from mulberryhub.adapter_standins.fleet import PlatformFleet, wait_until
 from mulberryhub.base.clock import Clock
 from mulberryhub.fleet.begun_streams import StreamBatch, digest_of
 from mulberryhub.fleet.origin_log import OriginLog
@@ -12,6 +15,7 @@
 from mulberryhub.fleet.store import StoreUnavailable
 
 LONG_NAME = "s" * 300
+RESTART_TIME_S = 3  # after which routers have written what they find missing
 
 
 @pytest.fixture
@@ -88,3 +92,37 @@
         assert reader.software_versions("other", digest) == set()
         store.request("POST", "/revert", body=b'{"age": 60, "away": 0}')
     assert losses == ["lost"]
+
+
+def test_routers_mark_the_versions_in_service_and_none_again_after_a_restart(tmp_path):
+    platform = PlatformFleet(tmp_path)
+    marks = SoftwareMarks(StoreClient(platform.store.address))
+
+    def marked_services():
+        return {service for service, _ in marks.read().keys}
+
+    def lines(message):
+        return [
+            line
+            for router in platform.routers
+            for line in router.lines()
+            if line["message"] == message
+        ]
+
+    try:
+        platform.configure()
+        wait_until(lambda: marked_services() == {"llm", "desk"})
+        for router in platform.routers:
+            router.popen.kill()
+            router.popen.wait()
+        end = marks.read().end
+        for router in platform.routers:
+            router.start()
+        wait_until(lambda: all(router.is_ready() for router in platform.routers))
+        wait_until(lambda: len(lines("started")) == 4)
+        sleep(RESTART_TIME_S)
+        assert marks.read().end == end
+        assert not lines("marks of software versions lost")
+        assert not lines("task failed")
+    finally:
+        platform.close()
