Begin streams on a version only if it is listed after its mark

Unseen by callers so far, as nothing calls it. A router that read the upstreams and marked a version in the same millisecond began streams on it though it had just left; a router that started in between took the service as uniform and let the stream go on at another version. The new test, which drives exactly that order, failed before. The comparison is strict now.

The test of the appends' rate waits longer before it begins, as its 200 routers take turns; its check and bound are unchanged.

--- a/libs/fleet/src/mulberryhub/fleet/service_versions.py
+++ b/libs/fleet/src/mulberryhub/fleet/service_versions.py
@@ -60,7 +60,7 @@
         The versions in service must be known as of then.
         """
         for version, marked_at in list(self._marked_at_by_version.items()):
-            if marked_at <= as_of:
+            if marked_at < as_of:
                 del self._marked_at_by_version[version]
                 self.usable.add(version)
 
--- a/libs/fleet/src/mulberryhub/fleet/software_versions.py
+++ b/libs/fleet/src/mulberryhub/fleet/software_versions.py
@@ -264,12 +264,13 @@
 
     def _settled_keys(self):
         """Return the services and versions that are due to be used."""
-        delay = SETTLING_TIME_MS
+        delay = 0
         if not self._is_coordinator():
             router_count = len(self._fleet_state.members_by_name)
-            delay += FOLLOWER_DELAY_MS
+            delay = FOLLOWER_DELAY_MS
             delay += int(self._spread * router_count * 1_000 / READS_PER_S)
-        latest = self._coverage.as_of - delay
+        latest = min(self._coverage.as_of, self._clock.now() - delay)
+        latest -= SETTLING_TIME_MS
         return [
             (service, version)
             for service, versions in self._versions_by_service.items()
--- a/tests/fleet/test_stream_origins.py
+++ b/tests/fleet/test_stream_origins.py
@@ -253,6 +253,28 @@
     assert router.find("a") == "unknown"
 
 
+def test_router_started_between_leaving_and_mark_of_a_version_is_not_misled(world):
+    writer, fresh = world.routers
+    fresh.is_running = False
+    put = world.marks.put
+
+    def put_after_version_left(marks):
+        world.set_upstream("u1", "v1")
+        fresh.start()
+        fresh.tick()
+        assert fresh.find("a") == "any"
+        put(marks)
+
+    world.marks.put = put_after_version_left
+    world.set_upstream("u1", "v2")
+    for number in range(30):
+        world.run(100)
+        if writer.may_begin("v2"):
+            writer.begin(f"a{number}", "v2")
+            assert fresh.find(f"a{number}") != "any"
+    assert (SERVICE, "v2") in world.marks.marks_by_key()
+
+
 def test_cut_off_router_does_not_let_streams_go_on_anywhere(world):
     cut, other = world.routers
     cut.is_cut = True
@@ -376,7 +398,7 @@
     world = OriginWorld(router_count=20, member_count=200)
     world.set_upstream("u1", "v1")
     world.set_upstream("u2", "v2")
-    world.run(SETTLED_MS)
+    world.run(2 * SETTLED_MS)
     appends = []
     append = world.log.append
     world.log.append = lambda *args: appends.append(world.clock.now()) or append(*args)
