Bound the time of a search for the version that began a stream

A take-up would have waited for the store's call timeouts, 0.8 s and more for each of three reads, where the store hangs.

--- a/libs/fleet/src/mulberryhub/fleet/stream_origins.py
+++ b/libs/fleet/src/mulberryhub/fleet/stream_origins.py
@@ -9,7 +9,7 @@
 
 from random import random
 
-from mulberryhub.base.green import sleep
+from mulberryhub.base.green import Timeout, sleep
 from mulberryhub.base.logs import module_logger
 from mulberryhub.base.tasks import spawn_service
 from mulberryhub.external.log import LogUnavailable
@@ -23,6 +23,7 @@
 MIN_APPEND_INTERVAL_MS = 100
 SEARCH_COUNT = 3
 SEARCH_PAUSE_MS = 130  # for a batch of another router that is on its way
+SEARCH_TIMEOUT_MS = 500  # of all searches, if the store is slow
 
 log = module_logger(__name__)
 
@@ -101,7 +102,7 @@
         """Return the StreamOrigin of the stream that an attempt began.
 
         `attempt_id` is None if the client named none that is usable. Raise
-        OriginUnknown. May block for SEARCH_PAUSE_MS between SEARCH_COUNT searches.
+        OriginUnknown. May block for SEARCH_TIMEOUT_MS, 260 ms if the store is fast.
         """
         digest = None if attempt_id is None else digest_of(service, attempt_id)
         self._forget_old()
@@ -109,7 +110,8 @@
         if not known and self._versions.is_uniform(service):
             return StreamOrigin(None, is_any=True)
         if not known and digest is not None:
-            known = self._search(service, digest)
+            with Timeout(SEARCH_TIMEOUT_MS / 1_000, False):
+                known = self._search(service, digest)
         if len(known) != 1:
             raise OriginUnknown(f"{service}: {len(known)} versions known")
         return StreamOrigin(known.pop())
--- a/tests/support/origin_routers.py
+++ b/tests/support/origin_routers.py
@@ -2,13 +2,20 @@
 
 from mulberryhub.base.clock import ManualClock
 from mulberryhub.fleet.records import Member, Removal, Upstream, UpstreamState
+from mulberryhub.fleet.software_versions import (
+    SERVING_AFTER_REMOVAL_MS,
+    SETTLING_TIME_MS,
+)
 from mulberryhub.fleet.state import FleetState, Topic
+from mulberryhub.fleet.stream_lifetime import STREAM_LIFETIME_MS
 from mulberryhub.fleet.stream_origins import OriginUnknown, StreamOrigins
 from tests.support.memory_marks import MemoryMarks
 from tests.support.reverting_log import RevertingLog
 
 SERVICE = "llm"
 TICK_MS = 100
+SETTLED_MS = SETTLING_TIME_MS + 1_500  # with the reading of all routers
+ABSENCE_MS = STREAM_LIFETIME_MS + SERVING_AFTER_REMOVAL_MS
 
 
 class OriginRouter:
@@ -149,3 +156,19 @@
     def set_store_available(self, is_available):
         self.marks.is_unavailable = not is_available
         self.log.is_unavailable = not is_available
+
+
+def settled_world():
+    """Return two routers that have served the version v1 for a while."""
+    world = OriginWorld()
+    world.set_upstream("u1", "v1")
+    world.run(2_000)
+    return world
+
+
+def mixed_world():
+    """Return two routers that serve the versions v1 and v2."""
+    world = settled_world()
+    world.set_upstream("u2", "v2")
+    world.run(SETTLED_MS)
+    return world
