--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -73,6 +73,9 @@
     )
 
     _add_followers(parts, settings, ports, fleet_state, usage_table, counters, clock)
+    parts.stream_origins = StreamOrigins(
+        fleet_state, ports.log, ports.software_marks, _coordination_check(parts), clock
+    )
     coordinate = build_coordinator(parts, usage_table, quotas, clock)
     parts.publisher = Publisher(
         settings.peer_address,
@@ -127,8 +130,7 @@
         clock,
     )
     parts.remaining_time = RemainingTime(clock)
-    stream_origins = StreamOrigins(fleet_state, clock)
-    stream_versions = StreamVersions(stream_origins, fleet_state)
+    stream_versions = StreamVersions(parts.stream_origins, fleet_state)
     attempt_runner = AttemptRunner(
         ports.dialect,
         selector,
@@ -222,9 +224,10 @@
         )
 
     save_verdict = verdict_saver(ports.store, clock)
+    is_coordinator = _coordination_check(parts)
 
     def save_verdicts():
-        if parts.source_selector.coordinator().name == parts.local_member.name:
+        if is_coordinator():
             for suspect in fleet_state.suspects.quarantined():
                 save_verdict(suspect)
 
@@ -248,6 +251,11 @@
     ]
 
 
+def _coordination_check(parts):
+    """Return the function that returns whether this router coordinates the others."""
+    return lambda: parts.source_selector.coordinator().name == parts.local_member.name
+
+
 def _read_condition(source_selector, removals, topic):
     """Return the function that returns whether this router should read `topic`.
 
--- a/libs/node/src/mulberryhub/node/router.py
+++ b/libs/node/src/mulberryhub/node/router.py
@@ -53,6 +53,7 @@
         parts.source_selector.start()
         parts.coordinator_share.start()
         parts.removals.start()
+        parts.stream_origins.start()
         spawn_service(self._run_registration)
         spawn_service(self._run_expiry)
         parts.front_server.start()
@@ -168,6 +169,7 @@
         "coordinate",
         "followers",
         "removals",
+        "stream_origins",
         "rollout_manager",
         "naming_times_saver",
         "cache_watcher",
