--- a/tests/adapter/test_software_versions.py
+++ b/tests/adapter/test_software_versions.py
@@ -4,9 +4,8 @@
 wrong are in the router's own zone, so a router without a rule sends streams to them.
 """
 
-from threading import Thread
-
 import time
+from threading import Thread
 
 import pytest
 
@@ -31,6 +30,7 @@
 )
 
 SERVICE_COUNT = 48  # each test has one, as a router remembers versions that were there
+FIRST_STREAM_TIME_S = 5.0  # until streams begin on a version new in service
 NEVER_BEGUN = "never-begun"
 UNUSABLE_RESUMES = {
     "missing": [],
@@ -248,8 +248,7 @@
     deadline = time.monotonic() + FIRST_STREAM_TIME_S
     while len(versions) < 2 and time.monotonic() < deadline:
         versions |= begin_stream(router, service.path)[1].versions
-    assert versions == {FIRST_STREAM_TIME_S = 5.0  # until streams begin on a version that is new in service
-OLD, NEW}
+    assert versions == {OLD, NEW}
 
 
 def test_request_that_is_no_take_up_ignores_the_attempt_it_names(service, router):
