Give the records of streams a port of their own, without the library of the log

The adapter now provides append and read of these records with the errors that fleet has for its store.

--- a/libs/fleet/src/mulberryhub/fleet/origin_log.py
+++ b/libs/fleet/src/mulberryhub/fleet/origin_log.py
@@ -6,12 +6,9 @@
 
 from mulberryhub.base.green import Semaphore
 from mulberryhub.base.logs import module_logger
-from mulberryhub.external.log import LogUnavailable, OffsetExpired
 from mulberryhub.fleet.begun_streams import StreamBatch
-from mulberryhub.fleet.store import era_of
+from mulberryhub.fleet.store import HistoryLost, StoreUnavailable, era_of
 
-STREAM_NAME = "stream-origins"
-PAGE_RECORD_COUNT = 10_000
 MAX_PAGE_COUNT = 100
 
 log = module_logger(__name__)
@@ -28,10 +25,12 @@
 
 
 class OriginLog:
-    """The streams that all routers told; `client` is the log client of the platform.
+    """The streams that all routers told; `client` reads and writes their records.
 
-    `on_lost()` is called if the log came back from an older copy. Calls raise
-    LogUnavailable.
+    It has `append(payloads)`, which returns a position, and `read(position)`, which
+    returns a page: `records` and the `end` of the log. Both raise StoreUnavailable, as
+    the methods here do, and `read` also HistoryLost. `on_lost()` is called if the log
+    came back from an older copy.
     """
 
     __slots__ = (
@@ -60,7 +59,7 @@
     def append(self, batches):
         """Append StreamBatches."""
         payloads = [msgspec.msgpack.encode(batch) for batch in batches]
-        self._record_era(self._client.append(STREAM_NAME, payloads)[0])
+        self._record_era(self._client.append(payloads))
 
     def software_versions(self, service, digest):
         """Return the versions on which a stream began, as far as it has been read."""
@@ -88,30 +87,32 @@
     def _read_pages(self):
         for _ in range(MAX_PAGE_COUNT):
             page = self._read_page()
-            for record in page.records:
-                self._apply(record)
+            for payload in page.records:
+                self._apply(payload)
             if not page.records or self._position >= page.end:
                 return
 
     def _read_page(self):
         """Return the next page; the streams in expired records stay unknown."""
         try:
-            return self._client.read(STREAM_NAME, self._position, PAGE_RECORD_COUNT)
-        except OffsetExpired as error:
-            self._record_era(error.oldest)
-            self._position = error.oldest
+            return self._client.read(self._position)
+        except HistoryLost as error:
+            self._record_era(error.first)
+            self._position = error.first
         try:
-            return self._client.read(STREAM_NAME, self._position, PAGE_RECORD_COUNT)
-        except OffsetExpired as error:
-            raise LogUnavailable(str(error)) from error
+            return self._client.read(self._position)
+        except HistoryLost as error:
+            raise StoreUnavailable(str(error)) from error
 
-    def _apply(self, record):
-        self._position = record.offset + 1
+    def _apply(self, payload):
+        self._position += 1
         try:
-            batch = msgspec.msgpack.decode(record.payload, type=StreamBatch)
+            batch = msgspec.msgpack.decode(payload, type=StreamBatch)
         except msgspec.DecodeError as error:
             log.warning(
-                "unreadable stream origins", offset=record.offset, reason=str(error)
+                "unreadable stream origins",
+                offset=self._position - 1,
+                reason=str(error),
             )
             return
         self._batches.append(ReadBatch(batch, self._clock.now()))
--- a/libs/fleet/src/mulberryhub/fleet/stream_origins.py
+++ b/libs/fleet/src/mulberryhub/fleet/stream_origins.py
@@ -12,7 +12,6 @@
 from mulberryhub.base.green import Timeout, sleep
 from mulberryhub.base.logs import module_logger
 from mulberryhub.base.tasks import spawn_service
-from mulberryhub.external.log import LogUnavailable
 from mulberryhub.fleet.begun_streams import BegunStreams, digest_of
 from mulberryhub.fleet.origin_log import OriginLog
 from mulberryhub.fleet.software_versions import SoftwareVersions
@@ -49,9 +48,9 @@
 class StreamOrigins:
     """The origins of streams as known to one router.
 
-    `log_client` is the platform's log and `marks` are those of its store, see
-    `software_marks`. `is_coordinator()` returns whether this router coordinates others.
-    `pause(s)` waits between two searches.
+    `stream_records` are the records of the streams, see `origin_log`, and `marks` those
+    of versions, see `software_marks`. `is_coordinator()` returns whether this router
+    coordinates others. `pause(s)` waits between two searches.
     """
 
     __slots__ = (
@@ -67,13 +66,13 @@
     )
 
     def __init__(
-        self, fleet_state, log_client, marks, is_coordinator, clock, pause=sleep
+        self, fleet_state, stream_records, marks, is_coordinator, clock, pause=sleep
     ):
         self._fleet_state = fleet_state
         self._clock = clock
         self._versions = SoftwareVersions(fleet_state, marks, is_coordinator, clock)
         self._begun = BegunStreams()
-        self._log = OriginLog(log_client, self._begun.record_all_untold, clock)
+        self._log = OriginLog(stream_records, self._begun.record_all_untold, clock)
         self._next_append_at = 0
         self._was_mixed = False
         self._is_failing = False
@@ -147,7 +146,7 @@
         self._begun.record_told(digests)
         try:
             self._log.append(batches)
-        except LogUnavailable as error:
+        except StoreUnavailable as error:
             self._begun.record_told(digests, is_told=False)
             log.warning("streams not told", count=len(digests), reason=str(error))
 
@@ -169,7 +168,7 @@
                 self._pause(SEARCH_PAUSE_MS / 1_000)
             try:
                 self._log.read_new()
-            except LogUnavailable as error:
+            except StoreUnavailable as error:
                 log.warning("stream origins not read", reason=str(error))
                 return set()
             known = self._log.software_versions(service, digest)
--- a/libs/node/src/mulberryhub/node/ports.py
+++ b/libs/node/src/mulberryhub/node/ports.py
@@ -10,8 +10,9 @@
     `read_operator(entry)`, `read_upstream(entry)` and `read_member(entry)` return the
     record in an Entry, or None if it has none.
 
-    `log` has the interface of `external.log.LogClient` and is used for leases and the
-    origins of streams. `software_marks` has that of `fleet.software_marks`.
+    `log` has the interface of `external.log.LogClient` and is used for leases.
+    `software_marks` are described in `fleet.software_marks`, and `stream_records` in
+    `fleet.origin_log`.
     `dialect` is a Dialect, which translates requests and answers. `read_report` and
     `send_order` call upstreams that serve models, with the parameters `(upstream)` and
     `(upstream, order)`. `read_cache_events(address, since)` and
@@ -23,6 +24,7 @@
         "store",
         "log",
         "software_marks",
+        "stream_records",
         "read_operator",
         "read_upstream",
         "read_member",
@@ -39,6 +41,7 @@
         store,
         log,
         software_marks,
+        stream_records,
         read_operator,
         read_upstream,
         read_member,
@@ -52,6 +55,7 @@
         self.store = store
         self.log = log
         self.software_marks = software_marks
+        self.stream_records = stream_records
         self.read_operator = read_operator
         self.read_upstream = read_upstream
         self.read_member = read_member
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -77,8 +77,9 @@
     )
 
     _add_followers(parts, settings, ports, fleet_state, usage_table, counters, clock)
+    is_coordinator = _coordination_check(parts)
     parts.stream_origins = StreamOrigins(
-        fleet_state, ports.log, ports.software_marks, _coordination_check(parts), clock
+        fleet_state, ports.stream_records, ports.software_marks, is_coordinator, clock
     )
     coordinate = build_coordinator(parts, usage_table, quotas, clock)
     parts.publisher = Publisher(
--- a/tests/adapter/test_software_marks.py
+++ b/tests/adapter/test_software_marks.py
@@ -6,7 +6,8 @@
 
 from mulberryhub.adapter.keyed_records import keyed_record
 from mulberryhub.adapter.software_marks import MARKS_TOPIC, SoftwareMarks
-from mulberryhub.adapter.store import StoreClient, StoreLog
+from mulberryhub.adapter.store import StoreClient
+from mulberryhub.adapter.stream_records import StreamRecords
 from mulberryhub.adapter_standins.fleet import PlatformFleet, wait_until
 from mulberryhub.base.clock import Clock
 from mulberryhub.fleet.begun_streams import StreamBatch, digest_of
@@ -81,9 +82,9 @@
 
 def test_origins_are_read_back_after_a_revert(store):
     losses = []
-    log = StoreLog(StoreClient(store.address))
-    writer = OriginLog(log, lambda: losses.append("lost"), Clock())
-    reader = OriginLog(StoreLog(StoreClient(store.address)), lambda: None, Clock())
+    records = StreamRecords(StoreClient(store.address))
+    writer = OriginLog(records, lambda: losses.append("lost"), Clock())
+    reader = OriginLog(StreamRecords(StoreClient(store.address)), lambda: None, Clock())
     for attempt_id in ("a", "b"):
         digest = digest_of("llm", attempt_id)
         writer.append([StreamBatch("llm", None, digest)])
--- a/tests/support/origin_routers.py
+++ b/tests/support/origin_routers.py
@@ -1,12 +1,14 @@
 """Routers that share upstreams, marks and a log, for tests of stream origins."""
 
 from mulberryhub.base.clock import ManualClock
+from mulberryhub.external.log import LogUnavailable, OffsetExpired
 from mulberryhub.fleet.records import Member, Removal, Upstream, UpstreamState
 from mulberryhub.fleet.software_versions import (
     SERVING_AFTER_REMOVAL_MS,
     SETTLING_TIME_MS,
 )
 from mulberryhub.fleet.state import FleetState, Topic
+from mulberryhub.fleet.store import HistoryLost, StoreUnavailable
 from mulberryhub.fleet.stream_lifetime import STREAM_LIFETIME_MS
 from mulberryhub.fleet.stream_origins import OriginUnknown, StreamOrigins
 from tests.support.memory_marks import MemoryMarks
@@ -14,10 +16,39 @@
 
 SERVICE = "llm"
 TICK_MS = 100
+MAX_PAGE_RECORD_COUNT = 10_000
 SETTLED_MS = SETTLING_TIME_MS + 1_500  # with the reading of all routers
 ABSENCE_MS = STREAM_LIFETIME_MS + SERVING_AFTER_REMOVAL_MS
 
 
+class MemoryRecords:
+    """The records of streams in the log of `world`, as the adapter provides them."""
+
+    def __init__(self, world):
+        self.world = world
+
+    def append(self, payloads):
+        try:
+            return self.world.log.append("streams", payloads)[0]
+        except LogUnavailable as error:
+            raise StoreUnavailable(str(error)) from error
+
+    def read(self, position):
+        try:
+            page = self.world.log.read("streams", position, MAX_PAGE_RECORD_COUNT)
+        except LogUnavailable as error:
+            raise StoreUnavailable(str(error)) from error
+        except OffsetExpired as error:
+            raise HistoryLost(error.oldest) from error
+        return MemoryPage(page)
+
+
+class MemoryPage:
+    def __init__(self, page):
+        self.records = [record.payload for record in page.records]
+        self.end = page.end
+
+
 class OriginRouter:
     """A router that reads the upstreams of `world` every `read_interval` ms."""
 
@@ -37,7 +68,7 @@
         self.next_read_at = clock.now()
         self.origins = StreamOrigins(
             self.fleet_state,
-            self.world.log,
+            MemoryRecords(self.world),
             self.world.marks,
             lambda: self.world.coordinator is self,
             clock,
