Tell callers when streams begin on a version that is new in service

What callers saw: where all upstreams of a service are replaced at once by others of a new software version, streams begin on it only once all routers know it, some 2.5 s later. Until then each new stream was refused with a Retry-After of 0.1 to 0.4 s, so a client came back into the same refusal and gave up.

The Retry-After is the time until streams are expected to begin now. Begun without that wait was tried (a trial, not kept): a version that is the only one listed was used at once, and test_router_started_between_leaving_and_mark_of_a_version_is_not_misled showed a stream that would be joined from two versions.

The new cases of test_stream_versions and test_software_versions need the new call and can't run on the code before.

--- a/libs/fleet/src/mulberryhub/fleet/software_versions.py
+++ b/libs/fleet/src/mulberryhub/fleet/software_versions.py
@@ -25,6 +25,7 @@
 RETRY_DELAY_MS = 500
 MAX_UNRELIABLE_READS = 4  # before any router restores the marks
 MEMORY_MS = 600_000  # of versions that left
+USE_TIME_MS = 2_500  # from the first sight of a version until streams begin on it
 
 log = module_logger(__name__)
 
@@ -91,6 +92,14 @@
             return versions.first_seen_by_version.keys() == {version}
         return version in versions.usable
 
+    def time_until_begin(self, service):
+        """Return the ms after which streams are expected to begin on a new version."""
+        versions = self._versions_by_service.get(service)
+        seen = {} if versions is None else versions.first_seen_by_version
+        waiting = [at for version, at in seen.items() if version not in versions.usable]
+        earliest = min(waiting, default=self._clock.now())
+        return max(0, earliest + USE_TIME_MS - self._clock.now())
+
     def is_uniform(self, service):
         """Return whether all streams that clients may take up have one version."""
         self._refresh()
--- a/libs/fleet/src/mulberryhub/fleet/stream_origins.py
+++ b/libs/fleet/src/mulberryhub/fleet/stream_origins.py
@@ -97,6 +97,10 @@
         """Return whether new resumable streams may begin on `software_version`."""
         return self._versions.may_begin(service, software_version)
 
+    def time_until_begin(self, service):
+        """Return the ms after which streams are expected to begin on a new version."""
+        return self._versions.time_until_begin(service)
+
     def find(self, service, attempt_id):
         """Return the StreamOrigin of the stream that an attempt began.
 
--- a/libs/forward/src/mulberryhub/forward/refusals.py
+++ b/libs/forward/src/mulberryhub/forward/refusals.py
@@ -3,7 +3,7 @@
 from random import uniform
 
 from mulberryhub.forward.refusal import Reason, Refusal
-from mulberryhub.forward.stream_versions import final_refusal
+from mulberryhub.forward.stream_versions import accept_all, final_refusal
 
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 400
@@ -57,11 +57,19 @@
     def _retry_after(self, job):
         """Return the time in ms after which an upstream may accept the request."""
         retry_after = uniform(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
-        time_until_open = self._selector.time_until_open(
-            job.service, job.flow, self._stream_versions.filter_for(job)
-        )
+        accepts = self._stream_versions.filter_for(job)
+        if self._waits_for_version(job, accepts):
+            return retry_after + self._stream_versions.time_until_begin(job)
+        time_until_open = self._selector.time_until_open(job.service, job.flow, accepts)
         return retry_after if time_until_open is None else time_until_open + retry_after
 
+    def _waits_for_version(self, job, accepts):
+        """Return whether upstreams are ready, but only of versions that are too new."""
+        if job.stream_version is not None:
+            return False
+        is_ready = self._selector.has_ready(job.service, accept_all)
+        return is_ready and not self._selector.has_ready(job.service, accepts)
+
 
 def _is_upstream_failure(job):
     return job.failure_reason in (Reason.UPSTREAM_FAILED, Reason.UPSTREAM_SILENT)
--- a/libs/forward/src/mulberryhub/forward/stream_versions.py
+++ b/libs/forward/src/mulberryhub/forward/stream_versions.py
@@ -68,6 +68,10 @@
             return accept_all
         return self._begin_filter(job.service.name)
 
+    def time_until_begin(self, job):
+        """Return the ms until `job` may begin, if all ready versions are too new."""
+        return self._origins.time_until_begin(job.service.name)
+
     def record_chosen(self, job, upstream):
         """Keep a stream that any version may go on with at the version chosen first."""
         if job.is_taken_up and job.stream_version is None:
--- a/tests/fleet/test_software_versions.py
+++ b/tests/fleet/test_software_versions.py
@@ -3,6 +3,7 @@
 import pytest
 
 from mulberryhub.fleet.software_marks import SoftwareMark
+from mulberryhub.fleet.software_versions import USE_TIME_MS
 from mulberryhub.fleet.sources import MAX_CURRENT_AGE_MS
 from tests.support.origin_routers import (
     ABSENCE_MS,
@@ -33,6 +34,17 @@
     assert world.routers[1].find("a") == "unknown"
 
 
+def test_time_until_streams_begin_on_a_new_version_runs_down(world):
+    world.set_upstream("u2", "v2")
+    world.run(500)
+    waits = []
+    while not world.routers[0].may_begin("v2"):
+        waits.append(world.routers[0].origins.time_until_begin(SERVICE))
+        world.run(100)
+    assert waits == sorted(waits, reverse=True)
+    assert 1_000 < waits[0] <= USE_TIME_MS
+
+
 def test_version_that_comes_back_is_not_begun_unmarked(world):
     world.set_upstream("u2", "v2")
     world.run(SETTLED_MS)
--- a/tests/forward/attempt_fixture.py
+++ b/tests/forward/attempt_fixture.py
@@ -81,11 +81,16 @@
 
 
 class RememberedOrigins:
-    """The origins of streams that one router began; `versions` are in service."""
+    """The origins of streams that one router began; `versions` are in service.
+
+    Streams may begin on `barred` ones after `time_until_begin(...)` ms.
+    """
 
     def __init__(self, versions):
         self.versions = versions
         self.version_by_attempt = {}
+        self.barred = ()
+        self.wait = 0
 
     def record_begun(self, service, attempt_id, software_version):
         self.version_by_attempt[service, attempt_id] = software_version
@@ -98,7 +103,10 @@
         return StreamOrigin(self.version_by_attempt[service, attempt_id])
 
     def may_begin(self, service, software_version):
-        return True
+        return software_version not in self.barred
+
+    def time_until_begin(self, service):
+        return self.wait
 
 
 class Fixture:
--- a/tests/forward/test_stream_versions.py
+++ b/tests/forward/test_stream_versions.py
@@ -222,3 +222,14 @@
     with pytest.raises(Refusal) as refused:
         fixture.attempt_runner.run(fixture.job)
     assert 2_500 <= refused.value.retry_after <= 3_000
+
+
+@pytest.mark.parametrize("barred, wait", [((NEW,), 2_000), ((), 0)])
+def test_refusal_tells_when_streams_begin_on_a_version_that_is_too_new(barred, wait):
+    fixture = resumable_fixture([NOT_RUN] * 9, (NEW,))
+    fixture.origins.barred = barred
+    fixture.origins.wait = 2_000
+    with pytest.raises(Refusal) as refused:
+        fixture.attempt_runner.run(fixture.job)
+    assert refused.value.reason.status == 503
+    assert wait <= refused.value.retry_after <= wait + 400
