Key begun streams by workspace, too

What could happen: clients choose attempt ids, and one of another workspace that uses the same id replaced what a router remembered of a stream, so that its take-up went on at the wrong software version. The new case fails before.

--- a/libs/forward/src/mulberryhub/forward/stream_versions.py
+++ b/libs/forward/src/mulberryhub/forward/stream_versions.py
@@ -44,7 +44,7 @@
             return
         attempt_id = job.call.resumed_attempt_id
         try:
-            origin = self._origins.find(job.service.name, attempt_id)
+            origin = self._origins.find(job.service.name, _attempt_key(job, attempt_id))
         except OriginUnknown as error:
             raise final_refusal(Reason.STREAM_ORIGIN_UNKNOWN) from error
         log.info(
@@ -91,7 +91,9 @@
         job.stream_version = StreamVersion(upstream.software_version)
         if job.call.id is not None:
             self._origins.record_begun(
-                job.service.name, job.call.id, upstream.software_version
+                job.service.name,
+                _attempt_key(job, job.call.id),
+                upstream.software_version,
             )
 
     def _check_version(self, upstream):
@@ -113,6 +115,13 @@
         return may_begin
 
 
+def _attempt_key(job, attempt_id):
+    """Return the key of an attempt; clients of two workspaces may use one id."""
+    if attempt_id is None or job.workspace is None:
+        return attempt_id
+    return f"{job.workspace.name} {attempt_id}"
+
+
 def final_refusal(reason):
     """Return the Refusal of a stream that cannot go on anywhere."""
     return Refusal(reason, uniform(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS))
--- a/tests/forward/test_stream_versions.py
+++ b/tests/forward/test_stream_versions.py
@@ -3,14 +3,20 @@
 import pytest
 
 from mulberryhub.base.clock import ManualClock
-from mulberryhub.fleet.records import RequestKind
+from mulberryhub.fleet.records import RequestKind, Workspace
 from mulberryhub.fleet.state import FleetState
 from mulberryhub.fleet.stream_origins import OriginUnknown, StreamOrigin
 from mulberryhub.forward.job import Job
 from mulberryhub.forward.refusal import Reason, Refusal
 from mulberryhub.forward.stream_versions import StreamVersion, StreamVersions
 from mulberryhub.http.messages import ResponseBroken
-from tests.forward.attempt_fixture import BROKEN, NOT_RUN, OK, Fixture
+from tests.forward.attempt_fixture import (
+    BROKEN,
+    NOT_RUN,
+    OK,
+    Fixture,
+    RememberedOrigins,
+)
 from tests.forward.fakes import make_call, make_route, make_service, make_upstream
 
 OLD, NEW = "4.1", "4.2"
@@ -233,3 +239,21 @@
         fixture.attempt_runner.run(fixture.job)
     assert refused.value.reason.status == 503
     assert wait <= refused.value.retry_after <= wait + 400
+
+
+def test_stream_is_not_taken_up_by_the_attempt_id_of_another_workspace():
+    origins = RememberedOrigins({OLD, NEW})
+    stream_versions = make_stream_versions(origins)
+    begun = make_job()
+    begun.workspace = Workspace("first", ["key-1"])
+    begun.call.id = "id-0"
+    stream_versions.record_first_event(
+        begun, make_upstream("u", 1, software_version=OLD)
+    )
+    taken_up = make_job(is_resumption=True)
+    taken_up.workspace = Workspace("second", ["key-2"])
+    with pytest.raises(Refusal):
+        stream_versions.find_origin(taken_up)
+    taken_up.workspace = begun.workspace
+    stream_versions.find_origin(taken_up)
+    assert taken_up.stream_version.software_version == OLD
