--- a/libs/fleet/src/mulberryhub/fleet/state.py
+++ b/libs/fleet/src/mulberryhub/fleet/state.py
@@ -31,6 +31,7 @@
     Weights,
 )
 from mulberryhub.fleet.rollout import Rollout
+from mulberryhub.fleet.running_versions import RunningVersions
 from mulberryhub.fleet.suspects import Suspects
 from mulberryhub.fleet.upstream_changes import is_relevant_change, log_upstream
 
@@ -80,7 +81,7 @@
         "_removed_at_by_id",
         "_outdated_filter",
         "_departures",
-        "_versions_by_id",
+        "_running_versions",
         "_unreadable_at",
         "_changes",
         "_rollout_at",
@@ -108,7 +109,7 @@
         self._removed_at_by_id = {}
         self._outdated_filter = OutdatedFilter()
         self._departures = Departures()
-        self._versions_by_id = {}
+        self._running_versions = RunningVersions()
         self._unreadable_at = UNKNOWN_POSITION
         self._changes = ChangeLog()
         self._rollout_at = None
@@ -202,7 +203,9 @@
             return
         self._removed_by_id.pop(upstream.id, None)
         self.upstreams_by_id[upstream.id] = upstream
-        self._update_versions(upstream.id, upstream.started, upstream.versions_by_model)
+        self._running_versions.update(
+            upstream.id, upstream.started, upstream.versions_by_model
+        )
         if known is None or is_relevant_change(known, upstream):
             log_upstream(upstream)
             self._record_and_notify(f"upstream/{upstream.id}", upstream)
@@ -231,7 +234,7 @@
         self._drop_old_removals()
         self._outdated_filter.record_removal(removal, known)
         if self.upstreams_by_id.pop(removal.id, None) is not None:
-            self._versions_by_id.pop(removal.id, None)
+            self._running_versions.drop(removal.id)
             log.info("upstream gone", upstream=removal.id, offset=removal.offset)
         self._record_and_notify(f"upstream/{removal.id}", removal)
 
@@ -308,7 +311,7 @@
         for id, versions in rollout.versions_by_id.items():
             upstream = self.upstreams_by_id.get(id)
             if upstream is not None:
-                self._update_versions(id, upstream.started, versions)
+                self._running_versions.update(id, upstream.started, versions)
         self._record_and_notify()
 
     def is_rolling_out(self):
@@ -326,13 +329,12 @@
         upstream = self.upstreams_by_id.get(id)
         if upstream is None or version <= self.version_at(id, model):
             return
-        self._update_versions(id, upstream.started, {model: version})
+        self._running_versions.update(id, upstream.started, {model: version})
         self._record_and_notify()
 
     def version_at(self, id, model):
         """Return the version of `model` at an upstream, or 0 if unknown."""
-        known = self._versions_by_id.get(id)
-        return 0 if known is None else known.by_model.get(model, 0)
+        return self._running_versions.at(id, model)
 
     def apply(self, record, sender=None):
         """Apply a record of any type; `sender` is the router that sent it, if any."""
@@ -358,14 +360,6 @@
         ranked_members = sorted(local_members, key=lambda member: member.rank)
         self.ranked_by_data_centre[data_centre] = ranked_members
 
-    def _update_versions(self, id, started, versions):
-        known = self._versions_by_id.get(id)
-        if known is None or known.started < started:
-            known = self._versions_by_id[id] = RunningVersions(started)
-        for model, version in versions.items():
-            if version > known.by_model.get(model, 0):
-                known.by_model[model] = version
-
     def _drop_old_removals(self):
         oldest = self._clock.now() - REMOVAL_RETENTION_MS
         for id, removed_at in list(self._removed_at_by_id.items()):
@@ -387,16 +381,6 @@
         changed.send()
 
 
-class RunningVersions:
-    """The highest weights versions reported by one incarnation of an upstream."""
-
-    __slots__ = ("started", "by_model")
-
-    def __init__(self, started):
-        self.started = started
-        self.by_model = {}
-
-
 def _suspect_key(fingerprint):
     return f"suspect/{fingerprint}"
 
