--- a/libs/fleet/src/mulberryhub/fleet/running_versions.py
+++ b/libs/fleet/src/mulberryhub/fleet/running_versions.py
@@ -1,4 +1,4 @@
-"""The weights versions that upstreams reported, as entries, answers and rollouts tell."""
+"""The weights versions that upstreams run, by entries, answers and rollouts."""
 
 
 class IncarnationVersions:
