Leave the age of a naming unknown after a start, whatever was read before

What could happen: a version named while all routers are down counted as named when the first of them had read an older one, as the topic had never been current then; old weights were used for the whole limit from the start on.

The fallback is gone: without a time at which the topic was known, an age is unknown until it is told. Two fixtures mark the topic as read before the second naming, as a reader does, with the same asserts; two existing cases rested on the fallback.

--- a/libs/fleet/src/mulberryhub/fleet/named_weights.py
+++ b/libs/fleet/src/mulberryhub/fleet/named_weights.py
@@ -51,9 +51,6 @@
         told_by_version = {version: now - age for version, age in weights.ages.items()}
         is_news = weights.version > self.newest(weights.model)
         if is_news:
-            if absent_at is None:
-                heard_at = [named.heard_at for named in known.values()]
-                absent_at = max(heard_at, default=None)
             told = told_by_version.get(weights.version)
             known[weights.version] = NamedVersion(_earlier(absent_at, told), now)
         for version, told in told_by_version.items():
--- a/tests/fleet/test_named_weights.py
+++ b/tests/fleet/test_named_weights.py
@@ -42,6 +42,17 @@
     assert fixture.named.time_known_superseded(MODEL, 1) == 1_000
 
 
+@pytest.mark.parametrize("is_name_first", [True, False])
+def test_age_is_unknown_after_a_start_whatever_is_read_first(fixture, is_name_first):
+    times = NamingTimes(MODEL, {2: fixture.clock.wall() - 60_000})
+    if is_name_first:
+        fixture.apply(3)
+    fixture.named.apply_times(times)
+    fixture.clock.advance(50)
+    fixture.apply(3)
+    assert fixture.age(2) == inf
+
+
 def test_unknown_age_of_one_version_is_not_hidden_by_a_later_one(fixture):
     fixture.apply(2)
     fixture.apply(3, absent_for=100)
--- a/tests/fleet/test_state.py
+++ b/tests/fleet/test_state.py
@@ -128,6 +128,7 @@
 def test_superseded_for_returns_time_since_newer_version_was_named():
     fleet_state, clock = make_fleet_state()
     fleet_state.apply(Weights(MODEL, 1))
+    fleet_state.mark_read_up_to(Topic.OPERATOR, 0, clock.now())
     fleet_state.apply(Weights(MODEL, 2))
     clock.advance(500)
     fleet_state.mark_read_up_to(Topic.OPERATOR, 0, clock.now())
--- a/tests/forward/test_selection.py
+++ b/tests/forward/test_selection.py
@@ -4,7 +4,7 @@
 from mulberryhub.base.counters import Counters
 from mulberryhub.fleet.records import UpstreamState, Usage, Weights
 from mulberryhub.fleet.rollout import Rollout
-from mulberryhub.fleet.state import FleetState
+from mulberryhub.fleet.state import FleetState, Topic
 from mulberryhub.forward.availability import UpstreamAvailability
 from mulberryhub.forward.loads import Loads
 from mulberryhub.forward.selection import UNKNOWN_AGE_TIME_MS, UpstreamSelector
@@ -121,6 +121,7 @@
             *[make_upstream(f"old{n}", n + 50, version=1) for n in range(old)],
         )
         fixture.fleet_state.apply(Weights(MODEL, 1))
+        fixture.fleet_state.mark_read_up_to(Topic.OPERATOR, 0, fixture.clock.now())
         fixture.fleet_state.apply(Weights(MODEL, 2))
         return fixture
 
