Take up a stream of a uniform service at its one version only

What could happen: all versions were accepted for a take-up where a service has had one version only, and the stream was kept at the one chosen first. A version first listed between the question and the choice (a wait for a permit, 150 ms) was accepted as well.

The origin names the one version now. The test of the former behaviour is replaced by one that accepts less: the one version, at once.

--- a/libs/fleet/src/mulberryhub/fleet/software_versions.py
+++ b/libs/fleet/src/mulberryhub/fleet/software_versions.py
@@ -107,6 +107,10 @@
             return False
         return len(self._possible(service)) == 1
 
+    def only_version(self, service):
+        """Return the version of all streams of a service that is uniform."""
+        return next(iter(self._possible(service)))
+
     def mixed_services(self):
         """Return the services of which other routers have to know the streams."""
         is_unknown = self._clock.now() < self._unknown_until
--- a/libs/fleet/src/mulberryhub/fleet/stream_origins.py
+++ b/libs/fleet/src/mulberryhub/fleet/stream_origins.py
@@ -34,13 +34,13 @@
 class StreamOrigin:
     """The software version on which a stream began.
 
-    With `is_any`, all upstreams of the service have had one version for as long as a
-    stream lasts, so any of them may go on.
+    With `is_any`, all upstreams of the service have had this version for as long as a
+    stream lasts.
     """
 
     __slots__ = ("software_version", "is_any")
 
-    def __init__(self, software_version=None, is_any=False):
+    def __init__(self, software_version, is_any=False):
         self.software_version = software_version
         self.is_any = is_any
 
@@ -111,7 +111,7 @@
         self._forget_old()
         known = set() if digest is None else self._begun.software_versions(digest)
         if not known and self._versions.is_uniform(service):
-            return StreamOrigin(is_any=True)
+            return StreamOrigin(self._versions.only_version(service), is_any=True)
         if not known and digest is not None:
             with Timeout(SEARCH_TIMEOUT_MS / 1_000, False):
                 known = self._search(service, digest)
--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -158,7 +158,6 @@
             self._counters.add("retry.no_budget")
             self._rate_limits.put_back(choice.upstream, job.flow)
             raise self._refusals.final(job)
-        self._stream_versions.record_chosen(job, choice.upstream)
         return choice
 
     def _place_with_permit(self, job):
--- a/libs/forward/src/mulberryhub/forward/stream_versions.py
+++ b/libs/forward/src/mulberryhub/forward/stream_versions.py
@@ -54,8 +54,7 @@
             software_version=origin.software_version,
             is_any=origin.is_any,
         )
-        if not origin.is_any:
-            job.stream_version = StreamVersion(origin.software_version)
+        job.stream_version = StreamVersion(origin.software_version)
 
     def filter_for(self, job):
         """Return the function that returns whether an upstream may serve `job` now."""
@@ -64,19 +63,12 @@
         if job.stream_version is not None:
             version = job.stream_version.software_version
             return lambda upstream: upstream.software_version == version
-        if job.is_taken_up:
-            return accept_all
         return self._begin_filter(job.service.name)
 
     def time_until_begin(self, job):
         """Return the ms until `job` may begin, if all ready versions are too new."""
         return self._origins.time_until_begin(job.service.name)
 
-    def record_chosen(self, job, upstream):
-        """Keep a stream that any version may go on with at the version chosen first."""
-        if job.is_taken_up and job.stream_version is None:
-            job.stream_version = StreamVersion(upstream.software_version)
-
     def record_first_event(self, job, upstream):
         """Record the upstream that sent the first event, before the client gets it.
 
--- a/tests/forward/attempt_fixture.py
+++ b/tests/forward/attempt_fixture.py
@@ -97,7 +97,7 @@
 
     def find(self, service, attempt_id):
         if len(self.versions) == 1:
-            return StreamOrigin(is_any=True)
+            return StreamOrigin(*self.versions, is_any=True)
         if (service, attempt_id) not in self.version_by_attempt:
             raise OriginUnknown
         return StreamOrigin(self.version_by_attempt[service, attempt_id])
--- a/tests/forward/test_stream_versions.py
+++ b/tests/forward/test_stream_versions.py
@@ -20,7 +20,7 @@
 from tests.forward.fakes import make_call, make_route, make_service, make_upstream
 
 OLD, NEW = "4.1", "4.2"
-ANY = StreamOrigin(is_any=True)
+ANY = StreamOrigin(OLD, is_any=True)
 
 
 class FakeOrigins:
@@ -153,12 +153,10 @@
     assert origins.asked == []
 
 
-def test_stream_that_any_version_may_go_on_with_stays_at_the_first_one_chosen():
+def test_take_up_of_a_uniform_service_accepts_no_version_that_is_new_meanwhile():
     stream_versions = make_stream_versions(FakeOrigins(ANY))
     job = make_job(is_resumption=True)
     stream_versions.find_origin(job)
-    assert accepted(stream_versions, job) == [OLD, NEW, None]
-    stream_versions.record_chosen(job, make_upstream("u", software_version=OLD))
     assert accepted(stream_versions, job) == [OLD]
 
 
