Begin streams at once on the only version that a service ever had

The new case of test_software_versions passes on the code before, too. What remains: all routers killed in the moment before the first mark of a service, and its version gone when they return.

--- a/libs/cli/src/mulberryhub/cli/why.py
+++ b/libs/cli/src/mulberryhub/cli/why.py
@@ -19,6 +19,8 @@
     "stream_origin_unknown": "it is not known which version began its stream",
     "upstreams_limited": "all upstreams had named a rate limit that was used up",
     "quarantined": "upstreams ended while they ran it; this time it was not run",
+    "stopping": "the router was stopping and had no time left for it; it was not run",
+    "stopped": "the router stopped before its answer was complete",
     "out_of_time": "its deadline passed before it could be sent; it was not run",
     "upstream_failed": "an upstream that may have run it failed; see the attempts",
     "upstream_silent": "an upstream that may have run it did not answer in time",
--- a/libs/fleet/src/mulberryhub/fleet/service_versions.py
+++ b/libs/fleet/src/mulberryhub/fleet/service_versions.py
@@ -1,5 +1,7 @@
 """The software versions that the upstreams of one service have or had."""
 
+MARK_RETENTION_MS = 15_000  # for which the mark of a version that left is surely kept
+
 
 class ServiceVersions:
     """Versions of one service, as far as this router has seen them.
@@ -11,6 +13,7 @@
     __slots__ = (
         "first_seen_by_version",
         "usable",
+        "_usable_until_by_version",
         "_marked_at_by_version",
         "_last_seen_by_version",
     )
@@ -18,6 +21,7 @@
     def __init__(self):
         self.first_seen_by_version = {}
         self.usable = set()
+        self._usable_until_by_version = {}
         self._marked_at_by_version = {}
         self._last_seen_by_version = {}
 
@@ -27,9 +31,13 @@
             del self.first_seen_by_version[version]
             self._last_seen_by_version[version] = now
             self._marked_at_by_version.pop(version, None)
-        for version in in_service:
-            self.first_seen_by_version.setdefault(version, now)
+            if version in self.usable:
+                self._usable_until_by_version[version] = now + MARK_RETENTION_MS
         self.usable &= in_service
+        for version in in_service - self.first_seen_by_version.keys():
+            self.first_seen_by_version[version] = now
+            if now < self._usable_until_by_version.pop(version, now):
+                self.usable.add(version)
 
     def record_possible(self, version, now):
         """Record that streams may have begun on `version` up to `now` (ms)."""
@@ -51,6 +59,7 @@
     def record_unmarked(self, versions):
         """Record which of the versions in service have no open mark."""
         self.usable -= versions
+        self._usable_until_by_version.clear()
         for version in versions:
             self._marked_at_by_version.pop(version, None)
 
--- a/libs/fleet/src/mulberryhub/fleet/software_versions.py
+++ b/libs/fleet/src/mulberryhub/fleet/software_versions.py
@@ -83,14 +83,19 @@
         """Return whether new streams may begin at upstreams of `version`.
 
         While the store has given no answer since this process started, they may where
-        a service has one version only.
+        a service has one version only. So they may where no other one was ever known,
+        in the moment until that one is marked.
         """
+        self._refresh()
         versions = self._versions_by_service.get(service)
         if versions is None:
             return False
         if self._may_begin_unmarked:
             return versions.first_seen_by_version.keys() == {version}
-        return version in versions.usable
+        if version in versions.usable:
+            return True
+        is_settled = self._is_informed and self._is_covered()
+        return is_settled and versions.is_only(version)
 
     def time_until_begin(self, service):
         """Return the ms after which streams are expected to begin on a new version."""
--- a/tests/fleet/test_software_versions.py
+++ b/tests/fleet/test_software_versions.py
@@ -60,6 +60,17 @@
     assert (SERVICE, "v1") in world.marks.marks_by_key()
 
 
+def test_only_version_of_a_service_is_begun_at_once_and_when_it_comes_back(world):
+    router = world.routers[0]
+    world.remove_upstream("u1")
+    world.run(5_000)
+    world.set_upstream("u2", "v1")
+    while not router.versions_in_view():
+        router.tick()
+        world.clock.advance(10)
+    assert router.may_begin("v1")
+
+
 def test_version_back_within_a_lifetime_keeps_service_mixed(mixed):
     mixed.remove_upstream("u1")
     mixed.run(ABSENCE_MS - 2_000)
