Let a read of the log of streams go on if its callers give up

What callers would see: take-ups refused for as long as they keep coming, while the store is slow. Each search read the log within its own time limit and under a lock, so that the next one in turn had only its last ms left, broke the read off, and the next began it anew.

One task reads for all callers now, and the next read serves those that came during it. test_read_goes_on_though_its_caller_gives_up fails before; the other new case passes on both.

--- a/libs/fleet/src/mulberryhub/fleet/origin_log.py
+++ b/libs/fleet/src/mulberryhub/fleet/origin_log.py
@@ -4,8 +4,9 @@
 
 import msgspec
 
-from mulberryhub.base.green import Semaphore
+from mulberryhub.base.green import Event
 from mulberryhub.base.logs import module_logger
+from mulberryhub.base.tasks import spawn_task
 from mulberryhub.fleet.begun_streams import StreamBatch
 from mulberryhub.fleet.store import HistoryLost, StoreUnavailable, era_of
 
@@ -40,9 +41,8 @@
         "_batches",
         "_position",
         "_era",
-        "_lock",
-        "_started_reads",
-        "_last_complete_read",
+        "_running_read",
+        "_next_read",
     )
 
     def __init__(self, client, on_lost, clock):
@@ -52,9 +52,8 @@
         self._batches = deque()
         self._position = 0
         self._era = None
-        self._lock = Semaphore()
-        self._started_reads = 0
-        self._last_complete_read = 0
+        self._running_read = None
+        self._next_read = None
 
     def append(self, batches):
         """Append StreamBatches."""
@@ -70,20 +69,40 @@
         }
 
     def read_new(self):
-        """Read what was appended before this call; callers at one time share reads."""
-        first_useful_read = self._started_reads + 1
-        with self._lock:
-            if self._last_complete_read >= first_useful_read:
-                return
-            self._started_reads += 1
-            self._read_pages()
-            self._last_complete_read = self._started_reads
+        """Read what was appended before this call; callers at one time share reads.
+
+        A read goes on if the callers that wait for it give up.
+        """
+        if self._next_read is None:
+            self._next_read = Event()
+        read = self._next_read
+        if self._running_read is None:
+            self._start_next_read()
+        error = read.wait()
+        if error is not None:
+            raise StoreUnavailable(str(error)) from error
 
     def forget_before(self, oldest):
         """Drop what was read before `oldest` (ms)."""
         while self._batches and self._batches[0].at < oldest:
             self._batches.popleft()
 
+    def _start_next_read(self):
+        self._running_read, self._next_read = self._next_read, None
+        spawn_task(self._run_read, self._running_read)
+
+    def _run_read(self, read):
+        error = None
+        try:
+            self._read_pages()
+        except StoreUnavailable as failure:
+            error = failure
+        finally:
+            self._running_read = None
+            read.send(error)
+            if self._next_read is not None:
+                self._start_next_read()
+
     def _read_pages(self):
         for _ in range(MAX_PAGE_COUNT):
             page = self._read_page()
