Let an age that a router knows replace one taken from a wall clock

What could happen: a router that starts reads the times of namings in the store before it hears other routers, and the first age that it had was kept. A clock that was wrong then decided how long old weights were used although a running router knew the age. Found by a review.

Ages from the store are estimates now: they are not told to others, and one that a router tells replaces them. The new case fails before (a unit test of the review did).

--- a/libs/fleet/src/mulberryhub/fleet/named_weights.py
+++ b/libs/fleet/src/mulberryhub/fleet/named_weights.py
@@ -16,14 +16,25 @@
 class NamedVersion:
     """A named version: it was named after `named_after` ms and heard of at `heard_at`.
 
-    `named_after` is None if it is unknown.
+    `named_after` is None if it is unknown. It is estimated if it was taken from a wall
+    clock, which may be wrong.
     """
 
-    __slots__ = ("named_after", "heard_at")
+    __slots__ = ("named_after", "heard_at", "is_estimated")
 
     def __init__(self, named_after, heard_at):
         self.named_after = named_after
         self.heard_at = heard_at
+        self.is_estimated = False
+
+    def learn(self, named_after, is_estimated):
+        """Take over a time if none better is known; return whether it was."""
+        is_better = self.is_estimated and not is_estimated
+        if self.named_after is not None and not is_better:
+            return False
+        self.named_after = named_after
+        self.is_estimated = is_estimated
+        return True
 
 
 class NamedWeights:
@@ -40,7 +51,7 @@
         """Return the newest named version of `model`, or 0 without any."""
         return max(self._versions_by_model.get(model, ()), default=0)
 
-    def apply(self, weights, absent_at):
+    def apply(self, weights, absent_at, is_estimated=False):
         """Apply a record; return whether it told anything new.
 
         `absent_at` is the last time in ms at which newer versions than the known ones
@@ -55,9 +66,7 @@
             known[weights.version] = NamedVersion(_earlier(absent_at, told), now)
         for version, told in told_by_version.items():
             named = known.setdefault(version, NamedVersion(None, now))
-            if named.named_after is None:
-                named.named_after = told
-                is_news = True
+            is_news |= named.learn(told, is_estimated)
         for version in sorted(known)[:-MAX_VERSION_COUNT]:
             del known[version]
         return is_news
@@ -85,12 +94,15 @@
         return self._clock.now() - min(named.heard_at for named in newer)
 
     def with_ages(self, weights):
-        """Return `weights` with the present ages of the versions of its model."""
+        """Return `weights` with the present ages of the versions of its model.
+
+        Estimated ones are left out: each router takes them from the store itself.
+        """
         known = self._versions_by_model.get(weights.model, {})
         ages = {
             version: self._clock.now() - named.named_after
             for version, named in known.items()
-            if named.named_after is not None
+            if named.named_after is not None and not named.is_estimated
         }
         return Weights(weights.model, weights.version, ages)
 
@@ -112,7 +124,8 @@
             version: max(0, wall - named_at)
             for version, named_at in times.named_at_by_version.items()
         }
-        return self.apply(Weights(times.model, self.newest(times.model), ages), None)
+        known = Weights(times.model, self.newest(times.model), ages)
+        return self.apply(known, None, is_estimated=True)
 
     def record_stored(self, times):
         """Record that `times` are in the store."""
--- a/tests/fleet/test_named_weights.py
+++ b/tests/fleet/test_named_weights.py
@@ -120,6 +120,16 @@
     assert fixture.age(1) == 0
 
 
+def test_age_that_a_router_tells_replaces_one_of_a_wall_clock(fixture):
+    fixture.named.apply_times(NamingTimes(MODEL, {2: fixture.clock.wall()}))
+    fixture.apply(2)
+    assert fixture.named.records() == [Weights(MODEL, 2)]
+    assert fixture.apply(2, v2=11_000)
+    assert fixture.age(1) == 11_000
+    fixture.named.apply_times(NamingTimes(MODEL, {2: fixture.clock.wall()}))
+    assert fixture.age(1) == 11_000
+
+
 def test_only_the_newest_versions_are_kept(fixture):
     for version in range(1, MAX_VERSION_COUNT * 2):
         fixture.apply(version, absent_for=0)
