Drop updates that waited while the machine slept

What could happen: after a suspension, updates of another router that had waited in the socket were taken for fresh, as the limit on its silence runs on a clock that does not count the sleep. Data seemed current that were seconds old, and the age of a naming too short by as much. Found by a review; a process that is only stopped closes the connection by its own limit.

A gap between two messages on the clock that counts the sleep ends the connection before the message is applied. The new case fails before.

--- a/libs/fleet/src/mulberryhub/fleet/subscription.py
+++ b/libs/fleet/src/mulberryhub/fleet/subscription.py
@@ -21,6 +21,7 @@
 REPEATED_SLOT_COUNT = 4  # newest slots, sent each time as they may still change
 MAX_UNACKED_REPORT_COUNT = 100  # kept until the publisher acknowledges them
 PUBLISHER_TIMEOUT_MS = 1_300  # without messages, after which the connection is closed
+MAX_MESSAGE_GAP_MS = 1_500  # between messages, after which they may be old
 
 log = module_logger(__name__)
 
@@ -107,9 +108,14 @@
                 return
             self._channel.send(self._make_hello())
             spawn_task(self._report_loop)
+            received_at = self._clock.now()
             while not self.ended:
                 with Timeout(PUBLISHER_TIMEOUT_MS / 1000, ChannelError("silent")):
                     message = self._channel.receive()
+                # The timeout does not count the ms in which the machine slept.
+                if self._clock.now() - received_at > MAX_MESSAGE_GAP_MS:
+                    raise ChannelError("old messages")
+                received_at = self._clock.now()
                 if isinstance(message, ReportAck):
                     self._apply_ack(message.number)
                 elif isinstance(message, Update):
--- a/tests/fleet/test_exchange.py
+++ b/tests/fleet/test_exchange.py
@@ -21,9 +21,17 @@
 WINDOW_MS = 8_000
 
 
+class SleepingClock(Clock):
+    def __init__(self):
+        self.slept = 0
+
+    def now(self):
+        return super().now() + self.slept
+
+
 class Node:
     def __init__(self, name, data_centre="d", admitted=0):
-        self.clock = Clock()
+        self.clock = SleepingClock()
         self.admitted = SlidingSum(WINDOW_MS)
         self.admitted.add(admitted, self.clock.now())
         self.fleet_state = FleetState(self.clock)
@@ -235,3 +243,14 @@
     subscription.close()
     others_subscription.close()
     other.publisher.stop()
+
+
+def test_messages_that_waited_while_the_machine_slept_are_not_applied(pair):
+    leader, follower = pair
+    leader.fleet_state.mark_read_up_to(Topic.OPERATOR, 5, leader.clock.now())
+    subscription = follower.subscribe(leader)
+    wait_until(lambda: follower.fleet_state.age(Topic.OPERATOR) is not None)
+    follower.clock.slept = 9_000
+    leader.fleet_state.mark_read_up_to(Topic.OPERATOR, 6, leader.clock.now())
+    wait_until(lambda: subscription.ended)
+    assert follower.fleet_state.age(Topic.OPERATOR) >= 9_000
