--- a/review/harness/worker.py
+++ b/review/harness/worker.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import socket
+import struct
 import time
 
 from review.harness.http_server import head, respond, start_server
@@ -36,6 +38,7 @@
         self.order_count = 0
         self.highest_fence = -1
         self.state = "ready"
+        self.software_version = "1.0"
         self.address = None
         self.runs = []
         self.arrivals = []
@@ -47,6 +50,7 @@
         self.on_run = None
         self._server = None
         self._task = None
+        self._writers = set()
 
     async def start(self, host="127.0.0.1", port=0):
         """Listen, register and keep registered."""
@@ -56,6 +60,28 @@
         self.register()
         self._task = asyncio.create_task(self._run_heartbeats())
 
+    def crash(self):
+        """End as a process that crashes: all connections are reset."""
+        self._task.cancel()
+        self._server.close()
+        writers, self._writers = self._writers, set()
+        for writer in writers:
+            sock = writer.get_extra_info("socket")
+            if sock is not None and sock.fileno() >= 0:
+                linger = struct.pack("ii", 1, 0)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+
+    async def restart(self, software_version):
+        """Start again under the same id and address, knowing nothing of before."""
+        host, port = self.address.split(":")
+        self.software_version = software_version
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.order_count = 0
+        self.highest_fence = -1
+        await self.start(host, int(port))
+
     def register(self):
         """Write this worker's entry to the store."""
         self.sequence += 1
@@ -66,7 +92,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
-            "version": "1.0",
+            "version": self.software_version,
             "slots": 64,
             "state": self.state,
             "coldRemainingMs": 0,
@@ -84,6 +110,7 @@
                 self.register()
 
     async def _handle(self, request, writer):
+        self._writers.add(writer)
         if request.path == "/api/report":
             respond(writer, 200, json.dumps(self._report()).encode())
             return True
@@ -123,6 +150,7 @@
 
     async def _stream(self, request, writer, headers):
         first = int(request.headers.get("last-event-id", "0")) + 1
+        version = self.software_version
         if self.is_framed:
             headers.append(("Transfer-Encoding", "chunked"))
         else:
@@ -130,7 +158,7 @@
         writer.write(head(200, headers))
         for number in range(first, self.event_count + 1):
             await asyncio.sleep(self.event_gap_s)
-            event = b"id: %d\ndata: token%d\n\n" % (number, number)
+            event = f"id: {number}\ndata: {version} token{number}\n\n".encode()
             if self.is_framed:
                 event = b"%x\r\n%s\r\n" % (len(event), event)
             writer.write(event)
