State the end of every response, so that a killed router's cut shows

Cause: an upstream's answer without a length was passed on without framing, so the close of the client's connection was its end. The kernel closes the connections of a killed process in order, which reads the same. Answers to HTTP/1.0 clients had the same fault, whatever the upstream's framing.

Why it works: a body without a length is chunked, so what a kill cuts has no last chunk. A client of HTTP/1.0 gets the response in one piece with its length, or none of it.

test_unframed_response_ends_with_the_connection demanded the fault; in its place stand three tests that each body states its end or is not begun.

--- a/libs/forward/src/mulberryhub/forward/relay.py
+++ b/libs/forward/src/mulberryhub/forward/relay.py
@@ -116,7 +116,7 @@
     def _start_answer(self, job, exchange, connection, length):
         headers = exchange.head.headers.without_hop_by_hop()
         head = exchange.head
-        connection.start_response(head.status, headers, length, head.is_framed)
+        connection.start_response(head.status, headers, length)
         job.is_answer_started = True
         job.status = head.status
         job.first_byte_ms = self._clock.now() - job.call.request.arrived_at
--- a/libs/http/src/mulberryhub/http/inbound.py
+++ b/libs/http/src/mulberryhub/http/inbound.py
@@ -2,7 +2,13 @@
 
 import h11
 
-from mulberryhub.http.messages import BadRequest, Headers, HttpError, Request
+from mulberryhub.http.messages import (
+    BODILESS_STATUSES,
+    BadRequest,
+    Headers,
+    HttpError,
+    Request,
+)
 from mulberryhub.http.receive_buffer import ReceiveBuffer
 from mulberryhub.http.sockets import close, has_unread_data, reset
 
@@ -11,6 +17,8 @@
 STATUS_REQUEST_TIMEOUT = 408
 STATUS_BAD_REQUEST = 400
 REQUEST_LINE_ALLOWANCE_BYTES = 1_024  # request line and line ends, on top of headers
+MAX_HELD_BODY_BYTES = 1_048_576  # of a response to a client that reads no chunks
+HTTP_1_0 = b"1.0"
 
 
 class RequestLimits:
@@ -38,6 +46,17 @@
         self.idle_timeout_ms = idle_timeout_ms
 
 
+class HeldResponse:
+    """A response that is sent once its whole body is known."""
+
+    __slots__ = ("status", "headers", "body")
+
+    def __init__(self, status, headers):
+        self.status = status
+        self.headers = headers
+        self.body = bytearray()
+
+
 class InboundConnection:
     """Server side of a keep-alive connection that serves one request at a time.
 
@@ -52,6 +71,7 @@
         "_clock",
         "_limits",
         "_http",
+        "_held_response",
     )
 
     def __init__(self, sock, limits, clock):
@@ -66,6 +86,7 @@
             max_incomplete_event_size=limits.max_header_bytes
             + REQUEST_LINE_ALLOWANCE_BYTES,
         )
+        self._held_response = None
         self.receive_buffer.start()
 
     def read_request(self):
@@ -85,31 +106,39 @@
         body = self._read_body()
         return Request(head.method, head.target, headers, body, arrived_at)
 
-    def start_response(self, status, headers, length=None, is_framed=True):
+    def start_response(self, status, headers, length=None):
         """Send the head of the response; without `length` the body is sent chunked.
 
-        With `is_framed=False`, for an upstream response that is delimited by its
-        connection's close, the end of the body is the close of this connection too.
+        Each response states its end: the kernel closes the connections of a killed
+        process in order, so a close must not be the end of a body. An HTTP/1.0 client
+        reads no chunks, so it gets the response with its length, once it is complete.
         """
-        if not is_framed:
-            # h11 leaves a body without framing only for HTTP/1.0 clients.
-            self._http.their_http_version = b"1.0"
-            length = None
-        fields = headers.without((b"content-length",))
-        if length is not None:
-            fields.add(b"Content-Length", b"%d" % length)
-        if self.close_after_response:
-            fields.add(b"Connection", b"close")
-        self._write(
-            h11.Response(status_code=status, headers=fields.pairs(), reason=b"")
-        )
+        if length is None and self._http.their_http_version == HTTP_1_0:
+            self._held_response = HeldResponse(status, headers)
+            return
+        self._held_response = None
+        self._send_head(status, headers, length)
 
     def write(self, data):
-        """Send a piece of the response body."""
-        self._write(h11.Data(data=data))
+        """Send a piece of the response body; raise HttpError if that fails.
+
+        It fails too if the response to an HTTP/1.0 client is too long to be held.
+        """
+        held = self._held_response
+        if held is None:
+            self._write(h11.Data(data=data))
+            return
+        held.body += data
+        if len(held.body) > MAX_HELD_BODY_BYTES:
+            raise HttpError("response without a length is too long for HTTP/1.0")
 
     def finish_response(self):
         """End the response; return whether the connection can serve another request."""
+        held, self._held_response = self._held_response, None
+        if held is not None:
+            length = None if held.status in BODILESS_STATUSES else len(held.body)
+            self._send_head(held.status, held.headers, length)
+            self._write(h11.Data(data=bytes(held.body)))
         self._write(h11.EndOfMessage())
         if self._http.our_state is h11.MUST_CLOSE or self.close_after_response:
             return False
@@ -149,6 +178,16 @@
         """Reset the connection, so that a truncated response does not look complete."""
         reset(self._sock)
 
+    def _send_head(self, status, headers, length):
+        fields = headers.without((b"content-length",))
+        if length is not None:
+            fields.add(b"Content-Length", b"%d" % length)
+        if self.close_after_response:
+            fields.add(b"Connection", b"close")
+        self._write(
+            h11.Response(status_code=status, headers=fields.pairs(), reason=b"")
+        )
+
     def _read_head(self):
         timeout = self._limits.idle_timeout_ms
         while True:
--- a/tests/forward/test_relay.py
+++ b/tests/forward/test_relay.py
@@ -55,7 +55,7 @@
         self.is_started = False
         self.body = b""
 
-    def start_response(self, status, headers, length, is_framed):
+    def start_response(self, status, headers, length):
         self.is_started = True
         self.length = length
 
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -1,7 +1,13 @@
 import pytest
 
 from mulberryhub.base.green import Event, Timeout, sleep
-from mulberryhub.http.messages import ClientDisconnected, Headers, ServerEnding
+from mulberryhub.http.inbound import MAX_HELD_BODY_BYTES
+from mulberryhub.http.messages import (
+    ClientDisconnected,
+    Headers,
+    HttpError,
+    ServerEnding,
+)
 from tests.http.support import connect, read_all, running_server, send_and_read_all
 
 
@@ -101,17 +107,50 @@
     assert response.endswith(b"5\r\npiece\r\n0\r\n\r\n")
 
 
-def test_unframed_response_ends_with_the_connection():
+def http_1_0_head(*lines):
+    return b"\r\n".join([b"POST /a HTTP/1.0", b"Host: x", *lines, b"", b""])
+
+
+# The close of a killed router would be the end of a body that states none.
+@pytest.mark.parametrize("pieces", [[], [b"piece"], [b"pie", b"ce"]])
+def test_response_to_http_1_0_states_its_length(pieces):
     def handle(request, connection):
-        connection.start_response(200, Headers(), 5, is_framed=False)
-        connection.write(b"piece")
+        connection.start_response(200, Headers())
+        for piece in pieces:
+            connection.write(piece)
         return connection.finish_response()
 
     with running_server(handle) as server:
-        response = send_and_read_all(server.address, request_head())
-    assert response.endswith(b"\r\n\r\npiece")
-    assert b"Content-Length" not in response and b"chunked" not in response
-    assert b"Connection: close" in response
+        response = send_and_read_all(server.address, http_1_0_head())
+    body = b"".join(pieces)
+    assert response.endswith(b"\r\n\r\n" + body)
+    assert b"Content-Length: %d\r\n" % len(body) in response
+    assert b"Transfer-Encoding" not in response
+
+
+def test_response_without_a_body_to_http_1_0_has_no_length():
+    def handle(request, connection):
+        connection.start_response(304, Headers())
+        return connection.finish_response()
+
+    with running_server(handle) as server:
+        response = send_and_read_all(server.address, http_1_0_head())
+    assert response.startswith(b"HTTP/1.1 304")
+    assert b"Content-Length" not in response
+
+
+# A part of a body must not look like the whole of it to a client without chunks.
+@pytest.mark.parametrize("is_too_long", [False, True])
+def test_broken_off_response_to_http_1_0_sends_nothing(is_too_long):
+    def handle(request, connection):
+        connection.start_response(200, Headers())
+        connection.write(b"piece")
+        if not is_too_long:
+            raise HttpError("broken off")
+        connection.write(b"x" * MAX_HELD_BODY_BYTES)
+
+    with running_server(handle) as server:
+        assert send_and_read_all(server.address, http_1_0_head()) == b""
 
 
 def test_failed_handler_gives_an_error_response():
