--- a/tests/adapter/test_store_era.py
+++ b/tests/adapter/test_store_era.py
@@ -71,6 +71,24 @@
     assert batch.entries[0].offset == 5
 
 
+# An answer that breaks off within a record must not pass the record on as a whole one.
+@pytest.mark.parametrize("cut_bytes", range(1, 7))
+def test_record_that_is_cut_short_is_read_again(client, cut_bytes):
+    whole = page(7, records=[b"\x01kv", b"\x01kw"])
+    answer(client, FakeResponse(200, whole.data[:-cut_bytes], None))
+    batch = read(client, 5)
+    assert [entry.value for entry in batch.entries] == [b"v"]
+    assert batch.end == 6
+
+
+@pytest.mark.parametrize("cut_bytes", range(1, 7))
+def test_answer_that_breaks_off_within_its_first_record_is_none(client, cut_bytes):
+    whole = page(6, records=[b"\x01kv"])
+    answer(client, FakeResponse(200, whole.data[:-cut_bytes], None))
+    with pytest.raises(StoreUnavailable):
+        read(client, 5)
+
+
 @pytest.mark.parametrize("response", [page(3, era="2"), gone("2"), gone("2", b"{}")])
 def test_read_in_a_later_era_reports_the_revert(client, response):
     answer(client, listing(9, "1"), response)
