Require keys wherever workspaces are listed, also when none has a key

Cause: keys were checked only where the index of keys was not empty. That is empty without workspaces, where no key is asked for, and also where workspaces have none left.

Why it works: the configuration itself says whether it has a list of workspaces, and an empty list is one. Nothing that is taken away can switch the check off, only a configuration without the list, for which the users' pages ask no keys.

--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -101,13 +101,28 @@
 
 
 class Configuration(msgspec.Struct, frozen=True, tag=True):
-    """The operator's complete configuration; a higher version is newer."""
+    """The operator's complete configuration; a higher version is newer.
+
+    `lists_workspaces` is false if it has no list of workspaces, not even an empty one.
+    It is None if it came from a router of an earlier build, which does not tell.
+    """
 
     version: Number
     routes: list[Route]
     services: list[Service]
     workspaces: list[Workspace]
     limits: ClientLimits = ClientLimits()
+    lists_workspaces: bool | None = None
+
+    @property
+    def requires_keys(self):
+        """Return whether requests need the key of a workspace.
+
+        They do also where no workspace has a key left, or none is left on the list.
+        """
+        if self.lists_workspaces is None:
+            return bool(self.workspaces)
+        return self.lists_workspaces
 
 
 class Weights(msgspec.Struct, frozen=True, tag=True):
--- a/libs/forward/src/mulberryhub/forward/forwarder.py
+++ b/libs/forward/src/mulberryhub/forward/forwarder.py
@@ -94,7 +94,7 @@
         if route is None:
             raise Refusal(Reason.UNKNOWN_ROUTE)
         workspace = None
-        if not route.is_open and view.workspaces_by_key:
+        if view.configuration.requires_keys and not route.is_open:
             workspace = view.workspaces_by_key.get(call.api_key)
             if workspace is None:
                 raise Refusal(Reason.UNKNOWN_KEY)
--- a/tests/forward/test_routes.py
+++ b/tests/forward/test_routes.py
@@ -1,4 +1,6 @@
-from mulberryhub.fleet.records import Target, Workspace
+import pytest
+
+from mulberryhub.fleet.records import Configuration, Target, Workspace
 from mulberryhub.forward.routes import ConfigurationView, choose_service
 from tests.forward.fakes import make_configuration, make_route, make_service
 
@@ -23,6 +25,27 @@
     assert view.workspaces_by_key.get("k4") is None
 
 
+# A configuration of an earlier build does not tell an empty list from none.
+@pytest.mark.parametrize(
+    "lists_workspaces, workspaces, requires_keys",
+    [
+        (True, [Workspace("w", ["k"])], True),
+        (True, [Workspace("w", [])], True),
+        (True, [], True),
+        (False, [], False),
+        (None, [Workspace("w", [])], True),
+        (None, [], False),
+    ],
+)
+def test_keys_are_required_where_workspaces_are_listed(
+    lists_workspaces, workspaces, requires_keys
+):
+    configuration = Configuration(
+        1, [], [], workspaces, lists_workspaces=lists_workspaces
+    )
+    assert configuration.requires_keys is requires_keys
+
+
 def test_cache_store_in_the_data_centre_is_preferred():
     services = [
         make_service(name="far", cache_address="f", cache_data_centre="b"),
