Name the shared cache scope after the set of isolated workspaces

Cause: all workspaces that are not isolated shared one salt of model and version. It stayed the same when a workspace was made isolated, with all that this one had put under it.

Why it works: under the name of a set, only workspaces outside that set have written, and it is used only while the same set is in force. The scope follows the configuration in force, not the one under which a waiting request was admitted.

The soak's check of salts and its test follow: a shared stream with the plain salt is a violation now, as one workspace of the soak is isolated.

--- a/libs/forward/src/mulberryhub/forward/cache_directives.py
+++ b/libs/forward/src/mulberryhub/forward/cache_directives.py
@@ -10,13 +10,21 @@
 class CacheDirectives:
     """Sets the salt, weights version and KV cache store of attempts.
 
-    `find_store()` returns the Service of the store or None; `cache_index` lists the
-    prompt parts that the store holds.
+    `find_scope(workspace)` returns the scope of cached parts that the configuration in
+    force gives a workspace. `find_store()` returns the Service of the store or None;
+    `cache_index` lists the prompt parts that the store holds.
     """
 
-    __slots__ = ("_find_store", "_cache_index", "_clock", "_saved_at_by_key")
+    __slots__ = (
+        "_find_scope",
+        "_find_store",
+        "_cache_index",
+        "_clock",
+        "_saved_at_by_key",
+    )
 
-    def __init__(self, find_store, cache_index, clock):
+    def __init__(self, find_scope, find_store, cache_index, clock):
+        self._find_scope = find_scope
         self._find_store = find_store
         self._cache_index = cache_index
         self._clock = clock
@@ -29,7 +37,8 @@
         contents are reported with a delay, and a fetch that finds nothing costs little.
         """
         attempt.version = version
-        attempt.salt = cache_salt(call.model, version, attempt.workspace)
+        scope = self._find_scope(attempt.workspace)
+        attempt.salt = cache_salt(call.model, version, scope)
         if not call.shared_parts or not self._cache_index.is_reachable():
             return
         store = self._find_store()
@@ -54,12 +63,6 @@
             self._saved_at_by_key.popitem(last=False)
 
 
-def cache_salt(model, version, workspace):
-    """Return the scope of cached prompt parts.
-
-    It consists of the model and weights version, and of the workspace if isolated.
-    """
-    scope = f"{model}:{version}"
-    if workspace is not None and workspace.is_isolated:
-        scope += f":{workspace.name}"
-    return scope
+def cache_salt(model, version, scope):
+    """Return the text under which upstreams keep the prompt parts of `scope`."""
+    return f"{model}:{version}{scope}"
--- a/libs/forward/src/mulberryhub/forward/routes.py
+++ b/libs/forward/src/mulberryhub/forward/routes.py
@@ -3,6 +3,7 @@
 from random import choices
 
 from mulberryhub.fleet.records import Configuration
+from mulberryhub.forward.cache_scope import isolated_scope, shared_scope
 
 # So that no workspace starves where quotas differ by orders of magnitude.
 MIN_QUOTA_WEIGHT = 0.25
@@ -17,6 +18,7 @@
         "workspaces_by_key",
         "workspaces_by_name",
         "services_by_name",
+        "_shared_scope",
         "_routes_by_host",
         "_cache_services",
         "_mean_rate",
@@ -33,6 +35,9 @@
         }
         rates = [item.rate for item in configuration.workspaces if item.rate]
         self._mean_rate = sum(rates) / len(rates) if rates else 0
+        self._shared_scope = shared_scope(
+            {item.name for item in configuration.workspaces if item.is_isolated}
+        )
         self._routes_by_host = {}
         for route in configuration.routes:
             routes_by_prefix = self._routes_by_host.setdefault(route.host.lower(), {})
@@ -64,6 +69,19 @@
         weight = workspace.rate / self._mean_rate
         return min(MAX_QUOTA_WEIGHT, max(MIN_QUOTA_WEIGHT, weight))
 
+    def cache_scope(self, workspace):
+        """Return the scope of cached prompt parts for requests of `workspace`, or None.
+
+        Only the name of `workspace` counts, as the request may have been admitted under
+        an earlier configuration. A workspace that is no longer there shares no parts.
+        """
+        if workspace is None:
+            return self._shared_scope
+        current = self.workspaces_by_name.get(workspace.name)
+        if current is None or current.is_isolated:
+            return isolated_scope(workspace.name)
+        return self._shared_scope
+
     def cache_service(self, data_centre):
         """Return the KV cache store to use, or None.
 
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -113,6 +113,9 @@
     )
     retry_budget = _build_retry_budget(settings, fleet_state, clock)
 
+    def find_cache_scope(workspace):
+        return parts.forwarder.view().cache_scope(workspace)
+
     def find_cache_store():
         view = parts.forwarder.view()
         return None if view is None else view.cache_service(settings.data_centre)
@@ -121,7 +124,9 @@
         service = find_cache_store()
         return None if service is None else service.cache_address
 
-    cache_directives = CacheDirectives(find_cache_store, fleet_state.cache_index, clock)
+    cache_directives = CacheDirectives(
+        find_cache_scope, find_cache_store, fleet_state.cache_index, clock
+    )
     parts.cache_watcher = CacheWatcher(
         find_cache_store_address,
         ports.read_cache_events,
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -4,6 +4,7 @@
 from collections import Counter
 
 from mulberryhub.adapter_standins.documents import MODEL
+from mulberryhub.forward.cache_scope import shared_scope
 from soak.clients import INCOMPLETE, ORDER, STREAM, STREAM_TOKENS
 from soak.fleet import (
     LIMITED_RATE_TOKENS_PER_S,
@@ -123,6 +124,8 @@
             salt = f"{MODEL}:{execution.version}"
             if request.workspace == UNLIMITED_WORKSPACE:
                 salt += f":{UNLIMITED_WORKSPACE}"
+            else:
+                salt += shared_scope({UNLIMITED_WORKSPACE})
             if execution.salt != salt:
                 yield Violation(
                     "cache salt",
--- a/tests/forward/attempt_fixture.py
+++ b/tests/forward/attempt_fixture.py
@@ -163,7 +163,12 @@
             self.stream_versions,
             budget,
             fleet_state,
-            CacheDirectives(lambda: None, fleet_state.cache_index, self.clock),
+            CacheDirectives(
+                lambda workspace: "",
+                lambda: None,
+                fleet_state.cache_index,
+                self.clock,
+            ),
             self.clock,
             Counters(),
         )
--- a/tests/forward/test_cache_directives.py
+++ b/tests/forward/test_cache_directives.py
@@ -21,13 +21,13 @@
         if is_reachable:
             self.cache_index.mark_current(self.clock.now())
         self.cache_directives = CacheDirectives(
-            lambda: STORE, self.cache_index, self.clock
+            lambda workspace: "", lambda: STORE, self.cache_index, self.clock
         )
 
     def add_kept(self, *ids):
         for number, id in enumerate(ids):
             self.cache_index.apply(
-                CachedPart(cache_salt(MODEL, 1, None), id, 100, 7, number + 1)
+                CachedPart(cache_salt(MODEL, 1, ""), id, 100, 7, number + 1)
             )
 
     def prepare(self):
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -3,6 +3,7 @@
 import pytest
 
 from mulberryhub.adapter_standins.worker import RunLine
+from mulberryhub.forward.cache_scope import shared_scope
 from soak.clients import INCOMPLETE, ORDER, READ, STREAM, ClientRequest
 from soak.fleet import LIMITED_WORKSPACE, PERMANENT_KEYS, UNLIMITED_WORKSPACE
 from soak.invariants import Observations, find_violations
@@ -12,6 +13,7 @@
 KEY = PERMANENT_KEYS[UNLIMITED_WORKSPACE]
 EVENTS = b"".join(b"id: %d\ndata: w\n\n" % number for number in range(1, 7))
 NOW_MS = 1_000_000.0
+SHARED_SALT = "m1:1" + shared_scope({UNLIMITED_WORKSPACE})
 
 
 def make_request(id="a", route=ORDER, status=200, body=None, sent_at=NOW_MS, **fields):
@@ -73,6 +75,11 @@
             [make_execution("s", salt="m1:2:t1")],
             "cache salt",
         ),
+        (
+            make_request("s", STREAM, workspace=LIMITED_WORKSPACE),
+            [make_execution("s", workspace=LIMITED_WORKSPACE, salt="m1:1")],
+            "cache salt",
+        ),
         (make_request(status=401), [], "valid key"),
         (make_request(status=404), [], "valid key"),
     ],
@@ -154,7 +161,7 @@
             for n in range(count)
         ]
         executions = [
-            make_execution(f"s{n}", workspace=LIMITED_WORKSPACE, salt="m1:1")
+            make_execution(f"s{n}", workspace=LIMITED_WORKSPACE, salt=SHARED_SALT)
             for n in range(count)
         ]
         return find_violated(requests, executions)
