--- a/libs/node/src/mulberryhub/node/coordination.py
+++ b/libs/node/src/mulberryhub/node/coordination.py
@@ -4,7 +4,8 @@
 from mulberryhub.fleet.records import Usage
 from mulberryhub.fleet.usage import UsageTable
 from mulberryhub.forward.loads import Loads
-from mulberryhub.forward.quotas import QuotaRule, Quotas
+from mulberryhub.forward.quotas import Quotas
+from mulberryhub.forward.workspace_usage import QuotaRule
 from mulberryhub.permits.allocator import PermitAllocator
 from mulberryhub.permits.client import CoordinatorClient
 from mulberryhub.permits.share import MAX_SHARE, CoordinatorShare
--- a/tests/forward/test_quotas.py
+++ b/tests/forward/test_quotas.py
@@ -5,168 +5,22 @@
 """
 
 import random
-from collections import deque
-from itertools import permutations
-from random import Random
 
 import pytest
 
 from mulberryhub.base.clock import ManualClock
 from mulberryhub.base.green import sleep, spawn
 from mulberryhub.fleet.records import Usage, Workspace
-from mulberryhub.fleet.usage import UsageTable
-from mulberryhub.forward.quotas import QuotaRule, Quotas
+from mulberryhub.forward.quotas import Quotas
 from mulberryhub.forward.refusal import Refusal
-
-WINDOW_MS = 8_000
-RATE_TOKENS_PER_S = 55_000
-RULE = QuotaRule(WINDOW_MS, overage=0.1, slack=110_000)
-WORKSPACE = Workspace(
-    "w", ["k"], rate=RATE_TOKENS_PER_S, burst=RATE_TOKENS_PER_S, counts_tokens=True
+from tests.forward.quota_fleet import (
+    COST_TOKENS,
+    MAX_WINDOW_TOKENS,
+    RATE_TOKENS_PER_S,
+    RULE,
+    WORKSPACE,
+    Fleet,
 )
-MAX_WINDOW_TOKENS = RULE.limit(WORKSPACE, 1)
-REPORT_PERIOD_MS = 300
-DATA_CENTRES = ("a", "b", "c")
-STEP_MS = 20
-COST_TOKENS = 6_000  # of a request
-
-
-class Node:
-    """The quotas of a router with the UsageTable of the other routers."""
-
-    def __init__(self, name, data_centre, fleet):
-        self.name = name
-        self.data_centre = data_centre
-        self.table = UsageTable(self._measure, data_centre, WINDOW_MS, fleet.clock)
-        self.quotas = Quotas(
-            RULE,
-            self.table.others,
-            self.table.admitted_by_others,
-            lambda: len(fleet.nodes),
-            self._borrow,
-            lambda: float(fleet.has_coordinator and fleet.nodes[0] is self),
-            fleet.clock,
-        )
-        self._fleet = fleet
-
-    def _borrow(self, name, cost):
-        if not self._fleet.has_coordinator:
-            return None
-        coordinator = self._fleet.nodes[0]
-        return 0 if coordinator is self else coordinator.quotas.lend(WORKSPACE, cost)
-
-    def _measure(self):
-        quotas = self.quotas
-        age = quotas.uptime()
-        return Usage(
-            quotas.admitted(), quotas.demand_rates(), max_uptime=age, min_uptime=age
-        )
-
-
-class Fleet:
-    """Routers in data centres that exchange usage reports as in production."""
-
-    def __init__(self, routers):
-        self.clock = ManualClock()
-        self.admitted = deque()
-        self.demand = 0
-        self.refused = 0
-        self.senders = None
-        self.has_coordinator = True
-        self.nodes = []
-        self.nodes = [self._make(index) for index in range(routers)]
-
-    def _make(self, index):
-        return Node(f"n{index}", DATA_CENTRES[index % len(DATA_CENTRES)], self)
-
-    def restart(self, indices):
-        for index in indices:
-            self.nodes[index] = self._make(index)
-
-    def run(self, duration, tokens_per_s):
-        end = self.clock.now() + duration
-        due = 0.0
-        request_count = 0
-        senders = self.senders or self.nodes
-        while self.clock.now() < end:
-            due += tokens_per_s * STEP_MS / 1000
-            while due >= COST_TOKENS:
-                due -= COST_TOKENS
-                request_count += 1
-                self._send_request(senders[request_count % len(senders)])
-            if self.clock.now() % REPORT_PERIOD_MS == 0:
-                self._exchange_reports()
-            self.clock.advance(STEP_MS)
-
-    def run_uneven(self, duration, tokens_per_s, seed):
-        """Send requests of long-tailed cost at unequal rates to the routers."""
-        random_numbers = Random(seed)
-        shares = [random_numbers.random() ** 2 + 0.1 for _ in self.nodes]
-        end = self.clock.now() + duration
-        due = 0.0
-        while self.clock.now() < end:
-            due += tokens_per_s * STEP_MS / 1000
-            while due > 0:
-                cost = min(45_000, max(200, int(random_numbers.lognormvariate(8, 1.2))))
-                due -= cost
-                self._send_request(random_numbers.choices(self.nodes, shares)[0], cost)
-            if self.clock.now() % REPORT_PERIOD_MS == 0:
-                self._exchange_reports()
-            self.clock.advance(STEP_MS)
-
-    def _send_request(self, node, cost=COST_TOKENS):
-        self.demand += cost
-        try:
-            node.quotas.admit(WORKSPACE, cost)
-        except Refusal:
-            self.refused += cost
-        else:
-            self.admitted.append(AdmittedCost(self.clock.now(), cost))
-
-    def _exchange_reports(self):
-        """Report to the first router of each data centre, and distribute the sums."""
-        leaders = {}
-        for node in self.nodes:
-            leaders.setdefault(node.data_centre, node)
-        for node in self.nodes:
-            leader = leaders[node.data_centre]
-            if node is not leader:
-                own, admitted_by_data_centre = (
-                    node.table.own(),
-                    node.table.admitted_by_data_centre(),
-                )
-                leader.table.record_report(node.name, own, admitted_by_data_centre)
-        for leader, other in permutations(leaders.values(), 2):
-            known = {other.data_centre: leader.table.admitted_in(other.data_centre)}
-            local_usage = leader.table.sum_local()
-            other.table.record_remote(leader.data_centre, local_usage, known)
-        for node in self.nodes:
-            table = leaders[node.data_centre].table
-            if table is not node.table:
-                node.table.record_local(
-                    table.sum_local(), table.reported_usage(node.name)
-                )
-                admitted = table.remote_admitted()
-                node.table.record_remote_total(table.remote(), admitted)
-
-    def largest_window(self):
-        largest = total = 0
-        window = deque()
-        for item in self.admitted:
-            window.append(item)
-            total += item.cost
-            while window[0].at <= item.at - WINDOW_MS:
-                total -= window.popleft().cost
-            largest = max(largest, total)
-        return largest
-
-
-class AdmittedCost:
-    """A cost that was admitted at the time `at` (ms)."""
-
-    def __init__(self, at, cost):
-        self.at = at
-        self.cost = cost
 
 
 @pytest.mark.parametrize("routers", [1, 6, 9, 90])
