Divide limits by the routers that are heard, as others may be cut off

Causes, one class, silence taken for the best case: the routers left use the whole limit, and each that is cut off its part besides; in the first seconds both sides divide the same rest; a borrower forgets its loans; what was admitted during a cut is in no sum after it.

Evidence: a model with cuts.

Why it works: each group of routers that hear each other has the part of the limit that is in proportion to their number, so the parts make up the limit whoever hears whom. A router that no longer hears others uses less than its share until they must have noticed, loans count where they are used, and a router that comes back tells what it admitted alone.

Ruled out: a smaller tolerance alone (the sum is up to 4/3 of the limit), and keeping the parts of silent routers back for ever (records of routers that ended stay).

--- a/libs/fleet/src/mulberryhub/fleet/admissions.py
+++ b/libs/fleet/src/mulberryhub/fleet/admissions.py
@@ -2,7 +2,8 @@
 
 The amount admitted in a past slot never changes, whichever router reports it and
 whether the admitting router still runs. A history therefore keeps the highest amount
-reported for each slot, so that sums that lack stopped routers do not lower it.
+reported for each slot, so that sums that lack stopped routers do not lower it. What a
+router admitted while it was cut off is in no sum of the others, so it is added.
 """
 
 import msgspec
@@ -35,6 +36,19 @@
         }
         return Admitted(self.phase, newest)
 
+    def between(self, first, last):
+        """Return the slots with the ages `first` to `last` - 1, 0 being the newest."""
+        selected = {
+            workspace: [0] * first + amounts[first:last]
+            for workspace, amounts in self.slots_by_workspace.items()
+            if any(amounts[first:last])
+        }
+        return Admitted(self.phase, selected)
+
+    def slot_count(self):
+        """Return the largest number of slots of a workspace."""
+        return max(map(len, self.slots_by_workspace.values()), default=0)
+
 
 class SlotSums:
     """Amounts by workspace and slot; slots are numbered by the local clock."""
@@ -58,14 +72,18 @@
 
 
 class AdmissionHistory:
-    """The highest amount reported for each slot in the last `window` ms."""
+    """The highest amount reported for each slot in the last `window` ms.
+
+    Amounts that no report of the group had in its sums come on top of them.
+    """
 
-    __slots__ = ("_window", "_clock", "_amounts_by_workspace")
+    __slots__ = ("_window", "_clock", "_amounts_by_workspace", "_added_by_workspace")
 
     def __init__(self, window, clock):
         self._window = window
         self._clock = clock
         self._amounts_by_workspace = {}
+        self._added_by_workspace = {}
 
     def merge(self, admitted, reported_at=None):
         """Merge a report of a group of routers, made now or at `reported_at` ms."""
@@ -82,6 +100,15 @@
                 if number >= oldest and amount > known.get(number, 0):
                     known[number] = amount
 
+    def add(self, admitted):
+        """Add what a router admitted that was in no sum, as reported now."""
+        sums = SlotSums()
+        sums.add(admitted, self._clock.now())
+        for workspace, amounts in sums.by_workspace.items():
+            added = self._added_by_workspace.setdefault(workspace, {})
+            for number, amount in amounts.items():
+                _accumulate(added, number, amount)
+
     def total(self, workspace):
         """Return the amount admitted for one workspace in the window."""
         return window_total(
@@ -94,7 +121,7 @@
         # Another router's newest slot may extend past the end of the local one.
         newest += 1
         slots = {}
-        for workspace in list(self._amounts_by_workspace):
+        for workspace in {*self._amounts_by_workspace, *self._added_by_workspace}:
             known = self._current_amounts(workspace)
             if known:
                 oldest = min(known)
@@ -104,15 +131,25 @@
 
     def _current_amounts(self, workspace):
         """Return the amounts by slot of one workspace, after dropping expired ones."""
-        known = self._amounts_by_workspace.get(workspace)
-        if known is None:
+        known = self._unexpired(self._amounts_by_workspace, workspace)
+        added = self._unexpired(self._added_by_workspace, workspace)
+        if not added:
+            return known
+        return {
+            number: known.get(number, 0) + added.get(number, 0)
+            for number in known.keys() | added.keys()
+        }
+
+    def _unexpired(self, amounts_by_workspace, workspace):
+        amounts = amounts_by_workspace.get(workspace)
+        if amounts is None:
             return {}
         oldest = self._oldest_slot()
-        for number in [number for number in known if number < oldest]:
-            del known[number]
-        if not known:
-            del self._amounts_by_workspace[workspace]
-        return known
+        for number in [number for number in amounts if number < oldest]:
+            del amounts[number]
+        if not amounts:
+            del amounts_by_workspace[workspace]
+        return amounts
 
     def _oldest_slot(self):
         return (self._clock.now() - self._window) // SLOT_MS
--- a/libs/fleet/src/mulberryhub/fleet/channel.py
+++ b/libs/fleet/src/mulberryhub/fleet/channel.py
@@ -45,7 +45,8 @@
     `admitted_by_data_centre` is set in the first report: it holds all admissions
     known to the subscriber, and restores the state of a restarted publisher, as does
     `weights` with the ages of the named versions. Later reports have only the newest
-    slots of the subscriber's own admissions.
+    slots of the subscriber's own admissions. `unshared` are older ones of its own, of a
+    time in which it heard no other router.
     `observations` are new ones, without those that the publisher sent.
     """
 
@@ -57,6 +58,7 @@
     rollout: Rollout | None = None
     observations: list[Observation] = []
     weights: list[Weights] = []
+    unshared: Admitted = Admitted()
 
 
 class Update(msgspec.Struct, tag="News"):
--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -175,7 +175,11 @@
     def _apply_report(self, name, hello, report):
         if hello.data_centre == self._usage_table.data_centre:
             self._usage_table.record_report(
-                name, report.use, report.admitted_by_data_centre, report.number
+                name,
+                report.use,
+                report.admitted_by_data_centre,
+                report.number,
+                report.unshared,
             )
         for observation in report.observations:
             self._fleet_state.apply(observation, name)
--- a/libs/fleet/src/mulberryhub/fleet/subscription.py
+++ b/libs/fleet/src/mulberryhub/fleet/subscription.py
@@ -217,6 +217,8 @@
         if last_sent is None:
             report.admitted_by_data_centre = self._usage_table.admitted_by_data_centre()
             report.weights = self._fleet_state.named_weights.records()
+            if self.member.data_centre == self._local_member.data_centre:
+                report.unshared = self._usage_table.take_unshared()
         else:
             report.use = msgspec.structs.replace(
                 usage, admitted=usage.admitted.newest(REPEATED_SLOT_COUNT)
--- a/libs/fleet/src/mulberryhub/fleet/usage.py
+++ b/libs/fleet/src/mulberryhub/fleet/usage.py
@@ -1,10 +1,25 @@
 """The usage of workspace rates and upstreams, summed over routers."""
 
-from mulberryhub.fleet.admissions import AdmissionHistory, SlotSums, window_total
+from math import ceil
+
+from mulberryhub.fleet.admissions import (
+    SLOT_MS,
+    AdmissionHistory,
+    Admitted,
+    SlotSums,
+    window_total,
+)
+from mulberryhub.fleet.contact import Contact
 from mulberryhub.fleet.records import Usage
 
-MAX_REPORT_AGE_MS = 2_000  # of a router's last report that is included
+MAX_REPORT_AGE_MS = 1_000  # of a router's last report that is included
+MAX_PUBLICATION_AGE_MS = 2_000  # of the sums that a publisher sent
 MAX_SUM_AGE_MS = 250  # of a sum, after which it is made again on demand
+# The newest slots of each router are in the next sums, whenever it was heard last.
+SUMMED_SLOT_COUNT = 4
+AMENDED_TIME_MS = 1_000  # for which all slots are passed on once an older one changed
+REPORT_DELAY_MS = 500  # in which admissions may be unreported
+NO_ADMISSIONS = Admitted()
 
 
 class ReportedUsage:
@@ -56,6 +71,9 @@
         "_published_remote",
         "_remote_by_data_centre",
         "_history_by_data_centre",
+        "_contact",
+        "_local_amended_at",
+        "_remote_amended_at",
     )
 
     def __init__(self, measure, data_centre, window, clock):
@@ -69,18 +87,44 @@
         self._published_remote = None
         self._remote_by_data_centre = {}
         self._history_by_data_centre = {data_centre: AdmissionHistory(window, clock)}
+        self._contact = Contact(clock)
+        self._local_amended_at = None
+        self._remote_amended_at = None
 
     def own(self):
         """Return the usage of this router."""
         return self._measure()
 
-    def record_report(self, name, usage, admitted_by_data_centre, number=None):
+    def record_report(
+        self, name, usage, admitted_by_data_centre, number=None, unshared=NO_ADMISSIONS
+    ):
         """Record the report of the subscriber `name`.
 
-        `admitted_by_data_centre` holds the admissions known to the subscriber.
+        `admitted_by_data_centre` holds the admissions known to the subscriber, and
+        `unshared` its own of the time in which it heard no other router.
         """
+        self._contact.record_news()
         self._reported_by_name[name] = ReportedUsage(usage, self._clock.now(), number)
         self._merge_admitted(admitted_by_data_centre)
+        self._add_unshared(unshared)
+        self._add_unshared(self.take_unshared())
+
+    def take_unshared(self):
+        """Return what this router admitted while it heard no other, only once.
+
+        The newest slots are left out, as they are in the next sums in any case.
+        """
+        since = self._contact.take_unshared_since()
+        if since is None:
+            return NO_ADMISSIONS
+        admitted = self.own().admitted
+        duration = self._clock.now() - admitted.phase - since + REPORT_DELAY_MS
+        last = 1 + ceil(max(0, duration) / SLOT_MS)
+        return admitted.between(SUMMED_SLOT_COUNT, last)
+
+    def news_age(self):
+        """Return the ms since another router was heard, or since the start."""
+        return self._contact.news_age()
 
     def admitted_by_data_centre(self):
         """Return the known Admitted by data centre, including stopped routers."""
@@ -118,6 +162,8 @@
         history = self._history(self.data_centre)
         history.merge_sums(sums)
         self._local_sum = DataCentreUsage(total, own.usage, now)
+        if self._is_amended(self._local_amended_at):
+            slots = None
         total.admitted = history.admitted().newest(slots)
         return total
 
@@ -126,6 +172,7 @@
 
         `own_part` is this router's own part of it.
         """
+        self._contact.record_news()
         self._published = DataCentreUsage(usage, own_part, self._clock.now())
         self._history(self.data_centre).merge(usage.admitted)
 
@@ -140,6 +187,9 @@
         The admissions here that it reports are merged too, as they are the only source
         after a restart of all local routers.
         """
+        self._contact.record_news()
+        if usage.admitted.slot_count() > SUMMED_SLOT_COUNT + 1:
+            self._remote_amended_at = self._clock.now()
         self._remote_by_data_centre[data_centre] = ReportedUsage(
             usage, self._clock.now()
         )
@@ -149,9 +199,7 @@
     def remote(self):
         """Return the total usage of other data centres."""
         total = Usage(routers=0)
-        if self._published_remote is not None and self._is_recent(
-            self._published_remote
-        ):
+        if self._published_remote is not None and self._is_published_lately():
             total.add(self._published_remote.usage)
             return total
         for reported in self._recent(self._remote_by_data_centre.values()):
@@ -160,6 +208,8 @@
 
     def remote_admitted(self, slots=None):
         """Return the Admitted of other data centres, the newest `slots` or all."""
+        if self._is_amended(self._remote_amended_at):
+            slots = None
         return {
             data_centre: history.admitted().newest(slots)
             for data_centre, history in self._history_by_data_centre.items()
@@ -196,7 +246,7 @@
 
     def _local_usage(self):
         """Return this data centre's usage, published by its leader or summed here."""
-        if self._published is not None and self._is_recent(self._published):
+        if self._published is not None and self._is_published_lately():
             return self._published
         if (
             self._local_sum is None
@@ -205,6 +255,16 @@
             self.sum_local()
         return self._local_sum
 
+    def _add_unshared(self, unshared):
+        if unshared.slots_by_workspace:
+            self._history(self.data_centre).add(unshared)
+            self._local_amended_at = self._clock.now()
+
+    def _is_amended(self, amended_at):
+        return (
+            amended_at is not None and self._clock.now() - amended_at <= AMENDED_TIME_MS
+        )
+
     def _merge_admitted(self, admitted_by_data_centre):
         for data_centre, admitted in admitted_by_data_centre.items():
             self._history(data_centre).merge(admitted)
@@ -219,5 +279,9 @@
     def _recent(self, items):
         return [item for item in items if self._is_recent(item)]
 
+    def _is_published_lately(self):
+        age = self._clock.now() - self._published.updated_at
+        return age <= MAX_PUBLICATION_AGE_MS
+
     def _is_recent(self, item):
         return self._clock.now() - item.updated_at <= MAX_REPORT_AGE_MS
--- a/libs/forward/src/mulberryhub/forward/quotas.py
+++ b/libs/forward/src/mulberryhub/forward/quotas.py
@@ -1,12 +1,15 @@
 """Enforces the rates and bursts of workspaces over all routers together.
 
-What other routers admitted in the window is known as of their last report. What
-remained then is divided: a part of it in equal shares, and the rest for the
-coordinator, which lends it to the routers that need more. So all routers together stay
-within the limit, however fast demand rises. If the demand until the next report exceeds
-the remaining quota, each request is admitted with the probability at which all routers
-together use it up. Without reports, a router admits up to an equal share of the whole
-limit.
+Routers that hear each other use the part of a limit that is in proportion to their
+number, as the others may be cut off from them and use theirs. What they admitted in the
+window is known as of their last report. What remained then is divided: a part of it in
+equal shares, and the rest for the coordinator, which lends it to the routers that need
+more. So all routers together stay within the limit, however fast demand rises. If the
+demand until the next report exceeds the remaining quota, each request is admitted with
+the probability at which all routers together use it up.
+
+A router that no longer hears others keeps to its equal share of what remained. It takes
+its part of the whole limit once the others must have noticed.
 """
 
 from math import ceil, floor
@@ -33,6 +36,10 @@
 LOAN_VALIDITY_MS = 500
 BORROW_RETRY_MS = 100  # after a loan that was refused
 NO_LOANS_MS = 500  # after a request for a loan that no router answered
+MAX_NEWS_AGE_MS = 600  # of others; after it, this router may be cut off from them
+LONE_AFTER_MS = 3_000  # without news, by when all others have noticed it
+# Of its equal share, used until then; the others may divide the rest without it.
+UNNOTICED_SHARE = 0.6
 MIN_RETRY_AFTER_MS = 200
 MIN_RETRY_PROBABILITY = 0.05  # limits the time that clients are told to wait
 MAX_RETRY_AFTER_MS = 4_000
@@ -42,8 +49,9 @@
     """Admits requests within the quotas of their workspaces.
 
     `read_others()` returns the Usage of other routers or None. `read_admitted(name)`
-    returns what they admitted of a workspace in the window. `count_routers()` returns
-    the number of routers that may be admitting, including this one.
+    returns what they admitted of a workspace in the window, and `read_news_age()` the
+    ms since they were heard. `count_routers()` returns the number of routers that may
+    be admitting, including this one and those that it does not hear.
     `borrow(name, cost)` returns the cost that the coordinator admits in place of this
     router, or None if no router lends, and `read_lending_share()` which share of the
     lent part this router may lend, from 0 to 1.
@@ -54,6 +62,7 @@
         "_rule",
         "_read_others",
         "_read_admitted",
+        "_read_news_age",
         "_count_routers",
         "_borrow",
         "_read_lending_share",
@@ -66,6 +75,7 @@
         rule,
         read_others,
         read_admitted,
+        read_news_age,
         count_routers,
         borrow,
         read_lending_share,
@@ -75,6 +85,7 @@
         self._rule = rule
         self._read_others = read_others
         self._read_admitted = read_admitted
+        self._read_news_age = read_news_age
         self._count_routers = count_routers
         self._borrow = borrow
         self._read_lending_share = read_lending_share
@@ -109,6 +120,7 @@
         lent = max(0, floor(min(cost, usage.remaining)))
         usage.remaining -= lent
         usage.admitted.add(lent, now)
+        usage.lent.add(lent, now)
         return lent
 
     def refund(self, workspace, cost):
@@ -184,41 +196,48 @@
     def _record_loan(self, usage, workspace, wanted, lent, asked_at):
         now = self._clock.now()
         if lent is None:
+            if now >= usage.no_loans_until:
+                usage.no_loans_at = now
             usage.no_loans_until = now + NO_LOANS_MS
             self._refresh(usage, workspace, now)
             return
         usage.borrowed += lent
+        usage.loans.add(lent, now)
         usage.borrowed_until = asked_at + LOAN_VALIDITY_MS
         if lent < wanted:
             usage.borrow_at = now + BORROW_RETRY_MS
 
-    def _share(self, usage, routers, now):
-        """Return this router's share of the remaining quota."""
+    def _share(self, usage, heard, now):
+        """Return this router's share of what remains for the `heard` routers."""
         if now < usage.no_loans_until:
-            return 1 / routers
+            has_news = self._has_news_since(usage.no_loans_at, now)
+            return (1 if has_news else UNNOTICED_SHARE) / heard
         lent_share = LENT_SHARE * self._read_lending_share()
-        return min(1, (1 - LENT_SHARE) / routers + lent_share)
+        return min(1, (1 - LENT_SHARE) / heard + lent_share)
+
+    def _has_news_since(self, start, now):
+        """Return whether others were heard after `start`, so that they are in reach."""
+        return self._read_news_age() <= min(now - start, MAX_NEWS_AGE_MS)
 
     def _refresh(self, usage, workspace, now):
         usage.refreshed_at = now
-        admitted = usage.admitted.total_at(now)
         others = self._read_others()
-        routers = max(self._count_routers(), 1)
-        unknown_share = self._unknown_share(others, now)
+        routers = usage.routers = max(self._count_routers(), 1)
+        usage.heard = 1 if others is None else 1 + others.routers
         if others is None and routers > 1:
-            known_limit = self._rule.limit(workspace, 1) * (1 - unknown_share)
-            usage.remaining = known_limit / routers - admitted
-            usage.probability = 1
+            self._refresh_alone(usage, workspace, routers, now)
             return
+        heard = usage.heard
         demand_rate = usage.demand.total_at(now) * 1000 / RATE_WINDOW_MS
         if others is not None:
             demand_rate += others.rate_by_workspace.get(workspace.name, 0)
-        limit = self._limit(workspace, others, demand_rate)
+        limit = self._limit(workspace, others, demand_rate) * min(1, heard / routers)
+        unknown_share = self._unknown_share(others, now)
         used_by_others = limit * unknown_share + self._read_admitted(workspace.name)
         usage.used_by_others = used_by_others
-        remaining = limit - admitted - used_by_others
+        remaining = limit - usage.admitted.total_at(now) - used_by_others
         unreported = usage.admitted.recent(UNREPORTED_MS, now)
-        share = self._share(usage, routers, now)
+        share = self._share(usage, heard, now)
         usage.remaining = (remaining + unreported) * share - unreported
         if now < usage.no_loans_until:
             usage.round_remaining()
@@ -227,6 +246,15 @@
             1 if expected_demand <= 0 else min(1, max(0, remaining) / expected_demand)
         )
 
+    def _refresh_alone(self, usage, workspace, routers, now):
+        """Refresh at a router that hears no other of the `routers`."""
+        limit = self._rule.limit(workspace, MIN_TOLERANCE_SHARE)
+        known_limit = limit * (1 - self._unknown_share(None, now))
+        is_noticed = self._read_news_age() >= LONE_AFTER_MS
+        share = (1 if is_noticed else UNNOTICED_SHARE) / routers
+        usage.remaining = known_limit * share - usage.used_here(now)
+        usage.probability = 1
+
     def _limit(self, workspace, others, demand_rate):
         """Return what all routers together may admit in a window.
 
@@ -265,6 +293,9 @@
             admitted_here=usage.admitted.total_at(now),
             used_elsewhere=round(usage.used_by_others),
             room=round(usage.remaining),
+            heard=usage.heard,
+            routers=usage.routers,
+            news_age_ms=self._read_news_age(),
             chance=round(usage.probability, 3),
             age_ms=now - usage.refreshed_at,
         )
--- a/libs/forward/src/mulberryhub/forward/workspace_usage.py
+++ b/libs/forward/src/mulberryhub/forward/workspace_usage.py
@@ -39,25 +39,34 @@
     `remaining` is the cost that may be admitted until the next refresh, `probability`
     that of admitting a request of mean cost, and `mean_cost` the moving average of the
     cost of requests. `used_by_others` is what other routers admitted in the window, as
-    far as known. `refreshed_at` is the time of the last refresh (ms), or None.
-    `borrowed` is the cost that the coordinator lent until `borrowed_until` (ms), and
-    `borrow_at` the time from which more may be borrowed. `pending_loan` is the Event of
-    a loan on its way, or None. Until `no_loans_until` (ms) no router lends, and what
-    remains is rounded up by at most `rounding` requests.
+    far as known, `heard` the number of routers in that, and `routers` that of all that
+    may be admitting. `refreshed_at` is the time of the last refresh (ms), or None.
+    `lent` is the part of `admitted` that this router admitted in place of others.
+
+    `borrowed` is the cost that the coordinator lent until `borrowed_until` (ms) and
+    `loans` what it lent in the window. More may be borrowed from `borrow_at` (ms) on.
+    `pending_loan` is the Event of a loan on its way, or None. From `no_loans_at` until
+    `no_loans_until` (ms) no router lends, and what remains is rounded up by at most
+    `rounding` requests.
     """
 
     __slots__ = (
         "demand",
         "admitted",
+        "lent",
         "used_by_others",
+        "heard",
+        "routers",
         "remaining",
         "probability",
         "mean_cost",
         "refreshed_at",
         "borrowed",
+        "loans",
         "borrowed_until",
         "borrow_at",
         "pending_loan",
+        "no_loans_at",
         "no_loans_until",
         "rounding",
     )
@@ -65,18 +74,28 @@
     def __init__(self, window):
         self.demand = SlidingSum(RATE_WINDOW_MS)
         self.admitted = SlidingSum(window)
+        self.lent = SlidingSum(window)
         self.used_by_others = 0
+        self.heard = 1
+        self.routers = 1
         self.remaining = 0
         self.probability = 1
         self.mean_cost = 0
         self.refreshed_at = None
         self.borrowed = 0
+        self.loans = SlidingSum(window)
         self.borrowed_until = 0
         self.borrow_at = 0
         self.pending_loan = None
+        self.no_loans_at = 0
         self.no_loans_until = 0
         self.rounding = random()
 
+    def used_here(self, now):
+        """Return what this router's own requests used in the window."""
+        own = self.admitted.total_at(now) - self.lent.total_at(now)
+        return own + self.loans.total_at(now)
+
     def spend(self, cost, now):
         """Admit a request of `cost` from the remaining cost; return whether it fits."""
         if self.remaining < cost:
--- a/libs/node/src/mulberryhub/node/coordination.py
+++ b/libs/node/src/mulberryhub/node/coordination.py
@@ -2,13 +2,14 @@
 
 from mulberryhub.fleet.channel import PermitRequest, QuotaGrant, QuotaRequest
 from mulberryhub.fleet.records import Usage
+from mulberryhub.fleet.router_counts import RouterCounts
 from mulberryhub.fleet.usage import UsageTable
 from mulberryhub.forward.loads import Loads
-from mulberryhub.forward.quotas import Quotas
+from mulberryhub.forward.quotas import MAX_NEWS_AGE_MS, Quotas
 from mulberryhub.forward.workspace_usage import QuotaRule
 from mulberryhub.permits.allocator import PermitAllocator
 from mulberryhub.permits.client import CoordinatorClient
-from mulberryhub.permits.share import MAX_SHARE, CoordinatorShare
+from mulberryhub.permits.share import CoordinatorShare
 
 
 def build_coordinator_client(parts, clock):
@@ -61,7 +62,14 @@
         return None if grant is None else grant.cost
 
     def read_lending_share():
-        return parts.coordinator_share.current() / MAX_SHARE
+        """Return the share of the lent part that this router may lend, from 0 to 1.
+
+        Without news of the others, they may have another coordinator by now.
+        """
+        heard = parts.router_counts.heard()
+        if heard > 1 and usage_table.news_age() > MAX_NEWS_AGE_MS:
+            return 0
+        return min(1, parts.coordinator_share.followers() / heard)
 
     def measure_usage():
         return Usage(
@@ -79,6 +87,9 @@
     usage_table = UsageTable(
         measure_usage, settings.data_centre, bounds.quota_window, clock
     )
+    parts.router_counts = RouterCounts(
+        usage_table.others, lambda: len(fleet_state.members_by_name), clock
+    )
     quota_rule = QuotaRule(
         bounds.quota_window, bounds.quota_overage, bounds.quota_slack
     )
@@ -86,7 +97,8 @@
         quota_rule,
         usage_table.others,
         usage_table.admitted_by_others,
-        lambda: len(fleet_state.members_by_name),
+        usage_table.news_age,
+        parts.router_counts.possible,
         borrow,
         read_lending_share,
         clock,
--- a/libs/node/src/mulberryhub/node/router.py
+++ b/libs/node/src/mulberryhub/node/router.py
@@ -52,6 +52,7 @@
             follower.start()
         parts.source_selector.start()
         parts.coordinator_share.start()
+        parts.router_counts.start()
         parts.removals.start()
         parts.stream_origins.start()
         spawn_service(self._run_registration)
@@ -166,6 +167,7 @@
         "publisher",
         "source_selector",
         "coordinator_share",
+        "router_counts",
         "coordinate",
         "followers",
         "removals",
--- a/libs/permits/src/mulberryhub/permits/share.py
+++ b/libs/permits/src/mulberryhub/permits/share.py
@@ -50,14 +50,17 @@
 
     def current(self):
         """Return the share of each rate that this router may issue, from 0 to 1."""
-        now = self._clock.now()
-        if not self._samples or now - self._samples[-1].at >= SAMPLE_INTERVAL_MS:
-            self.sample()
         routers = self._count_routers()
         if not routers:
             return 0
-        followers = min(sample.followers for sample in self._samples)
-        return min(MAX_SHARE, FLEET_SHARE * followers / routers)
+        return min(MAX_SHARE, FLEET_SHARE * self.followers() / routers)
+
+    def followers(self):
+        """Return the number of routers that have followed this one for a while."""
+        now = self._clock.now()
+        if not self._samples or now - self._samples[-1].at >= SAMPLE_INTERVAL_MS:
+            self.sample()
+        return min(sample.followers for sample in self._samples)
 
     def sample(self):
         """Record the present number of followers.
--- a/tests/forward/quota_fleet.py
+++ b/tests/forward/quota_fleet.py
@@ -4,12 +4,16 @@
 from itertools import permutations
 from random import Random
 
+import msgspec
+
 from mulberryhub.base.clock import ManualClock
 from mulberryhub.fleet.records import Usage, Workspace
-from mulberryhub.fleet.usage import UsageTable
-from mulberryhub.forward.quotas import Quotas
+from mulberryhub.fleet.router_counts import RouterCounts
+from mulberryhub.fleet.usage import SUMMED_SLOT_COUNT, UsageTable
+from mulberryhub.forward.quotas import MAX_NEWS_AGE_MS, Quotas
 from mulberryhub.forward.refusal import Refusal
 from mulberryhub.forward.workspace_usage import QuotaRule
+from mulberryhub.permits.share import CoordinatorShare
 
 WINDOW_MS = 8_000
 RATE_TOKENS_PER_S = 55_000
@@ -19,6 +23,8 @@
 )
 MAX_WINDOW_TOKENS = RULE.limit(WORKSPACE, 1)
 REPORT_PERIOD_MS = 300
+SAMPLE_PERIOD_MS = 200
+PUBLISHED_SLOT_COUNT = 5
 DATA_CENTRES = ("a", "b", "c")
 STEP_MS = 20
 COST_TOKENS = 6_000  # of a request
@@ -32,13 +38,21 @@
         self.name = name
         self.data_centre = data_centre
         self.table = UsageTable(self._measure, data_centre, WINDOW_MS, fleet.clock)
+        self.counts = RouterCounts(
+            self.table.others, lambda: len(fleet.nodes), fleet.clock
+        )
+        self.share = CoordinatorShare(
+            self._count_followers, lambda: len(fleet.nodes), fleet.clock
+        )
+        self.known_names = set()
         self.quotas = Quotas(
             RULE,
             self.table.others,
             self.table.admitted_by_others,
-            lambda: len(fleet.nodes),
+            self.table.news_age,
+            self.counts.possible,
             self._borrow,
-            lambda: float(fleet.has_coordinator and fleet.coordinator_of(self) is self),
+            self._read_lending_share,
             fleet.clock,
         )
         self._fleet = fleet
@@ -50,28 +64,76 @@
             return None
         return 0 if coordinator is self else coordinator.quotas.lend(WORKSPACE, cost)
 
+    def _read_lending_share(self):
+        """Return the share that this node may lend, as the composition root does."""
+        if not self._fleet.has_coordinator:
+            return 0
+        heard = self.counts.heard()
+        if heard > 1 and self.table.news_age() > MAX_NEWS_AGE_MS:
+            return 0
+        return min(1, self.share.followers() / heard)
+
+    def _count_followers(self):
+        usage = self.table.own()
+        others = self.table.others()
+        if others is not None:
+            usage.add(others)
+        return usage.followers_by_coordinator.get(self.name, 0)
+
+    def sample(self):
+        """Sample the numbers of routers and followers."""
+        self.share.sample()
+        self.counts.sample()
+
     def receive_report(self, node):
-        """Receive the report of a follower."""
-        admitted = node.table.admitted_by_data_centre()
-        self.table.record_report(node.name, node.table.own(), admitted)
+        """Receive the report of a follower, the first one in full."""
+        usage = node.table.own()
+        if node.name in self.known_names:
+            admitted = usage.admitted.newest(SUMMED_SLOT_COUNT)
+            usage = msgspec.structs.replace(usage, admitted=admitted)
+            self.table.record_report(node.name, usage, {})
+            return
+        self.known_names.add(node.name)
+        known = node.table.admitted_by_data_centre()
+        unshared = node.table.take_unshared()
+        self.table.record_report(node.name, usage, known, unshared=unshared)
 
     def receive_sums(self, leader):
         """Receive the sums of the leader of another data centre."""
+        if leader.name in self.known_names:
+            usage = leader.table.sum_local(PUBLISHED_SLOT_COUNT)
+            self.table.record_remote(leader.data_centre, usage, {})
+            return
+        self.known_names.add(leader.name)
         known = {self.data_centre: leader.table.admitted_in(self.data_centre)}
         self.table.record_remote(leader.data_centre, leader.table.sum_local(), known)
 
     def receive_publication(self, leader):
         """Receive the sums that the leader of this data centre publishes."""
+        is_known = leader.name in self.known_names
+        self.known_names.add(leader.name)
+        slots = PUBLISHED_SLOT_COUNT if is_known else None
         own_part = leader.table.reported_usage(self.name)
-        self.table.record_local(leader.table.sum_local(), own_part)
-        admitted = leader.table.remote_admitted()
+        self.table.record_local(leader.table.sum_local(slots), own_part)
+        admitted = leader.table.remote_admitted(slots)
         self.table.record_remote_total(leader.table.remote(), admitted)
 
+    def forget_others(self, group):
+        """Drop the connections to the nodes that are not in `group`."""
+        names = {node.name for node in group}
+        for name in self.known_names - names:
+            self.table.forget(name)
+        self.known_names &= names
+
     def _measure(self):
         quotas = self.quotas
         age = quotas.uptime()
         return Usage(
-            quotas.admitted(), quotas.demand_rates(), max_uptime=age, min_uptime=age
+            quotas.admitted(),
+            quotas.demand_rates(),
+            max_uptime=age,
+            min_uptime=age,
+            followers_by_coordinator={self._fleet.coordinator_of(self).name: 1},
         )
 
 
@@ -124,8 +186,12 @@
         return node
 
     def _notice_links(self):
-        if self.clock.now() >= self.noticed_at:
-            self.noticed_groups = self.groups
+        if self.clock.now() < self.noticed_at or self.noticed_groups == self.groups:
+            return
+        self.noticed_groups = self.groups
+        for group in self.groups:
+            for node in group:
+                node.forget_others(group)
 
     def run(self, duration, tokens_per_s):
         end = self.clock.now() + duration
@@ -138,9 +204,7 @@
                 due -= COST_TOKENS
                 request_count += 1
                 self._send_request(senders[request_count % len(senders)])
-            if self.clock.now() % REPORT_PERIOD_MS == 0:
-                self._exchange_reports()
-            self.clock.advance(STEP_MS)
+            self._step()
 
     def run_uneven(self, duration, tokens_per_s, seed):
         """Send requests of long-tailed cost at unequal rates to the routers."""
@@ -154,9 +218,15 @@
                 cost = min(45_000, max(200, int(random_numbers.lognormvariate(8, 1.2))))
                 due -= cost
                 self._send_request(random_numbers.choices(self.nodes, shares)[0], cost)
-            if self.clock.now() % REPORT_PERIOD_MS == 0:
-                self._exchange_reports()
-            self.clock.advance(STEP_MS)
+            self._step()
+
+    def _step(self):
+        if self.clock.now() % SAMPLE_PERIOD_MS == 0:
+            for node in self.nodes:
+                node.sample()
+        if self.clock.now() % REPORT_PERIOD_MS == 0:
+            self._exchange_reports()
+        self.clock.advance(STEP_MS)
 
     def _send_request(self, node, cost=COST_TOKENS):
         self.demand += cost
