Let streams go on only at processes whose software version was read

Cause: the record that a router holds, up to 1.3 s old, was taken for the process that answers now: as the origin of a stream that begins, and as the version of the target where one goes on.

Why it works: a process that starts again has closed its connections, so a record that was read after a connection was opened describes the process at its other end. Most streams run on connections older than the last read, and wait for nothing. The others wait for the read, and break off where it does not come or shows another version.

--- a/libs/fleet/src/mulberryhub/fleet/stream_origins.py
+++ b/libs/fleet/src/mulberryhub/fleet/stream_origins.py
@@ -24,6 +24,9 @@
 SEARCH_PAUSE_MS = 130  # for a batch of another router that is on its way
 SEARCH_TIMEOUT_MS = 500  # of all searches, if the store is slow
 
+# Beside the version that was believed, so that there are two and none is taken.
+UNCERTAIN = "\x00uncertain"
+
 log = module_logger(__name__)
 
 
@@ -93,6 +96,11 @@
         digest = digest_of(service, attempt_id)
         self._begun.record(service, digest, software_version, self._clock.now())
 
+    def record_uncertain(self, service, attempt_id):
+        """Record that it is not known which version began a stream."""
+        digest = digest_of(service, attempt_id)
+        self._begun.record(service, digest, UNCERTAIN, self._clock.now())
+
     def may_begin(self, service, software_version):
         """Return whether new resumable streams may begin on `software_version`."""
         return self._versions.may_begin(service, software_version)
--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -118,7 +118,9 @@
 
     def record_first_event(self, job, exchange):
         """Record that the first event of an answer arrived, before it is relayed."""
-        self._stream_versions.record_first_event(job, exchange.attempt.upstream)
+        self._stream_versions.record_first_event(
+            job, exchange.attempt.upstream, exchange.connected_at
+        )
 
     def record_broken_answer(self, job, exchange, error):
         """Record that an answer broke off.
@@ -128,7 +130,9 @@
         exchange.cancel()
         self._record_broken(job, exchange.attempt, "midway", error)
         is_restartable = job.is_resumable_stream or not job.is_answer_started
-        return is_restartable and job.may_run_again and job.sends < MAX_SENDS
+        if not (is_restartable and job.may_run_again and job.sends < MAX_SENDS):
+            return False
+        return self._stream_versions.is_origin_certain(job)
 
     def record_completed(self, job, head):
         """Record that the answer with `head` was relayed to its end.
--- a/libs/forward/src/mulberryhub/forward/exchange.py
+++ b/libs/forward/src/mulberryhub/forward/exchange.py
@@ -12,7 +12,8 @@
     """A request sent to an upstream and its answer.
 
     `head` and `facts` (AnswerFacts) are set once the head of the answer was read.
-    `is_reused` is set if the connection carried other requests before.
+    `is_reused` is set if the connection carried other requests before, which was opened
+    at `connected_at` (ms).
     """
 
     __slots__ = (
@@ -20,6 +21,7 @@
         "head",
         "facts",
         "is_reused",
+        "connected_at",
         "_request",
         "_work",
         "_connection",
@@ -32,6 +34,7 @@
         self.head = None
         self.facts = None
         self.is_reused = False
+        self.connected_at = None
         self._request = request
         self._work = work
         self._connection = None
@@ -44,6 +47,7 @@
         self._loads.record_sent(id, self._work)
         try:
             self._connection = self._connect(is_repeatable)
+            self.connected_at = self._connection.opened_at
         except BaseException:
             self._loads.record_ended(id, self._work, False)
             raise
--- a/libs/forward/src/mulberryhub/forward/job.py
+++ b/libs/forward/src/mulberryhub/forward/job.py
@@ -14,7 +14,8 @@
     complete. `runs` counts the attempts that may have run the request, `sends` all
     attempts that reached an upstream, and `tried_ids` holds the ids of upstreams that
     are not tried again. `last_event_id` is the id of the last event sent to the client.
-    `stream_version` is the StreamVersion at which a stream must go on, or None.
+    `stream_version` is the StreamVersion at which a stream must go on, or None, and
+    `stream_origin` the StreamSource that began it, if its version is not yet certain.
     `quota_weight` is the workspace's quota relative to the mean of all workspaces.
     `is_answer_started` is set once the answer has begun, with `status`, and
     `first_byte_ms` after the request arrived.
@@ -33,6 +34,7 @@
         "failure_reason",
         "last_event_id",
         "stream_version",
+        "stream_origin",
         "is_answer_started",
         "status",
         "first_byte_ms",
@@ -54,6 +56,7 @@
         self.failure_reason = None
         self.last_event_id = None
         self.stream_version = None
+        self.stream_origin = None
         self.is_answer_started = False
         self.status = None
         self.first_byte_ms = None
--- a/libs/http/src/mulberryhub/http/outbound.py
+++ b/libs/http/src/mulberryhub/http/outbound.py
@@ -25,12 +25,13 @@
 class OutboundConnection:
     """Client side of a keep-alive connection that carries one request at a time.
 
-    `idle_since` is clock ms. `keep_alive_timeout_ms` is the idle timeout that the
-    upstream announced in its Keep-Alive header, or None.
+    `opened_at` and `idle_since` are clock ms. `keep_alive_timeout_ms` is the idle
+    timeout that the upstream announced in its Keep-Alive header, or None.
     """
 
     __slots__ = (
         "address",
+        "opened_at",
         "idle_since",
         "keep_alive_timeout_ms",
         "_sock",
@@ -43,6 +44,7 @@
 
     def __init__(self, address, sock, clock):
         self.address = address
+        self.opened_at = clock.now()
         self.idle_since = 0
         self.keep_alive_timeout_ms = None
         self._sock = sock
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -136,7 +136,7 @@
         clock,
     )
     parts.remaining_time = RemainingTime(clock)
-    stream_versions = StreamVersions(parts.stream_origins, fleet_state)
+    stream_versions = StreamVersions(parts.stream_origins, fleet_state, clock)
     attempt_runner = AttemptRunner(
         ports.dialect,
         selector,
--- a/tests/adapter/raw_workers.py
+++ b/tests/adapter/raw_workers.py
@@ -66,6 +66,13 @@
             except OSError:
                 pass
 
+    def start_again(self, **entry_fields):
+        """Listen at the same address again after `end()`, with an entry of its own."""
+        host, port = self.address.rsplit(":", 1)
+        self._listener = socket.create_server((host, int(port)))
+        threading.Thread(target=self._accept, daemon=True).start()
+        self.write_again(**entry_fields)
+
     def close(self):
         """Remove the entry from the store and stop listening."""
         self.deregister()
--- a/tests/adapter/versioned_services.py
+++ b/tests/adapter/versioned_services.py
@@ -39,11 +39,11 @@
     """A service without workers at first.
 
     `path` is that of requests that go to one worker at most, `failover_path` that of
-    requests which may go to two.
+    requests which may go to two. Without a `name` it has the next of s0, s1, ...
     """
 
-    def __init__(self, platform):
-        self.name = f"s{next(NAMES)}"
+    def __init__(self, platform, name=None):
+        self.name = f"s{next(NAMES)}" if name is None else name
         self.path = f"/once/{self.name}/x"
         self.failover_path = f"/twice/{self.name}/x"
         self.workers = []
--- a/tests/forward/attempt_fixture.py
+++ b/tests/forward/attempt_fixture.py
@@ -3,7 +3,7 @@
 from mulberryhub.base.clock import ManualClock
 from mulberryhub.base.counters import Counters
 from mulberryhub.fleet.records import Usage
-from mulberryhub.fleet.state import FleetState
+from mulberryhub.fleet.state import FleetState, Topic
 from mulberryhub.fleet.stream_origins import OriginUnknown, StreamOrigin
 from mulberryhub.forward.attempts import AttemptRunner
 from mulberryhub.forward.availability import UpstreamAvailability
@@ -56,6 +56,7 @@
 
     def __init__(self, outcome, fixture):
         self.outcome = outcome
+        self.opened_at = fixture.clock.now()
         self._fixture = fixture
         self._strays = 1 if outcome == STRAY else 0
 
@@ -138,7 +139,8 @@
         budget = RetryBudget(BudgetRule(10_000, 0.2, 100), lambda: 1, self.clock)
         dialect = Dialect(None, lambda call, attempt: None, self.read_answer, None)
         self.origins = RememberedOrigins(set(software_versions))
-        self.stream_versions = StreamVersions(self.origins, fleet_state)
+        fleet_state.mark_read_up_to(Topic.UPSTREAMS, 1, self.clock.now())
+        self.stream_versions = StreamVersions(self.origins, fleet_state, self.clock)
         self.attempt_runner = AttemptRunner(
             dialect,
             UpstreamSelector(
--- a/tests/forward/test_stream_versions.py
+++ b/tests/forward/test_stream_versions.py
@@ -4,7 +4,7 @@
 
 from mulberryhub.base.clock import ManualClock
 from mulberryhub.fleet.records import RequestKind, Workspace
-from mulberryhub.fleet.state import FleetState
+from mulberryhub.fleet.state import FleetState, Topic
 from mulberryhub.fleet.stream_origins import OriginUnknown, StreamOrigin
 from mulberryhub.forward.job import Job
 from mulberryhub.forward.refusal import Reason, Refusal
@@ -20,6 +20,7 @@
 from tests.forward.fakes import make_call, make_route, make_service, make_upstream
 
 OLD, NEW = "4.1", "4.2"
+CONNECTED_AT = 9_000  # before the read of a View
 ANY = StreamOrigin(OLD, is_any=True)
 
 
@@ -31,6 +32,7 @@
         self.barred = barred
         self.asked = []
         self.begun = []
+        self.uncertain = []
 
     def find(self, service, attempt_id):
         self.asked.append((service, attempt_id))
@@ -41,15 +43,36 @@
     def record_begun(self, service, attempt_id, software_version):
         self.begun.append((service, attempt_id, software_version))
 
+    def record_uncertain(self, service, attempt_id):
+        self.uncertain.append((service, attempt_id))
+
     def may_begin(self, service, software_version):
         return software_version not in self.barred
 
 
-def make_stream_versions(origins, *upstreams):
-    fleet_state = FleetState(ManualClock())
-    for upstream in upstreams:
-        fleet_state.apply(upstream)
-    return StreamVersions(origins, fleet_state)
+class View:
+    """The upstreams as read at some time, which goes on by `pause(s)`."""
+
+    def __init__(self, *upstreams):
+        self.clock = ManualClock(now=10_000)
+        self.fleet_state = FleetState(self.clock)
+        self.pending_reads = {}
+        self.read(*upstreams)
+
+    def read(self, *upstreams):
+        for upstream in upstreams:
+            self.fleet_state.apply(upstream)
+        self.fleet_state.mark_read_up_to(Topic.UPSTREAMS, 1, self.clock.now())
+
+    def pause(self, seconds):
+        self.clock.advance(int(seconds * 1_000))
+        for at in [at for at in self.pending_reads if at <= self.clock.now()]:
+            self.read(*self.pending_reads.pop(at))
+
+
+def make_stream_versions(origins, *upstreams, view=None):
+    view = view or View(*upstreams)
+    return StreamVersions(origins, view.fleet_state, view.clock, view.pause)
 
 
 def make_job(is_resumption=False, kind=RequestKind.STREAMING, is_resumable=True):
@@ -86,7 +109,7 @@
     assert accepted(stream_versions, job) == [OLD, NEW, None]
     for each in (version, NEW):
         upstream = make_upstream("u", software_version=each)
-        stream_versions.record_first_event(job, upstream)
+        stream_versions.record_first_event(job, upstream, CONNECTED_AT)
     assert accepted(stream_versions, job) == [version]
     assert origins.begun == [("llm", "id-1", version)]
 
@@ -100,7 +123,9 @@
     job = make_job(is_resumption=True, kind=kind, is_resumable=is_resumable)
     stream_versions = make_stream_versions(origins)
     stream_versions.find_origin(job)
-    stream_versions.record_first_event(job, make_upstream("u", software_version=OLD))
+    stream_versions.record_first_event(
+        job, make_upstream("u", software_version=OLD), CONNECTED_AT
+    )
     assert accepted(stream_versions, job) == [OLD, NEW, None]
     assert (origins.asked, origins.begun) == ([], [])
 
@@ -127,7 +152,7 @@
     assert origins.asked == [("llm", "id-0")]
     assert accepted(stream_versions, job) == [version]
     stream_versions.record_first_event(
-        job, make_upstream("u", software_version=version)
+        job, make_upstream("u", software_version=version), CONNECTED_AT
     )
     assert origins.begun == []
 
@@ -141,7 +166,7 @@
     )
     with pytest.raises(ResponseBroken):
         stream_versions.record_first_event(
-            job, make_upstream("u", 1, software_version=OLD)
+            job, make_upstream("u", 1, software_version=OLD), CONNECTED_AT
         )
     assert job.stream_version is required
     assert origins.begun == []
@@ -246,7 +271,7 @@
     begun.workspace = Workspace("first", ["key-1"])
     begun.call.id = "id-0"
     stream_versions.record_first_event(
-        begun, make_upstream("u", 1, software_version=OLD)
+        begun, make_upstream("u", 1, software_version=OLD), CONNECTED_AT
     )
     taken_up = make_job(is_resumption=True)
     taken_up.workspace = Workspace("second", ["key-2"])
@@ -255,3 +280,66 @@
     taken_up.workspace = begun.workspace
     stream_versions.find_origin(taken_up)
     assert taken_up.stream_version.software_version == OLD
+
+
+def begin_on(stream_versions, job, connected_at):
+    upstream = make_upstream("u", 1, software_version=OLD)
+    stream_versions.record_first_event(job, upstream, connected_at)
+
+
+# A record that is older than the connection may be that of an earlier process.
+@pytest.mark.parametrize("version, is_certain", [(OLD, True), (NEW, False)])
+def test_stream_on_a_new_connection_goes_on_only_if_its_version_was_read(
+    version, is_certain
+):
+    view, job, origins = View(), make_job(), FakeOrigins()
+    stream_versions = make_stream_versions(origins, view=view)
+    begin_on(stream_versions, job, view.clock.now() + 300)
+    later = make_upstream("u", 2, software_version=version)
+    view.pending_reads[view.clock.now() + 700] = [later]
+    assert stream_versions.is_origin_certain(job) is is_certain
+    assert origins.uncertain == ([] if is_certain else [("llm", "id-1")])
+
+
+def test_stream_does_not_go_on_without_a_read_of_its_upstream():
+    view, job, origins = View(), make_job(), FakeOrigins()
+    stream_versions = make_stream_versions(origins, view=view)
+    begin_on(stream_versions, job, view.clock.now() + 300)
+    assert not stream_versions.is_origin_certain(job)
+    assert origins.uncertain == [("llm", "id-1")]
+
+
+def test_stream_on_a_connection_older_than_the_read_goes_on_at_once():
+    view, job = View(), make_job()
+    stream_versions = make_stream_versions(FakeOrigins(), view=view)
+    begin_on(stream_versions, job, CONNECTED_AT)
+    view.read(make_upstream("u", 2, software_version=NEW))
+    started = view.clock.now()
+    assert stream_versions.is_origin_certain(job)
+    assert view.clock.now() == started
+
+
+# The upstream that is to go on may have started again since its record was read.
+@pytest.mark.parametrize("version, goes_on", [(OLD, True), (NEW, False), (None, False)])
+def test_stream_goes_on_at_a_new_connection_only_if_its_version_was_read(
+    version, goes_on
+):
+    view, job = View(), make_job(is_resumption=True)
+    stream_versions = make_stream_versions(FakeOrigins(StreamOrigin(OLD)), view=view)
+    stream_versions.find_origin(job)
+    later = make_upstream("u", 2, software_version=version)
+    view.pending_reads[view.clock.now() + 700] = [later]
+    connected_at = view.clock.now() + 100
+    if goes_on:
+        begin_on(stream_versions, job, connected_at)
+        return
+    with pytest.raises(ResponseBroken):
+        begin_on(stream_versions, job, connected_at)
+
+
+def test_stream_does_not_go_on_at_an_upstream_that_is_not_read():
+    view, job = View(), make_job(is_resumption=True)
+    stream_versions = make_stream_versions(FakeOrigins(StreamOrigin(OLD)), view=view)
+    stream_versions.find_origin(job)
+    with pytest.raises(ResponseBroken):
+        begin_on(stream_versions, job, view.clock.now() + 100)
