--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -21,6 +21,7 @@
 )
 from mulberryhub.fleet.records import Configuration, Member, Upstream
 from mulberryhub.fleet.state import UNKNOWN_POSITION, Topic
+from mulberryhub.fleet.usage import PUBLISHED_SLOT_COUNT
 from mulberryhub.http.accept_loop import run_accept_loop
 from mulberryhub.http.sockets import close, open_listener, set_socket_options
 
@@ -29,7 +30,6 @@
 HEARTBEAT_MS_PER_SUBSCRIBER = 12  # limits the total rate of messages
 REMOTE_USAGE_INTERVAL_MS = 250  # between usage updates to other data centres
 BATCH_DELAY_MS = 10  # during which changes are collected into one update
-REPEATED_SLOT_COUNT = 5  # newest slots, sent each time as they may still change
 TOPIC_BY_TYPE = {Upstream: Topic.UPSTREAMS, Member: Topic.MEMBERS}
 
 log = module_logger(__name__)
@@ -206,8 +206,8 @@
         update = self._make_update(before.revision)
         if self._summed_at is None or now - self._summed_at >= self.heartbeat():
             self._summed_at = now
-            self._summed_usage = self._usage_table.sum_local(REPEATED_SLOT_COUNT)
-            self._add_usage(update, self._summed_usage, REPEATED_SLOT_COUNT)
+            self._summed_usage = self._usage_table.sum_local(PUBLISHED_SLOT_COUNT)
+            self._add_usage(update, self._summed_usage, PUBLISHED_SLOT_COUNT)
         after = self._add_rollout_and_ids(before, update)
         self._broadcast = Broadcast(before, after, encode(update))
         tick_event, self._tick_event = self._tick_event, Event()
@@ -251,7 +251,7 @@
             ]
             self._add_usage(update, self._usage_table.sum_local())
         else:
-            self._add_usage(update, self._summed_usage, REPEATED_SLOT_COUNT)
+            self._add_usage(update, self._summed_usage, PUBLISHED_SLOT_COUNT)
         subscriber.progress = self._add_rollout_and_ids(before, update)
         return update
 
--- a/libs/fleet/src/mulberryhub/fleet/subscription.py
+++ b/libs/fleet/src/mulberryhub/fleet/subscription.py
@@ -14,11 +14,11 @@
     Update,
 )
 from mulberryhub.fleet.state import UNKNOWN_POSITION, Topic
+from mulberryhub.fleet.usage import REPORTED_SLOT_COUNT
 
 REPORT_INTERVAL_MS = 250  # between reports without a notable change
 MIN_REPORT_INTERVAL_MS = 100  # between reports while work in flight changes
 WORK_CHANGE_THRESHOLD_MS = 40  # change of work in flight that is reported early
-REPEATED_SLOT_COUNT = 4  # newest slots, sent each time as they may still change
 MAX_UNACKED_REPORT_COUNT = 100  # kept until the publisher acknowledges them
 PUBLISHER_TIMEOUT_MS = 1_300  # without messages, after which the connection is closed
 MAX_MESSAGE_GAP_MS = 1_500  # between messages, after which they may be old
@@ -221,7 +221,7 @@
                 report.unshared = self._usage_table.take_unshared()
         else:
             report.use = msgspec.structs.replace(
-                usage, admitted=usage.admitted.newest(REPEATED_SLOT_COUNT)
+                usage, admitted=usage.admitted.newest(REPORTED_SLOT_COUNT)
             )
         rollout = self._fleet_state.rollout
         revision = self._fleet_state.revision
--- a/libs/fleet/src/mulberryhub/fleet/usage.py
+++ b/libs/fleet/src/mulberryhub/fleet/usage.py
@@ -15,8 +15,10 @@
 MAX_REPORT_AGE_MS = 1_000  # of a router's last report that is included
 MAX_PUBLICATION_AGE_MS = 2_000  # of the sums that a publisher sent
 MAX_SUM_AGE_MS = 250  # of a sum, after which it is made again on demand
-# The newest slots of each router are in the next sums, whenever it was heard last.
-SUMMED_SLOT_COUNT = 4
+# The newest slots, in each report and update as they may still change. So they are in
+# the next sums, whenever a router was heard last.
+REPORTED_SLOT_COUNT = 4
+PUBLISHED_SLOT_COUNT = 5
 AMENDED_TIME_MS = 1_000  # for which all slots are passed on once an older one changed
 REPORT_DELAY_MS = 500  # in which admissions may be unreported
 NO_ADMISSIONS = Admitted()
@@ -120,7 +122,7 @@
         admitted = self.own().admitted
         duration = self._clock.now() - admitted.phase - since + REPORT_DELAY_MS
         last = 1 + ceil(max(0, duration) / SLOT_MS)
-        return admitted.between(SUMMED_SLOT_COUNT, last)
+        return admitted.between(REPORTED_SLOT_COUNT, last)
 
     def news_age(self):
         """Return the ms since another router was heard, or since the start."""
@@ -188,7 +190,7 @@
         after a restart of all local routers.
         """
         self._contact.record_news()
-        if usage.admitted.slot_count() > SUMMED_SLOT_COUNT + 1:
+        if usage.admitted.slot_count() > PUBLISHED_SLOT_COUNT:
             self._remote_amended_at = self._clock.now()
         self._remote_by_data_centre[data_centre] = ReportedUsage(
             usage, self._clock.now()
--- a/libs/forward/src/mulberryhub/forward/stream_versions.py
+++ b/libs/forward/src/mulberryhub/forward/stream_versions.py
@@ -103,7 +103,7 @@
         self._check_version(upstream)
         source = StreamSource(upstream, connected_at)
         if job.stream_version is not None:
-            if not self._is_certain(source):
+            if not self._is_certain(source, job.deadline):
                 raise ResponseBroken("the software version is not known for certain")
             return
         if not self._is_read_since(connected_at):
@@ -123,7 +123,7 @@
         up either.
         """
         source = job.stream_origin
-        if source is None or self._is_certain(source):
+        if source is None or self._is_certain(source, job.deadline):
             return True
         log.warning(
             "stream of an uncertain software version",
@@ -135,12 +135,13 @@
             self._origins.record_uncertain(job.service.name, key)
         return False
 
-    def _is_certain(self, source):
+    def _is_certain(self, source, deadline):
         """Return whether the record of `source` describes the process that answered.
 
-        Wait until the records were read after the connection was opened.
+        Wait until the records were read after the connection was opened, or until
+        `deadline` (ms).
         """
-        deadline = self._clock.now() + MAX_WAIT_MS
+        deadline = min(deadline, self._clock.now() + MAX_WAIT_MS)
         while not self._is_read_since(source.connected_at):
             if self._clock.now() >= deadline:
                 return False
