Judge each request by the limits in force when its head is read

Cause: a connection took the limits once, when it was opened, and gave the one of heads to the HTTP parser, which keeps it.

Now the limits are read whenever more of a head is awaited, and a request keeps those of the end of its head. The parser has no limit of its own; what has arrived of a head, a chunk's head or trailers is checked here, with the same status. An idle connection is kept if the timeout was raised while it waited.

--- a/libs/http/src/mulberryhub/http/inbound.py
+++ b/libs/http/src/mulberryhub/http/inbound.py
@@ -1,5 +1,7 @@
 """Server side of a client connection: reads whole requests, streams responses."""
 
+from sys import maxsize
+
 import h11
 
 from mulberryhub.http.messages import (
@@ -60,6 +62,8 @@
 class InboundConnection:
     """Server side of a keep-alive connection that serves one request at a time.
 
+    `read_limits()` returns the current RequestLimits. Each request has those of the
+    time at which its head is read, however long the connection was open before.
     `close_after_response` announces and forces a close after the current response.
     """
 
@@ -69,23 +73,22 @@
         "closed",
         "_sock",
         "_clock",
+        "_read_limits",
         "_limits",
         "_http",
         "_held_response",
     )
 
-    def __init__(self, sock, limits, clock):
+    def __init__(self, sock, read_limits, clock):
         self.receive_buffer = ReceiveBuffer(sock)
         self.close_after_response = False
         self.closed = False
         self._sock = sock
         self._clock = clock
-        self._limits = limits
-        self._http = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=limits.max_header_bytes
-            + REQUEST_LINE_ALLOWANCE_BYTES,
-        )
+        self._read_limits = read_limits
+        self._limits = read_limits()
+        # `_next_event` has a limit that follows the configuration.
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=maxsize)
         self._held_response = None
         self.receive_buffer.start()
 
@@ -189,8 +192,9 @@
         )
 
     def _read_head(self):
-        timeout = self._limits.idle_timeout_ms
+        idle_since = self._clock.now()
         while True:
+            self._limits = self._read_limits()
             event = self._next_event()
             if isinstance(event, h11.Request):
                 return event
@@ -198,19 +202,30 @@
                 return None
             has_begun = bool(self._http.trailing_data[0])
             try:
-                data = self.receive_buffer.read(
-                    self._limits.header_timeout_ms if has_begun else timeout
-                )
+                data = self.receive_buffer.read(self._head_timeout(idle_since))
             except TimeoutError:
                 if has_begun:
                     raise BadRequest(
                         STATUS_REQUEST_TIMEOUT, "timed out waiting for the header"
                     )
+                if self._is_idle_time_left(idle_since):
+                    continue
                 return None
             if not data:
                 return None
             self._http.receive_data(data)
 
+    def _head_timeout(self, idle_since):
+        """Return the ms to wait for the first or for more bytes of a head."""
+        if self._http.trailing_data[0]:
+            return self._limits.header_timeout_ms
+        idle_time = self._clock.now() - idle_since
+        return max(0, self._limits.idle_timeout_ms - idle_time)
+
+    def _is_idle_time_left(self, idle_since):
+        """Return whether the idle timeout was raised during the wait."""
+        return self._clock.now() - idle_since < self._read_limits().idle_timeout_ms
+
     def _read_body(self):
         pieces = []
         size = 0
@@ -239,9 +254,20 @@
 
     def _next_event(self):
         try:
-            return self._http.next_event()
+            event = self._http.next_event()
         except h11.RemoteProtocolError as error:
             raise BadRequest(error.error_status_hint, str(error))
+        if event is h11.NEED_DATA:
+            self._check_incomplete_event()
+        return event
+
+    def _check_incomplete_event(self):
+        """Check what has arrived of a head, of a chunk's head or of trailers."""
+        maximum = self._limits.max_header_bytes + REQUEST_LINE_ALLOWANCE_BYTES
+        if len(self._http.trailing_data[0]) > maximum:
+            raise BadRequest(
+                STATUS_HEADER_TOO_LARGE, f"more than {maximum} bytes without an end"
+            )
 
     def _check_headers(self, headers):
         if headers.size() > self._limits.max_header_bytes:
--- a/libs/http/src/mulberryhub/http/server.py
+++ b/libs/http/src/mulberryhub/http/server.py
@@ -96,7 +96,7 @@
         except OSError:
             sock.close()  # The client has already disconnected.
             return
-        connection = InboundConnection(sock, self._read_limits(), self._clock)
+        connection = InboundConnection(sock, self._read_limits, self._clock)
         self._connections.add(connection)
         try:
             self._serve_requests(connection)
--- a/tests/http/support.py
+++ b/tests/http/support.py
@@ -26,8 +26,10 @@
 
 
 @contextmanager
-def running_server(handle=echo, limits=LIMITS):
-    server = HttpServer(free_address(), handle, lambda: limits, Clock())
+def running_server(handle=echo, limits=LIMITS, read_limits=None):
+    """Run a server with `limits`, or with what `read_limits()` returns each time."""
+    read_limits = read_limits or (lambda: limits)
+    server = HttpServer(free_address(), handle, read_limits, Clock())
     server.start()
     try:
         yield server
