Keep idle connections to the coordinator, as receiving has a timeout of its own

Cause: a receive waited for as long as the timeout of the socket, and each send sets that to 1 s. A connection over which nothing is asked for a second ended at both sides.

Now a receive takes its own timeout. Connections to the coordinator have none, and keepalive probes end them; subscriptions end after 1 s of silence at both sides as before. A request body that is sent in the background keeps its write timeout while the answer is read.

--- a/libs/fleet/src/mulberryhub/fleet/channel.py
+++ b/libs/fleet/src/mulberryhub/fleet/channel.py
@@ -238,21 +238,27 @@
             except OSError as error:
                 raise ChannelError(f"send failed: {error}") from error
 
-    def receive(self):
-        """Return the next message; raise ChannelError on failure."""
-        length = int.from_bytes(self._read_exactly(LENGTH_BYTES))
+    def receive(self, timeout=None):
+        """Return the next message; raise ChannelError on failure.
+
+        Without any bytes for `timeout` ms, the connection counts as failed.
+        """
+        length = int.from_bytes(self._read_exactly(LENGTH_BYTES, timeout))
         if length > MAX_MESSAGE_BYTES:
             raise ChannelError(f"message of {length} bytes exceeds the limit")
-        return decode(self._read_exactly(length))
+        return decode(self._read_exactly(length, timeout))
 
     def close(self):
         """Close the connection, which ends a blocked `receive()`."""
         close(self._sock)
 
-    def _read_exactly(self, count):
+    def _read_exactly(self, count, timeout):
+        timeout_s = None if timeout is None else timeout / 1000
         while len(self._buffer) < count:
             try:
-                data = receive(self._sock)
+                data = receive(self._sock, timeout_s)
+            except TimeoutError as error:
+                raise ChannelError("silent") from error
             except OSError as error:
                 raise ChannelError(f"receive failed: {error}") from error
             if not data:
--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -30,6 +30,7 @@
 HEARTBEAT_MS_PER_SUBSCRIBER = 12  # limits the total rate of messages
 REMOTE_USAGE_INTERVAL_MS = 250  # between usage updates to other data centres
 BATCH_DELAY_MS = 10  # during which changes are collected into one update
+SUBSCRIBER_TIMEOUT_MS = 1_000  # without reports, after which it is disconnected
 TOPIC_BY_TYPE = {Upstream: Topic.UPSTREAMS, Member: Topic.MEMBERS}
 
 log = module_logger(__name__)
@@ -156,7 +157,7 @@
             name = hello.name
             spawn_task(self._publish, Subscriber(channel, hello))
             while True:
-                report = channel.receive()
+                report = channel.receive(SUBSCRIBER_TIMEOUT_MS)
                 if isinstance(report, Report):
                     self._apply_report(name, hello, report)
         except ChannelError as error:
--- a/libs/fleet/src/mulberryhub/fleet/subscription.py
+++ b/libs/fleet/src/mulberryhub/fleet/subscription.py
@@ -20,7 +20,7 @@
 MIN_REPORT_INTERVAL_MS = 100  # between reports while work in flight changes
 WORK_CHANGE_THRESHOLD_MS = 40  # change of work in flight that is reported early
 MAX_UNACKED_REPORT_COUNT = 100  # kept until the publisher acknowledges them
-PUBLISHER_TIMEOUT_MS = 1_300  # without messages, after which the connection is closed
+PUBLISHER_TIMEOUT_MS = 1_000  # without messages, after which the connection is closed
 MAX_MESSAGE_GAP_MS = 1_500  # between messages, after which they may be old
 
 log = module_logger(__name__)
@@ -110,8 +110,7 @@
             spawn_task(self._report_loop)
             received_at = self._clock.now()
             while not self.ended:
-                with Timeout(PUBLISHER_TIMEOUT_MS / 1000, ChannelError("silent")):
-                    message = self._channel.receive()
+                message = self._channel.receive(PUBLISHER_TIMEOUT_MS)
                 # The timeout does not count the ms in which the machine slept.
                 if self._clock.now() - received_at > MAX_MESSAGE_GAP_MS:
                     raise ChannelError("old messages")
--- a/libs/http/src/mulberryhub/http/outbound.py
+++ b/libs/http/src/mulberryhub/http/outbound.py
@@ -224,9 +224,8 @@
         started = self._clock.now()
         if started >= deadline:
             raise ResponseTimeout(f"{self.address}: timed out")
-        self._sock.settimeout((deadline - started) / 1000)
         try:
-            data = receive(self._sock)
+            data = receive(self._sock, (deadline - started) / 1000)
         except TimeoutError as error:
             waited_ms = self._clock.now() - started
             raise ResponseTimeout(
--- a/libs/http/src/mulberryhub/http/sockets.py
+++ b/libs/http/src/mulberryhub/http/sockets.py
@@ -54,12 +54,13 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBE_COUNT)
 
 
-def receive(sock):
+def receive(sock, timeout=None):
     """Return the next bytes, or b"" at the end of the stream; raise OSError on failure.
 
-    A reset raises ConnectionResetError. eventlet's own `recv` would return it as the
-    end of the stream, so that a truncated response without a length would look
-    complete.
+    Without data for `timeout` s, raise TimeoutError. The timeout of `sock` itself is
+    not used, as another green thread may have set it for what it sends. A reset raises
+    ConnectionResetError. eventlet's own `recv` would return it as the end of the
+    stream, so that a truncated response without a length would look complete.
     """
     while True:
         try:
@@ -70,7 +71,7 @@
             hubs.trampoline(
                 sock.fd,
                 read=True,
-                timeout=sock.gettimeout(),
+                timeout=timeout,
                 timeout_exc=TimeoutError,
             )
         except hubs.IOClosed:
--- a/tests/http/test_sockets.py
+++ b/tests/http/test_sockets.py
@@ -50,7 +50,22 @@
     listener = listen(("127.0.0.1", 0))
     host, port = listener.getsockname()
     sock = connect(f"{host}:{port}")
-    sock.settimeout(0.05)
     with pytest.raises(TimeoutError):
-        receive(sock)
+        receive(sock, 0.05)
+    listener.close()
+
+
+def test_timeout_for_sending_does_not_end_a_receive():
+    # Guards against idle connections that end by the timeout of what was sent.
+    listener = listen(("127.0.0.1", 0))
+    host, port = listener.getsockname()
+    sock = connect(f"{host}:{port}")
+    sock.settimeout(0.05)
+    peer, _ = listener.accept()
+    received = Event()
+    spawn_n(lambda: received.send(receive(sock)))
+    sleep(0.2)
+    peer.sendall(b"x")
+    with Timeout(1):
+        assert received.wait() == b"x"
     listener.close()
