Bound the memory that the bodies of all requests hold together

Cause: each body had a limit and all together had none; besides, a body was held several times (joined, encoded, and again for what a socket did not take), and 256 KB were read ahead for each connection.

Now http.body_memory counts them against a bound from the settings' memory limit. What does not fit is refused at once with 503 and Retry-After, has not run, and its rest is read and dropped, so that the status is not lost by a reset (the same for a 413). A body is sent from where it is held. Answers have their own bound and stay as they are.

--- a/libs/http/src/mulberryhub/http/inbound.py
+++ b/libs/http/src/mulberryhub/http/inbound.py
@@ -12,14 +12,22 @@
     Request,
 )
 from mulberryhub.http.receive_buffer import ReceiveBuffer
-from mulberryhub.http.sockets import close, has_unread_data, reset
+from mulberryhub.http.sockets import (
+    close,
+    has_unread_data,
+    reset,
+    shut_down_writing,
+)
 
 STATUS_HEADER_TOO_LARGE = 431
 STATUS_BODY_TOO_LARGE = 413
 STATUS_REQUEST_TIMEOUT = 408
 STATUS_BAD_REQUEST = 400
+STATUS_UNAVAILABLE = 503
 REQUEST_LINE_ALLOWANCE_BYTES = 1_024  # request line and line ends, on top of headers
 MAX_HELD_BODY_BYTES = 1_048_576  # of a response to a client that reads no chunks
+MEMORY_RETRY_AFTER_S = 1  # once the bodies of other requests use all of the memory
+MAX_LINGER_MS = 2_000  # for a client that still sends a request that was rejected
 HTTP_1_0 = b"1.0"
 
 
@@ -64,6 +72,7 @@
 
     `read_limits()` returns the current RequestLimits. Each request has those of the
     time at which its head is read, however long the connection was open before.
+    `body_memory` is the BodyMemory of all connections.
     `close_after_response` announces and forces a close after the current response.
     """
 
@@ -77,9 +86,10 @@
         "_limits",
         "_http",
         "_held_response",
+        "_reservation",
     )
 
-    def __init__(self, sock, read_limits, clock):
+    def __init__(self, sock, read_limits, body_memory, clock):
         self.receive_buffer = ReceiveBuffer(sock)
         self.close_after_response = False
         self.closed = False
@@ -90,6 +100,7 @@
         # `_next_event` has a limit that follows the configuration.
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=maxsize)
         self._held_response = None
+        self._reservation = body_memory.new_reservation()
         self.receive_buffer.start()
 
     def read_request(self):
@@ -98,6 +109,7 @@
         Raises BadRequest if a response with that status is due before the close,
         HttpError if the client closed within a request.
         """
+        self._reservation.release()
         head = self._read_head()
         if head is None:
             return None
@@ -172,9 +184,24 @@
         if not has_unread_data(self._sock):
             self.close()
 
+    def linger(self):
+        """Let the client finish a rejected request, so that it reads the response.
+
+        A close with unread bytes resets the connection, and the response is lost.
+        """
+        shut_down_writing(self._sock)
+        deadline = self._clock.now() + MAX_LINGER_MS
+        try:
+            while (time_left := deadline - self._clock.now()) > 0:
+                if not self.receive_buffer.read(time_left):
+                    return
+        except TimeoutError:
+            return
+
     def close(self):
         """Close the connection; data that was written is still delivered."""
         self.closed = True
+        self._reservation.release()
         close(self._sock)
 
     def abort(self):
@@ -240,6 +267,7 @@
                         STATUS_BODY_TOO_LARGE,
                         f"the body exceeds {self._limits.max_body_bytes} bytes",
                     )
+                self._reserve(size)
                 pieces.append(bytes(event.data))
                 continue
             try:
@@ -280,11 +308,22 @@
             raise BadRequest(
                 STATUS_BAD_REQUEST, "both Content-Length and Transfer-Encoding are set"
             )
-        if lengths and int(lengths[0].split(b",")[0]) > self._limits.max_body_bytes:
+        length = int(lengths[0].split(b",")[0]) if lengths else 0
+        if length > self._limits.max_body_bytes:
             raise BadRequest(
                 STATUS_BODY_TOO_LARGE,
                 f"the body exceeds {self._limits.max_body_bytes} bytes",
             )
+        self._reserve(length)
+
+    def _reserve(self, size):
+        """Reserve memory for a body of `size` bytes, or raise BadRequest."""
+        if not self._reservation.try_grow(size):
+            raise BadRequest(
+                STATUS_UNAVAILABLE,
+                "the bodies of other requests use all of the memory",
+                MEMORY_RETRY_AFTER_S,
+            )
 
     def _write(self, event):
         data = self._http.send(event)
--- a/libs/http/src/mulberryhub/http/messages.py
+++ b/libs/http/src/mulberryhub/http/messages.py
@@ -21,11 +21,15 @@
 
 
 class BadRequest(HttpError):
-    """The request is malformed, too large or too slow, as `status` (HTTP) tells."""
+    """The request is malformed, too large or too slow, as `status` (HTTP) tells.
 
-    def __init__(self, status, reason):
+    `retry_after` is the time in s after which it may be sent again, or None.
+    """
+
+    def __init__(self, status, reason, retry_after=None):
         super().__init__(reason)
         self.status = status
+        self.retry_after = retry_after
 
 
 class ConnectionFailed(HttpError):
--- a/libs/http/src/mulberryhub/http/outbound.py
+++ b/libs/http/src/mulberryhub/http/outbound.py
@@ -70,13 +70,13 @@
         `timeout` in ms limits each write. Raises ResponseBroken, except in the
         background, where the failure shows up when the response is read.
         """
-        data = self._encode_request(request)
+        parts = self._encode_request(request)
         self._sock.settimeout(timeout / 1000)
-        if len(data) > BACKGROUND_SEND_BYTES:
-            self._send_thread = spawn(self._send_all, data)
+        if sum(map(len, parts)) > BACKGROUND_SEND_BYTES:
+            self._send_thread = spawn(self._send_all, parts)
             return
         try:
-            self._sock.sendall(data)
+            self._sock.sendall(b"".join(parts))
         except OSError as error:
             raise _connection_error(f"{self.address}: send: {error}", error) from error
 
@@ -173,7 +173,10 @@
         reset(self._sock)
 
     def _encode_request(self, request):
-        """Return the bytes of `request`, which the parser counts as sent."""
+        """Return the parts of `request`, which the parser counts as sent.
+
+        The body is not copied.
+        """
         head = h11.Request(
             method=request.method,
             target=request.target,
@@ -181,13 +184,14 @@
         )
         parts = [self._http.send(head)]
         if request.body:
-            parts.append(self._http.send(h11.Data(data=request.body)))
+            parts += self._http.send_with_data_passthrough(h11.Data(data=request.body))
         parts.append(self._http.send(h11.EndOfMessage()))
-        return b"".join(parts)
+        return parts
 
-    def _send_all(self, data):
+    def _send_all(self, parts):
         try:
-            self._sock.sendall(data)
+            for part in parts:
+                self._sock.sendall(memoryview(part))
         except OSError:
             return False  # Reading the response fails with the same error.
         return True
--- a/libs/http/src/mulberryhub/http/receive_buffer.py
+++ b/libs/http/src/mulberryhub/http/receive_buffer.py
@@ -6,7 +6,9 @@
 from mulberryhub.base.tasks import spawn_task
 from mulberryhub.http.sockets import receive
 
-MAX_READ_AHEAD_BYTES = 262_144
+# Many connections may be read ahead at once, so each holds little.
+READ_BYTES = 16_384
+MAX_READ_AHEAD_BYTES = 32_768
 
 
 class ReceiveBuffer:
@@ -63,7 +65,7 @@
     def _read_ahead(self):
         while True:
             try:
-                data = receive(self._sock)
+                data = receive(self._sock, max_bytes=READ_BYTES)
             except OSError:
                 data = b""  # A reset ends the stream like a close.
             if not data:
--- a/libs/http/src/mulberryhub/http/server.py
+++ b/libs/http/src/mulberryhub/http/server.py
@@ -4,6 +4,7 @@
 from mulberryhub.base.logs import module_logger
 from mulberryhub.base.tasks import spawn_service
 from mulberryhub.http.accept_loop import run_accept_loop
+from mulberryhub.http.body_memory import BodyMemory
 from mulberryhub.http.inbound import InboundConnection
 from mulberryhub.http.messages import (
     BadRequest,
@@ -28,7 +29,8 @@
     `handle` writes the whole response and returns whether the connection can serve
     another request. ClientDisconnected is raised within it when the client disconnects,
     and ServerEnding when it must answer at once. `read_limits()` returns the current
-    RequestLimits.
+    RequestLimits. `body_memory` bounds the bodies of all requests; without it, they
+    have no common bound.
     """
 
     __slots__ = (
@@ -36,17 +38,19 @@
         "address",
         "_handle",
         "_read_limits",
+        "_body_memory",
         "_clock",
         "_listener",
         "_connections",
         "_handlers_by_connection",
     )
 
-    def __init__(self, address, handle, read_limits, clock):
+    def __init__(self, address, handle, read_limits, clock, body_memory=None):
         self.draining = False
         self.address = address
         self._handle = handle
         self._read_limits = read_limits
+        self._body_memory = body_memory or BodyMemory()
         self._clock = clock
         self._listener = None
         self._connections = set()
@@ -96,7 +100,9 @@
         except OSError:
             sock.close()  # The client has already disconnected.
             return
-        connection = InboundConnection(sock, self._read_limits, self._clock)
+        connection = InboundConnection(
+            sock, self._read_limits, self._body_memory, self._clock
+        )
         self._connections.add(connection)
         try:
             self._serve_requests(connection)
@@ -150,8 +156,12 @@
             connection.abort()
             return
         connection.close_after_response = True
+        headers = Headers()
+        if error.retry_after is not None:
+            headers.add(b"Retry-After", b"%d" % error.retry_after)
         try:
-            connection.start_response(error.status, Headers(), 0)
+            connection.start_response(error.status, headers, 0)
             connection.finish_response()
+            connection.linger()
         except HttpError as failure:
             log.debug("error response not delivered", reason=str(failure))
--- a/libs/http/src/mulberryhub/http/sockets.py
+++ b/libs/http/src/mulberryhub/http/sockets.py
@@ -54,17 +54,18 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBE_COUNT)
 
 
-def receive(sock, timeout=None):
-    """Return the next bytes, or b"" at the end of the stream; raise OSError on failure.
-
-    Without data for `timeout` s, raise TimeoutError. The timeout of `sock` itself is
-    not used, as another green thread may have set it for what it sends. A reset raises
-    ConnectionResetError. eventlet's own `recv` would return it as the end of the
-    stream, so that a truncated response without a length would look complete.
+def receive(sock, timeout=None, max_bytes=MAX_READ_BYTES):
+    """Return the next bytes, at most `max_bytes`, or b"" at the end of the stream.
+
+    Raise OSError on failure, and TimeoutError without data for `timeout` s. The timeout
+    of `sock` itself is not used, as another green thread may have set it for what it
+    sends. A reset raises ConnectionResetError. eventlet's own `recv` would return it as
+    the end of the stream, so that a truncated response without a length would look
+    complete.
     """
     while True:
         try:
-            return sock.fd.recv(MAX_READ_BYTES)
+            return sock.fd.recv(max_bytes)
         except BlockingIOError:
             pass
         try:
@@ -107,6 +108,14 @@
     """Do nothing: as a due timer it makes the hub start the cycle that wakes them."""
 
 
+def shut_down_writing(sock):
+    """Tell the peer that nothing more is sent, while it may still send."""
+    try:
+        sock.shutdown(socket.SHUT_WR)
+    except OSError:
+        pass  # The connection has failed or closed already.
+
+
 def reset(sock):
     """Close `sock` with a TCP reset; unsent data is dropped."""
     try:
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -22,6 +22,7 @@
 from mulberryhub.forward.remaining_time import RemainingTime
 from mulberryhub.forward.selection import UpstreamSelector
 from mulberryhub.forward.stream_versions import StreamVersions
+from mulberryhub.http.body_memory import BodyMemory
 from mulberryhub.http.pool import ConnectionPool
 from mulberryhub.http.server import HttpServer
 from mulberryhub.node.coordination import (
@@ -33,7 +34,7 @@
 from mulberryhub.node.metrics import metrics_server
 from mulberryhub.node.naming_times import NamingTimesSaver
 from mulberryhub.node.readiness import readiness_server
-from mulberryhub.node.request_limits import request_limits
+from mulberryhub.node.request_limits import body_memory_capacity, request_limits
 from mulberryhub.node.router import Router, RouterParts
 from mulberryhub.node.topics import topic_plans
 from mulberryhub.node.verdicts import verdict_saver
@@ -172,6 +173,7 @@
         parts.forwarder.handle,
         lambda: request_limits(fleet_state),
         clock,
+        BodyMemory(body_memory_capacity(settings.memory_limit)),
     )
 
     def demand_for(service):
--- a/libs/node/src/mulberryhub/node/settings.py
+++ b/libs/node/src/mulberryhub/node/settings.py
@@ -34,7 +34,8 @@
 
     `seeds` are peer addresses of some routers, which may be out of date. Metrics are
     not served if `metrics_address` is empty. `strength` measures the CPU and network
-    capacity; members of higher strength are preferred as leaders.
+    capacity; members of higher strength are preferred as leaders. `memory_limit` is
+    that of the process in bytes, 0 if it has none.
     """
 
     name: str
@@ -46,6 +47,7 @@
     metrics_address: str = ""
     seeds: list[str] = []
     strength: int = 0
+    memory_limit: int = 0
     bounds: OperatorLimits = OperatorLimits()
 
     def findings(self):
@@ -56,6 +58,8 @@
                 findings.error(f"$.{name}", "must not be empty")
         for name in ("front_address", "ready_address", "peer_address", "store_address"):
             _check_address(findings, f"$.{name}", getattr(self, name))
+        if self.memory_limit < 0:
+            findings.error("$.memory_limit", "must not be negative")
         for name in self.bounds.__struct_fields__:
             if getattr(self.bounds, name) < 0:
                 findings.error(f"$.bounds.{name}", "must not be negative")
