Let loads of weights start until the work of others reaches the latency target

Cause: no load was started from 250 ms of mean work in flight on, half of them from 145 ms on. That was set while a router knew the work of its own data centre only. With all of it known (167 ms before the first load, 200 to 760 ms after it) loads stood still while requests were served within their target, and started one by one when the time limit forced them.

The bound is the shortest latency target of the service's routes now. A line "load started" says what the decision rests on.

Three new cases of tests/weights/test_plan.py and the one of the routes' target pass; they need the pool's new field, so they can't run on the code before. The pool of the other tests has a target of 250 ms, so they check the same figures as before.

--- a/libs/weights/src/mulberryhub/weights/manager.py
+++ b/libs/weights/src/mulberryhub/weights/manager.py
@@ -212,9 +212,22 @@
                 self._loading_by_id[item.upstream.id] = item.upstream
                 spawn_task(self._load, item)
                 has_started = True
+                self._log_started(item, pool)
         if has_started:
             self._publish_rollout()
 
+    def _log_started(self, item, pool):
+        log.info(
+            "load started",
+            upstream=item.upstream.id,
+            version=item.version,
+            age_ms=item.age,
+            pool_size=pool.size,
+            loading=len(self._loading_by_id),
+            mean_work_ms=round(pool.mean_work),
+            demand_ms_per_s=round(pool.demand),
+        )
+
     def _load(self, item):
         """Drain an upstream, order its load and wait for the load to finish.
 
--- a/libs/weights/src/mulberryhub/weights/plan.py
+++ b/libs/weights/src/mulberryhub/weights/plan.py
@@ -1,7 +1,8 @@
 """Selects the upstreams that load new weights next.
 
 A pool of upstreams keeps serving requests during a rollout. At most MAX_LOADING_SHARE
-of it loads at the same time, and fewer the busier the others are. Loads are spread over
+of it loads at the same time, and fewer the busier the others are: none while their work
+alone delays requests beyond the latency target. Loads are spread over
 data centres, and the least busy upstreams load first, so that the rest can carry the
 traffic until the first ones return with the newest weights. When the time limit for new
 weights is near, loads start whatever the traffic.
@@ -13,7 +14,8 @@
 
 MAX_LOADING_SHARE = 0.4  # of the upstreams of a pool
 LOW_MEAN_WORK_MS = 40  # work of a serving upstream up to which the whole share loads
-HIGH_MEAN_WORK_MS = 250  # work of a serving upstream from which no load is started
+# Of routes, where there is no configuration.
+DEFAULT_LATENCY_TARGET_MS = 250
 EXPECTED_LOAD_TIME_MS = 2_000  # from the choice of an upstream to its return
 DEADLINE_MARGIN_MS = 1_000  # before the time limit for new weights
 MAX_PREFILL_SHARE = 0.7  # of the time of serving upstreams
@@ -40,17 +42,25 @@
 
     `size` counts the upstreams, including those in `loading`. `mean_work` is the mean
     work in flight in ms at those that serve requests, `demand` the engine time in ms
-    that clients ask for per second, and `version_time` the time limit in ms for new
-    weights to be loaded everywhere.
+    that clients ask for per second, `latency_target` the shortest of the routes in ms,
+    and `version_time` the time limit in ms for new weights to be loaded everywhere.
     """
 
-    __slots__ = ("size", "loading", "mean_work", "demand", "version_time")
+    __slots__ = (
+        "size",
+        "loading",
+        "mean_work",
+        "demand",
+        "latency_target",
+        "version_time",
+    )
 
-    def __init__(self, size, loading, mean_work, demand, version_time):
+    def __init__(self, size, loading, mean_work, demand, latency_target, version_time):
         self.size = size
         self.loading = loading
         self.mean_work = mean_work
         self.demand = demand
+        self.latency_target = latency_target
         self.version_time = version_time
 
 
@@ -91,9 +101,21 @@
             loading,
             work / max(1, len(serving)),
             self._demand(service),
+            self._latency_target(service),
             version_time,
         )
 
+    def _latency_target(self, service):
+        """Return the shortest latency target in ms of the routes to `service`."""
+        configuration = self._fleet_state.configuration
+        routes = () if configuration is None else configuration.routes
+        latency_targets = (
+            route.target_latency
+            for route in routes
+            if any(target.service == service for target in route.targets)
+        )
+        return min(latency_targets, default=DEFAULT_LATENCY_TARGET_MS)
+
 
 def find_outdated(fleet_state):
     """Return an OutdatedUpstream for each ready upstream that lacks new weights.
@@ -129,16 +151,20 @@
     needed = min(share, -(-len(waiting) // rounds_left))
     if time_left <= 0:
         return share
-    headroom = (HIGH_MEAN_WORK_MS - pool.mean_work) / (
-        HIGH_MEAN_WORK_MS - LOW_MEAN_WORK_MS
-    )
-    allowed = round(share * min(1, max(0, headroom)))
+    allowed = round(share * _headroom(pool))
     allowed = min(allowed, max(1, _spare_upstream_count(pool)))
     if time_left < len(waiting) * EXPECTED_LOAD_TIME_MS:
         allowed = max(allowed, needed)
     return allowed
 
 
+def _headroom(pool):
+    """Return the share of loads that the work in flight allows, from 0 to 1."""
+    work_left = pool.latency_target - pool.mean_work
+    work_range = max(1, pool.latency_target - LOW_MEAN_WORK_MS)
+    return min(1, max(0, work_left / work_range))
+
+
 def _spare_upstream_count(pool):
     """Return how many upstreams are not needed to serve the demand of clients."""
     needed = pool.demand / (1000 * MAX_PREFILL_SHARE)
--- a/tests/weights/test_plan.py
+++ b/tests/weights/test_plan.py
@@ -1,17 +1,20 @@
 import pytest
 
 from mulberryhub.base.clock import ManualClock
+from mulberryhub.fleet.records import Target
 from mulberryhub.fleet.state import FleetState
 from mulberryhub.weights.plan import (
+    DEFAULT_LATENCY_TARGET_MS,
     OutdatedUpstream,
     PoolBuilder,
     UpstreamPool,
     choose_next_loads,
     max_concurrent_loads,
 )
-from tests.forward.fakes import MODEL, make_upstream
+from tests.forward.fakes import MODEL, make_configuration, make_route, make_upstream
 
 VERSION_TIME_MS = 12_000
+LATENCY_TARGET_MS = 250
 
 
 def make_outdated(count, age=0):
@@ -23,8 +26,12 @@
     ]
 
 
-def make_pool(size=9, loading=(), mean_work=0, demand=0):
-    return UpstreamPool(size, list(loading), mean_work, demand, VERSION_TIME_MS)
+def make_pool(
+    size=9, loading=(), mean_work=0, demand=0, latency_target=LATENCY_TARGET_MS
+):
+    return UpstreamPool(
+        size, list(loading), mean_work, demand, latency_target, VERSION_TIME_MS
+    )
 
 
 def choose_idle(items, pool):
@@ -51,6 +58,23 @@
     assert allowed[0] == 3 and allowed[-1] == 0
 
 
+@pytest.mark.parametrize("latency_target", [250, 400, 1_000])
+def test_loads_start_until_work_reaches_the_latency_target(latency_target):
+    # Guards against rollouts that stand still while requests are served in time.
+    allowed = [
+        max_concurrent_loads(
+            make_pool(
+                30, mean_work=share * latency_target, latency_target=latency_target
+            ),
+            make_outdated(5),
+        )
+        for share in (0.5, 0.8, 1)
+    ]
+    assert allowed[0] >= 6
+    assert allowed[1] >= 1
+    assert allowed[2] == 0
+
+
 def test_loads_start_near_the_time_limit_despite_high_work():
     overdue = make_outdated(9, age=VERSION_TIME_MS)
     assert max_concurrent_loads(make_pool(mean_work=1_000), overdue) == 3
@@ -98,3 +122,20 @@
     )
     pool = pool_builder.pool("llm", loading, VERSION_TIME_MS)
     assert (pool.size, pool.mean_work, pool.demand) == (3, 60, 5)
+
+
+def test_latency_target_is_the_shortest_of_the_routes_to_the_service():
+    # Guards against a target of routes to other services.
+    fleet_state = FleetState(ManualClock(now=1_000))
+    pool_builder = PoolBuilder(
+        fleet_state, lambda id: 0, lambda id: False, lambda service: 0
+    )
+    before = pool_builder.pool("llm", {}, VERSION_TIME_MS).latency_target
+    routes = [
+        make_route(name="a", target_latency=500),
+        make_route(name="b", target_latency=400),
+        make_route(name="c", target_latency=100, targets=[Target("desk", 1)]),
+    ]
+    fleet_state.apply(make_configuration(routes=routes))
+    after = pool_builder.pool("llm", {}, VERSION_TIME_MS).latency_target
+    assert (before, after) == (DEFAULT_LATENCY_TARGET_MS, 400)
