--- a/libs/http/src/mulberryhub/http/inbound.py
+++ b/libs/http/src/mulberryhub/http/inbound.py
@@ -8,6 +8,7 @@
     BODILESS_STATUSES,
     BadRequest,
     Headers,
+    HeldResponse,
     HttpError,
     Request,
 )
@@ -31,42 +32,6 @@
 HTTP_1_0 = b"1.0"
 
 
-class RequestLimits:
-    """Limits on requests: sizes in bytes, timeouts in ms.
-
-    `max_header_bytes` and `max_body_bytes` limit the header fields and the body.
-    `header_timeout_ms` is the longest wait for more bytes of a header that has begun.
-    `idle_timeout_ms` is the longest wait for a request to begin, or for more of its
-    body.
-    """
-
-    __slots__ = (
-        "max_header_bytes",
-        "max_body_bytes",
-        "header_timeout_ms",
-        "idle_timeout_ms",
-    )
-
-    def __init__(
-        self, max_header_bytes, max_body_bytes, header_timeout_ms, idle_timeout_ms
-    ):
-        self.max_header_bytes = max_header_bytes
-        self.max_body_bytes = max_body_bytes
-        self.header_timeout_ms = header_timeout_ms
-        self.idle_timeout_ms = idle_timeout_ms
-
-
-class HeldResponse:
-    """A response that is sent once its whole body is known."""
-
-    __slots__ = ("status", "headers", "body")
-
-    def __init__(self, status, headers):
-        self.status = status
-        self.headers = headers
-        self.body = bytearray()
-
-
 class InboundConnection:
     """Server side of a keep-alive connection that serves one request at a time.
 
--- a/libs/http/src/mulberryhub/http/messages.py
+++ b/libs/http/src/mulberryhub/http/messages.py
@@ -158,3 +158,14 @@
         self.length = None if length is None else int(length)
         has_coding = headers.get(b"transfer-encoding") is not None
         self.is_framed = has_coding or length is not None or status in BODILESS_STATUSES
+
+
+class HeldResponse:
+    """A response that is sent once its whole body is known."""
+
+    __slots__ = ("status", "headers", "body")
+
+    def __init__(self, status, headers):
+        self.status = status
+        self.headers = headers
+        self.body = bytearray()
--- a/libs/node/src/mulberryhub/node/readiness.py
+++ b/libs/node/src/mulberryhub/node/readiness.py
@@ -1,6 +1,6 @@
 """Serves the platform's readiness probe."""
 
-from mulberryhub.http.inbound import RequestLimits
+from mulberryhub.http.limits import RequestLimits
 from mulberryhub.http.messages import Headers
 from mulberryhub.http.server import HttpServer
 
--- a/libs/node/src/mulberryhub/node/request_limits.py
+++ b/libs/node/src/mulberryhub/node/request_limits.py
@@ -2,7 +2,7 @@
 
 from math import inf
 
-from mulberryhub.http.inbound import RequestLimits
+from mulberryhub.http.limits import RequestLimits
 
 # Used until the first configuration is read.
 DEFAULT_REQUEST_LIMITS = RequestLimits(
--- a/tests/http/support.py
+++ b/tests/http/support.py
@@ -5,7 +5,7 @@
 from benchmarks.ports import free_address
 from mulberryhub.base.clock import Clock
 from mulberryhub.base.green import Timeout, listen, socket, spawn
-from mulberryhub.http.inbound import RequestLimits
+from mulberryhub.http.limits import RequestLimits
 from mulberryhub.http.messages import Headers
 from mulberryhub.http.server import HttpServer
 
--- a/tests/http/test_body_memory.py
+++ b/tests/http/test_body_memory.py
@@ -5,7 +5,7 @@
 from mulberryhub.base.clock import Clock
 from mulberryhub.base.green import Event, sleep, spawn
 from mulberryhub.http.body_memory import LONG_SHARE, SHORT_BODY_BYTES, BodyMemory
-from mulberryhub.http.inbound import RequestLimits
+from mulberryhub.http.limits import RequestLimits
 from mulberryhub.http.server import HttpServer
 from tests.http.support import connect, echo, free_address, read_all
 
--- a/tests/http/test_changed_limits.py
+++ b/tests/http/test_changed_limits.py
@@ -7,7 +7,7 @@
 import pytest
 
 from mulberryhub.base.green import sleep
-from mulberryhub.http.inbound import RequestLimits
+from mulberryhub.http.limits import RequestLimits
 from tests.http.support import connect, read_all, running_server
 
 SMALL_BYTES = 2_000
--- a/tests/http/test_fuzz.py
+++ b/tests/http/test_fuzz.py
@@ -4,7 +4,7 @@
 
 from mulberryhub.base.clock import Clock
 from mulberryhub.base.green import spawn
-from mulberryhub.http.inbound import RequestLimits
+from mulberryhub.http.limits import RequestLimits
 from mulberryhub.http.messages import Headers, Request, ResponseBroken
 from mulberryhub.http.outbound import OutboundConnection
 from tests.http.support import ScriptedUpstream, running_server, send_and_read_all
