Expect half the delay of running answers, as they were overrated by a third

Cause: the delay expected at an upstream adds what running answers do to others. So requests that would begin in time were refused, and loads of weights stood still.

A running answer counts for half as much; a waiting request counts as before.

--- a/libs/forward/src/mulberryhub/forward/work.py
+++ b/libs/forward/src/mulberryhub/forward/work.py
@@ -2,7 +2,8 @@
 
 PREFILL_TOKENS_PER_MS = 90  # prompt tokens that an engine processes
 ANSWERING_DELAY_MS = 4  # by which a running answer delays the start of another
-FULL_MEMORY_DELAY_MS = 300  # if running requests use all of the KV cache
+FULL_MEMORY_WAITING_DELAY_MS = 300  # if waiting requests need all of the KV cache
+FULL_MEMORY_ANSWERING_DELAY_MS = 150  # if running answers use all of it
 FULL_SLOTS_DELAY_MS = 300  # if all slots of a service without models are in use
 DEFAULT_SLOT_COUNT = 6
 # of shared tokens processed again where they are usually cached
@@ -32,8 +33,10 @@
     shared_tokens = sum(part.tokens for part in call.shared_parts)
     own_tokens = max(0, call.prompt_tokens - shared_tokens)
     prefill = (own_tokens + CACHE_MISS_SHARE * shared_tokens) / PREFILL_TOKENS_PER_MS
-    while_answering = ANSWERING_DELAY_MS
+    memory_share = 0
     if service.kv_capacity:
         tokens = call.prompt_tokens + call.output_tokens
-        while_answering += FULL_MEMORY_DELAY_MS * tokens / service.kv_capacity
-    return Work(prefill + while_answering, while_answering, is_bound)
+        memory_share = tokens / service.kv_capacity
+    before_answer = ANSWERING_DELAY_MS + FULL_MEMORY_WAITING_DELAY_MS * memory_share
+    while_answering = ANSWERING_DELAY_MS + FULL_MEMORY_ANSWERING_DELAY_MS * memory_share
+    return Work(prefill + before_answer, while_answering, is_bound)
--- a/tests/forward/test_delay.py
+++ b/tests/forward/test_delay.py
@@ -1,8 +1,12 @@
 """Simulates overload of an upstream and checks which requests are served in time."""
 
+from mulberryhub.base.clock import ManualClock
+from mulberryhub.fleet.records import Usage
 from mulberryhub.forward.delay import event_timeout, is_too_late
 from mulberryhub.forward.job import Job
-from tests.forward.fakes import make_call, make_route, make_service
+from mulberryhub.forward.loads import Loads
+from mulberryhub.forward.work import PREFILL_TOKENS_PER_MS, estimate_work
+from tests.forward.fakes import make_call, make_route, make_service, make_upstream
 
 PREFILL_TIME_MS = 100  # that one request takes at an upstream
 REQUEST_INTERVAL_MS = 60
@@ -73,3 +77,22 @@
         count_served_in_time(refuses_late_requests=True)
         >= 0.9 * 300 * REQUEST_INTERVAL_MS / PREFILL_TIME_MS
     )
+
+
+def test_requests_that_begin_in_time_are_not_refused_beside_running_answers():
+    # Guards against refusals at upstreams whose delay is overrated.
+    clock = ManualClock()
+    loads = Loads(Usage, clock)
+    service = make_service()
+    call = make_call()
+    tokens = call.prompt_tokens + call.output_tokens
+    work = estimate_work(call, service, make_upstream("u1", 1), False)
+    for _ in range(service.kv_capacity // tokens):
+        loads.record_sent("u1", work)
+        loads.record_answering("u1", work)
+    waiting_prompts = 5
+    for _ in range(waiting_prompts):
+        loads.record_sent("u1", work)
+    delay = waiting_prompts * call.prompt_tokens / PREFILL_TOKENS_PER_MS
+    assert delay < 1.3 * make_route().target_latency
+    assert not is_too_late(make_job(priority=1), loads.work("u1"))
