--- a/tests/forward/test_quota_cuts.py
+++ b/tests/forward/test_quota_cuts.py
@@ -11,6 +11,7 @@
 from tests.forward.quota_fleet import MAX_WINDOW_TOKENS, RATE_TOKENS_PER_S, Fleet
 
 CUT_MS = 8_000
+LONG_CUT_MS = 65_000
 
 
 @pytest.fixture(autouse=True)
@@ -80,3 +81,15 @@
     fleet.heal()
     fleet.run(CUT_MS, RATE_TOKENS_PER_S * 0.6)
     assert fleet.refused <= 0.005 * fleet.demand
+
+
+# Routers that were cut off for long must not be taken for ended ones.
+@pytest.mark.parametrize("name", ["third_one_by_one", "halves", "data_centre"])
+def test_flood_in_a_cut_of_over_a_minute_stays_within_the_limit(name):
+    routers, groups = CUTS[name]
+    fleet = Fleet(routers)
+    fleet.run(10_000, RATE_TOKENS_PER_S * 0.5)
+    fleet.split(*groups)
+    fleet.run(LONG_CUT_MS, RATE_TOKENS_PER_S * 0.2)
+    fleet.run(CUT_MS, RATE_TOKENS_PER_S * 7.5)
+    assert fleet.largest_window() <= MAX_WINDOW_TOKENS
