Show that removed routers keep the others from a living one; two cases known red

The review showed it with real processes: 60 removed members of a data centre are tried one after the other, and again before the last has been tried. In the model of the sources a router follows none that lives in the whole second minute with 60 and with 600 removed ones; with none removed it follows one all the time.

--- a/tests/fleet/test_sources.py
+++ b/tests/fleet/test_sources.py
@@ -253,3 +253,39 @@
     harness.source_selector.step()
     assert harness.open_subscriptions() == ["a1"]
     assert harness.source_selector.coordinator().name == "b0"
+
+
+CONNECT_TIMEOUT_MS = 300  # of an attempt to reach a removed router
+STEP_MS = 100
+MAX_TIME_ALONE_MS = 2_000  # in which changes must be in force at each router
+
+
+def longest_time_alone(removed_count):
+    """Return the longest time (ms) in which a router follows none that lives.
+
+    The removed routers rank before the living ones. The first minute is left out.
+    """
+    removed = [Member(f"r{n:03}", f"r{n}:1", "a", n) for n in range(removed_count)]
+    living = [Member(f"z{n}", f"z{n}:1", "a", 1_000 + n) for n in range(2)]
+    harness = SourcesHarness("z1", [*removed, *living])
+    alone_since = harness.clock.now()
+    longest = 0
+    for _ in range(120_000 // STEP_MS):
+        harness.clock.advance(STEP_MS)
+        now = harness.clock.now()
+        for subscription in harness.opened:
+            is_late = now - subscription.opened_at >= CONNECT_TIMEOUT_MS
+            if is_late and subscription.member in removed:
+                subscription.ended = True
+        harness.source_selector.step()
+        if harness.open_subscriptions() == ["z0"]:
+            alone_since = now
+        if now - 10_000 > 60_000:
+            longest = max(longest, now - alone_since)
+    return longest
+
+
+# Routers that were removed must not keep the others from a living one.
+@pytest.mark.parametrize("removed_count", [0, 60, 600])
+def test_living_router_is_followed_beside_removed_ones(removed_count):
+    assert longest_time_alone(removed_count) <= MAX_TIME_ALONE_MS
