Round the number of loads of weights down, so that small pools lose no more than they can

Cause: with the latency target as the bound, two of five workers loaded at once up to 130 ms of mean work (92 ms before), as the share of loads was rounded to the nearest number.

Now no more load than the headroom allows: two of five up to 40 ms, one up to 220 ms.

--- a/libs/weights/src/mulberryhub/weights/plan.py
+++ b/libs/weights/src/mulberryhub/weights/plan.py
@@ -151,7 +151,7 @@
     needed = min(share, -(-len(waiting) // rounds_left))
     if time_left <= 0:
         return share
-    allowed = round(share * _headroom(pool))
+    allowed = int(share * _headroom(pool))
     allowed = min(allowed, max(1, _spare_upstream_count(pool)))
     if time_left < len(waiting) * EXPECTED_LOAD_TIME_MS:
         allowed = max(allowed, needed)
--- a/tests/weights/test_plan.py
+++ b/tests/weights/test_plan.py
@@ -5,6 +5,8 @@
 from mulberryhub.fleet.state import FleetState
 from mulberryhub.weights.plan import (
     DEFAULT_LATENCY_TARGET_MS,
+    LOW_MEAN_WORK_MS,
+    MAX_LOADING_SHARE,
     OutdatedUpstream,
     PoolBuilder,
     UpstreamPool,
@@ -75,6 +77,18 @@
     assert allowed[2] == 0
 
 
+@pytest.mark.parametrize("size", [5, 9])
+def test_no_more_load_than_the_work_allows_in_a_small_pool(size):
+    # Guards against a pool of which two fifths load while the others are busy.
+    share = int(size * MAX_LOADING_SHARE)
+    for mean_work in range(0, 400, 10):
+        pool = make_pool(size, mean_work=mean_work, latency_target=400)
+        allowed = max_concurrent_loads(pool, make_outdated(2))
+        work_range = 400 - LOW_MEAN_WORK_MS
+        work_left = min(work_range, 400 - mean_work)
+        assert allowed <= share * work_left / work_range
+
+
 def test_loads_start_near_the_time_limit_despite_high_work():
     overdue = make_outdated(9, age=VERSION_TIME_MS)
     assert max_concurrent_loads(make_pool(mean_work=1_000), overdue) == 3
