--- a/benchmarks/long_requests.py
+++ b/benchmarks/long_requests.py
@@ -18,6 +18,7 @@
 from mulberryhub.adapter_standins.documents import (
     KEY,
     call_headers,
+    deadline_headers,
     make_config,
     route,
 )
@@ -93,7 +94,7 @@
 def order_head(id, path, length, deadline_ms):
     """Return the head of an order."""
     fields = call_headers(id, KEY)
-    fields["X-Mulberryhub-Deadline-Ms"] = str(deadline_ms)
+    fields.update(deadline_headers(deadline_ms))
     fields["Content-Length"] = str(length)
     lines = [f"POST {path} HTTP/1.1", *(f"{n}: {v}" for n, v in fields.items())]
     return "\r\n".join([*lines, "", ""]).encode()
