Log what the client of a stream was delivered, and name errors without a text

`attempt failed` has `events` and `last_event` now, and the last line of a stream also `last_event_from`.

"coordinator lost" had the reason "receive failed: " with nothing behind it: an error without a text of its own left nothing.

--- a/libs/base/src/mulberryhub/base/logs.py
+++ b/libs/base/src/mulberryhub/base/logs.py
@@ -38,3 +38,8 @@
 def module_logger(name):
     """Return a logger that adds the field `module` with the value `name`."""
     return logger.bind(module=name)
+
+
+def error_text(error):
+    """Return the text of `error` for a log line, the name of its type without one."""
+    return str(error) or type(error).__name__
--- a/libs/fleet/src/mulberryhub/fleet/channel.py
+++ b/libs/fleet/src/mulberryhub/fleet/channel.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from mulberryhub.base.green import Semaphore
-from mulberryhub.base.logs import module_logger
+from mulberryhub.base.logs import error_text, module_logger
 from mulberryhub.fleet.admissions import Admitted
 from mulberryhub.fleet.records import Observation, Record, Usage, Weights
 from mulberryhub.fleet.rollout import Rollout
@@ -223,7 +223,7 @@
         try:
             return cls(connect(address, CONNECT_TIMEOUT_MS))
         except OSError as error:
-            raise ChannelError(f"{address}: {error}") from error
+            raise ChannelError(f"{address}: {error_text(error)}") from error
 
     def send(self, message):
         """Send a message; raise ChannelError on failure."""
@@ -236,7 +236,7 @@
                 self._sock.settimeout(SEND_TIMEOUT_MS / 1000)
                 self._sock.sendall(data)
             except OSError as error:
-                raise ChannelError(f"send failed: {error}") from error
+                raise ChannelError(f"send failed: {error_text(error)}") from error
 
     def receive(self, timeout=None):
         """Return the next message; raise ChannelError on failure.
@@ -260,7 +260,7 @@
             except TimeoutError as error:
                 raise ChannelError("silent") from error
             except OSError as error:
-                raise ChannelError(f"receive failed: {error}") from error
+                raise ChannelError(f"receive failed: {error_text(error)}") from error
             if not data:
                 raise ChannelError("closed")
             self._buffer += data
--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -229,9 +229,7 @@
             software_version=choice.upstream.software_version,
             delay_ms=round(choice.delay),
             time_left_ms=attempt.time_left,
-            after_event=None
-            if job.last_event_id is None
-            else job.last_event_id.decode(),
+            after_event=job.last_event_text,
             fetches=attempt.fetch_from is not None,
             saves=attempt.save_to is not None,
             upstreams_age_ms=self._fleet_state.age(Topic.UPSTREAMS),
@@ -371,4 +369,6 @@
             is_cut=isinstance(detail, ResponseTruncated),
             runs=job.runs,
             sends=job.sends,
+            events=job.event_count,
+            last_event=job.last_event_text,
         )
--- a/libs/forward/src/mulberryhub/forward/forwarder.py
+++ b/libs/forward/src/mulberryhub/forward/forwarder.py
@@ -138,6 +138,7 @@
             route=job.route.name,
             first_ms=job.first_byte_ms,
             took_ms=duration,
+            **_delivered(job),
         )
 
     def _record_not_served(self, request, call, job, outcome, cause=None):
@@ -151,11 +152,26 @@
             route=None if job is None else job.route.name,
             runs=0 if job is None else job.runs,
             answer_began=job is not None and job.is_answer_started,
+            **_delivered(job),
             configuration=None if configuration is None else configuration.version,
             took_ms=self._clock.now() - request.arrived_at,
         )
 
 
+def _delivered(job):
+    """Return the log fields that tell what the client of a stream got, none if not one.
+
+    They are the number of events, the id of the last and the upstream that sent it.
+    """
+    if job is None or not job.is_stream:
+        return {}
+    return {
+        "events": job.event_count,
+        "last_event": job.last_event_text,
+        "last_event_from": job.last_event_upstream_id,
+    }
+
+
 def request_cost(call, workspace):
     """Return the cost of a request in the billing unit of its workspace.
 
--- a/libs/forward/src/mulberryhub/forward/job.py
+++ b/libs/forward/src/mulberryhub/forward/job.py
@@ -13,7 +13,9 @@
     `deadline` is the time on the router's clock (ms) by which the answer must be
     complete. `runs` counts the attempts that may have run the request, `sends` all
     attempts that reached an upstream, and `tried_ids` holds the ids of upstreams that
-    are not tried again. `last_event_id` is the id of the last event sent to the client.
+    are not tried again. `event_count` is the number of events sent to the client and
+    `last_event_id` the id of the last one, which `last_event_upstream_id` sent; both
+    are None before the first.
     `stream_version` is the StreamVersion at which a stream must go on, or None, and
     `stream_origin` the StreamSource that began it, if its version is not yet certain.
     `quota_weight` is the workspace's quota relative to the mean of all workspaces.
@@ -32,7 +34,9 @@
         "sends",
         "tried_ids",
         "failure_reason",
+        "event_count",
         "last_event_id",
+        "last_event_upstream_id",
         "stream_version",
         "stream_origin",
         "is_answer_started",
@@ -54,7 +58,9 @@
         self.sends = 0
         self.tried_ids = set()
         self.failure_reason = None
+        self.event_count = 0
         self.last_event_id = None
+        self.last_event_upstream_id = None
         self.stream_version = None
         self.stream_origin = None
         self.is_answer_started = False
@@ -95,6 +101,11 @@
             self._flow = Flow(f"{self.priority}/{name}", self.quota_weight / 2**steps)
         return self._flow
 
+    @property
+    def last_event_text(self):
+        """Return the id of the last event sent to the client, None without one."""
+        return None if self.last_event_id is None else self.last_event_id.decode()
+
     @property
     def is_stream(self):
         """Return whether the answer is a stream of events."""
--- a/libs/forward/src/mulberryhub/forward/relay.py
+++ b/libs/forward/src/mulberryhub/forward/relay.py
@@ -104,6 +104,8 @@
                 self._attempt_runner.record_first_event(job, exchange)
             has_events = True
             connection.write(b"".join(event.data for event in events))
+            job.event_count += len(events)
+            job.last_event_upstream_id = exchange.attempt.upstream.id
             for event in events:
                 job.last_event_id = event.id or job.last_event_id
         if splitter.remainder:
--- a/libs/http/src/mulberryhub/http/outbound.py
+++ b/libs/http/src/mulberryhub/http/outbound.py
@@ -3,6 +3,7 @@
 import h11
 
 from mulberryhub.base.green import sleep, spawn
+from mulberryhub.base.logs import error_text
 from mulberryhub.base.ranges import parse_count
 from mulberryhub.http.messages import (
     ConnectionFailed,
@@ -60,9 +61,9 @@
         try:
             return cls(address, connect(address, timeout), clock)
         except ConnectionRefusedError as error:
-            raise ConnectionRefused(f"{address}: {error}") from error
+            raise ConnectionRefused(f"{address}: {error_text(error)}") from error
         except OSError as error:
-            raise ConnectionFailed(f"{address}: {error}") from error
+            raise ConnectionFailed(f"{address}: {error_text(error)}") from error
 
     def send(self, request, timeout):
         """Send `request`; a long one is sent in the background.
@@ -78,7 +79,8 @@
         try:
             self._sock.sendall(b"".join(parts))
         except OSError as error:
-            raise _connection_error(f"{self.address}: send: {error}", error) from error
+            message = f"{self.address}: send: {error_text(error)}"
+            raise _connection_error(message, error) from error
 
     def read_head(self, timeout):
         """Return the head of the response, which must arrive within `timeout` ms.
@@ -236,7 +238,8 @@
                 f"{self.address}: no data for {waited_ms} ms"
             ) from error
         except OSError as error:
-            raise _connection_error(f"{self.address}: {error}", error) from error
+            message = f"{self.address}: {error_text(error)}"
+            raise _connection_error(message, error) from error
         self._received_bytes += len(data)
         now = self._clock.now()
         if now - started >= MIN_WAIT_MS:
