Break off answers of streaming routes that are no stream of events

What callers saw: on a streaming route a 200 with the seal of a worker and the text of an error page, of another type or with a length and no type at all, as a complete answer.

Cause: the same as in streams, one step earlier: a success that did not look like a stream was relayed as it came, as nothing asked for events.

A success on a streaming route is a stream of events now, or it is broken off before its first byte and tried elsewhere where it may be. Without a type it is decoded as one, whatever its framing.

--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -17,6 +17,7 @@
 from mulberryhub.forward.refusals import Refusals
 from mulberryhub.forward.work import estimate_work
 from mulberryhub.http.messages import (
+    SUCCESS_STATUSES,
     ConnectionFailed,
     ConnectionRefused,
     ResponseBroken,
@@ -35,7 +36,6 @@
 MIN_SERVER_ERROR_STATUS = 500
 MAX_LOGGED_PARTS = 16  # of one request
 UNKNOWN_AGE = -1  # ms, in logs
-SUCCESS_STATUSES = range(200, 300)
 
 log = module_logger(__name__)
 
--- a/libs/forward/src/mulberryhub/forward/events.py
+++ b/libs/forward/src/mulberryhub/forward/events.py
@@ -20,11 +20,9 @@
 def is_event_stream(head):
     """Return whether an answer with the ResponseHead `head` is a stream of events.
 
-    Without a declared type, it is one unless it has a length.
+    Without a declared type, it may be one.
     """
-    content_type = head.headers.get(b"content-type")
-    if content_type is None:
-        return head.length is None
+    content_type = head.headers.get(b"content-type", EVENT_STREAM_TYPE)
     return content_type.split(b";")[0].strip().lower() == EVENT_STREAM_TYPE
 
 
--- a/libs/forward/src/mulberryhub/forward/relay.py
+++ b/libs/forward/src/mulberryhub/forward/relay.py
@@ -3,13 +3,13 @@
 from mulberryhub.forward.events import EventDecoder, is_event_stream
 from mulberryhub.forward.refusal import Reason, Refusal
 from mulberryhub.http.messages import (
+    SUCCESS_STATUSES,
     HttpError,
     ResponseBroken,
     ResponseTimeout,
     ResponseTruncated,
 )
 
-STATUS_OK = 200
 MAX_BUFFERED_ANSWER_BYTES = 1_048_576  # longer answers are streamed
 MAX_TOTAL_BUFFERED_BYTES = 8_388_608  # of all buffered answers together
 
@@ -49,7 +49,9 @@
 
     def _relay_answer(self, job, exchange, connection):
         head = exchange.head
-        if job.is_stream and head.status == STATUS_OK and is_event_stream(head):
+        if job.is_stream and head.status in SUCCESS_STATUSES:
+            if not is_event_stream(head):
+                raise ResponseBroken("answer is no stream of events")
             return self._relay_events(job, exchange, connection)
         if job.is_answer_started:
             raise ResponseBroken(f"does not continue the stream: status {head.status}")
--- a/libs/http/src/mulberryhub/http/messages.py
+++ b/libs/http/src/mulberryhub/http/messages.py
@@ -14,6 +14,7 @@
     )
 )
 BODILESS_STATUSES = (204, 304)
+SUCCESS_STATUSES = range(200, 300)
 
 
 class HttpError(Exception):
--- a/tests/adapter/test_broken_streams.py
+++ b/tests/adapter/test_broken_streams.py
@@ -168,6 +168,21 @@
 ]
 
 
+@pytest.mark.parametrize("send", SENDERS)
+@pytest.mark.parametrize("type, body", NO_EVENTS)
+@pytest.mark.parametrize("kind", PATH_BY_KIND)
+def test_answer_that_is_no_stream_does_not_pass_for_one(
+    platform, start_worker, kind, type, body, send
+):
+    def respond(conn, id, worker):
+        conn.sendall(worker.head(id) + type)
+        return send(conn, body)
+
+    wait_until_known(platform, start_worker(kind, respond))
+    answer = ask(platform, kind)
+    assert answer is None or answer.status in (502, 504)
+
+
 @pytest.mark.parametrize("send", SENDERS)
 @pytest.mark.parametrize("type, body", NO_EVENTS)
 def test_answer_that_is_no_stream_does_not_continue_one(
