Avoid an upstream that sends garbage until one of its answers is complete

What callers saw: streams that broke off one after the other at one upstream. An answer whose head is well formed ended the avoidance of its upstream, so one that garbles each body counted as sound again and again, and was avoided for a second at a time by each router.

Cause: the health of answers was read from their heads. Other failures are as before. The new test of AttemptRunner failed before (avoided for 1 s after three garbled streams, 4 s expected).

--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -12,6 +12,7 @@
 from mulberryhub.fleet.state import Topic
 from mulberryhub.forward.call import Attempt
 from mulberryhub.forward.delay import event_timeout, is_too_late
+from mulberryhub.forward.events import InvalidEvent
 from mulberryhub.forward.exchange import Exchange
 from mulberryhub.forward.refusal import Reason, Refusal
 from mulberryhub.forward.refusals import Refusals
@@ -134,12 +135,14 @@
             return False
         return self._stream_versions.is_origin_certain(job)
 
-    def record_completed(self, job, head):
-        """Record that the answer with `head` was relayed to its end.
+    def record_completed(self, job, exchange):
+        """Record that the answer of `exchange` was relayed to its end.
 
         Only a successful answer that states its end shows that the upstream is sound.
         """
-        if job.status in SUCCESS_STATUSES and head.is_framed:
+        if job.status in SUCCESS_STATUSES and exchange.head.is_framed:
+            upstream_id = exchange.attempt.upstream.id
+            self._answer_health.record_success(upstream_id, is_complete=True)
             self._quarantine.record_served(job)
             self._remaining_time.record_completed(job)
 
@@ -347,7 +350,8 @@
         if is_timeout or cause == "connect":
             self._connect_health.record_failure(upstream.id)
         else:
-            self._answer_health.record_failure(upstream.id)
+            is_garbage = isinstance(detail, InvalidEvent)
+            self._answer_health.record_failure(upstream.id, is_garbage)
         self._pool.close_idle(upstream.address)
         if cause == "no_answer":
             job.failure_reason = (
--- a/libs/forward/src/mulberryhub/forward/relay.py
+++ b/libs/forward/src/mulberryhub/forward/relay.py
@@ -36,7 +36,7 @@
             exchange = self._attempt_runner.run(job)
             try:
                 is_reusable = self._relay_answer(job, exchange, connection)
-                self._attempt_runner.record_completed(job, exchange.head)
+                self._attempt_runner.record_completed(job, exchange)
                 return is_reusable
             except (ResponseBroken, ResponseTimeout) as error:
                 may_run_again = self._attempt_runner.record_broken_answer(
--- a/libs/upstream/src/mulberryhub/upstream/health.py
+++ b/libs/upstream/src/mulberryhub/upstream/health.py
@@ -10,13 +10,17 @@
 
 
 class FailureState:
-    """Count of consecutive failures, and the clock time (ms) until avoidance ends."""
+    """Count of consecutive failures, and the clock time (ms) until avoidance ends.
 
-    __slots__ = ("consecutive_failures", "avoided_until")
+    `lasts_until_complete` is set if only a complete response ends it.
+    """
+
+    __slots__ = ("consecutive_failures", "avoided_until", "lasts_until_complete")
 
     def __init__(self):
         self.consecutive_failures = 0
         self.avoided_until = 0
+        self.lasts_until_complete = False
 
 
 class UpstreamHealth:
@@ -29,10 +33,11 @@
         self._clock = clock
         self._counters = counters
 
-    def record_failure(self, upstream_id):
+    def record_failure(self, upstream_id, lasts_until_complete=False):
         """Record a failure: other upstreams are preferred for some time.
 
-        The time doubles with each consecutive failure, up to MAX_AVOIDANCE_MS.
+        The time doubles with each consecutive failure, up to MAX_AVOIDANCE_MS. If it
+        `lasts_until_complete`, a response that only begins well does not end it.
         """
         state = self.failing_by_id.get(upstream_id)
         if state is None:
@@ -43,12 +48,16 @@
             state.consecutive_failures, MAX_DOUBLING_COUNT
         )
         state.consecutive_failures += 1
+        state.lasts_until_complete |= lasts_until_complete
         state.avoided_until = self._clock.now() + min(duration, MAX_AVOIDANCE_MS)
 
-    def record_success(self, upstream_id):
-        """Record a response: the upstream is healthy again."""
-        if self.failing_by_id.pop(upstream_id, None) is not None:
-            log.info("upstream {} has recovered", upstream_id)
+    def record_success(self, upstream_id, is_complete=False):
+        """Record a response that began well, or `is_complete`: it is healthy again."""
+        state = self.failing_by_id.get(upstream_id)
+        if state is None or (state.lasts_until_complete and not is_complete):
+            return
+        del self.failing_by_id[upstream_id]
+        log.info("upstream {} has recovered", upstream_id)
 
     def is_avoided(self, upstream_id):
         """Return whether other upstreams are to be tried first."""
--- a/tests/forward/test_attempts.py
+++ b/tests/forward/test_attempts.py
@@ -7,8 +7,10 @@
 import pytest
 
 from mulberryhub.fleet.records import RequestKind
+from mulberryhub.forward.events import InvalidEvent
 from mulberryhub.forward.refusal import Reason, Refusal
 from mulberryhub.http.messages import ResponseBroken
+from mulberryhub.upstream.health import FIRST_AVOIDANCE_MS
 from tests.forward.attempt_fixture import (
     BROKEN,
     FAILED,
@@ -148,3 +150,14 @@
         fixture.attempt_runner.record_broken_answer(fixture.job, exchange, error)
         == may_run_again
     )
+
+
+def test_upstream_that_sends_garbage_in_each_stream_is_avoided_for_longer():
+    fixture = Fixture([OK] * 3, RequestKind.STREAMING, software_versions=(None,))
+    for _ in range(3):
+        exchange = fixture.attempt_runner.run(fixture.job)
+        error = InvalidEvent("no event")
+        fixture.attempt_runner.record_broken_answer(fixture.job, exchange, error)
+        fixture.start_next_job()
+    fixture.clock.advance(4 * FIRST_AVOIDANCE_MS - 1)
+    assert fixture.answer_health.is_avoided(exchange.attempt.upstream.id)
--- a/tests/upstream/test_health.py
+++ b/tests/upstream/test_health.py
@@ -29,3 +29,12 @@
     health.record_success("a")
     assert not health.is_avoided("a")
     assert not health.failing_by_id
+
+
+def test_only_a_complete_response_ends_the_avoidance_of_garbage():
+    health = UpstreamHealth(ManualClock(), Counters())
+    health.record_failure("a", lasts_until_complete=True)
+    health.record_success("a")
+    assert health.is_avoided("a")
+    health.record_success("a", is_complete=True)
+    assert not health.failing_by_id
