--- a/libs/fleet/src/mulberryhub/fleet/sources.py
+++ b/libs/fleet/src/mulberryhub/fleet/sources.py
@@ -5,22 +5,23 @@
 first of them. A router with stale data of any topic needed to serve requests reads the
 store itself, and continues while the router that it follows has no current data. If its
 own reads fail too, it also subscribes to members anywhere as fallback sources, one at a
-time.
+time. Members that do not answer are probed besides, so that they keep no router from
+one that lives.
 """
 
 from math import inf
-from random import choice
 
 from mulberryhub.base.green import sleep
 from mulberryhub.base.logs import module_logger
 from mulberryhub.base.tasks import spawn_service
+from mulberryhub.fleet.fallback import FallbackSource
+from mulberryhub.fleet.leaders import Leaders
+from mulberryhub.fleet.probes import Prober
+from mulberryhub.fleet.reachability import Reachability
 from mulberryhub.fleet.state import Topic
 
 CHECK_INTERVAL_MS = 100
 MAX_CURRENT_AGE_MS = 1_300  # up to which data counts as current
-FALLBACK_TIMEOUT_MS = 1_500  # for a fallback source to provide current data
-INITIAL_BACKOFF_MS = 2_000  # without connections to a member after a failure
-MAX_BACKOFF_MS = 16_000
 READER_COUNT = 2  # leaders that read the store on behalf of the others
 DEPUTY_COUNT = 3  # members after the leader that read at once if data is stale
 STAGGER_STEP_MS = 100  # extra delay of each further member before it reads
@@ -31,23 +32,14 @@
 log = module_logger(__name__)
 
 
-class Backoff:
-    """The time until which a member is not contacted, and the next backoff delay."""
-
-    __slots__ = ("until", "next_delay")
-
-    def __init__(self):
-        self.until = 0
-        self.next_delay = INITIAL_BACKOFF_MS
-
-
 class SourceSelector:
     """Selects the routers to follow; `local_member` is this router's Member.
 
     `seeds` are Members to contact while no others are known, such as during a store
     outage at startup. `subscribe(member, wants_records)` returns a Subscription that is
     not started; `reads_fail()` returns whether this router's own reads of the store
-    fail.
+    fail. `probe(member)` returns a Probe that is not started; by default, it is a
+    subscription without records.
     """
 
     __slots__ = (
@@ -59,15 +51,18 @@
         "_clock",
         "_leader_subscription",
         "_fallback",
-        "_fallback_since",
         "_remote_subscriptions",
-        "_backoff_by_name",
+        "_reachability",
+        "_leaders",
+        "_prober",
         "_coordinator_name",
         "_was_reading",
         "_started_at",
     )
 
-    def __init__(self, local_member, seeds, fleet_state, subscribe, reads_fail, clock):
+    def __init__(
+        self, local_member, seeds, fleet_state, subscribe, reads_fail, clock, probe=None
+    ):
         self._local_member = local_member
         self._seeds = [seed for seed in seeds if seed.address != local_member.address]
         self._fleet_state = fleet_state
@@ -75,10 +70,20 @@
         self._reads_fail = reads_fail
         self._clock = clock
         self._leader_subscription = None
-        self._fallback = None
-        self._fallback_since = 0
+        self._reachability = Reachability(clock)
+        self._leaders = Leaders(local_member, fleet_state, self._reachability)
+        self._prober = Prober(
+            probe or (lambda member: subscribe(member, False)),
+            self._reachability,
+            clock,
+        )
+        self._fallback = FallbackSource(
+            lambda member: self._open(member, True),
+            self.is_current,
+            self._reachability,
+            clock,
+        )
         self._remote_subscriptions = {}
-        self._backoff_by_name = {}
         self._coordinator_name = ""
         self._was_reading = None
         self._started_at = clock.now()
@@ -109,7 +114,7 @@
 
     def is_leader(self):
         """Return whether the other routers of the data centre follow this one."""
-        leader = self._leader_of(self._local_member.data_centre)
+        leader = self._leaders.local()
         return leader is None or leader.name == self._local_member.name
 
     def reader_rank(self):
@@ -132,7 +137,7 @@
         """
         if self.is_leader():
             self._coordinator_name = ""
-            live = [leader for leader in self._leaders() if self._is_live(leader)]
+            live = [leader for leader in self._leaders.all() if self._is_live(leader)]
             return live[0] if live else self._local_member
         subscription = self._leader_subscription
         if subscription is not None and subscription.coordinator:
@@ -161,21 +166,13 @@
         self._follow_leader()
         self._follow_fallback()
         self._follow_other_data_centres()
+        self._prober.step(self._probe_candidates)
 
     def _run(self):
         while True:
             self.step()
             sleep(CHECK_INTERVAL_MS / 1000)
 
-    def _leaders(self):
-        """Return the leaders of all data centres, the strongest first."""
-        leaders = [
-            self._leader_of(data_centre)
-            for data_centre in self._fleet_state.ranked_by_data_centre
-        ]
-        known = [leader for leader in leaders if leader is not None]
-        return sorted(known, key=lambda leader: leader.rank)
-
     def _is_reader(self):
         if not self.is_leader():
             return False
@@ -183,18 +180,7 @@
         return self._local_member.name in names or len(names) < READER_COUNT
 
     def _reader_names(self):
-        return [leader.name for leader in self._leaders()[:READER_COUNT]]
-
-    def _members_ahead(self):
-        """Return the number of live local members that rank before this one."""
-        count = 0
-        for member in self._fleet_state.ranked_by_data_centre.get(
-            self._local_member.data_centre, ()
-        ):
-            if member.name == self._local_member.name:
-                break
-            count += not self._is_backing_off(member)
-        return count
+        return [leader.name for leader in self._leaders.all()[:READER_COUNT]]
 
     def _staleness(self):
         """Return the age in ms of the oldest topic that requests depend on."""
@@ -211,14 +197,14 @@
         if staleness == inf:
             waited = self._clock.now() - self._started_at
             return waited >= STARTUP_GRACE_MS or not self._is_following()
-        behind = max(0, self._members_ahead() - DEPUTY_COUNT)
+        behind = max(0, self._leaders.count_ahead() - DEPUTY_COUNT)
         return staleness > MAX_CURRENT_AGE_MS + min(
             behind * STAGGER_STEP_MS, MAX_STAGGER_MS
         )
 
     def _lacks_current_source(self):
         """Return whether the followed router has no current data for this one."""
-        if self._members_ahead() > DEPUTY_COUNT:
+        if self._leaders.count_ahead() > DEPUTY_COUNT:
             return False
         return (
             self._reads_fail()
@@ -246,7 +232,7 @@
         return None
 
     def _follow_leader(self):
-        leader = self._leader_of(self._local_member.data_centre)
+        leader = self._leaders.local()
         if leader is not None and leader.name == self._local_member.name:
             leader = None
         if (
@@ -260,41 +246,35 @@
 
     def _follow_fallback(self):
         """Subscribe to fallback sources in turn while store reads fail."""
-        now = self._clock.now()
-        if not self._reads_fail():
-            self._close_fallback()
-            return
-        if self._fallback is not None:
-            if self.is_current() or now - self._fallback_since < FALLBACK_TIMEOUT_MS:
-                return
-            self._close_fallback()
-        candidates = self._fallback_candidates()
-        if candidates:
-            self._fallback = self._open(choice(candidates), True)
-            self._fallback_since = now
-
-    def _close_fallback(self):
-        if self._fallback is not None:
-            self._fallback.close()
-            self._fallback = None
+        if self._reads_fail():
+            self._fallback.follow(self._fallback_candidates(), self._current_names())
+        else:
+            self._fallback.stop()
 
     def _fallback_candidates(self):
-        followed_names = {self._local_member.name}
-        if self._leader_subscription is not None:
-            followed_names.add(self._leader_subscription.member.name)
+        followed = (self._leader_subscription, self._top_leader_subscription)
+        followed_names = {item.member.name for item in followed if item is not None}
         known = self._fleet_state.members_by_name.values()
         others = [member for member in known if member.name != self._local_member.name]
         return [
             member
             for member in others or self._seeds
-            if member.name not in followed_names and not self._is_backing_off(member)
+            if member.name not in followed_names
         ]
 
+    def _current_names(self):
+        """Return the names of the leaders that have current data themselves."""
+        return {
+            subscription.member.name
+            for subscription in self._remote_subscriptions.values()
+            if subscription.is_publisher_current
+        }
+
     def _follow_other_data_centres(self):
         wanted_leaders = {}
         top_data_centre = None
         if self.is_leader():
-            leaders = self._leaders()
+            leaders = self._leaders.all()
             others = [item for item in leaders if item.name != self._local_member.name]
             wanted_leaders = {leader.data_centre: leader for leader in others}
             top_data_centre = None if self._is_reader() else leaders[0].data_centre
@@ -309,11 +289,20 @@
                 subscription = self._open(leader, data_centre == top_data_centre)
                 self._remote_subscriptions[data_centre] = subscription
 
-    def _leader_of(self, data_centre):
-        for member in self._fleet_state.ranked_by_data_centre.get(data_centre, ()):
-            if not self._is_backing_off(member):
-                return member
-        return None
+    def _probe_candidates(self):
+        """Return the members ahead of those that answer, by data centre.
+
+        Only leaders follow other data centres.
+        """
+        local_data_centre = self._local_member.data_centre
+        followed = {local_data_centre: self._leader_subscription}
+        if self.is_leader():
+            others = dict.fromkeys(self._fleet_state.ranked_by_data_centre)
+            followed = others | followed | self._remote_subscriptions
+        return {
+            data_centre: self._leaders.ahead_of(data_centre, subscription)
+            for data_centre, subscription in followed.items()
+        }
 
     def _open(self, member, wants_records):
         subscription = self._subscribe(member, wants_records)
@@ -321,27 +310,23 @@
         return subscription
 
     def _drop_ended_subscriptions(self):
-        """Drop subscriptions that ended by themselves, and back off their members."""
-        if self._leader_subscription is not None and self._leader_subscription.ended:
-            self._back_off(self._leader_subscription)
+        """Record which subscriptions work, and drop those that ended by themselves."""
+        if self._has_ended(self._leader_subscription):
             self._leader_subscription = None
-        if self._fallback is not None and self._fallback.ended:
-            self._back_off(self._fallback)
-            self._fallback = None
+        if self._has_ended(self._fallback.subscription):
+            self._fallback.drop()
         for data_centre, subscription in list(self._remote_subscriptions.items()):
-            if subscription.ended:
-                self._back_off(subscription)
+            if self._has_ended(subscription):
                 del self._remote_subscriptions[data_centre]
 
-    def _back_off(self, subscription):
-        now = self._clock.now()
-        name = subscription.member.name
-        backoff = self._backoff_by_name.get(name)
-        if backoff is None or now - subscription.opened_at > MAX_BACKOFF_MS:
-            backoff = self._backoff_by_name[name] = Backoff()
-        backoff.until = now + backoff.next_delay
-        backoff.next_delay = min(backoff.next_delay * 2, MAX_BACKOFF_MS)
-
-    def _is_backing_off(self, member):
-        backoff = self._backoff_by_name.get(member.name)
-        return backoff is not None and self._clock.now() < backoff.until
+    def _has_ended(self, subscription):
+        """Return whether a subscription ended by itself, and record its result."""
+        if subscription is None:
+            return False
+        if subscription.coordinator:
+            self._reachability.record_answer(subscription.member)
+        if subscription.ended:
+            self._reachability.record_failure(
+                subscription.member, subscription.opened_at
+            )
+        return subscription.ended
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -6,7 +6,6 @@
 from mulberryhub.fleet.publisher import Publisher
 from mulberryhub.fleet.records import Member
 from mulberryhub.fleet.removals import DelayedRemovals
-from mulberryhub.fleet.sources import SourceSelector
 from mulberryhub.fleet.state import FleetState, Topic
 from mulberryhub.fleet.stream_origins import StreamOrigins
 from mulberryhub.fleet.subscription import Subscription
@@ -36,6 +35,7 @@
 from mulberryhub.node.readiness import readiness_server
 from mulberryhub.node.request_limits import body_memory_capacity, request_limits
 from mulberryhub.node.router import Router, RouterParts
+from mulberryhub.node.source_selection import build_source_selector
 from mulberryhub.node.topics import topic_plans
 from mulberryhub.node.verdicts import verdict_saver
 from mulberryhub.orders.lease import Lease
@@ -239,12 +239,8 @@
             for suspect in fleet_state.suspects.quarantined():
                 save_verdict(suspect)
 
-    def reads_fail():
-        return any(follower.failing_since is not None for follower in parts.followers)
-
-    seeds = [Member(f"seed {address}", address, "") for address in settings.seeds]
-    parts.source_selector = SourceSelector(
-        parts.local_member, seeds, fleet_state, subscribe, reads_fail, clock
+    parts.source_selector = build_source_selector(
+        parts, settings.seeds, fleet_state, subscribe, clock
     )
     parts.followers = [
         TopicFollower(
