--- a/libs/fleet/src/mulberryhub/fleet/leaders.py
+++ b/libs/fleet/src/mulberryhub/fleet/leaders.py
@@ -1,6 +1,12 @@
 """Which members lead their data centres, as far as this router can reach them."""
 
 
+def ranked(members, data_centre):
+    """Return the members of a data centre, the first candidate for leader first."""
+    local_members = [item for item in members if item.data_centre == data_centre]
+    return sorted(local_members, key=lambda member: member.rank)
+
+
 class Leaders:
     """Selects the leader of each data centre, the strongest member that answers."""
 
--- a/libs/fleet/src/mulberryhub/fleet/service_versions.py
+++ b/libs/fleet/src/mulberryhub/fleet/service_versions.py
@@ -43,6 +43,11 @@
         """Record that streams may have begun on `version` up to `now` (ms)."""
         self._last_seen_by_version[version] = now
 
+    def record_stated(self, version, at):
+        """Record that a version that is known was in service up to `at` (ms)."""
+        last_seen = self._last_seen_by_version.get(version, at)
+        self._last_seen_by_version[version] = max(at, last_seen)
+
     def record_marked(self, version, now):
         """Record that `version` has an open mark at `now` (ms).
 
--- a/libs/fleet/src/mulberryhub/fleet/software_versions.py
+++ b/libs/fleet/src/mulberryhub/fleet/software_versions.py
@@ -43,7 +43,6 @@
         "_is_coordinator",
         "_clock",
         "_coverage",
-        "_covered_gap_count",
         "_versions_by_service",
         "_is_changed",
         "_may_begin_unmarked",
@@ -62,7 +61,6 @@
         self._is_coordinator = is_coordinator
         self._clock = clock
         self._coverage = ViewCoverage(fleet_state, clock)
-        self._covered_gap_count = None
         self._versions_by_service = {}
         self._is_changed = True
         self._may_begin_unmarked = False
@@ -94,7 +92,7 @@
             return versions.first_seen_by_version.keys() == {version}
         if version in versions.usable:
             return True
-        is_settled = self._is_informed and self._is_covered()
+        is_settled = self._is_informed and self._coverage.is_covered()
         return is_settled and versions.is_only(version)
 
     def time_until_begin(self, service):
@@ -108,7 +106,7 @@
     def is_uniform(self, service):
         """Return whether all streams that clients may take up have one version."""
         self._refresh()
-        if not self._is_covered() or self._clock.now() < self._unknown_until:
+        if not self._coverage.is_covered() or self._clock.now() < self._unknown_until:
             return False
         return len(self._possible(service)) == 1
 
@@ -134,7 +132,7 @@
             self._permit_unmarked()
             return
         try:
-            if not self._is_covered():
+            if not self._coverage.is_covered():
                 self._read_marks()
                 return
             for versions in self._versions_by_service.values():
@@ -150,7 +148,7 @@
 
     def _permit_unmarked(self):
         """Serve without marks a router that has upstreams but never had a store."""
-        if self._covered_gap_count is None:
+        if not self._coverage.was_covered():
             self._may_begin_unmarked = self._coverage.is_known()
 
     def _record_change(self):
@@ -166,11 +164,6 @@
             return set()
         return versions.possible(self._clock.now() - self._absence())
 
-    def _is_covered(self):
-        """Return whether the marks have been read and nothing was missed since."""
-        is_current = self._coverage.is_current()
-        return is_current and self._coverage.gap_count == self._covered_gap_count
-
     def _refresh(self):
         """Take over the versions of the upstreams that are known now."""
         if not self._is_changed:
@@ -205,9 +198,10 @@
         else:
             self._unknown_until = self._clock.now() + self._absence()
         self._unreliable_reads = 0
-        self._covered_gap_count = gap_count
+        is_complete = listing.is_reliable and self._coverage.is_complete()
+        self._coverage.cover(gap_count)
         self._may_begin_unmarked = False
-        self._apply(listing, is_first=True)
+        self._apply(listing, is_first=True, is_complete=is_complete)
 
     def _has_to_wait(self, listing):
         """Return whether another router is to restore the marks first."""
@@ -241,15 +235,21 @@
             or version not in versions.first_seen_by_version
         }
 
-    def _apply(self, listing, is_first=False):
-        """Apply the marks; after a gap (`is_first`), only they make versions usable."""
+    def _apply(self, listing, is_first=False, is_complete=False):
+        """Apply the marks; after a gap (`is_first`), only they make versions usable.
+
+        If each record was read (`is_complete`), the view tells when versions left.
+        """
         now = self._clock.now()
         for mark in listing.marks:
             versions = self._versions_by_service.setdefault(
                 mark.service, ServiceVersions()
             )
             version = mark.software_version
-            if is_first or version not in versions.possible(0):
+            if is_complete and version in versions.possible(0):
+                last_stated = self._fleet_state.seen_software.last_stated
+                versions.record_stated(version, last_stated(mark.service, version))
+            elif is_first or version not in versions.possible(0):
                 versions.record_possible(version, now)
         open_keys = {mark.key for mark in listing.marks if not mark.is_closing}
         for service, versions in self._versions_by_service.items():
@@ -266,14 +266,14 @@
         if not keys:
             return False
         listing = self._marks.read()
-        if not self._is_covered():
+        if not self._coverage.is_covered():
             return True
         self._apply(listing)
         unmarked = [key for key in self._settled_keys() if key in keys]
         if unmarked:
             self._marks.put([SoftwareMark(*key) for key in unmarked])
             self._refresh()
-        if self._is_covered():
+        if self._coverage.is_covered():
             for service, version in unmarked:
                 log.info("software version in use", service=service, version=version)
                 versions = self._versions_by_service[service]
--- a/libs/fleet/src/mulberryhub/fleet/state.py
+++ b/libs/fleet/src/mulberryhub/fleet/state.py
@@ -13,6 +13,7 @@
 from mulberryhub.fleet.cache_index import CacheIndex
 from mulberryhub.fleet.changes import ChangeLog
 from mulberryhub.fleet.departures import Departures
+from mulberryhub.fleet.leaders import ranked
 from mulberryhub.fleet.named_weights import NamedWeights
 from mulberryhub.fleet.outdated import OutdatedFilter
 from mulberryhub.fleet.rate_limits import RateLimits
@@ -32,6 +33,7 @@
 )
 from mulberryhub.fleet.rollout import Rollout
 from mulberryhub.fleet.running_versions import RunningVersions
+from mulberryhub.fleet.seen_software import SeenSoftware
 from mulberryhub.fleet.suspects import Suspects
 from mulberryhub.fleet.upstream_changes import is_relevant_change, log_upstream
 
@@ -72,6 +74,7 @@
         "cache_index",
         "suspects",
         "rate_limits",
+        "seen_software",
         "position_by_topic",
         "as_of_by_topic",
         "regained_at_by_topic",
@@ -100,6 +103,7 @@
         self.cache_index = CacheIndex(clock)
         self.suspects = Suspects(clock)
         self.rate_limits = RateLimits(clock)
+        self.seen_software = SeenSoftware(clock)
         self.position_by_topic = dict.fromkeys(Topic, UNKNOWN_POSITION)
         self.as_of_by_topic = dict.fromkeys(Topic, UNKNOWN_POSITION)
         self.regained_at_by_topic = dict.fromkeys(Topic, UNKNOWN_POSITION)
@@ -140,6 +144,7 @@
 
     def record_listing(self, end):
         """Record that upstreams were compared with a complete listing as of `end`."""
+        self.seen_software.record_skip()
         self.listed_up_to = max(self.listed_up_to, end)
 
     def age(self, topic):
@@ -195,6 +200,7 @@
 
     def apply_upstream(self, upstream):
         """Apply an upstream's own record if it is newer."""
+        self.seen_software.record(upstream)
         known = self.upstreams_by_id.get(upstream.id)
         if known is not None and upstream.offset <= known.offset:
             return
@@ -291,9 +297,9 @@
         if known is not None and member.offset <= known.offset:
             return
         self.members_by_name[member.name] = member
-        self._rank_members(member.data_centre)
-        if known is not None and known.data_centre != member.data_centre:
-            self._rank_members(known.data_centre)
+        members = self.members_by_name.values()
+        for data_centre in {item.data_centre for item in (member, known) if item}:
+            self.ranked_by_data_centre[data_centre] = ranked(members, data_centre)
         log.info("member known", member=member.name, address=member.address)
         self._record_and_notify(f"member/{member.name}", member)
 
@@ -354,12 +360,6 @@
             for change in self._changes.since(revision)
         ]
 
-    def _rank_members(self, data_centre):
-        members = self.members_by_name.values()
-        local_members = [item for item in members if item.data_centre == data_centre]
-        ranked_members = sorted(local_members, key=lambda member: member.rank)
-        self.ranked_by_data_centre[data_centre] = ranked_members
-
     def _drop_old_removals(self):
         oldest = self._clock.now() - REMOVAL_RETENTION_MS
         for id, removed_at in list(self._removed_at_by_id.items()):
--- a/libs/fleet/src/mulberryhub/fleet/subscription.py
+++ b/libs/fleet/src/mulberryhub/fleet/subscription.py
@@ -186,6 +186,9 @@
                     self._removals.remove_unlisted(update.upstream_ids, position)
                 if not self._removals.is_fully_applied():
                     position = UNKNOWN_POSITION
+                if position > self._fleet_state.position_by_topic[topic]:
+                    # Only the newest record of each upstream was sent.
+                    self._fleet_state.seen_software.record_skip()
             age = update.age_by_topic.get(topic)
             if age is not None:
                 self._fleet_state.mark_read_up_to(topic, position, now - age)
