--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -129,7 +129,8 @@
         Return whether another run may continue or replace it.
         """
         exchange.cancel()
-        self._record_broken(job, exchange.attempt, "midway", error)
+        cause = "garbage" if isinstance(error, InvalidEvent) else "midway"
+        self._record_broken(job, exchange.attempt, cause, error)
         is_restartable = job.is_resumable_stream or not job.is_answer_started
         if not (is_restartable and job.may_run_again and job.sends < MAX_SENDS):
             return False
@@ -350,8 +351,7 @@
         if is_timeout or cause == "connect":
             self._connect_health.record_failure(upstream.id)
         else:
-            is_garbage = isinstance(detail, InvalidEvent)
-            self._answer_health.record_failure(upstream.id, is_garbage)
+            self._answer_health.record_failure(upstream.id, cause == "garbage")
         self._pool.close_idle(upstream.address)
         if cause == "no_answer":
             job.failure_reason = (
