Don't join an event that was cut in its data with the one that follows

What callers would see: an upstream stops inside the data of an event and goes on with the event as a whole; the two came as one event of two lines of data, the first of which ends with the line of an id.

Cause: the format allows several lines of data, and the cut ends inside one. Such a line is rejected now if the id that ends it could be that of the next event.

--- a/libs/forward/src/mulberryhub/forward/events.py
+++ b/libs/forward/src/mulberryhub/forward/events.py
@@ -6,6 +6,7 @@
 and increase; they count the tokens of the answer, of which an event may hold several.
 """
 
+import re
 from enum import Enum
 
 from mulberryhub.base.ranges import parse_count
@@ -15,6 +16,7 @@
 EVENT_STREAM_TYPE = b"text/event-stream"
 ID = b"id"
 DATA = b"data"
+ID_AT_END = re.compile(rb"id: ?([0-9]{1,16})\r?\Z")
 
 
 def is_event_stream(head):
@@ -69,6 +71,7 @@
     __slots__ = (
         "_kind_by_name",
         "_last_id",
+        "_id_before",
         "_max_id",
         "_last_kind",
         "_lines",
@@ -81,6 +84,7 @@
         if header_name is not None:
             self._kind_by_name[header_name] = LineKind.HEADER
         self._last_id = last_id
+        self._id_before = last_id
         self._max_id = max_id
         self._last_kind = LineKind.BLANK
         self._lines = []  # of the event that is not complete yet
@@ -130,6 +134,7 @@
     def _check_value(self, kind, text):
         if kind is LineKind.DATA:
             _check_text(text)
+            self._check_joint()
         elif kind is not LineKind.BLANK:
             number = _parse_number(text)
             if kind is LineKind.ID:
@@ -140,8 +145,20 @@
             raise InvalidEvent("the id of an event is not greater than the last one")
         if self._max_id is not None and id > self._max_id:
             raise InvalidEvent("the id of an event exceeds the tokens of the answer")
+        self._id_before = self._last_id
         self._last_id = id
 
+    def _check_joint(self):
+        """Raise InvalidEvent if an event was cut in its data and the next one follows.
+
+        The line of the next one's id then ends the line of data that was cut.
+        """
+        if self._last_kind is not LineKind.DATA:
+            return
+        joint = ID_AT_END.search(self._lines[-1].removesuffix(b"\n"))
+        if joint is not None and int(joint[1]) > self._id_before:
+            raise InvalidEvent("received an event that goes on with another one")
+
     def _check_open_line(self):
         """Raise InvalidEvent if the incomplete line cannot become one of an event."""
         if self._line_bytes + len(self._open_line) > MAX_EVENT_BYTES:
--- a/tests/adapter/garbled_streams.py
+++ b/tests/adapter/garbled_streams.py
@@ -95,6 +95,10 @@
     "open_comment": b": junk\n",
     "open_id": b"id: 9\n",
     "open_id_and_data": b"id: 9\ndata: junk\n",
+    "open_id_and_data_without_line_end": b"id: 9\ndata: junk",
+    "event_cut_in_its_data": b"id: 3\ndata: t",
+    "event_cut_in_its_id": b"id: 3",
+    "event_cut_before_its_end": b"id: 3\ndata: t3\n",
     "earlier_event": b"id: 1\ndata: junk\n\n",
 }
 # An event with the first id is garbage only behind others.
--- a/tests/forward/test_events.py
+++ b/tests/forward/test_events.py
@@ -86,3 +86,12 @@
     with pytest.raises(InvalidEvent):
         for _ in range(MAX_EVENT_BYTES // len(piece) + 2):
             decoder.feed(piece)
+
+
+def test_event_that_is_cut_in_its_data_is_not_joined_with_the_next_one():
+    with pytest.raises(InvalidEvent):
+        decode(b"id: 3\ndata: ab", b"id: 3\ndata: abc\n\n", last_id=2)
+
+
+def test_text_of_several_lines_may_name_an_earlier_id():
+    assert len(decode(b"id: 3\ndata: - id: 2\ndata:   name: x\n\n", last_id=2)) == 1
