--- /dev/null
+++ b/libs/upstream/src/mulberryhub/upstream/engine_stream.py
@@ -0,0 +1,189 @@
+"""Stream of tokens that an engine sends as the answer to one request."""
+
+import msgspec
+
+from mulberryhub.base.green import spawn_n
+from mulberryhub.upstream.chunked import ChunkDecoder, MalformedBody
+from mulberryhub.upstream.completion_chunks import CompletionUsage, decode_chunk
+from mulberryhub.upstream.errors import (
+    EngineFailure,
+    EngineTimeout,
+    ResponseMismatch,
+    StreamInterrupted,
+    StreamNotFound,
+)
+from mulberryhub.upstream.messages import EngineLoad, StreamEnd, Token, Usage
+from mulberryhub.upstream.reader import MAX_READ_BYTES, SocketReader
+from mulberryhub.upstream.sse import EventParser
+
+ABORTED_FINISH_REASONS = frozenset({"abandoned", "cancelled"})
+
+decode_load = msgspec.json.Decoder(EngineLoad).decode
+
+
+class EngineStream:
+    """Iterator over `Token` items and a final `StreamEnd`.
+
+    Raises EngineFailure if the stream ends in any other way. `read_available()` returns
+    all items that have arrived, so that they can be sent in one write. `next_index` is
+    the index of the next token, `load` the EngineLoad in the response header, and
+    `cached_tokens` the number of cached prompt tokens, 0 until the engine reports it.
+    """
+
+    __slots__ = (
+        "request_id",
+        "incarnation",
+        "model_version",
+        "load",
+        "cached_tokens",
+        "next_index",
+        "ended",
+        "_client",
+        "_upstream",
+        "_reader",
+        "_decoder",
+        "_initial_data",
+        "_parser",
+        "_pending_items",
+        "_pending_failure",
+    )
+
+    def __init__(self, client, upstream, request, connection, response):
+        headers = response.headers
+        self.request_id = request.request_id
+        self.incarnation = headers.get("X-Incarnation", "")
+        self.model_version = headers.get("X-Model-Version", "")
+        self.load = decode_load(headers.get("X-Load", "{}"))
+        self.cached_tokens = 0
+        self.next_index = request.delivered_tokens
+        self.ended = False
+        self._client = client
+        self._upstream = upstream
+        self._reader = SocketReader(connection.sock, request.idle_timeout)
+        is_chunked = "chunked" in headers.get("Transfer-Encoding", "")
+        self._decoder = ChunkDecoder() if is_chunked else None
+        self._initial_data = _peek_buffered(response)
+        self._parser = EventParser()
+        self._pending_items = []
+        self._pending_failure = None
+
+    def __iter__(self):
+        return self
+
+    def __next__(self):
+        if not self._pending_items:
+            self._pending_items = self._receive()
+        return self._pending_items.pop(0)
+
+    def read_available(self):
+        """Return all items that have arrived; wait until there is at least one.
+
+        Raises EngineFailure, or StopIteration after the end.
+        """
+        items = self._pending_items or self._receive()
+        self._pending_items = []
+        return items
+
+    def _receive(self):
+        if self._pending_failure is not None:
+            raise self._pending_failure
+        if self.ended:
+            raise StopIteration
+        items = []
+        while not items:
+            items = self._to_items(self._parser.feed(self._read_payload()))
+        return items
+
+    def _to_items(self, events):
+        """Return the items of `events`.
+
+        If a failure follows some items, the items are returned and the failure is
+        raised by the next read.
+        """
+        items = []
+        try:
+            for event in events:
+                item = self._to_item(event)
+                if item is not None:
+                    items.append(item)
+        except EngineFailure as failure:
+            self._pending_failure = failure
+            if not items:
+                raise
+        return items
+
+    def _read_payload(self):
+        """Wait for data and return the payload of the chunks that it completes.
+
+        Raises EngineTimeout, or StreamInterrupted, also at the end of the body.
+        """
+        try:
+            data = self._initial_data or self._reader.read()
+            self._initial_data = b""
+            payload = self._decoder.feed(data) if self._decoder else data
+        except TimeoutError as error:
+            self._close_connection()
+            raise EngineTimeout("no token within the timeout") from error
+        except (OSError, MalformedBody) as error:
+            self._close_connection()
+            raise StreamInterrupted(str(error)) from error
+        if not data or (not payload and self._decoder.ended):
+            self._close_connection()
+            raise StreamInterrupted("the stream ended without an end event")
+        return payload
+
+    def _to_item(self, event):
+        if event.data == b"[DONE]":
+            return None
+        chunk = self._decode_chunk(event.data)
+        if chunk.id != self.request_id:
+            self._close_connection()
+            raise ResponseMismatch(f"chunk of another request: {chunk.id}")
+        if chunk.usage is not None:
+            self.cached_tokens = chunk.usage.prompt_tokens_details.cached_tokens
+        choice = chunk.choices[0]
+        if choice.finish_reason is not None:
+            return self._to_end(choice, chunk.usage or CompletionUsage())
+        return self._to_token(int(event.id), choice)
+
+    def _decode_chunk(self, data):
+        try:
+            return decode_chunk(data)
+        except msgspec.DecodeError as error:
+            self._close_connection()
+            raise StreamInterrupted(f"malformed chunk: {error}") from error
+
+    def _to_token(self, index, choice):
+        if index < self.next_index:
+            return None
+        if index > self.next_index:
+            self._close_connection()
+            raise StreamInterrupted(f"token {self.next_index} is missing")
+        self.next_index += 1
+        text = choice.delta.content if choice.delta else choice.text
+        return Token(index, text)
+
+    def _to_end(self, choice, usage):
+        if choice.finish_reason in ABORTED_FINISH_REASONS:
+            self._close_connection()
+            raise StreamNotFound(f"the engine ended it: {choice.finish_reason}")
+        self._close_connection()
+        counts = Usage(usage.prompt_tokens, usage.completion_tokens, self.cached_tokens)
+        return StreamEnd(choice.finish_reason, counts)
+
+    def _close_connection(self):
+        """Mark the stream as ended and close its connection, which is not reused."""
+        self.ended = True
+        self._reader.close()
+
+    def close(self):
+        """Cancel the request on the engine in the background, unless it has ended."""
+        if self.ended:
+            return
+        self._close_connection()
+        spawn_n(self._client.cancel, self._upstream, self.request_id)
+
+
+def _peek_buffered(response):
+    """Return the body bytes that arrived with the response head, without waiting."""
+    return response._fp.fp.peek(MAX_READ_BYTES)
