Read streams of engines whose answer ends with the connection

An engine that answered without chunks, in HTTP/1.0 or with Connection: close ended the request's handler: http.client drops the connection's socket with the head of such an answer, and EngineStream took it from the connection. Callers got 500 internal; the connection was left, the engine's run was not cancelled and the engine not counted as failing.

The answer of a stream no longer closes its connection; the stream owns and closes it, as it does with chunks.

test_run_without_garbage_is_whole[answer_to_the_close] failed before: AttributeError: 'NoneType' object has no attribute 'settimeout'.

--- a/libs/upstream/src/mulberryhub/upstream/engine.py
+++ b/libs/upstream/src/mulberryhub/upstream/engine.py
@@ -25,6 +25,25 @@
 HTTPException = urllib3.connection.HTTPException
 
 
+class StreamResponse(HTTPConnection.response_class):
+    """Response whose connection stays open until the stream's reader closes it.
+
+    Otherwise `http.client` drops the connection's socket together with the head of an
+    answer that ends with the connection.
+    """
+
+    def begin(self):
+        """Read the head of the response."""
+        super().begin()
+        self.will_close = False
+
+
+class StreamConnection(HTTPConnection):
+    """Connection that serves one stream."""
+
+    response_class = StreamResponse
+
+
 class EngineClient:
     """Opens streams on engines, each on a new connection.
 
@@ -112,7 +131,7 @@
 def _connect(upstream, timeout):
     """Return a new connection, made within `timeout` ms, or raise ConnectFailed."""
     host, port = upstream.address.rsplit(":", 1)
-    connection = HTTPConnection(host, int(port), timeout=timeout / 1000)
+    connection = StreamConnection(host, int(port), timeout=timeout / 1000)
     try:
         connection.connect()
     except (urllib3_errors.HTTPError, OSError) as error:
