Take only events of the engines' interface from their streams, decoded once

Blocks without data or id were skipped, so bytes in the middle of a stream went unnoticed and it ended as complete. An empty or odd id raised ValueError or UnicodeDecodeError: the handler died, so by reading the stream was neither resumed nor the engine counted as failing; its run was cancelled as the body was closed. Streams with CRLF line ends hung, and an event without an end was kept whatever its length and copied with each read.

The cause: EventParser took what looked like a field and left the id to its caller. It is the only decoder now: one id line with a token index and one data line, or the final data line alone, or comments; LF and CRLF; anything else, and more than 64 KiB, is MalformedEvent, and EngineStream makes StreamInterrupted of it, after the events before. So the stream is resumed or ends like any broken one.

--- a/libs/upstream/src/mulberryhub/upstream/engine_stream.py
+++ b/libs/upstream/src/mulberryhub/upstream/engine_stream.py
@@ -14,7 +14,7 @@
 )
 from mulberryhub.upstream.messages import EngineLoad, StreamEnd, Token, Usage
 from mulberryhub.upstream.reader import MAX_READ_BYTES, SocketReader
-from mulberryhub.upstream.sse import EventParser
+from mulberryhub.upstream.sse import DONE, EventParser, MalformedEvent
 
 ABORTED_FINISH_REASONS = frozenset({"abandoned", "cancelled"})
 
@@ -106,10 +106,13 @@
                 item = self._to_item(event)
                 if item is not None:
                     items.append(item)
+        except MalformedEvent as error:
+            self._close_connection()
+            self._pending_failure = StreamInterrupted(str(error))
         except EngineFailure as failure:
             self._pending_failure = failure
-            if not items:
-                raise
+        if self._pending_failure is not None and not items:
+            raise self._pending_failure
         return items
 
     def _read_payload(self):
@@ -133,7 +136,7 @@
         return payload
 
     def _to_item(self, event):
-        if event.data == b"[DONE]":
+        if event.data == DONE:
             return None
         chunk = self._decode_chunk(event.data)
         if chunk.id != self.request_id:
@@ -144,7 +147,7 @@
         choice = chunk.choices[0]
         if choice.finish_reason is not None:
             return self._to_end(choice, chunk.usage or CompletionUsage())
-        return self._to_token(int(event.id), choice)
+        return self._to_token(event.id, choice)
 
     def _decode_chunk(self, data):
         try:
--- a/tests/support/raw_upstream.py
+++ b/tests/support/raw_upstream.py
@@ -18,7 +18,8 @@
         self.heads = []
         self.sent_bytes = 0
         self._listener = listen(("127.0.0.1", 0))
-        self.address = "127.0.0.1:%d" % self._listener.getsockname()[1]
+        host, port = self._listener.getsockname()
+        self.address = f"{host}:{port}"
         self._thread = spawn(self._accept)
 
     def requests(self, start):
--- a/tests/upstream/test_engine_bytes.py
+++ b/tests/upstream/test_engine_bytes.py
@@ -4,21 +4,43 @@
 
 from mulberryhub.base.counters import Counters
 from mulberryhub.upstream.engine import EngineClient
-from mulberryhub.upstream.messages import EngineRequest
+from mulberryhub.upstream.errors import EngineFailure
+from mulberryhub.upstream.messages import EngineRequest, Token
 from tests.support.raw_upstream import raw_upstream
 from tests.upstream.raw_engine import (
     BODY,
     REQUEST_ID,
     TEXTS,
+    TOKEN_COUNT,
     answer_chunked,
     answer_to_the_close,
+    chunk,
     engine_at,
     whole_run,
+    with_garbage,
 )
 
+IDLE_TIMEOUT_MS = 300
+PLACES = [0, 2, TOKEN_COUNT]
 ANSWERS = [answer_chunked, answer_to_the_close]
 
 
+def read_stream(answer, request=None):
+    """Return the texts and whether there was an end before the stream's failure."""
+    request = request or EngineRequest(REQUEST_ID, BODY, idle_timeout=IDLE_TIMEOUT_MS)
+    texts, ends = [], []
+    with raw_upstream(answer) as upstream:
+        try:
+            for item in EngineClient(Counters()).open(engine_at(upstream), request):
+                if isinstance(item, Token):
+                    texts.append(item.text)
+                else:
+                    ends.append(item)
+        except EngineFailure:
+            return texts, bool(ends)
+    raise AssertionError(f"no failure after {texts}, {ends}")
+
+
 @pytest.mark.parametrize("answer", ANSWERS)
 def test_run_without_garbage_is_whole(answer):
     with raw_upstream(answer(b"".join(whole_run()))) as upstream:
@@ -26,3 +48,35 @@
         *tokens, end = EngineClient(Counters()).open(engine_at(upstream), request)
     assert [token.text for token in tokens] == TEXTS
     assert end.finish_reason == "length"
+
+
+@pytest.mark.parametrize("answer", ANSWERS)
+@pytest.mark.parametrize("place", PLACES)
+@pytest.mark.parametrize(
+    "block",
+    [
+        b"data: %(chunk)s",
+        b"id: \ndata: %(chunk)s",
+        b"id\ndata: %(chunk)s",
+        b"id: %(index)d",
+        b"id: %(index)d\ndata: {}\ndata: %(chunk)s",
+        b"id: x\nid: %(index)d\ndata: %(chunk)s",
+        b"id: %(index)d\ndata: %(chunk)s\nnoise",
+        b"noise\nid: %(index)d\ndata: %(chunk)s",
+        b"event: error\nid: %(index)d\ndata: %(chunk)s",
+        b"id: -1\ndata: %(chunk)s",
+        b"id: +%(index)d\ndata: %(chunk)s",
+        b"id: 0_%(index)d\ndata: %(chunk)s",
+        b"id: %(index)d \ndata: %(chunk)s",
+        b"id: \xd9\xa2\ndata: %(chunk)s",
+        b"id: x\ndata: %(chunk)s",
+        b"id: \xff\ndata: %(chunk)s",
+        b"id: %(index)d\ndata: [DONE]",
+        b"\x00\x01\x02\xff",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2",
+    ],
+)
+def test_event_that_is_malformed_ends_the_stream_as_failed(block, place, answer):
+    garbage = block % {b"chunk": chunk(), b"index": place} + b"\n\n"
+    expected = (TEXTS[:place], False)
+    assert read_stream(answer(with_garbage(garbage, place))) == expected
