Take only chunks of one run from engines, and an end only behind its last token

Callers got empty tokens, or a token's text went missing, from an engine that sent JSON of another shape: choices without a text, of another index or of the other interface. An empty choices list raised IndexError, which nothing expects. A stream counted as complete whose end claimed more tokens, or had another index or no usage, and usage of any size went to the limits (a negative count gives tokens back, a huge one locks the workspace out). A stream with events behind its end yielded these too; [DONE] before the end was passed over.

The cause: fields were optional that the interface requires. Anything else is MalformedChunk, which EngineStream turns into StreamInterrupted as it does with malformed events; it reads nothing behind the end.

--- a/libs/upstream/src/mulberryhub/upstream/engine_stream.py
+++ b/libs/upstream/src/mulberryhub/upstream/engine_stream.py
@@ -4,7 +4,7 @@
 
 from mulberryhub.base.green import spawn_n
 from mulberryhub.upstream.chunked import ChunkDecoder, MalformedBody
-from mulberryhub.upstream.completion_chunks import CompletionUsage, decode_chunk
+from mulberryhub.upstream.completion_chunks import MalformedChunk, decode_chunk
 from mulberryhub.upstream.errors import (
     EngineFailure,
     EngineTimeout,
@@ -39,6 +39,7 @@
         "next_index",
         "ended",
         "_client",
+        "_is_chat",
         "_upstream",
         "_reader",
         "_decoder",
@@ -58,6 +59,7 @@
         self.next_index = request.delivered_tokens
         self.ended = False
         self._client = client
+        self._is_chat = request.is_chat
         self._upstream = upstream
         self._reader = SocketReader(connection.sock, request.idle_timeout)
         is_chunked = "chunked" in headers.get("Transfer-Encoding", "")
@@ -95,7 +97,7 @@
         return items
 
     def _to_items(self, events):
-        """Return the items of `events`.
+        """Return the items of `events` up to the end of the stream.
 
         If a failure follows some items, the items are returned and the failure is
         raised by the next read.
@@ -106,13 +108,16 @@
                 item = self._to_item(event)
                 if item is not None:
                     items.append(item)
-        except MalformedEvent as error:
-            self._close_connection()
+                if self.ended:
+                    break
+        except (MalformedEvent, MalformedChunk) as error:
             self._pending_failure = StreamInterrupted(str(error))
         except EngineFailure as failure:
             self._pending_failure = failure
-        if self._pending_failure is not None and not items:
-            raise self._pending_failure
+        if self._pending_failure is not None:
+            self._close_connection()
+            if not items:
+                raise self._pending_failure
         return items
 
     def _read_payload(self):
@@ -136,43 +141,41 @@
         return payload
 
     def _to_item(self, event):
+        """Return the Token or StreamEnd in `event`, or None for a repeated token."""
         if event.data == DONE:
-            return None
-        chunk = self._decode_chunk(event.data)
+            raise MalformedChunk("the stream ended without an end event")
+        chunk = decode_chunk(event.data)
         if chunk.id != self.request_id:
-            self._close_connection()
-            raise ResponseMismatch(f"chunk of another request: {chunk.id}")
+            raise ResponseMismatch(f"chunk of another request: {chunk.id[:80]}")
         if chunk.usage is not None:
             self.cached_tokens = chunk.usage.prompt_tokens_details.cached_tokens
-        choice = chunk.choices[0]
-        if choice.finish_reason is not None:
-            return self._to_end(choice, chunk.usage or CompletionUsage())
-        return self._to_token(event.id, choice)
-
-    def _decode_chunk(self, data):
-        try:
-            return decode_chunk(data)
-        except msgspec.DecodeError as error:
-            self._close_connection()
-            raise StreamInterrupted(f"malformed chunk: {error}") from error
-
-    def _to_token(self, index, choice):
+        if chunk.finish_reason is not None:
+            return self._to_end(event.id, chunk)
+        return self._to_token(event.id, chunk)
+
+    def _to_token(self, index, chunk):
+        text = chunk.text(self._is_chat)
+        if text is None:
+            raise MalformedChunk(f"token {index} has no text")
         if index < self.next_index:
             return None
         if index > self.next_index:
-            self._close_connection()
             raise StreamInterrupted(f"token {self.next_index} is missing")
         self.next_index += 1
-        text = choice.delta.content if choice.delta else choice.text
         return Token(index, text)
 
-    def _to_end(self, choice, usage):
-        if choice.finish_reason in ABORTED_FINISH_REASONS:
-            self._close_connection()
-            raise StreamNotFound(f"the engine ended it: {choice.finish_reason}")
+    def _to_end(self, index, chunk):
+        """Return the StreamEnd; its index and its usage count all tokens before."""
+        if chunk.finish_reason in ABORTED_FINISH_REASONS:
+            raise StreamNotFound(f"the engine ended it: {chunk.finish_reason}")
+        usage = chunk.usage
+        if usage is None or chunk.text(self._is_chat):
+            raise MalformedChunk("the end has no usage, or a text")
+        if {index, usage.completion_tokens} != {self.next_index}:
+            raise MalformedChunk(f"the end does not follow token {self.next_index - 1}")
         self._close_connection()
         counts = Usage(usage.prompt_tokens, usage.completion_tokens, self.cached_tokens)
-        return StreamEnd(choice.finish_reason, counts)
+        return StreamEnd(chunk.finish_reason, counts)
 
     def _close_connection(self):
         """Mark the stream as ended and close its connection, which is not reused."""
--- a/tests/upstream/raw_engine.py
+++ b/tests/upstream/raw_engine.py
@@ -2,9 +2,15 @@
 
 import json
 
+from mulberryhub.base.counters import Counters
 from mulberryhub.config.inventory import Upstream
+from mulberryhub.upstream.engine import EngineClient
+from mulberryhub.upstream.errors import EngineFailure
+from mulberryhub.upstream.messages import EngineRequest, Token
+from tests.support.raw_upstream import raw_upstream
 
 REQUEST_ID = "r1"
+IDLE_TIMEOUT_MS = 300
 BODY = {"model": "m", "max_tokens": 5, "messages": [{"role": "user", "content": "a"}]}
 TOKEN_COUNT = 5
 TEXTS = [f" t{index}" for index in range(TOKEN_COUNT)]
@@ -76,3 +82,19 @@
         connection.end()
 
     return answer
+
+
+def read_stream(answer, request=None):
+    """Return the texts and whether there was an end before the stream's failure."""
+    request = request or EngineRequest(REQUEST_ID, BODY, idle_timeout=IDLE_TIMEOUT_MS)
+    texts, ends = [], []
+    with raw_upstream(answer) as upstream:
+        try:
+            for item in EngineClient(Counters()).open(engine_at(upstream), request):
+                if isinstance(item, Token):
+                    texts.append(item.text)
+                else:
+                    ends.append(item)
+        except EngineFailure:
+            return texts, bool(ends)
+    raise AssertionError(f"no failure after {texts}, {ends}")
--- a/tests/upstream/test_engine_bytes.py
+++ b/tests/upstream/test_engine_bytes.py
@@ -4,8 +4,7 @@
 
 from mulberryhub.base.counters import Counters
 from mulberryhub.upstream.engine import EngineClient
-from mulberryhub.upstream.errors import EngineFailure
-from mulberryhub.upstream.messages import EngineRequest, Token
+from mulberryhub.upstream.messages import EngineRequest
 from tests.support.raw_upstream import raw_upstream
 from tests.upstream.raw_engine import (
     BODY,
@@ -16,31 +15,15 @@
     answer_to_the_close,
     chunk,
     engine_at,
+    read_stream,
     whole_run,
     with_garbage,
 )
 
-IDLE_TIMEOUT_MS = 300
 PLACES = [0, 2, TOKEN_COUNT]
 ANSWERS = [answer_chunked, answer_to_the_close]
 
 
-def read_stream(answer, request=None):
-    """Return the texts and whether there was an end before the stream's failure."""
-    request = request or EngineRequest(REQUEST_ID, BODY, idle_timeout=IDLE_TIMEOUT_MS)
-    texts, ends = [], []
-    with raw_upstream(answer) as upstream:
-        try:
-            for item in EngineClient(Counters()).open(engine_at(upstream), request):
-                if isinstance(item, Token):
-                    texts.append(item.text)
-                else:
-                    ends.append(item)
-        except EngineFailure:
-            return texts, bool(ends)
-    raise AssertionError(f"no failure after {texts}, {ends}")
-
-
 @pytest.mark.parametrize("answer", ANSWERS)
 def test_run_without_garbage_is_whole(answer):
     with raw_upstream(answer(b"".join(whole_run()))) as upstream:
