Decode the chunked coding strictly, and hold no more of it than a line

Bytes that are no chunks counted as chunks: sizes with a sign, 0x, spaces or underscores (Python's int takes them), a chunk longer than its size and lines without CR. So an upstream's garbage shifted where events begin and end. A size line or a chunk without an end was kept whatever its length and copied with each read, until the upstream closed; trailers hung.

The cause: int() parsed the size, the two bytes after a chunk were not looked at, and a chunk was returned only when whole. Sizes are hexadecimal digits now, chunks must end with CRLF, payload is returned as it arrives, a line has at most 256 bytes and all trailers 8 KiB.

--- a/libs/upstream/src/mulberryhub/upstream/chunked.py
+++ b/libs/upstream/src/mulberryhub/upstream/chunked.py
@@ -1,50 +1,88 @@
 """Incremental decoder of the HTTP/1.1 chunked transfer coding."""
 
+import re
+
 CRLF = b"\r\n"
-MAX_SIZE_LINE_BYTES = 32
+MAX_LINE_BYTES = 256
+MAX_TRAILER_BYTES = 8_192
+SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n]*)?\r\n")
+TRAILER_LINE = re.compile(rb"[^:\s]+:[^\r\n]*\r\n")
+
+# What the next line of the body is.
+SIZE, CHUNK_END, TRAILER = range(3)
 
 
 class MalformedBody(Exception):
-    """The body does not follow the chunked transfer coding."""
+    """The body is not framed as HTTP requires."""
 
 
 class ChunkDecoder:
     """Decodes a chunked body that arrives in pieces of any size.
 
-    `ended` tells whether the last chunk has been decoded.
+    `ended` tells whether the end of the body has been decoded. Only an incomplete
+    line is held. Extensions and trailers are skipped.
     """
 
-    __slots__ = ("ended", "_pending")
+    __slots__ = ("ended", "_pending", "_payload_left", "_next_line", "_trailer_bytes")
 
     def __init__(self):
         self.ended = False
         self._pending = b""
+        self._payload_left = 0
+        self._next_line = SIZE
+        self._trailer_bytes = 0
 
     def feed(self, data):
-        """Return the payload of the chunks that `data` completes.
+        """Return the payload in `data`; what follows the end is dropped.
 
-        Raises MalformedBody if a chunk has no valid size.
+        Raises MalformedBody if the body is not in chunks.
         """
         data = self._pending + data
         payload = []
         position = 0
         while not self.ended:
-            end = data.find(CRLF, position)
-            if end < 0:
-                break
-            size = _parse_size(data[position:end])
-            start = end + 2
-            if len(data) < start + size + 2:
-                break
-            payload.append(data[start : start + size])
-            position = start + size + 2
-            self.ended = size == 0
-        self._pending = data[position:]
+            if self._payload_left:
+                part = data[position : position + self._payload_left]
+                if not part:
+                    break
+                payload.append(part)
+                self._payload_left -= len(part)
+                position += len(part)
+            else:
+                end = data.find(b"\n", position, position + MAX_LINE_BYTES)
+                if end < 0:
+                    break
+                self._process_line(data[position : end + 1])
+                position = end + 1
+        self._pending = b"" if self.ended else data[position:]
+        if len(self._pending) >= MAX_LINE_BYTES:
+            raise MalformedBody("a line between chunks is too long")
         return b"".join(payload)
 
+    def _process_line(self, line):
+        if self._next_line == SIZE:
+            size = _parse_size(line)
+            self._payload_left = size
+            self._next_line = CHUNK_END if size else TRAILER
+        elif self._next_line == CHUNK_END:
+            if line != CRLF:
+                raise MalformedBody("a chunk is longer than its size")
+            self._next_line = SIZE
+        else:
+            self._process_trailer(line)
+
+    def _process_trailer(self, line):
+        self._trailer_bytes += len(line)
+        if line == CRLF:
+            self.ended = True
+        elif TRAILER_LINE.fullmatch(line) is None:
+            raise MalformedBody("a trailer is malformed")
+        elif self._trailer_bytes > MAX_TRAILER_BYTES:
+            raise MalformedBody("the trailers are too long")
+
 
 def _parse_size(line):
-    try:
-        return int(line[:MAX_SIZE_LINE_BYTES].split(b";", 1)[0], 16)
-    except ValueError as error:
-        raise MalformedBody("a chunk has no size") from error
+    match = SIZE_LINE.fullmatch(line)
+    if match is None:
+        raise MalformedBody("a chunk has no size")
+    return int(match[1], 16)
