Take streams of engines only in a framing and a type that they state validly

Bytes behind the stated length of an answer counted as part of the stream, any coding with "chunked" in its name counted as chunked, and a malformed length or another content type went unnoticed: callers got what followed as tokens.

The cause: EngineStream looked for the word chunked and took all other bodies up to the close. framing.body_decoder picks the one decoder of a body by its headers - chunks, a length of digits, up to the close - and refuses others; the head must have the type of an event stream. The connection is now closed whatever the error.

--- a/libs/upstream/src/mulberryhub/upstream/engine.py
+++ b/libs/upstream/src/mulberryhub/upstream/engine.py
@@ -1,15 +1,16 @@
 """Client of model engines: opens, resumes and cancels token streams."""
 
+from contextlib import contextmanager
 from urllib.parse import quote
 
 import msgspec
 
 from mulberryhub.base.green import urllib3
+from mulberryhub.upstream.chunked import MalformedBody
 from mulberryhub.upstream.engine_stream import EngineStream
 from mulberryhub.upstream.errors import (
     ConnectFailed,
     EngineErrorResponse,
-    EngineFailure,
     EngineTimeout,
     ResponseMismatch,
     StreamInterrupted,
@@ -17,6 +18,7 @@
     WrongVersion,
 )
 
+EVENT_STREAM_TYPE = "text/event-stream"
 CANCEL_TIMEOUT_MS = 2_000
 MAX_ERROR_BYTES = 200  # of an engine's error response that go into the message
 
@@ -94,20 +96,15 @@
     def _open_stream(self, upstream, request, method, path, data, headers):
         connection = _connect(upstream, request.connect_timeout)
         try:
-            connection.sock.settimeout(request.idle_timeout / 1000)
-            connection.request(
-                method, path, body=data, headers=headers, preload_content=False
-            )
-            response = connection.getresponse()
-            _check_response(method, request, response)
-            return EngineStream(self, upstream, request, connection, response)
-        except TimeoutError as error:
-            connection.close()
-            raise EngineTimeout("no answer within the timeout") from error
-        except (HTTPException, urllib3_errors.HTTPError, OSError) as error:
-            connection.close()
-            raise StreamInterrupted(str(error)) from error
-        except EngineFailure:
+            with _raise_as_failures():
+                connection.sock.settimeout(request.idle_timeout / 1000)
+                connection.request(
+                    method, path, body=data, headers=headers, preload_content=False
+                )
+                response = connection.getresponse()
+                _check_response(method, request, response)
+                return EngineStream(self, upstream, request, connection, response)
+        except BaseException:
             connection.close()
             raise
 
@@ -128,6 +125,22 @@
             connection.close()
 
 
+@contextmanager
+def _raise_as_failures():
+    """Raise errors of the connection and of malformed answers as EngineFailure."""
+    try:
+        yield
+    except TimeoutError as error:
+        raise EngineTimeout("no answer within the timeout") from error
+    except (
+        HTTPException,
+        urllib3_errors.HTTPError,
+        OSError,
+        MalformedBody,
+    ) as error:
+        raise StreamInterrupted(str(error)) from error
+
+
 def _connect(upstream, timeout):
     """Return a new connection, made within `timeout` ms, or raise ConnectFailed."""
     host, port = upstream.address.rsplit(":", 1)
@@ -150,6 +163,9 @@
         raise EngineErrorResponse(response.status, message)
     if response.headers.get("X-Request-Id") != request.request_id:
         raise ResponseMismatch("answer to another request")
+    content_type = response.headers.get("Content-Type", "")
+    if content_type.partition(";")[0].strip().lower() != EVENT_STREAM_TYPE:
+        raise StreamInterrupted("the answer is no event stream")
     version = response.headers.get("X-Model-Version", "")
     if version and request.model_version and version != request.model_version:
         raise WrongVersion(f"answer by version {version}")
--- a/libs/upstream/src/mulberryhub/upstream/engine_stream.py
+++ b/libs/upstream/src/mulberryhub/upstream/engine_stream.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from mulberryhub.base.green import spawn_n
-from mulberryhub.upstream.chunked import ChunkDecoder, MalformedBody
+from mulberryhub.upstream.chunked import MalformedBody
 from mulberryhub.upstream.completion_chunks import MalformedChunk, decode_chunk
 from mulberryhub.upstream.errors import (
     EngineFailure,
@@ -12,6 +12,7 @@
     StreamInterrupted,
     StreamNotFound,
 )
+from mulberryhub.upstream.framing import body_decoder
 from mulberryhub.upstream.messages import EngineLoad, StreamEnd, Token, Usage
 from mulberryhub.upstream.reader import MAX_READ_BYTES, SocketReader
 from mulberryhub.upstream.sse import DONE, EventParser, MalformedEvent
@@ -61,9 +62,8 @@
         self._client = client
         self._is_chat = request.is_chat
         self._upstream = upstream
+        self._decoder = body_decoder(headers)
         self._reader = SocketReader(connection.sock, request.idle_timeout)
-        is_chunked = "chunked" in headers.get("Transfer-Encoding", "")
-        self._decoder = ChunkDecoder() if is_chunked else None
         self._initial_data = _peek_buffered(response)
         self._parser = EventParser()
         self._pending_items = []
@@ -121,21 +121,23 @@
         return items
 
     def _read_payload(self):
-        """Wait for data and return the payload of the chunks that it completes.
+        """Wait for data and return the payload in it.
 
         Raises EngineTimeout, or StreamInterrupted, also at the end of the body.
         """
+        data = b""
         try:
-            data = self._initial_data or self._reader.read()
-            self._initial_data = b""
-            payload = self._decoder.feed(data) if self._decoder else data
+            if not self._decoder.ended:
+                data = self._initial_data or self._reader.read()
+                self._initial_data = b""
+            payload = self._decoder.feed(data)
         except TimeoutError as error:
             self._close_connection()
             raise EngineTimeout("no token within the timeout") from error
         except (OSError, MalformedBody) as error:
             self._close_connection()
             raise StreamInterrupted(str(error)) from error
-        if not data or (not payload and self._decoder.ended):
+        if not data:
             self._close_connection()
             raise StreamInterrupted("the stream ended without an end event")
         return payload
