Bound the head of an engine's answer and its error text in bytes and in time

The router read what an engine sent instead of an answer until the engine closed: interim responses and trailers without end, and a chunk of the size -1 in the body of an error, which http.client reads to the end and keeps. Slow bytes held a request without end: each of them began the wait anew. A head that took more than 1 s failed although idle_timeout was longer, as urllib3 sets the connection's timeout, here connect_timeout, before each read.

Each byte of the answer is counted where it is read from the socket (BoundedResponse, 64 KiB for a head), so no form of it is left out, and the head as a whole must come within idle_timeout. The failures are those of broken streams.

--- /dev/null
+++ b/libs/upstream/src/mulberryhub/upstream/bounded_http.py
@@ -0,0 +1,54 @@
+"""HTTP connections whose responses are bounded in bytes, whatever is sent."""
+
+from io import BufferedReader, RawIOBase
+
+from mulberryhub.base.green import urllib3
+
+HTTPConnection = urllib3.connection.HTTPConnection
+
+MAX_HEAD_BYTES = 65_536
+
+
+class ResponseTooLong(OSError):
+    """A response exceeds the bytes that are read of it."""
+
+
+class BoundedSource(RawIOBase):
+    """Unbuffered reader of at most `max_bytes` of `source`."""
+
+    def __init__(self, source, max_bytes):
+        self._source = source
+        self._bytes_left = max_bytes
+
+    def readable(self):
+        """Return that the source can be read."""
+        return True
+
+    def readinto(self, buffer):
+        """Read into `buffer` and return the byte count, 0 at the end.
+
+        Raises ResponseTooLong once all bytes that may be read have been.
+        """
+        if not self._bytes_left:
+            raise ResponseTooLong("the response is too long")
+        count = self._source.readinto(memoryview(buffer)[: self._bytes_left])
+        self._bytes_left -= count or 0
+        return count
+
+    def close(self):
+        """Close the source."""
+        self._source.close()
+        super().close()
+
+
+class BoundedResponse(HTTPConnection.response_class):
+    """Response whose head and body have at most `max_bytes` in all.
+
+    Interim responses, chunk sizes and trailers count as well.
+    """
+
+    max_bytes = MAX_HEAD_BYTES
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.fp = BufferedReader(BoundedSource(self.fp.detach(), self.max_bytes))
--- a/libs/upstream/src/mulberryhub/upstream/engine.py
+++ b/libs/upstream/src/mulberryhub/upstream/engine.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from mulberryhub.base.green import urllib3
+from mulberryhub.base.green import Timeout, urllib3
+from mulberryhub.upstream.bounded_http import BoundedResponse, HTTPConnection
 from mulberryhub.upstream.chunked import MalformedBody
 from mulberryhub.upstream.engine_stream import EngineStream
 from mulberryhub.upstream.errors import (
@@ -23,15 +24,14 @@
 MAX_ERROR_BYTES = 200  # of an engine's error response that go into the message
 
 urllib3_errors = urllib3.exceptions
-HTTPConnection = urllib3.connection.HTTPConnection
 HTTPException = urllib3.connection.HTTPException
 
 
-class StreamResponse(HTTPConnection.response_class):
+class StreamResponse(BoundedResponse):
     """Response whose connection stays open until the stream's reader closes it.
 
     Otherwise `http.client` drops the connection's socket together with the head of an
-    answer that ends with the connection.
+    answer that ends with the connection. Only the head counts for `max_bytes`.
     """
 
     def begin(self):
@@ -97,12 +97,13 @@
         connection = _connect(upstream, request.connect_timeout)
         try:
             with _raise_as_failures():
-                connection.sock.settimeout(request.idle_timeout / 1000)
+                connection.timeout = request.idle_timeout / 1000
                 connection.request(
                     method, path, body=data, headers=headers, preload_content=False
                 )
-                response = connection.getresponse()
-                _check_response(method, request, response)
+                with Timeout(connection.timeout, _no_answer_in_time()):
+                    response = connection.getresponse()
+                    _check_response(method, request, response)
                 return EngineStream(self, upstream, request, connection, response)
         except BaseException:
             connection.close()
@@ -131,7 +132,7 @@
     try:
         yield
     except TimeoutError as error:
-        raise EngineTimeout("no answer within the timeout") from error
+        raise _no_answer_in_time() from error
     except (
         HTTPException,
         urllib3_errors.HTTPError,
@@ -141,6 +142,10 @@
         raise StreamInterrupted(str(error)) from error
 
 
+def _no_answer_in_time():
+    return EngineTimeout("no answer within the timeout")
+
+
 def _connect(upstream, timeout):
     """Return a new connection, made within `timeout` ms, or raise ConnectFailed."""
     host, port = upstream.address.rsplit(":", 1)
