Don't let an engine's X-Load or X-Incarnation break a request

An X-Load that is no JSON object ended the request's handler with DecodeError: callers got 500 internal, the engine's run was not cancelled and the engine not counted as failing. Nothing reads that load, so EngineStream no longer decodes it; loads come from the monitor. X-Incarnation goes into the id of each event of a stream and was taken whatever its length or characters; it must be up to 128 visible ASCII characters now, or the answer is a broken one.

7 cases of tests/upstream/test_engine_heads.py failed before: four with msgspec.DecodeError, three took the incarnation.

--- a/libs/upstream/src/mulberryhub/upstream/engine.py
+++ b/libs/upstream/src/mulberryhub/upstream/engine.py
@@ -8,7 +8,7 @@
 from mulberryhub.base.green import Timeout, urllib3
 from mulberryhub.upstream.bounded_http import BoundedResponse, HTTPConnection
 from mulberryhub.upstream.chunked import MalformedBody
-from mulberryhub.upstream.engine_stream import EngineStream
+from mulberryhub.upstream.engine_stream import EngineStream, incarnation_in
 from mulberryhub.upstream.errors import (
     ConnectFailed,
     EngineErrorResponse,
@@ -161,7 +161,7 @@
 def _check_response(method, request, response):
     """Raise EngineFailure unless `response` is a successful response to `request`."""
     if response.status == 404 and method == "GET":
-        incarnation = response.headers.get("X-Incarnation", "")
+        incarnation = incarnation_in(response.headers)
         raise StreamNotFound("the engine does not keep this stream", incarnation)
     if response.status != 200:
         message = response.read(MAX_ERROR_BYTES).decode(errors="replace")
--- a/libs/upstream/src/mulberryhub/upstream/engine_stream.py
+++ b/libs/upstream/src/mulberryhub/upstream/engine_stream.py
@@ -1,6 +1,6 @@
 """Stream of tokens that an engine sends as the answer to one request."""
 
-import msgspec
+import re
 
 from mulberryhub.base.green import spawn_n
 from mulberryhub.upstream.chunked import MalformedBody
@@ -13,29 +13,27 @@
     StreamNotFound,
 )
 from mulberryhub.upstream.framing import body_decoder
-from mulberryhub.upstream.messages import EngineLoad, StreamEnd, Token, Usage
+from mulberryhub.upstream.messages import StreamEnd, Token, Usage
 from mulberryhub.upstream.reader import MAX_READ_BYTES, SocketReader
 from mulberryhub.upstream.sse import DONE, EventParser, MalformedEvent
 
+INCARNATION = re.compile("[!-~]{0,128}")
 ABORTED_FINISH_REASONS = frozenset({"abandoned", "cancelled"})
 
-decode_load = msgspec.json.Decoder(EngineLoad).decode
-
 
 class EngineStream:
     """Iterator over `Token` items and a final `StreamEnd`.
 
     Raises EngineFailure if the stream ends in any other way. `read_available()` returns
     all items that have arrived, so that they can be sent in one write. `next_index` is
-    the index of the next token, `load` the EngineLoad in the response header, and
-    `cached_tokens` the number of cached prompt tokens, 0 until the engine reports it.
+    the index of the next token and `cached_tokens` the number of cached prompt tokens,
+    0 until the engine reports it.
     """
 
     __slots__ = (
         "request_id",
         "incarnation",
         "model_version",
-        "load",
         "cached_tokens",
         "next_index",
         "ended",
@@ -53,9 +51,8 @@
     def __init__(self, client, upstream, request, connection, response):
         headers = response.headers
         self.request_id = request.request_id
-        self.incarnation = headers.get("X-Incarnation", "")
+        self.incarnation = incarnation_in(headers)
         self.model_version = headers.get("X-Model-Version", "")
-        self.load = decode_load(headers.get("X-Load", "{}"))
         self.cached_tokens = 0
         self.next_index = request.delivered_tokens
         self.ended = False
@@ -63,11 +60,15 @@
         self._is_chat = request.is_chat
         self._upstream = upstream
         self._decoder = body_decoder(headers)
-        self._reader = SocketReader(connection.sock, request.idle_timeout)
-        self._initial_data = _peek_buffered(response)
         self._parser = EventParser()
         self._pending_items = []
         self._pending_failure = None
+        self._reader = SocketReader(connection.sock, request.idle_timeout)
+        try:
+            self._initial_data = _peek_buffered(response)
+        except OSError:
+            self._reader.close()
+            raise
 
     def __iter__(self):
         return self
@@ -195,3 +196,14 @@
 def _peek_buffered(response):
     """Return the body bytes that arrived with the response head, without waiting."""
     return response._fp.fp.peek(MAX_READ_BYTES)
+
+
+def incarnation_in(headers):
+    """Return the engine's incarnation in `headers`, empty if there is none.
+
+    Raises StreamInterrupted if it is malformed.
+    """
+    incarnation = headers.get("X-Incarnation", "")
+    if INCARNATION.fullmatch(incarnation) is None:
+        raise StreamInterrupted("the engine's incarnation is malformed")
+    return incarnation
--- a/tests/upstream/test_engine_heads.py
+++ b/tests/upstream/test_engine_heads.py
@@ -90,6 +90,27 @@
     assert [token.text for token in tokens] == TEXTS
 
 
+@pytest.mark.parametrize(
+    "field", [b"X-Load: garbage", b"X-Load: []", b"X-Load: \xff", b"X-Load: {"]
+)
+def test_malformed_load_does_not_break_the_request(field):
+    def answer(connection):
+        connection.send(HEAD + field + b"\r\n" + CHUNKED + RUN)
+
+    with raw_upstream(answer) as upstream:
+        *tokens, _ = EngineClient(Counters()).open(engine_at(upstream), REQUEST)
+    assert [token.text for token in tokens] == TEXTS
+
+
+@pytest.mark.parametrize("incarnation", [b"i" * 129, b"i 1", b"\xe9"])
+def test_malformed_incarnation_is_no_stream(incarnation):
+    def answer(connection):
+        head = HEAD.replace(b"X-Incarnation: i1", b"X-Incarnation: " + incarnation)
+        connection.send(head + CHUNKED + RUN)
+
+    assert read_stream(answer) == ([], False)
+
+
 @pytest.mark.parametrize(
     "head",
     [
