Break off engine streams that go on without tokens

A stream of comments, blank lines or repeated tokens was read as long as the engine sent it: fast ones kept the router busy, slow ones held the request and its grant without end, as each byte began idle_timeout anew and the deadline of the first token is only looked at when a stream breaks.

A stream now breaks after 1 MiB without a token, or if bytes but no token came for first_token_timeout; it is resumed or ends like others that broke.

What could not happen any more: an event or a chunk without an end is bounded by the decoders.

--- a/libs/upstream/src/mulberryhub/upstream/engine_stream.py
+++ b/libs/upstream/src/mulberryhub/upstream/engine_stream.py
@@ -1,6 +1,7 @@
 """Stream of tokens that an engine sends as the answer to one request."""
 
 import re
+from time import monotonic
 
 from mulberryhub.base.green import spawn_n
 from mulberryhub.upstream.chunked import MalformedBody
@@ -18,6 +19,7 @@
 from mulberryhub.upstream.sse import DONE, EventParser, MalformedEvent
 
 INCARNATION = re.compile("[!-~]{0,128}")
+MAX_IDLE_BYTES = 1_048_576  # received without a token
 ABORTED_FINISH_REASONS = frozenset({"abandoned", "cancelled"})
 
 
@@ -46,6 +48,8 @@
         "_parser",
         "_pending_items",
         "_pending_failure",
+        "_token_timeout_s",
+        "_idle_bytes",
     )
 
     def __init__(self, client, upstream, request, connection, response):
@@ -63,6 +67,8 @@
         self._parser = EventParser()
         self._pending_items = []
         self._pending_failure = None
+        self._token_timeout_s = request.first_token_timeout / 1000
+        self._idle_bytes = 0
         self._reader = SocketReader(connection.sock, request.idle_timeout)
         try:
             self._initial_data = _peek_buffered(response)
@@ -92,10 +98,22 @@
             raise self._pending_failure
         if self.ended:
             raise StopIteration
-        items = []
-        while not items:
+        started_at = monotonic()
+        self._idle_bytes = 0
+        while True:
             items = self._to_items(self._parser.feed(self._read_payload()))
-        return items
+            if items:
+                return items
+            self._check_progress(started_at)
+
+    def _check_progress(self, started_at):
+        """Raise EngineFailure if too much came, or for too long, without an item."""
+        if self._idle_bytes > MAX_IDLE_BYTES:
+            self._close_connection()
+            raise StreamInterrupted("too many bytes without a token")
+        if monotonic() - started_at > self._token_timeout_s:
+            self._close_connection()
+            raise EngineTimeout("no token within the timeout")
 
     def _to_items(self, events):
         """Return the items of `events` up to the end of the stream.
@@ -131,6 +149,7 @@
             if not self._decoder.ended:
                 data = self._initial_data or self._reader.read()
                 self._initial_data = b""
+                self._idle_bytes += len(data)
             payload = self._decoder.feed(data)
         except TimeoutError as error:
             self._close_connection()
--- a/libs/upstream/src/mulberryhub/upstream/messages.py
+++ b/libs/upstream/src/mulberryhub/upstream/messages.py
@@ -36,7 +36,8 @@
     text and the token count already delivered, for a response that continues on another
     engine. `request_id` must be unique over all clients. Requests may share cached
     prompts if their `cache_scope` is the same. `idle_timeout` is the longest time
-    without data on a connection, also before the first token.
+    without data on a connection, also before the first token, and
+    `first_token_timeout` the longest one in which other data comes, but no token.
     """
 
     request_id: str
