Take only whole answers of services, each to its own request, and bound their transfer

Callers of service routes got bodies that no run made or that were not whole, as 200: - a body shorter than its Content-Length: urllib3's read(n) returns what there is, and raises only at a second read; - chunks with wrong sizes or ends, other codings and malformed lengths, as in engines' streams; - bytes behind an answer, as the answer to the next request on the kept connection, also another caller's, where they state no request id: a missing id counted as the right one. An order's cut answer was kept as its outcome and replayed. A chunk of the size -1 is read by http.client to the close and held: the router took all of the 48 MiB that were sent.

Bodies are decoded by the same strict decoders as streams (framing.body_decoder), each byte counts at the socket (16 MiB with the framing, 8 MiB of body), and a connection is kept only behind an answer that states its request and has nothing behind it; on a kept one each answer must state its request. A service that states none costs a connection for each request.

What could not happen: other endless answers, and slow ones, were bounded by http.client, by the 8 MiB and by the timeout of the whole exchange.

--- a/libs/upstream/src/mulberryhub/upstream/bounded_http.py
+++ b/libs/upstream/src/mulberryhub/upstream/bounded_http.py
@@ -47,8 +47,6 @@
     Interim responses, chunk sizes and trailers count as well.
     """
 
-    max_bytes = MAX_HEAD_BYTES
-
-    def __init__(self, *arguments, **options):
+    def __init__(self, *arguments, max_bytes=MAX_HEAD_BYTES, **options):
         super().__init__(*arguments, **options)
-        self.fp = BufferedReader(BoundedSource(self.fp.detach(), self.max_bytes))
+        self.fp = BufferedReader(BoundedSource(self.fp.detach(), max_bytes))
--- a/libs/upstream/src/mulberryhub/upstream/chunked.py
+++ b/libs/upstream/src/mulberryhub/upstream/chunked.py
@@ -2,6 +2,10 @@
 
 import re
 
+from mulberryhub.base.green import urllib3
+
+HTTPException = urllib3.connection.HTTPException
+
 CRLF = b"\r\n"
 MAX_LINE_BYTES = 256
 MAX_TRAILER_BYTES = 8_192
@@ -12,21 +16,30 @@
 SIZE, CHUNK_END, TRAILER = range(3)
 
 
-class MalformedBody(Exception):
+class MalformedBody(HTTPException):
     """The body is not framed as HTTP requires."""
 
 
 class ChunkDecoder:
     """Decodes a chunked body that arrives in pieces of any size.
 
-    `ended` tells whether the end of the body has been decoded. Only an incomplete
-    line is held. Extensions and trailers are skipped.
+    `ended` tells whether the end of the body has been decoded, and `has_surplus`
+    whether there were bytes behind it. Only an incomplete line is held. Extensions and
+    trailers are skipped.
     """
 
-    __slots__ = ("ended", "_pending", "_payload_left", "_next_line", "_trailer_bytes")
+    __slots__ = (
+        "ended",
+        "has_surplus",
+        "_pending",
+        "_payload_left",
+        "_next_line",
+        "_trailer_bytes",
+    )
 
     def __init__(self):
         self.ended = False
+        self.has_surplus = False
         self._pending = b""
         self._payload_left = 0
         self._next_line = SIZE
@@ -54,8 +67,12 @@
                     break
                 self._process_line(data[position : end + 1])
                 position = end + 1
-        self._pending = b"" if self.ended else data[position:]
-        if len(self._pending) >= MAX_LINE_BYTES:
+        rest = data[position:]
+        if self.ended:
+            self.has_surplus = bool(rest)
+            return b"".join(payload)
+        self._pending = rest
+        if len(rest) >= MAX_LINE_BYTES:
             raise MalformedBody("a line between chunks is too long")
         return b"".join(payload)
 
--- a/libs/upstream/src/mulberryhub/upstream/framing.py
+++ b/libs/upstream/src/mulberryhub/upstream/framing.py
@@ -8,12 +8,16 @@
 
 
 class LengthDecoder:
-    """Decodes a body of a stated length; `ended` tells whether all of it came."""
+    """Decodes a body of a stated length.
 
-    __slots__ = ("ended", "_bytes_left")
+    `ended` tells whether all of it came, `has_surplus` whether more did.
+    """
+
+    __slots__ = ("ended", "has_surplus", "_bytes_left")
 
     def __init__(self, length):
         self.ended = length == 0
+        self.has_surplus = False
         self._bytes_left = length
 
     def feed(self, data):
@@ -21,19 +25,22 @@
         payload = data[: self._bytes_left]
         self._bytes_left -= len(payload)
         self.ended = self._bytes_left == 0
+        self.has_surplus = len(payload) < len(data)
         return payload
 
 
 class CloseDecoder:
-    """Passes on a body that ends with its connection, so `ended` stays false."""
+    """Passes on a body that ends with its connection, so that nothing follows it."""
 
-    __slots__ = ("ended",)
+    __slots__ = ("ended", "has_surplus")
 
     def __init__(self):
         self.ended = False
+        self.has_surplus = False
 
     def feed(self, data):
-        """Return `data`."""
+        """Return `data`, which is empty at the end."""
+        self.ended = not data
         return data
 
 
--- a/libs/upstream/src/mulberryhub/upstream/service.py
+++ b/libs/upstream/src/mulberryhub/upstream/service.py
@@ -7,10 +7,16 @@
     ResponseMismatch,
     StreamInterrupted,
 )
+from mulberryhub.upstream.service_connection import (
+    MAX_READ_BYTES,
+    REQUEST_ID_HEADER,
+    ServiceConnectionPool,
+)
 
 CONNECT_TIMEOUT_MS = 1_000
 MAX_POOLED_CONNECTION_COUNT = 16  # per address
-MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024  # of the body
+MAX_TRANSFER_BYTES = 2 * MAX_RESPONSE_BYTES  # with the head and the framing
 
 urllib3_errors = urllib3.exceptions
 
@@ -86,8 +92,11 @@
 
 def _new_pool(upstream):
     host, port = upstream.address.rsplit(":", 1)
-    return urllib3.HTTPConnectionPool(
-        host, int(port), maxsize=MAX_POOLED_CONNECTION_COUNT
+    return ServiceConnectionPool(
+        host,
+        int(port),
+        maxsize=MAX_POOLED_CONNECTION_COUNT,
+        max_response_bytes=MAX_TRANSFER_BYTES,
     )
 
 
@@ -105,17 +114,27 @@
         raise EngineTimeout("no answer in time") from error
     except (urllib3_errors.HTTPError, OSError) as error:
         raise StreamInterrupted(str(error)) from error
-    if response.headers.get("X-Request-Id", request.request_id) != request.request_id:
-        raise ResponseMismatch("answer to another request")
+    _check_request_id(request, response)
     return ServiceResponse(response.status, response.headers, body)
 
 
+def _check_request_id(request, response):
+    """Raise ResponseMismatch unless `response` belongs to `request`.
+
+    A service need not state the id of the request, but does so before its connection
+    is kept.
+    """
+    request_id = response.headers.get(REQUEST_ID_HEADER)
+    if request_id is None and not response.is_kept:
+        return
+    if request_id != request.request_id:
+        raise ResponseMismatch("answer to another request")
+
+
 def _read_body(response):
     is_complete = False
     try:
-        body = response.read(MAX_RESPONSE_BYTES + 1)
-        if len(body) > MAX_RESPONSE_BYTES:
-            raise StreamInterrupted("the answer is too long")
+        body = _read_parts(response)
         is_complete = True
         return body
     finally:
@@ -124,6 +143,17 @@
         response.release_conn()
 
 
+def _read_parts(response):
+    parts = []
+    byte_count = 0
+    while part := response.read(MAX_READ_BYTES):
+        byte_count += len(part)
+        if byte_count > MAX_RESPONSE_BYTES:
+            raise StreamInterrupted("the answer is too long")
+        parts.append(part)
+    return b"".join(parts)
+
+
 def _start_request(pool, request):
     timeouts = urllib3.Timeout(
         connect=min(CONNECT_TIMEOUT_MS, request.timeout) / 1000,
--- /dev/null
+++ b/libs/upstream/src/mulberryhub/upstream/service_connection.py
@@ -0,0 +1,90 @@
+"""HTTP connections to services, kept for further requests where that is safe."""
+
+from functools import partial
+
+from mulberryhub.base.green import socket, urllib3
+from mulberryhub.base.logs import module_logger
+from mulberryhub.upstream.bounded_http import BoundedResponse, HTTPConnection
+from mulberryhub.upstream.chunked import MalformedBody
+from mulberryhub.upstream.framing import LengthDecoder, body_decoder
+
+log = module_logger(__name__)
+
+MAX_READ_BYTES = 65_536
+REQUEST_ID_HEADER = "X-Request-Id"
+
+
+class ServiceHttpResponse(BoundedResponse):
+    """Response whose body is decoded strictly.
+
+    The connection is not used again if there were bytes behind the response, or if
+    the response does not state its request, so that a later one could not be told
+    from an answer to another request.
+    """
+
+    def __init__(self, connected_socket, *arguments, **options):
+        super().__init__(connected_socket, *arguments, **options)
+        self._connected_socket = connected_socket
+        self._decoder = None
+
+    def begin(self):
+        """Read the head of the response."""
+        super().begin()
+        has_no_body = self.length == 0
+        self._decoder = LengthDecoder(0) if has_no_body else body_decoder(self.headers)
+
+    def read(self, amt=None):
+        """Wait for payload and return it, or b"" at the end of the body.
+
+        Raises MalformedBody if the body is cut or malformed.
+        """
+        while not self._decoder.ended:
+            data = self.fp.read1(amt or MAX_READ_BYTES)
+            payload = self._decoder.feed(data)
+            if payload:
+                return payload
+            if not data and not self._decoder.ended:
+                raise MalformedBody("the body is cut")
+        self._end()
+        return b""
+
+    def _end(self):
+        if self._decoder.has_surplus or REQUEST_ID_HEADER not in self.headers:
+            self._disconnect()
+        self.close()
+
+    def _disconnect(self):
+        try:
+            self._connected_socket.shutdown(socket.SHUT_RDWR)
+        except OSError as error:
+            log.debug("a service has closed its connection: {}", error)
+
+
+class ServiceConnection(HTTPConnection):
+    """Connection whose responses have at most `max_response_bytes` each.
+
+    `is_kept` of a response tells whether there was one before it on the connection.
+    """
+
+    def __init__(self, *arguments, max_response_bytes, **options):
+        super().__init__(*arguments, **options)
+        self.response_class = partial(ServiceHttpResponse, max_bytes=max_response_bytes)
+        self._has_had_response = False
+
+    def connect(self):
+        """Connect the socket."""
+        self._has_had_response = False
+        super().connect()
+
+    def getresponse(self):
+        """Read the head of the response to the last request."""
+        response = super().getresponse()
+        response.is_kept = self._has_had_response
+        self._has_had_response = True
+        return response
+
+
+class ServiceConnectionPool(urllib3.HTTPConnectionPool):
+    """Pool of connections to one address."""
+
+    ConnectionCls = ServiceConnection
