Bound the calls to engines for load, orders and cancellations, and take only loads

An engine that sent bytes without end to such a call was read until it closed, and all of a body was held: urllib3 reads and decompresses bodies before it returns, whatever their length, and its timeout begins anew with each byte. So one such engine could use up the memory of every router, as each polls all engines. Answers that are no load counted as loads: a 500 or 404 with JSON, or {}, made an idle engine of an engine that failed, cleared its avoidance and looked like a restart (no incarnation), which discards what is known of its cache; the reconciler of versions saw an engine without models.

All three go through engine_calls.send_call now, the client of services: strict decoders, 1 MiB of body, 2 MiB at the socket, one timeout for the whole exchange, no decompression. A load is a 200 with an incarnation and bounded counts. Failures have a log line. Polls open a connection each, ten a second at most.

--- a/libs/upstream/src/mulberryhub/upstream/engine.py
+++ b/libs/upstream/src/mulberryhub/upstream/engine.py
@@ -6,12 +6,15 @@
 import msgspec
 
 from mulberryhub.base.green import Timeout, urllib3
+from mulberryhub.base.logs import module_logger
 from mulberryhub.upstream.bounded_http import BoundedResponse, HTTPConnection
 from mulberryhub.upstream.chunked import MalformedBody
+from mulberryhub.upstream.engine_calls import send_call
 from mulberryhub.upstream.engine_stream import EngineStream, incarnation_in
 from mulberryhub.upstream.errors import (
     ConnectFailed,
     EngineErrorResponse,
+    EngineFailure,
     EngineTimeout,
     ResponseMismatch,
     StreamInterrupted,
@@ -23,6 +26,8 @@
 CANCEL_TIMEOUT_MS = 2_000
 MAX_ERROR_BYTES = 200  # of an engine's error response that go into the message
 
+log = module_logger(__name__)
+
 urllib3_errors = urllib3.exceptions
 HTTPException = urllib3.connection.HTTPException
 
@@ -111,19 +116,13 @@
 
     def cancel(self, upstream, request_id):
         """Cancel the request on the engine; a failure is counted but not raised."""
-        data = msgspec.json.encode({"id": request_id})
-        try:
-            connection = _connect(upstream, CANCEL_TIMEOUT_MS)
-        except ConnectFailed:
-            self._counters.add("upstream.cancel_failed")
-            return
         try:
-            connection.request("POST", "/v1/cancel", body=data)
-            connection.getresponse()
-        except (HTTPException, urllib3_errors.HTTPError, OSError):
+            send_call(
+                upstream, "POST", "/v1/cancel", CANCEL_TIMEOUT_MS, {"id": request_id}
+            )
+        except EngineFailure as failure:
+            log.debug("{} cannot be cancelled: {}", request_id, failure)
             self._counters.add("upstream.cancel_failed")
-        finally:
-            connection.close()
 
 
 @contextmanager
--- a/libs/upstream/src/mulberryhub/upstream/engine_monitor.py
+++ b/libs/upstream/src/mulberryhub/upstream/engine_monitor.py
@@ -1,15 +1,13 @@
 """Polls engines for load and incarnation at a limited total rate."""
 
-import msgspec
-
-from mulberryhub.base.green import sleep, spawn, spawn_n, urllib3
+from mulberryhub.base.green import sleep, spawn, spawn_n
 from mulberryhub.base.logs import module_logger
-from mulberryhub.upstream.messages import EngineLoad
+from mulberryhub.upstream.engine_calls import read_load
+from mulberryhub.upstream.errors import EngineFailure
 
 POLL_INTERVAL_MS = 1_000  # per engine, unless MAX_POLLS_PER_S allows fewer polls
 MAX_POLLS_PER_S = 10  # over all engines
 POLL_TIMEOUT_MS = 2_000
-MAX_POOL_COUNT = 4_096  # connection pools, one per engine address
 
 log = module_logger(__name__)
 
@@ -30,7 +28,6 @@
         "_health",
         "_clock",
         "_counters",
-        "_http",
     )
 
     def __init__(self, replica, policy, health, clock, counters):
@@ -40,9 +37,6 @@
         self._health = health
         self._clock = clock
         self._counters = counters
-        self._http = urllib3.PoolManager(
-            num_pools=MAX_POOL_COUNT, maxsize=1, retries=False
-        )
 
     def start(self):
         """Start polling in a green thread."""
@@ -62,12 +56,10 @@
                 sleep(POLL_INTERVAL_MS / 1000)
 
     def _poll(self, engine):
-        url = f"http://{engine.address}/load"
-        timeout = urllib3.Timeout(total=POLL_TIMEOUT_MS / 1000)
         try:
-            response = self._http.request("GET", url, timeout=timeout)
-            load = msgspec.json.decode(response.data, type=EngineLoad)
-        except (urllib3.exceptions.HTTPError, msgspec.DecodeError, OSError):
+            load = read_load(engine, POLL_TIMEOUT_MS)
+        except EngineFailure as failure:
+            log.debug("load of engine {} cannot be read: {}", engine.id, failure)
             self._counters.add("upstream.poll_failed")
             self._health.record_failure(engine.id)
             return
--- a/libs/upstream/src/mulberryhub/upstream/engine_stream.py
+++ b/libs/upstream/src/mulberryhub/upstream/engine_stream.py
@@ -14,11 +14,11 @@
     StreamNotFound,
 )
 from mulberryhub.upstream.framing import body_decoder
-from mulberryhub.upstream.messages import StreamEnd, Token, Usage
+from mulberryhub.upstream.messages import INCARNATION_PATTERN, StreamEnd, Token, Usage
 from mulberryhub.upstream.reader import MAX_READ_BYTES, SocketReader
 from mulberryhub.upstream.sse import DONE, EventParser, MalformedEvent
 
-INCARNATION = re.compile("[!-~]{0,128}")
+INCARNATION = re.compile(INCARNATION_PATTERN)
 MAX_IDLE_BYTES = 1_048_576  # received without a token
 ABORTED_FINISH_REASONS = frozenset({"abandoned", "cancelled"})
 
--- a/libs/upstream/src/mulberryhub/upstream/messages.py
+++ b/libs/upstream/src/mulberryhub/upstream/messages.py
@@ -1,7 +1,15 @@
 """Values passed between the gateway and the engine clients."""
 
+from typing import Annotated
+
 import msgspec
 
+MAX_COUNT = 2**53
+MAX_INCARNATION_LENGTH = 128
+INCARNATION_PATTERN = f"^[!-~]{{0,{MAX_INCARNATION_LENGTH}}}$"
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+
 
 class Usage(msgspec.Struct, frozen=True):
     """Token counts of one request.
@@ -61,11 +69,11 @@
     models on the engine to their versions.
     """
 
-    incarnation: str = ""
-    time: int = 0
-    running: int = 0
-    queued: int = 0
-    queued_tokens: int = 0
-    slots: int = 0
+    incarnation: Annotated[str, msgspec.Meta(pattern=INCARNATION_PATTERN)] = ""
+    time: Count = 0
+    running: Count = 0
+    queued: Count = 0
+    queued_tokens: Count = 0
+    slots: Count = 0
     models: dict[str, str] = {}
-    cached_tokens: int = 0
+    cached_tokens: Count = 0
--- a/libs/upstream/src/mulberryhub/upstream/order_client.py
+++ b/libs/upstream/src/mulberryhub/upstream/order_client.py
@@ -1,13 +1,14 @@
 """Client of the engines' interface for reading model versions and sending orders."""
 
-import msgspec
-
-from mulberryhub.base.green import urllib3
-from mulberryhub.upstream.messages import EngineLoad
+from mulberryhub.base.logs import module_logger
+from mulberryhub.upstream.engine_calls import read_load, send_call
+from mulberryhub.upstream.errors import EngineFailure
 
 LOAD_READ_TIMEOUT_MS = 2_000
 ORDER_TIMEOUT_MS = 5_000
 
+log = module_logger(__name__)
+
 
 class OrderClient:
     """Reads model versions from engines and sends orders to them.
@@ -15,34 +16,20 @@
     Each request uses a new connection.
     """
 
-    __slots__ = ("_http",)
-
-    def __init__(self):
-        self._http = urllib3.PoolManager(num_pools=1, maxsize=1, retries=False)
+    __slots__ = ()
 
     def read_versions(self, engine):
         """Return the versions on the engine by model, or None if the read fails."""
         try:
-            response = self._request("GET", engine, "/load", LOAD_READ_TIMEOUT_MS)
-            return msgspec.json.decode(response.data, type=EngineLoad).models
-        except (urllib3.exceptions.HTTPError, msgspec.DecodeError):
+            return read_load(engine, LOAD_READ_TIMEOUT_MS).models
+        except EngineFailure as failure:
+            log.debug("versions on {} cannot be read: {}", engine.id, failure)
             return None
 
     def send(self, engine, order):
         """Send an order; return the HTTP status, or 0 if there was no response."""
-        body = msgspec.json.encode(order)
         try:
-            return self._request(
-                "POST", engine, "/orders", ORDER_TIMEOUT_MS, body
-            ).status
-        except urllib3.exceptions.HTTPError:
+            return send_call(engine, "POST", "/orders", ORDER_TIMEOUT_MS, order).status
+        except EngineFailure as failure:
+            log.debug("an order to {} failed: {}", engine.id, failure)
             return 0
-
-    def _request(self, method, engine, path, timeout, body=None):
-        return self._http.request(
-            method,
-            f"http://{engine.address}{path}",
-            body=body,
-            headers={"Connection": "close"},
-            timeout=timeout / 1000,
-        )
--- a/libs/upstream/src/mulberryhub/upstream/service.py
+++ b/libs/upstream/src/mulberryhub/upstream/service.py
@@ -15,8 +15,8 @@
 
 CONNECT_TIMEOUT_MS = 1_000
 MAX_POOLED_CONNECTION_COUNT = 16  # per address
+TRANSFER_FACTOR = 2  # bytes with the head and the framing, of those of the body
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024  # of the body
-MAX_TRANSFER_BYTES = 2 * MAX_RESPONSE_BYTES  # with the head and the framing
 
 urllib3_errors = urllib3.exceptions
 
@@ -25,7 +25,7 @@
     """A request to a service.
 
     `target` is the path with the query string. `timeout` limits the whole exchange
-    in ms.
+    in ms. `request_id` is None if the service has no use for it.
     """
 
     __slots__ = ("method", "target", "headers", "body", "request_id", "timeout")
@@ -51,12 +51,16 @@
 
 
 class ServiceClient:
-    """Sends requests to services, without retries."""
+    """Sends requests to services, without retries.
 
-    __slots__ = ("_pools_by_address",)
+    The bodies of responses have at most `max_response_bytes`.
+    """
+
+    __slots__ = ("_pools_by_address", "_max_response_bytes")
 
-    def __init__(self):
+    def __init__(self, max_response_bytes=MAX_RESPONSE_BYTES):
         self._pools_by_address = {}
+        self._max_response_bytes = max_response_bytes
 
     def send(self, upstream, request):
         """Send `request` over a pooled connection and return the ServiceResponse.
@@ -65,9 +69,9 @@
         """
         pool = self._pools_by_address.get(upstream.address)
         if pool is None:
-            pool = self._pools_by_address[upstream.address] = _new_pool(upstream)
+            pool = self._pools_by_address[upstream.address] = self._new_pool(upstream)
         try:
-            return _send(pool, request)
+            return _send(pool, request, self._max_response_bytes)
         except (EngineTimeout, StreamInterrupted, ResponseMismatch):
             self._discard_pool(upstream)
             raise
@@ -78,33 +82,32 @@
         The service may close a pooled connection at any time, and it would then be
         unknown whether the request ran.
         """
-        pool = _new_pool(upstream)
+        pool = self._new_pool(upstream)
         try:
-            return _send(pool, request)
+            return _send(pool, request, self._max_response_bytes)
         finally:
             pool.close()
 
+    def _new_pool(self, upstream):
+        host, port = upstream.address.rsplit(":", 1)
+        return ServiceConnectionPool(
+            host,
+            int(port),
+            maxsize=MAX_POOLED_CONNECTION_COUNT,
+            max_response_bytes=TRANSFER_FACTOR * self._max_response_bytes,
+        )
+
     def _discard_pool(self, upstream):
         pool = self._pools_by_address.pop(upstream.address, None)
         if pool is not None:
             pool.close()
 
 
-def _new_pool(upstream):
-    host, port = upstream.address.rsplit(":", 1)
-    return ServiceConnectionPool(
-        host,
-        int(port),
-        maxsize=MAX_POOLED_CONNECTION_COUNT,
-        max_response_bytes=MAX_TRANSFER_BYTES,
-    )
-
-
-def _send(pool, request):
+def _send(pool, request, max_response_bytes):
     try:
         with Timeout(request.timeout / 1000, EngineTimeout("no answer in time")):
             response = _start_request(pool, request)
-            body = _read_body(response)
+            body = _read_body(response, max_response_bytes)
     except (
         urllib3_errors.NewConnectionError,
         urllib3_errors.ConnectTimeoutError,
@@ -122,8 +125,10 @@
     """Raise ResponseMismatch unless `response` belongs to `request`.
 
     A service need not state the id of the request, but does so before its connection
-    is kept.
+    is kept. A request without an id is not sent on a kept one.
     """
+    if request.request_id is None:
+        return
     request_id = response.headers.get(REQUEST_ID_HEADER)
     if request_id is None and not response.is_kept:
         return
@@ -131,10 +136,10 @@
         raise ResponseMismatch("answer to another request")
 
 
-def _read_body(response):
+def _read_body(response, max_bytes):
     is_complete = False
     try:
-        body = _read_parts(response)
+        body = _read_parts(response, max_bytes)
         is_complete = True
         return body
     finally:
@@ -143,12 +148,12 @@
         response.release_conn()
 
 
-def _read_parts(response):
+def _read_parts(response, max_bytes):
     parts = []
     byte_count = 0
     while part := response.read(MAX_READ_BYTES):
         byte_count += len(part)
-        if byte_count > MAX_RESPONSE_BYTES:
+        if byte_count > max_bytes:
             raise StreamInterrupted("the answer is too long")
         parts.append(part)
     return b"".join(parts)
