--- a/tests/adapter/test_broken_streams.py
+++ b/tests/adapter/test_broken_streams.py
@@ -204,3 +204,37 @@
     wait_until_known(platform, *workers)
     assert ask(platform, "resumable") is None
     assert len(set(asked)) == 2
+
+
+@pytest.fixture
+def take_up(platform, start_worker):
+    """Return a function that asks for a stream which a second worker takes up.
+
+    The first worker breaks off after two events; the second one sends the given head
+    behind its first lines, whose status line is replaced by `status`.
+    """
+
+    def ask_for(status, fields):
+        asked = []
+
+        def respond(conn, id, worker):
+            asked.append(worker.id)
+            if len(asked) == 1:
+                conn.sendall(worker.head(id) + EVENT_TYPE)
+                return send_until_closed(conn, EVENTS + TORN_EVENT)
+            conn.sendall(worker.head(id).replace(b"200 OK", status) + fields + b"\r\n")
+            return True
+
+        workers = [start_worker("resumable", respond) for _ in range(2)]
+        wait_until_known(platform, *workers)
+        answer = ask(platform, "resumable")
+        assert len(set(asked)) == 2
+        return answer
+
+    return ask_for
+
+
+@pytest.mark.parametrize("status", [201, 202, 204, 205, 206])
+def test_other_success_without_a_body_does_not_complete_a_stream(take_up, status):
+    fields = b"" if status == 204 else b"Content-Length: 0\r\n"
+    assert take_up(b"%d Other" % status, fields) is None
