--- a/tests/adapter/test_broken_streams.py
+++ b/tests/adapter/test_broken_streams.py
@@ -238,3 +238,7 @@
 def test_other_success_without_a_body_does_not_complete_a_stream(take_up, status):
     fields = b"" if status == 204 else b"Content-Length: 0\r\n"
     assert take_up(b"%d Other" % status, fields) is None
+
+
+def test_empty_answer_of_no_type_does_not_complete_a_stream(take_up):
+    assert take_up(b"200 OK", b"Content-Length: 0\r\n") is None
