--- a/tests/adapter/test_broken_streams.py
+++ b/tests/adapter/test_broken_streams.py
@@ -242,3 +242,32 @@
 
 def test_empty_answer_of_no_type_does_not_complete_a_stream(take_up):
     assert take_up(b"200 OK", b"Content-Length: 0\r\n") is None
+
+
+def has_recovered(platform, worker):
+    message = f"upstream {worker.id} has recovered"
+    return any(line["message"] == message for line in platform.routers[0].lines())
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"Content-Type: text/plain\r\nContent-Length: 4\r\n\r\njunk",
+        EVENT_TYPE + b"Transfer-Encoding: chunked\r\n\r\njunk\r\n",
+        EVENT_TYPE + b"Content-Length: 17\r\n\r\nid: 9\ndata: junk\n",
+    ],
+    ids=["other_type", "chunk_size", "event_without_end"],
+)
+def test_worker_that_sends_garbage_only_does_not_count_as_sound(
+    platform, start_worker, answer
+):
+    def respond(conn, id, worker):
+        conn.sendall(worker.head(id) + answer)
+        return True
+
+    worker = start_worker("single", respond)
+    wait_until_known(platform, worker)
+    for _ in range(3):
+        ask(platform, "single")
+    assert len(worker.runs) == 3
+    assert not has_recovered(platform, worker)
