--- a/tests/adapter/test_broken_streams.py
+++ b/tests/adapter/test_broken_streams.py
@@ -77,20 +77,25 @@
 SENDERS = [send_chunked, send_until_closed, send_with_length]
 
 
-def ask(platform, kind):
-    """Return the complete answer to a stream that ran, or None if it broke off."""
+def ask(platform, kind, **headers):
+    """Return the complete answer to a stream that ran, or None if it broke off.
+
+    In names of `headers`, `_` stands for `-`.
+    """
     deadline = time.monotonic() + 10
-    while (answer := ask_once(platform, kind)) is not None and answer.status == 503:
+    while (
+        answer := ask_once(platform, kind, **headers)
+    ) is not None and answer.status == 503:
         assert time.monotonic() < deadline
         time.sleep(0.1)
     return answer
 
 
-def ask_once(platform, kind):
+def ask_once(platform, kind, **headers):
     number = next(NUMBERS)
     with allow_broken_connection():
         return platform.routers[0].ask(
-            f"{PATH_BY_KIND[kind]}{number}", id=f"n-{number}"
+            f"{PATH_BY_KIND[kind]}{number}", id=f"n-{number}", **headers
         )
     return None
 
@@ -271,3 +276,16 @@
         ask(platform, "single")
     assert len(worker.runs) == 3
     assert not has_recovered(platform, worker)
+
+
+def test_last_event_id_does_not_break_a_stream_that_cannot_be_resumed(
+    platform, start_worker
+):
+    def respond(conn, id, worker):
+        conn.sendall(worker.head(id) + EVENT_TYPE)
+        return send_chunked(conn, EVENTS)
+
+    wait_until_known(platform, start_worker("single", respond))
+    answer = ask(platform, "single", Last_Event_Id="1")
+    assert answer is not None
+    assert (answer.status, answer.data) == (200, EVENTS)
