Show that a repeated Last-Event-Id is read in two ways; 1 test known red

The router checks ids against the first value and forwards both. A worker that takes the last one sends events that count as garbage: with 3 and 1, a sound stream was broken off at two sound workers, which were then avoided.

--- a/tests/adapter/test_dialect.py
+++ b/tests/adapter/test_dialect.py
@@ -135,6 +135,15 @@
     assert request.headers.get_all(b"last-event-id") == [b"7"]
 
 
+def test_last_event_id_that_a_client_repeats_is_one_for_router_and_upstream():
+    request = make_request((b"Last-Event-Id", b"3"), (b"Last-Event-Id", b"1"))
+    try:
+        forwarded = translate(request).headers.get_all(b"last-event-id")
+    except Refusal:
+        return
+    assert forwarded == [b"%d" % read_call(request).last_event_id]
+
+
 def read_facts(status, *pairs):
     return read_answer(ResponseHead(status, Headers.from_pairs(pairs)), None)
 
