--- a/tests/adapter/test_broken_streams.py
+++ b/tests/adapter/test_broken_streams.py
@@ -289,3 +289,23 @@
     answer = ask(platform, "single", Last_Event_Id="1")
     assert answer is not None
     assert (answer.status, answer.data) == (200, EVENTS)
+
+
+def failed_attempts(platform, worker):
+    return [
+        line
+        for line in platform.routers[0].lines()
+        if line["message"] == "attempt failed" and line["upstream"] == worker.id
+    ]
+
+
+@pytest.mark.parametrize("send", [send_chunked, send_with_length])
+def test_stated_end_inside_an_event_is_no_sign_of_a_crash(platform, start_worker, send):
+    def respond(conn, id, worker):
+        conn.sendall(worker.head(id) + EVENT_TYPE)
+        return send(conn, TORN_EVENT)
+
+    worker = start_worker("single", respond)
+    wait_until_known(platform, worker)
+    ask(platform, "single")
+    assert [line["is_cut"] for line in failed_attempts(platform, worker)] == [False]
