--- a/tests/adapter/test_broken_streams.py
+++ b/tests/adapter/test_broken_streams.py
@@ -77,20 +77,25 @@
 SENDERS = [send_chunked, send_until_closed, send_with_length]
 
 
-def ask(platform, kind):
-    """Return the complete answer to a stream that ran, or None if it broke off."""
+def ask(platform, kind, **headers):
+    """Return the complete answer to a stream that ran, or None if it broke off.
+
+    In names of `headers`, `_` stands for `-`.
+    """
     deadline = time.monotonic() + 10
-    while (answer := ask_once(platform, kind)) is not None and answer.status == 503:
+    while (
+        answer := ask_once(platform, kind, **headers)
+    ) is not None and answer.status == 503:
         assert time.monotonic() < deadline
         time.sleep(0.1)
     return answer
 
 
-def ask_once(platform, kind):
+def ask_once(platform, kind, **headers):
     number = next(NUMBERS)
     with allow_broken_connection():
         return platform.routers[0].ask(
-            f"{PATH_BY_KIND[kind]}{number}", id=f"n-{number}"
+            f"{PATH_BY_KIND[kind]}{number}", id=f"n-{number}", **headers
         )
     return None
 
@@ -204,3 +209,103 @@
     wait_until_known(platform, *workers)
     assert ask(platform, "resumable") is None
     assert len(set(asked)) == 2
+
+
+@pytest.fixture
+def take_up(platform, start_worker):
+    """Return a function that asks for a stream which a second worker takes up.
+
+    The first worker breaks off after two events; the second one sends the given head
+    behind its first lines, whose status line is replaced by `status`.
+    """
+
+    def ask_for(status, fields):
+        asked = []
+
+        def respond(conn, id, worker):
+            asked.append(worker.id)
+            if len(asked) == 1:
+                conn.sendall(worker.head(id) + EVENT_TYPE)
+                return send_until_closed(conn, EVENTS + TORN_EVENT)
+            conn.sendall(worker.head(id).replace(b"200 OK", status) + fields + b"\r\n")
+            return True
+
+        workers = [start_worker("resumable", respond) for _ in range(2)]
+        wait_until_known(platform, *workers)
+        answer = ask(platform, "resumable")
+        assert len(set(asked)) == 2
+        return answer
+
+    return ask_for
+
+
+@pytest.mark.parametrize("status", [201, 202, 204, 205, 206])
+def test_other_success_without_a_body_does_not_complete_a_stream(take_up, status):
+    fields = b"" if status == 204 else b"Content-Length: 0\r\n"
+    assert take_up(b"%d Other" % status, fields) is None
+
+
+def test_empty_answer_of_no_type_does_not_complete_a_stream(take_up):
+    assert take_up(b"200 OK", b"Content-Length: 0\r\n") is None
+
+
+def has_recovered(platform, worker):
+    message = f"upstream {worker.id} has recovered"
+    return any(line["message"] == message for line in platform.routers[0].lines())
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"Content-Type: text/plain\r\nContent-Length: 4\r\n\r\njunk",
+        EVENT_TYPE + b"Transfer-Encoding: chunked\r\n\r\njunk\r\n",
+        EVENT_TYPE + b"Content-Length: 17\r\n\r\nid: 9\ndata: junk\n",
+    ],
+    ids=["other_type", "chunk_size", "event_without_end"],
+)
+def test_worker_that_sends_garbage_only_does_not_count_as_sound(
+    platform, start_worker, answer
+):
+    def respond(conn, id, worker):
+        conn.sendall(worker.head(id) + answer)
+        return True
+
+    worker = start_worker("single", respond)
+    wait_until_known(platform, worker)
+    for _ in range(3):
+        ask(platform, "single")
+    assert len(worker.runs) == 3
+    assert not has_recovered(platform, worker)
+
+
+def test_last_event_id_does_not_break_a_stream_that_cannot_be_resumed(
+    platform, start_worker
+):
+    def respond(conn, id, worker):
+        conn.sendall(worker.head(id) + EVENT_TYPE)
+        return send_chunked(conn, EVENTS)
+
+    wait_until_known(platform, start_worker("single", respond))
+    answer = ask(platform, "single", Last_Event_Id="1")
+    assert answer is not None
+    assert (answer.status, answer.data) == (200, EVENTS)
+
+
+def failed_attempts(platform, worker):
+    return [
+        line
+        for line in platform.routers[0].lines()
+        if line["message"] == "attempt failed" and line["upstream"] == worker.id
+    ]
+
+
+@pytest.mark.parametrize("send", [send_chunked, send_with_length])
+def test_stated_end_inside_an_event_is_no_sign_of_a_crash(platform, start_worker, send):
+    def respond(conn, id, worker):
+        conn.sendall(worker.head(id) + EVENT_TYPE)
+        return send(conn, TORN_EVENT)
+
+    worker = start_worker("single", respond)
+    wait_until_known(platform, worker)
+    ask(platform, "single")
+    assert [line["is_cut"] for line in failed_attempts(platform, worker)] == [False]
