Don't take a client's Last-Event-Id for a bound where its stream can't be resumed

What callers saw since: a sound stream was broken off as garbage, and its upstream avoided, if a client sent Last-Event-Id on a route whose streams can't be resumed.

Cause: upstreams of such a route begin at the first event whatever the header says; the router took the id for the one after which the run goes on. It does so only where streams may be resumed now.

--- a/libs/forward/src/mulberryhub/forward/job.py
+++ b/libs/forward/src/mulberryhub/forward/job.py
@@ -103,13 +103,14 @@
 
     @property
     def resume_after_id(self):
-        """Return the id of the last event that the client has, 0 without one.
+        """Return the id of the event after which a run goes on, 0 for none.
 
-        It may have come from an earlier attempt.
+        It may have come from an earlier attempt. Streams that can't be resumed begin
+        at their first event, whatever the client says.
         """
         if self.last_event_id is not None:
             return self.last_event_id
-        return self.call.last_event_id or 0
+        return self.call.last_event_id or 0 if self.is_taken_up else 0
 
     @property
     def is_stream(self):
