Take only a 200 of the right type, or of none and no length, for a stream of events

What callers saw since: a stream that broke off was completed by a second upstream that answered with another success without a body (201, 202, 204, 205, 206), or with a 200 of no type and a length of 0.

--- a/libs/forward/src/mulberryhub/forward/events.py
+++ b/libs/forward/src/mulberryhub/forward/events.py
@@ -13,6 +13,7 @@
 from mulberryhub.http.messages import ResponseBroken
 
 MAX_EVENT_BYTES = 262_144
+STATUS_OK = 200
 EVENT_STREAM_TYPE = b"text/event-stream"
 ID = b"id"
 DATA = b"data"
@@ -22,9 +23,13 @@
 def is_event_stream(head):
     """Return whether an answer with the ResponseHead `head` is a stream of events.
 
-    Without a declared type, it may be one.
+    Without a declared type, it is one unless it has a length.
     """
-    content_type = head.headers.get(b"content-type", EVENT_STREAM_TYPE)
+    if head.status != STATUS_OK:
+        return False
+    content_type = head.headers.get(b"content-type")
+    if content_type is None:
+        return head.length is None
     return content_type.split(b";")[0].strip().lower() == EVENT_STREAM_TYPE
 
 
