Tell malformed responses from cut ones, so that all garbage keeps its sender avoided

What callers saw: an upstream that answers with another type, with bytes that are no chunk, or with an event without its end behind a stated length counted as sound with each well-formed head, so more streams were lost at it. The last of these was also taken for a sign of a crash, so its request was suspected if the upstream ended soon after.

Cause: only invalid events counted as garbage. A response that is malformed has an error type of its own now, which the HTTP parser, the decoder of events and the relay raise; a stream that states its end inside an event is malformed, one that ends there with its connection is cut.

--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -12,7 +12,6 @@
 from mulberryhub.fleet.state import Topic
 from mulberryhub.forward.call import Attempt
 from mulberryhub.forward.delay import event_timeout, is_too_late
-from mulberryhub.forward.events import InvalidEvent
 from mulberryhub.forward.exchange import Exchange
 from mulberryhub.forward.refusal import Reason, Refusal
 from mulberryhub.forward.refusals import Refusals
@@ -22,6 +21,7 @@
     ConnectionFailed,
     ConnectionRefused,
     ResponseBroken,
+    ResponseMalformed,
     ResponseTimeout,
     ResponseTruncated,
 )
@@ -129,7 +129,7 @@
         Return whether another run may continue or replace it.
         """
         exchange.cancel()
-        cause = "garbage" if isinstance(error, InvalidEvent) else "midway"
+        cause = "garbage" if isinstance(error, ResponseMalformed) else "midway"
         self._record_broken(job, exchange.attempt, cause, error)
         is_restartable = job.is_resumable_stream or not job.is_answer_started
         if not (is_restartable and job.may_run_again and job.sends < MAX_SENDS):
--- a/libs/forward/src/mulberryhub/forward/events.py
+++ b/libs/forward/src/mulberryhub/forward/events.py
@@ -10,7 +10,7 @@
 from enum import Enum
 
 from mulberryhub.base.ranges import parse_count
-from mulberryhub.http.messages import ResponseBroken
+from mulberryhub.http.messages import ResponseMalformed
 
 MAX_EVENT_BYTES = 262_144
 STATUS_OK = 200
@@ -33,7 +33,7 @@
     return content_type.split(b";")[0].strip().lower() == EVENT_STREAM_TYPE
 
 
-class InvalidEvent(ResponseBroken):
+class InvalidEvent(ResponseMalformed):
     """An upstream sent bytes that are no event of the stream that it answers with."""
 
 
--- a/libs/forward/src/mulberryhub/forward/relay.py
+++ b/libs/forward/src/mulberryhub/forward/relay.py
@@ -6,6 +6,7 @@
     SUCCESS_STATUSES,
     HttpError,
     ResponseBroken,
+    ResponseMalformed,
     ResponseTimeout,
     ResponseTruncated,
 )
@@ -51,7 +52,7 @@
         head = exchange.head
         if job.is_stream and head.status in SUCCESS_STATUSES:
             if not is_event_stream(head):
-                raise ResponseBroken("answer is no stream of events")
+                raise ResponseMalformed("answer is no stream of events")
             return self._relay_events(job, exchange, connection)
         if job.is_answer_started:
             raise ResponseBroken(f"does not continue the stream: status {head.status}")
@@ -116,12 +117,23 @@
             for event in events:
                 job.last_event_id = event.id
         if decoder.is_inside_event:
-            raise ResponseTruncated("stream ended inside an event")
+            self._raise_inside_event(exchange.head)
         if not has_events and not exchange.head.is_framed:
             raise ResponseTruncated("stream ended before its first event")
         exchange.finish()
         return connection.finish_response()
 
+    @staticmethod
+    def _raise_inside_event(head):
+        """Raise the error of a stream that ends inside an event.
+
+        A process that crashes doesn't state the end of its answer.
+        """
+        message = "stream ended inside an event"
+        raise (
+            ResponseMalformed(message) if head.is_framed else ResponseTruncated(message)
+        )
+
     def _start_answer(self, job, exchange, connection, length):
         headers = exchange.head.headers.without_hop_by_hop()
         head = exchange.head
--- a/libs/http/src/mulberryhub/http/messages.py
+++ b/libs/http/src/mulberryhub/http/messages.py
@@ -45,6 +45,10 @@
     """The response is malformed, or the connection failed before its end."""
 
 
+class ResponseMalformed(ResponseBroken):
+    """The upstream sent bytes that are no response of the kind that was asked for."""
+
+
 class ResponseTruncated(ResponseBroken):
     """The upstream closed or reset the connection before the end of the response."""
 
--- a/libs/http/src/mulberryhub/http/outbound.py
+++ b/libs/http/src/mulberryhub/http/outbound.py
@@ -11,6 +11,7 @@
     Headers,
     ResponseBroken,
     ResponseHead,
+    ResponseMalformed,
     ResponseTimeout,
     ResponseTruncated,
 )
@@ -210,7 +211,7 @@
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
                 is_cut = self._http.trailing_data[1]
-                error_type = ResponseTruncated if is_cut else ResponseBroken
+                error_type = ResponseTruncated if is_cut else ResponseMalformed
                 raise error_type(f"{self.address}: {error}") from error
             if event is not h11.NEED_DATA:
                 return event
