--- /dev/null
+++ b/tests/adapter/test_claimed_answers.py
@@ -0,0 +1,59 @@
+"""Answers of workers that contradict themselves or do not say what they answer.
+
+The router is a process of its own; the workers are stand-ins.
+"""
+
+import pytest
+
+from mulberryhub.adapter_standins.documents import make_config, route
+from mulberryhub.adapter_standins.fleet import PlatformFleet
+from tests.adapter.claimed_answers import (
+    ID_LINE,
+    OK_BODY,
+    SEAL_LINE,
+    STATUS_OK_LINE,
+    ask_worker,
+    sealed,
+)
+
+KINDS = ["idempotent", "non_idempotent"]
+PROMISES = (408, 421, 429, 503)  # statuses that promise that the request did not run
+OK_LINE = STATUS_OK_LINE + b"\r\n"
+OK_HEAD = sealed(STATUS_OK_LINE)
+
+
+@pytest.fixture(scope="module")
+def platform(tmp_path_factory):
+    fleet = PlatformFleet(tmp_path_factory.mktemp("platform"), routers=1)
+    routes = [route(kind, f"/{kind}/", kind, kind, timeoutMs=2_000) for kind in KINDS]
+    fleet.configure(
+        make_config(routes=routes, services=[{"name": kind} for kind in KINDS])
+    )
+    try:
+        yield fleet
+    finally:
+        fleet.close()
+
+
+def assert_failed(answer):
+    """Assert that the client got a failure that promises nothing, without a seal."""
+    assert answer.run_count == 1
+    assert answer.status >= 500
+    assert answer.status not in PROMISES
+    assert answer.seals == []
+
+
+ODD_SEALS_BY_NAME = {
+    "empty": b"X-Mulberryhub-Response-Seal: \r\n",
+    "two": SEAL_LINE + b"X-Mulberryhub-Response-Seal: other\r\n",
+    "hop_by_hop": SEAL_LINE + b"Connection: x-mulberryhub-response-seal\r\n",
+}
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("name", ODD_SEALS_BY_NAME)
+def test_success_without_exactly_one_seal_for_the_client_is_a_failure(
+    platform, name, kind
+):
+    response = OK_LINE + ID_LINE + ODD_SEALS_BY_NAME[name] + OK_BODY
+    assert_failed(ask_worker(platform, kind, response))
