Take an answer for that of a request only if it says so or can be no other's

Callers saw (raw worker, both kinds of plain routes): status 200 with a seal and the body of an answer without an attempt id, on a connection that carried another request before, or behind an answer to another request; and that of an answer with the request's id and a second one (MIXED). Bytes behind a complete answer that arrive just as the next request is sent are such an answer.

Cause: an answer without an id was taken for that of the request that waited, and of several ids the first one counted. Only refusals had to name their request.

Evidence: six cases of test_claimed_answers.py failed before (assert 200 >= 500): no id on a reused connection, no id behind another answer, two ids; they pass now. On a fresh connection an answer without an id is still relayed (a test of it, passed before too).

Exchange.read_head decides on the attribution of every answer at once, so that the check of refusals behind it has gone: their outcome is the same, a broken answer. What such a refusal says of the upstream (a pause, its leaving) is no longer recorded.

--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -278,13 +278,8 @@
             self._rate_limits.record_answer(
                 upstream, facts, exchange.attempt.sent_at, status in SUCCESS_STATUSES
             )
-        if exchange.is_certainly_not_run:
-            self._record_not_run(job, exchange)
-            return False
         if facts.not_run:
-            exchange.cancel()
-            error = ResponseBroken("refusal that names no request")
-            self._record_broken(job, exchange.attempt, "no_answer", error)
+            self._record_not_run(job, exchange)
             return False
         if status in SUCCESS_STATUSES and not facts.is_sealed:
             exchange.cancel()
--- a/libs/forward/src/mulberryhub/forward/exchange.py
+++ b/libs/forward/src/mulberryhub/forward/exchange.py
@@ -68,29 +68,24 @@
     def read_head(self, read_answer, request_id, timeout):
         """Read the head of the answer to the request with `request_id`.
 
-        Answers to earlier requests on the same connection are skipped. `timeout` in ms
-        applies to each read.
+        Answers to earlier requests on the same connection are skipped. Behind them, and
+        on a reused connection, an answer that names no request may be that of an
+        earlier one, so that it is broken. `timeout` in ms applies to each read.
         """
+        must_name_request = self.is_reused
         for _ in range(MAX_STRAY_ANSWERS):
-            self.head = self._connection.read_head(timeout)
-            self.facts = read_answer(self.head, self.attempt)
-            if self.facts.request_id in (None, request_id):
+            head = self._connection.read_head(timeout)
+            facts = read_answer(head, self.attempt)
+            if facts.request_id is None and must_name_request:
+                raise ResponseBroken("the answer names no request")
+            if facts.request_id in (None, request_id):
+                self.head, self.facts = head, facts
                 self._loads.record_answering(self.attempt.upstream.id, self._work)
                 return
-            self.head = None
             self._connection.skip_response(self._request, timeout)
+            must_name_request = True
         raise ResponseBroken("received only answers to other requests")
 
-    @property
-    def is_certainly_not_run(self):
-        """Return whether the answer promises that this request was not run.
-
-        On a reused connection, a promise that names no request may be that of an
-        earlier one, written once more.
-        """
-        is_attributed = self.facts.request_id is not None or not self.is_reused
-        return self.facts.not_run and is_attributed
-
     def read(self, timeout):
         """Return the next bytes of the answer's body, or None at its end."""
         return self._connection.read_data(timeout)
--- a/tests/adapter/test_claimed_answers.py
+++ b/tests/adapter/test_claimed_answers.py
@@ -57,3 +57,34 @@
 ):
     response = OK_LINE + ID_LINE + ODD_SEALS_BY_NAME[name] + OK_BODY
     assert_failed(ask_worker(platform, kind, response))
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("id_line", [b"", b"X-Mulberryhub-Attempt-Id: \r\n"])
+def test_answer_that_names_no_request_is_not_taken_for_that_of_the_next_one(
+    platform, id_line, kind
+):
+    response = OK_LINE + id_line + SEAL_LINE + OK_BODY
+    assert_failed(ask_worker(platform, kind, response, is_reused=True))
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_answer_that_names_no_request_behind_another_answer_is_a_failure(
+    platform, kind
+):
+    other_id_line = b"X-Mulberryhub-Attempt-Id: other\r\n"
+    response = OK_LINE + other_id_line + SEAL_LINE + OK_BODY
+    response += OK_LINE + SEAL_LINE + OK_BODY
+    assert_failed(ask_worker(platform, kind, response))
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_answer_that_names_two_requests_is_a_failure(platform, kind):
+    response = OK_HEAD + b"X-Mulberryhub-Attempt-Id: other\r\n" + OK_BODY
+    assert_failed(ask_worker(platform, kind, response))
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_answer_on_a_fresh_connection_need_not_name_its_request(platform, kind):
+    answer = ask_worker(platform, kind, OK_LINE + SEAL_LINE + OK_BODY)
+    assert (answer.status, answer.body, answer.seals) == (200, b"ok", [b"seal"])
