--- a/tests/adapter/test_claimed_answers.py
+++ b/tests/adapter/test_claimed_answers.py
@@ -88,3 +88,24 @@
 def test_answer_on_a_fresh_connection_need_not_name_its_request(platform, kind):
     answer = ask_worker(platform, kind, OK_LINE + SEAL_LINE + OK_BODY)
     assert (answer.status, answer.body, answer.seals) == (200, b"ok", [b"seal"])
+
+
+CHUNKED_BODY = b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+ODD_RESPONSES_BY_NAME = {
+    "length_above_chunks": OK_HEAD + b"Content-Length: 9\r\n" + CHUNKED_BODY,
+    "length_below_chunks": OK_HEAD + b"Content-Length: 1\r\n" + CHUNKED_BODY,
+    "chunks_in_http_1_0": sealed(b"HTTP/1.0 200 OK") + CHUNKED_BODY,
+    "http_2": sealed(b"HTTP/2.0 200 OK") + OK_BODY,
+    "http_0_9": sealed(b"HTTP/0.9 200 OK") + OK_BODY,
+    "body_of_no_content": sealed(b"HTTP/1.1 204 No Content") + OK_BODY,
+    "chunks_of_no_content": sealed(b"HTTP/1.1 204 No Content") + CHUNKED_BODY,
+    "status_600": sealed(b"HTTP/1.1 600 Odd") + OK_BODY,
+    "status_999": sealed(b"HTTP/1.1 999 Odd") + OK_BODY,
+    "control_characters": OK_HEAD + b"X-A: b\x01\x1b\x7fc\r\n" + OK_BODY,
+}
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("name", ODD_RESPONSES_BY_NAME)
+def test_answer_that_contradicts_itself_is_a_failure(platform, name, kind):
+    assert_failed(ask_worker(platform, kind, ODD_RESPONSES_BY_NAME[name]))
