Believe that a request did not run only of a status that can say so

Callers saw (raw worker, both kinds of plain routes): 503, the promise that the request has not run, where the worker had answered 200, 404, 500, 502 or 504 with a seal and with X-Mulberryhub-Not-Executed (REFUSED). A request that may run only once was taken for not run by such an answer, so that another worker could run it again (TWICE, by reading: job.runs was taken back).

Cause: the header alone counted, beside any status. The protocol names it for 503, 429, 421 and 400; a 500 or 504 of a worker counts as run, and a success is a run's result.

The head contradicts itself, so the answer is broken: the request may have run, and is sent again only where it may be.

--- a/tests/adapter/test_claimed_answers.py
+++ b/tests/adapter/test_claimed_answers.py
@@ -109,3 +109,25 @@
 @pytest.mark.parametrize("name", ODD_RESPONSES_BY_NAME)
 def test_answer_that_contradicts_itself_is_a_failure(platform, name, kind):
     assert_failed(ask_worker(platform, kind, ODD_RESPONSES_BY_NAME[name]))
+
+
+NOT_EXECUTED_LINE = b"X-Mulberryhub-Not-Executed: 1\r\n"
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("status", [200, 404, 500, 502, 504])
+def test_answer_of_a_run_that_denies_the_run_does_not_become_a_promise(
+    platform, status, kind
+):
+    head = sealed(b"HTTP/1.1 %d Odd" % status)
+    assert_failed(ask_worker(platform, kind, head + NOT_EXECUTED_LINE + OK_BODY))
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("status", [400, 408, 421, 429, 503])
+def test_refusal_that_denies_the_run_becomes_a_promise_without_a_seal(
+    platform, status, kind
+):
+    head = sealed(b"HTTP/1.1 %d Odd" % status)
+    answer = ask_worker(platform, kind, head + NOT_EXECUTED_LINE + OK_BODY)
+    assert (answer.status, answer.seals) == (503, [])
