Pass on no promise "not run" that the worker did not make

Callers saw (raw worker, both kinds of plain routes): the worker's own 408, 429 and 503, with its seal, without X-Mulberryhub-Not-Executed. To a client these statuses promise that the request has not run and never will, also of a request that may run only once (REFUSED); of the worker, no answer without that header states it.

Cause: an answer that is not marked as not run was relayed as it came, whatever its status means to the client.

Such an answer counts as broken: the request may have run, is sent again only where it may be, and the client gets 502, without a seal. A 421 counts as not run by its status alone, as before. NOT_RUN_STATUSES names all four statuses that promise.

--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -13,7 +13,7 @@
 from mulberryhub.forward.call import Attempt
 from mulberryhub.forward.delay import event_timeout, is_too_late
 from mulberryhub.forward.exchange import Exchange
-from mulberryhub.forward.refusal import Reason, Refusal
+from mulberryhub.forward.refusal import NOT_RUN_STATUSES, Reason, Refusal
 from mulberryhub.forward.refusals import Refusals
 from mulberryhub.forward.work import estimate_work
 from mulberryhub.http.messages import (
@@ -281,6 +281,11 @@
         if facts.not_run:
             self._record_not_run(job, exchange)
             return False
+        if status in NOT_RUN_STATUSES:
+            exchange.cancel()
+            error = ResponseBroken(f"status {status} of a request that may have run")
+            self._record_broken(job, exchange.attempt, "no_answer", error)
+            return False
         if status in SUCCESS_STATUSES and not facts.is_sealed:
             exchange.cancel()
             self._record_failed(job, upstream, "unsealed", status)
--- a/libs/forward/src/mulberryhub/forward/refusal.py
+++ b/libs/forward/src/mulberryhub/forward/refusal.py
@@ -2,13 +2,13 @@
 
 from enum import Enum
 
-NOT_RUN_STATUSES = (429, 503)
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
 class Reason(Enum):
     """Why a request was refused or failed: outcome label and HTTP status.
 
-    Statuses 429 and 503 guarantee that the request has not run and never will.
+    NOT_RUN_STATUSES guarantee that the request has not run and never will.
     """
 
     BAD_REQUEST = ("bad_request", 400)
--- a/tests/adapter/test_claimed_answers.py
+++ b/tests/adapter/test_claimed_answers.py
@@ -131,3 +131,12 @@
     head = sealed(b"HTTP/1.1 %d Odd" % status)
     answer = ask_worker(platform, kind, head + NOT_EXECUTED_LINE + OK_BODY)
     assert (answer.status, answer.seals) == (503, [])
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_refusal_that_does_not_deny_the_run_is_not_passed_on_as_a_promise(
+    platform, status, kind
+):
+    head = sealed(b"HTTP/1.1 %d Odd" % status)
+    assert_failed(ask_worker(platform, kind, head + OK_BODY))
