--- a/tests/adapter/test_odd_answers.py
+++ b/tests/adapter/test_odd_answers.py
@@ -33,17 +33,28 @@
 }
 ODD_NAMES = list(ODD_NUMBERS_BY_NAME)
 HUGE_NAMES = ["400_digits", "5000_digits", "64_bit"]
+
+
+def make_report(**texts_by_field):
+    """Return a report that is complete; `texts_by_field` replaces its values."""
+    fields = dict.fromkeys(("sequence", "running", "waiting"), b"1")
+    fields |= {"models": b"[]", "busy": b"false", **texts_by_field}
+    pairs = [b'"%s": %s' % (name.encode(), text) for name, text in fields.items()]
+    return b"{%s}" % b", ".join(pairs)
+
+
 ODD_REPORTS_BY_NAME = {
-    "nested": b'{"extra": %s}' % NESTED_LIST.encode(),
-    "no_utf8": b'{"models": "\xff"}',
+    "nested": make_report(extra=NESTED_LIST.encode()),
+    "no_utf8": make_report(models=b'"\xff"'),
     **{
-        f"{field}_{name}": b'{"%s": %s}' % (field.encode(), ODD_NUMBERS_BY_NAME[name])
+        f"{field}_{name}": make_report(**{field: ODD_NUMBERS_BY_NAME[name]})
         for field in ("sequence", "running", "waiting")
         for name in (*HUGE_NAMES, "below_zero", "infinite_power")
     },
     **{
-        f"version_{name}": b'{"models": [{"name": "m1", "version": %s}]}'
-        % ODD_NUMBERS_BY_NAME[name]
+        f"version_{name}": make_report(
+            models=b'[{"name": "m1", "version": %s}]' % ODD_NUMBERS_BY_NAME[name]
+        )
         for name in (*HUGE_NAMES, "below_zero")
     },
 }
@@ -99,6 +110,7 @@
 
 @pytest.mark.parametrize("name", ODD_REPORTS_BY_NAME)
 def test_odd_report_of_an_engine_is_none(name):
+    assert EngineClient(FixedHttpClient(make_report())).read_report(make_upstream("u1"))
     client = EngineClient(FixedHttpClient(ODD_REPORTS_BY_NAME[name]))
     assert client.read_report(make_upstream("u1")) is None
 
