--- a/tests/adapter/test_odd_answers.py
+++ b/tests/adapter/test_odd_answers.py
@@ -126,7 +126,7 @@
         "held": f'[["s", "5c", {number}, "m1"]]',
     }
     for field, rows in rows_by_field.items():
-        body = f'{{"bootEpoch": 1, "next": 2, "{field}": {rows}}}'
+        body = f'{{"bootEpoch": 1, "next": 2, "lost": false, "{field}": {rows}}}'
         client = CacheStoreClient(FixedHttpClient(body.encode()))
         read = client.read_all if field == "held" else reader_of_events(client)
         with pytest.raises(CacheStoreUnavailable):
@@ -135,7 +135,7 @@
 
 @pytest.mark.parametrize("field", ["bootEpoch", "next"])
 def test_cache_store_with_number_out_of_range_is_unavailable(field):
-    document = {"bootEpoch": 1, "next": 2, field: 10**400}
+    document = {"bootEpoch": 1, "next": 2, "held": [], field: 10**400}
     client = CacheStoreClient(FixedHttpClient(json.dumps(document).encode()))
     with pytest.raises(CacheStoreUnavailable):
         client.read_all("127.0.0.1:80")
