--- a/tests/adapter/test_odd_answers.py
+++ b/tests/adapter/test_odd_answers.py
@@ -33,17 +33,28 @@
 }
 ODD_NAMES = list(ODD_NUMBERS_BY_NAME)
 HUGE_NAMES = ["400_digits", "5000_digits", "64_bit"]
+
+
+def make_report(**texts_by_field):
+    """Return a report that is complete; `texts_by_field` replaces its values."""
+    fields = dict.fromkeys(("sequence", "running", "waiting"), b"1")
+    fields |= {"models": b"[]", "busy": b"false", **texts_by_field}
+    pairs = [b'"%s": %s' % (name.encode(), text) for name, text in fields.items()]
+    return b"{%s}" % b", ".join(pairs)
+
+
 ODD_REPORTS_BY_NAME = {
-    "nested": b'{"extra": %s}' % NESTED_LIST.encode(),
-    "no_utf8": b'{"models": "\xff"}',
+    "nested": make_report(extra=NESTED_LIST.encode()),
+    "no_utf8": make_report(models=b'"\xff"'),
     **{
-        f"{field}_{name}": b'{"%s": %s}' % (field.encode(), ODD_NUMBERS_BY_NAME[name])
+        f"{field}_{name}": make_report(**{field: ODD_NUMBERS_BY_NAME[name]})
         for field in ("sequence", "running", "waiting")
         for name in (*HUGE_NAMES, "below_zero", "infinite_power")
     },
     **{
-        f"version_{name}": b'{"models": [{"name": "m1", "version": %s}]}'
-        % ODD_NUMBERS_BY_NAME[name]
+        f"version_{name}": make_report(
+            models=b'[{"name": "m1", "version": %s}]' % ODD_NUMBERS_BY_NAME[name]
+        )
         for name in (*HUGE_NAMES, "below_zero")
     },
 }
@@ -99,6 +110,7 @@
 
 @pytest.mark.parametrize("name", ODD_REPORTS_BY_NAME)
 def test_odd_report_of_an_engine_is_none(name):
+    assert EngineClient(FixedHttpClient(make_report())).read_report(make_upstream("u1"))
     client = EngineClient(FixedHttpClient(ODD_REPORTS_BY_NAME[name]))
     assert client.read_report(make_upstream("u1")) is None
 
@@ -114,7 +126,7 @@
         "held": f'[["s", "5c", {number}, "m1"]]',
     }
     for field, rows in rows_by_field.items():
-        body = f'{{"bootEpoch": 1, "next": 2, "{field}": {rows}}}'
+        body = f'{{"bootEpoch": 1, "next": 2, "lost": false, "{field}": {rows}}}'
         client = CacheStoreClient(FixedHttpClient(body.encode()))
         read = client.read_all if field == "held" else reader_of_events(client)
         with pytest.raises(CacheStoreUnavailable):
@@ -123,7 +135,7 @@
 
 @pytest.mark.parametrize("field", ["bootEpoch", "next"])
 def test_cache_store_with_number_out_of_range_is_unavailable(field):
-    document = {"bootEpoch": 1, "next": 2, field: 10**400}
+    document = {"bootEpoch": 1, "next": 2, "held": [], field: 10**400}
     client = CacheStoreClient(FixedHttpClient(json.dumps(document).encode()))
     with pytest.raises(CacheStoreUnavailable):
         client.read_all("127.0.0.1:80")
