--- a/libs/http/src/mulberryhub/http/outbound.py
+++ b/libs/http/src/mulberryhub/http/outbound.py
@@ -103,7 +103,7 @@
                 head = ResponseHead(event.status_code, headers)
                 fault = _find_fault(head, event.http_version)
                 if fault is not None:
-                    raise ResponseBroken(f"{self.address}: {fault}")
+                    raise ResponseMalformed(f"{self.address}: {fault}")
                 self._store_keep_alive_timeout(headers)
                 return head
             if not isinstance(event, h11.InformationalResponse):
