--- a/tests/adapter/garbled_streams.py
+++ b/tests/adapter/garbled_streams.py
@@ -9,7 +9,7 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager
-from itertools import count
+from itertools import count, product
 
 import msgspec
 
@@ -273,12 +273,12 @@
 
 
 @contextmanager
-def garbled_platform(folder):
-    """Run a router before workers that garble the first run of each attempt.
+def garbled_platform(folder, routers=1):
+    """Run `routers` routers before workers that garble the first run of each attempt.
 
     Streams of the route "resumable" may be resumed, those of "single" may not.
     """
-    fleet = PlatformFleet(folder, routers=1)
+    fleet = PlatformFleet(folder, routers=routers)
     routes = [
         route(name, path, "streaming", name, maxAttempts=2)
         for name, path in PATH_BY_ROUTE.items()
@@ -292,10 +292,8 @@
         for name in PATH_BY_ROUTE:
             for number in range(WORKERS_OF_ROUTE):
                 workers.append(RawWorker(fleet, f"{name}-{number}", name, respond))
-        for worker in workers:
-            wait_until(
-                lambda: has_log_line(fleet.routers[0], "upstream known", worker.id)  # noqa: B023
-            )
+        for router, worker in product(fleet.routers, workers):
+            wait_until(lambda: has_log_line(router, "upstream known", worker.id))  # noqa: B023
         yield fleet
     finally:
         for worker in workers:
@@ -303,15 +301,16 @@
         fleet.close()
 
 
-def ask(fleet, route_name, case, prefix="once", **headers):
+def ask(fleet, route_name, case, prefix="once", router=0, **headers):
     """Return the Answer to a garbled stream, which a worker began.
 
-    `prefix` begins the attempt's id; in names of `headers`, `_` stands for `-`.
+    `prefix` begins the attempt's id, and `router` is the index of the router asked; in
+    names of `headers`, `_` stands for `-`.
     """
     deadline = time.monotonic() + READY_TIMEOUT_S
     while True:
         id = case.attempt_id(f"{prefix}{next(RUNS)}")
-        front = fleet.routers[0].front
+        front = fleet.routers[router].front
         path = f"{PATH_BY_ROUTE[route_name]}{id}"
         answer = read_answer(front, path, id, **headers)
         if answer.status != 503:
--- a/tests/adapter/test_garbage_in_streams.py
+++ b/tests/adapter/test_garbage_in_streams.py
@@ -3,13 +3,19 @@
 The router is a process of its own; the workers are stand-ins.
 """
 
+from concurrent.futures import ThreadPoolExecutor
+
 import pytest
 
 from tests.adapter.garbled_streams import (
+    EVENT_COUNT,
     EVENTS,
+    FRAMINGS,
     GARBAGE_BY_NAME,
     GARBLED_TWICE,
+    MAX_CONCURRENT_CASES,
     PLACES,
+    PREFIXES,
     Case,
     ask,
     cases_of,
@@ -38,6 +44,12 @@
         yield fleet
 
 
+@pytest.fixture(scope="module")
+def platform_of_two_routers(tmp_path_factory):
+    with garbled_platform(tmp_path_factory.mktemp("two_routers"), routers=2) as fleet:
+        yield fleet
+
+
 @pytest.mark.parametrize("garbage", GARBAGE_BY_NAME)
 def test_bytes_that_no_run_made_do_not_reach_the_client(platform, garbage):
     assert find_faults(platform, cases_of(garbage)) == {}
@@ -76,3 +88,25 @@
     case = Case("earlier_event", "before", "chunked", "goes_on")
     answer = ask(own_platform, "resumable", case, Last_Event_Id="2")
     assert (answer.status, answer.body) == (200, b"".join(EVENTS[2:]))
+
+
+# The client has two events, so garbage "inside" comes first in the second answer.
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("place", ["inside", "behind"])
+def test_garbage_does_not_reach_a_client_that_goes_on_at_another_router(
+    platform_of_two_routers, place, framing
+):
+    fleet = platform_of_two_routers
+    first = make_case("inside", framing, "reset")
+    assert ask(fleet, "resumable", first, GARBLED_TWICE).body in PREFIXES[:3]
+    rests = [b"".join(EVENTS[2:length]) for length in range(2, EVENT_COUNT + 1)]
+
+    def go_on(garbage):
+        case = Case(garbage, place, framing, "goes_on")
+        return ask(fleet, "resumable", case, router=1, Last_Event_Id="2")
+
+    with ThreadPoolExecutor(MAX_CONCURRENT_CASES) as executor:
+        answers = dict(zip(GARBAGE_BY_NAME, executor.map(go_on, GARBAGE_BY_NAME)))
+    for answer in answers.values():
+        assert answer.body in rests
+        assert not answer.is_complete or answer.body == rests[-1]
