--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -351,7 +351,10 @@
         if is_timeout or cause == "connect":
             self._connect_health.record_failure(upstream.id)
         else:
-            self._answer_health.record_failure(upstream.id, cause == "garbage")
+            self._answer_health.record_failure(
+                upstream.id,
+                needs_complete_response=isinstance(detail, ResponseMalformed),
+            )
         self._pool.close_idle(upstream.address)
         if cause == "no_answer":
             job.failure_reason = (
--- a/libs/upstream/src/mulberryhub/upstream/health.py
+++ b/libs/upstream/src/mulberryhub/upstream/health.py
@@ -12,15 +12,16 @@
 class FailureState:
     """Count of consecutive failures, and the clock time (ms) until avoidance ends.
 
-    `lasts_until_complete` is set if only a complete response ends it.
+    `needs_complete_response` is set if no other response shows that the upstream is
+    healthy.
     """
 
-    __slots__ = ("consecutive_failures", "avoided_until", "lasts_until_complete")
+    __slots__ = ("consecutive_failures", "avoided_until", "needs_complete_response")
 
     def __init__(self):
         self.consecutive_failures = 0
         self.avoided_until = 0
-        self.lasts_until_complete = False
+        self.needs_complete_response = False
 
 
 class UpstreamHealth:
@@ -33,14 +34,15 @@
         self._clock = clock
         self._counters = counters
 
-    def record_failure(self, upstream_id, lasts_until_complete=False):
+    def record_failure(self, upstream_id, needs_complete_response=False):
         """Record a failure: other upstreams are preferred for some time.
 
         The time doubles with each consecutive failure, up to MAX_AVOIDANCE_MS. If it
-        `lasts_until_complete`, a response that only begins well does not end it.
+        `needs_complete_response`, one that only begins well does not end it. Failures
+        are forgotten MAX_AVOIDANCE_MS after the avoidance has ended.
         """
         state = self.failing_by_id.get(upstream_id)
-        if state is None:
+        if state is None or self._is_forgotten(state):
             state = self.failing_by_id[upstream_id] = FailureState()
             self._counters.add("upstream.failing")
             log.warning("upstream {} is failing", upstream_id)
@@ -48,13 +50,13 @@
             state.consecutive_failures, MAX_DOUBLING_COUNT
         )
         state.consecutive_failures += 1
-        state.lasts_until_complete |= lasts_until_complete
+        state.needs_complete_response |= needs_complete_response
         state.avoided_until = self._clock.now() + min(duration, MAX_AVOIDANCE_MS)
 
     def record_success(self, upstream_id, is_complete=False):
         """Record a response that began well, or `is_complete`: it is healthy again."""
         state = self.failing_by_id.get(upstream_id)
-        if state is None or (state.lasts_until_complete and not is_complete):
+        if state is None or (state.needs_complete_response and not is_complete):
             return
         del self.failing_by_id[upstream_id]
         log.info("upstream {} has recovered", upstream_id)
@@ -64,6 +66,9 @@
         state = self.failing_by_id.get(upstream_id)
         return state is not None and self._clock.now() < state.avoided_until
 
+    def _is_forgotten(self, state):
+        return self._clock.now() >= state.avoided_until + MAX_AVOIDANCE_MS
+
     def avoided_last(self, upstream_ids):
         """Return the ids in the same order, except that avoided ones come last."""
         if not self.failing_by_id:
--- a/tests/forward/test_relay.py
+++ b/tests/forward/test_relay.py
@@ -81,7 +81,7 @@
     def record_broken_answer(self, job, exchange, error):
         return job.is_resumable_stream or not job.is_answer_started
 
-    def record_completed(self, job, head):
+    def record_completed(self, job, exchange):
         self.completed_jobs.append(job)
 
 
--- a/tests/upstream/test_health.py
+++ b/tests/upstream/test_health.py
@@ -33,8 +33,21 @@
 
 def test_only_a_complete_response_ends_the_avoidance_of_garbage():
     health = UpstreamHealth(ManualClock(), Counters())
-    health.record_failure("a", lasts_until_complete=True)
+    health.record_failure("a", needs_complete_response=True)
     health.record_success("a")
     assert health.is_avoided("a")
     health.record_success("a", is_complete=True)
     assert not health.failing_by_id
+
+
+def test_garbage_is_forgotten_some_time_after_the_avoidance():
+    clock = ManualClock()
+    health = UpstreamHealth(clock, Counters())
+    for _ in range(5):
+        health.record_failure("a", needs_complete_response=True)
+    clock.advance(20_000)
+    health.record_failure("a")
+    clock.advance(1_000)
+    assert not health.is_avoided("a")
+    health.record_success("a")
+    assert not health.failing_by_id
