Read responses that never end in turns, so that other requests go on

Cause: a connection whose reads never wait yielded after 10 ms, but all connections that yield run again in the same cycle of the hub, 60 times 10 ms, and an order waits for several cycles. 64 KB of interim responses were parsed without any yield. A short wait for the next bytes renewed the 10 ms.

Now a green thread may use 2 ms of processor time, plus a hundredth of the time that it waits; then it needs a turn, and one turn is given in a cycle of the hub. The deadline is checked after each turn.

--- a/libs/http/src/mulberryhub/http/outbound.py
+++ b/libs/http/src/mulberryhub/http/outbound.py
@@ -2,7 +2,7 @@
 
 import h11
 
-from mulberryhub.base.green import sleep, spawn
+from mulberryhub.base.green import spawn
 from mulberryhub.base.logs import error_text
 from mulberryhub.base.ranges import parse_count
 from mulberryhub.http.messages import (
@@ -15,12 +15,11 @@
     ResponseTruncated,
 )
 from mulberryhub.http.sockets import connect, receive, reset
+from mulberryhub.http.turns import RunTime, read_turns
 
 BACKGROUND_SEND_BYTES = 32_768  # longer requests are sent while the response is read
 MAX_RESPONSE_HEAD_BYTES = 65_536  # including interim (1xx) responses
 MAX_SKIPPED_BODY_BYTES = 1_048_576  # of a response to another request
-MAX_RUN_MS = 10  # reading without a wait before yielding to other green threads
-MIN_WAIT_MS = 2  # a read that takes this long has waited, so other threads ran
 
 
 class OutboundConnection:
@@ -40,7 +39,7 @@
         "_send_thread",
         "_clock",
         "_received_bytes",
-        "_running_since",
+        "_run_time",
     )
 
     def __init__(self, address, sock, clock):
@@ -53,7 +52,7 @@
         self._send_thread = None
         self._clock = clock
         self._received_bytes = 0
-        self._running_since = clock.now()
+        self._run_time = RunTime()
 
     @classmethod
     def open(cls, address, timeout, clock):
@@ -72,6 +71,7 @@
         background, where the failure shows up when the response is read.
         """
         parts = self._encode_request(request)
+        self._run_time.restart()
         self._sock.settimeout(timeout / 1000)
         if sum(map(len, parts)) > BACKGROUND_SEND_BYTES:
             self._send_thread = spawn(self._send_all, parts)
@@ -105,7 +105,6 @@
 
         It must arrive within `timeout` ms. Raises ResponseBroken or ResponseTimeout.
         """
-        self._yield_if_due()
         event = self._next_event(self._clock.now() + timeout)
         if isinstance(event, h11.Data):
             return bytes(event.data)
@@ -206,6 +205,7 @@
     def _next_event(self, deadline):
         """Return the parser's next event, due by `deadline` (clock ms)."""
         while True:
+            self._wait_for_turn(deadline)
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
@@ -214,24 +214,30 @@
                 raise error_type(f"{self.address}: {error}") from error
             if event is not h11.NEED_DATA:
                 return event
-            self._yield_if_due()
             self._http.receive_data(self._receive(deadline))
 
-    def _yield_if_due(self):
-        """Yield to other green threads if reads have not waited for MAX_RUN_MS.
+    def _wait_for_turn(self, deadline):
+        """Let other green threads run if this one has had its time.
 
         Otherwise bytes that arrive faster than they are processed starve the others.
+        Raise ResponseTimeout after `deadline` (clock ms).
         """
-        if self._clock.now() - self._running_since >= MAX_RUN_MS:
-            sleep(0)
-            self._running_since = self._clock.now()
+        if not self._run_time.is_used_up():
+            return
+        read_turns.wait()
+        self._run_time.restart()
+        self._check_deadline(deadline)
+
+    def _check_deadline(self, deadline):
+        if self._clock.now() >= deadline:
+            raise ResponseTimeout(f"{self.address}: timed out")
 
     def _receive(self, deadline):
+        self._check_deadline(deadline)
         started = self._clock.now()
-        if started >= deadline:
-            raise ResponseTimeout(f"{self.address}: timed out")
+        self._run_time.begin_wait()
         try:
-            data = receive(self._sock, (deadline - started) / 1000)
+            data = receive(self._sock, max(1, deadline - started) / 1000)
         except TimeoutError as error:
             waited_ms = self._clock.now() - started
             raise ResponseTimeout(
@@ -241,9 +247,7 @@
             message = f"{self.address}: {error_text(error)}"
             raise _connection_error(message, error) from error
         self._received_bytes += len(data)
-        now = self._clock.now()
-        if now - started >= MIN_WAIT_MS:
-            self._running_since = now
+        self._run_time.end_wait(self._clock.now() - started)
         return data
 
     def _store_keep_alive_timeout(self, headers):
