Send each order to an engine on a connection of its own

Seen at the client of engines: a 412 left over on the kept connection and written just as the order arrived was the result of that order (FENCED), though the engine accepted it. The router then sends no orders until it has a higher fencing token (by reading).

Cause: answers to orders name no order, and the connection is shared with the calls before.

Evidence: test_answer_left_on_a_connection_is_not_taken_for_that_to_an_order failed before (FENCED, not ACCEPTED); passes now.

On a new connection no earlier call can have an answer left. Orders are few: one for each load of weights, and its repeats. An answer to the order that is left over there and read as a report is dropped, as it is no complete report.

--- a/libs/http/src/mulberryhub/http/client.py
+++ b/libs/http/src/mulberryhub/http/client.py
@@ -24,15 +24,18 @@
         self._pool = ConnectionPool(clock)
         self._clock = clock
 
-    def send(self, address, request, timeout, max_bytes):
+    def send(self, address, request, timeout, max_bytes, needs_new_connection=False):
         """Send `request` to `address` and return the Response, or raise HttpError.
 
         `timeout` limits the whole exchange in ms, connecting included. `max_bytes`
-        limits the length of the response body.
+        limits the length of the response body. On a new connection, the response can be
+        to no other request.
         """
         deadline = self._clock.now() + timeout
         self._pool.close_expired()
-        connection = self._pool.take_idle(address)
+        connection = None
+        if not needs_new_connection:
+            connection = self._pool.take_idle(address)
         if connection is None:
             connection = self._pool.open(address, min(CONNECT_TIMEOUT_MS, timeout))
         try:
