--- a/benchmarks/events.py
+++ b/benchmarks/events.py
@@ -13,7 +13,7 @@
 ROUNDS = 3  # the fastest one is printed
 EVENTS_PER_READ = 20
 SPLIT_AT = 9  # bytes of an event in the first of two reads
-HEADER = b"x-mulberryhub-weight-versions"
+HEADER = b"x-version"
 US_PER_S = 1_000_000
 
 
