--- a/libs/fleet/src/mulberryhub/fleet/state.py
+++ b/libs/fleet/src/mulberryhub/fleet/state.py
@@ -240,7 +240,6 @@
         self._drop_old_removals()
         self._outdated_filter.record_removal(removal, known)
         if self.upstreams_by_id.pop(removal.id, None) is not None:
-            self._running_versions.drop(removal.id)
             log.info("upstream gone", upstream=removal.id, offset=removal.offset)
         self._record_and_notify(f"upstream/{removal.id}", removal)
 
@@ -315,9 +314,8 @@
         self.rollout = rollout
         self._rollout_at = self._clock.now()
         for id, versions in rollout.versions_by_id.items():
-            upstream = self.upstreams_by_id.get(id)
-            if upstream is not None:
-                self._running_versions.update(id, upstream.started, versions)
+            started = rollout.started_by_id.get(id, 0)
+            self._running_versions.update(id, started, versions)
         self._record_and_notify()
 
     def is_rolling_out(self):
@@ -340,7 +338,9 @@
 
     def version_at(self, id, model):
         """Return the version of `model` at an upstream, or 0 if unknown."""
-        return self._running_versions.at(id, model)
+        upstream = self.upstreams_by_id.get(id)
+        started = None if upstream is None else upstream.started
+        return self._running_versions.at(id, started, model)
 
     def apply(self, record, sender=None):
         """Apply a record of any type; `sender` is the router that sent it, if any."""
--- a/libs/weights/src/mulberryhub/weights/manager.py
+++ b/libs/weights/src/mulberryhub/weights/manager.py
@@ -6,6 +6,7 @@
 from mulberryhub.base.tasks import spawn_service, spawn_task
 from mulberryhub.fleet.records import Removal
 from mulberryhub.fleet.rollout import Rollout
+from mulberryhub.weights.loaded import LoadedVersions
 from mulberryhub.weights.messages import LoadOrder, OrderResult
 from mulberryhub.weights.plan import choose_next_loads, find_outdated
 
@@ -57,7 +58,7 @@
         "_published_at",
         "_loading_by_id",
         "_retry_at_by_id",
-        "_versions_by_id",
+        "_loaded",
         "_rollout_fence",
         "_rollout_revision",
         "_rejected_fence",
@@ -94,7 +95,7 @@
         self._published_at = 0
         self._loading_by_id = {}
         self._retry_at_by_id = {}
-        self._versions_by_id = {}
+        self._loaded = LoadedVersions()
         self._rollout_fence = -1
         self._rollout_revision = 0
         self._rejected_fence = -1
@@ -237,8 +238,7 @@
         try:
             self._drain(upstream)
             if self._send_until_answered(item) and self._wait_until_loaded(item):
-                versions = self._versions_by_id.setdefault(upstream.id, {})
-                versions[item.model] = item.version
+                self._loaded.record(upstream, item.model, item.version)
                 self._counters.add("weights.loaded")
                 log.info("weights loaded", upstream=upstream.id, version=item.version)
             else:
@@ -373,17 +373,13 @@
             self._rollout_fence = self._lease.offset
             self._rollout_revision = 0
         self._rollout_revision += 1
-        known_upstreams = self._fleet_state.upstreams_by_id
-        self._versions_by_id = {
-            id: versions
-            for id, versions in self._versions_by_id.items()
-            if id in known_upstreams
-        }
+        self._loaded.retain(self._fleet_state.upstreams_by_id)
         self._fleet_state.apply_rollout(
             Rollout(
                 fence=self._rollout_fence,
                 revision=self._rollout_revision,
                 loading=sorted(self._loading_by_id),
-                versions_by_id={id: dict(v) for id, v in self._versions_by_id.items()},
+                versions_by_id=self._loaded.versions_by_id(),
+                started_by_id=self._loaded.started_by_id(),
             )
         )
