--- a/libs/fleet/src/mulberryhub/fleet/cache_index.py
+++ b/libs/fleet/src/mulberryhub/fleet/cache_index.py
@@ -2,6 +2,8 @@
 
 from collections import OrderedDict
 
+from mulberryhub.fleet.records import CachedPart
+
 MAX_PART_COUNT = 20_000  # parts in the index
 REACHABLE_TIMEOUT_MS = 3_000  # since the last known answer of the store
 
@@ -9,22 +11,25 @@
 class CacheIndex:
     """Cached prompt parts by salt and id, in the order of the store's events.
 
-    `epoch` identifies a start of the store; a new epoch clears the index.
+    `epoch` identifies a start of the store; a new start clears the index. Epochs have
+    no order, so starts are ordered by when a router first read of them, and those of
+    which that is unknown by their epochs.
     """
 
-    __slots__ = ("epoch", "_clock", "_parts_by_key", "_as_of")
+    __slots__ = ("epoch", "_seen_at", "_clock", "_parts_by_key", "_as_of")
 
     def __init__(self, clock):
         self.epoch = None
+        self._seen_at = 0
         self._clock = clock
         self._parts_by_key = OrderedDict()
         self._as_of = None
 
     def apply(self, part):
         """Apply a CachedPart; return whether it is new."""
-        if self.epoch is None or part.epoch != self.epoch:
-            self._parts_by_key.clear()
-            self.epoch = part.epoch
+        self.record_start(0, part.epoch)
+        if part.epoch != self.epoch:
+            return False
         key = (part.salt, part.id)
         known = self._parts_by_key.get(key)
         if known is not None and known.number >= part.number:
@@ -35,11 +40,29 @@
             self._parts_by_key.popitem(last=False)
         return True
 
-    def restart(self, epoch):
-        """Clear the index if `epoch` is a new start of the store."""
+    def start_of(self, records):
+        """Return the arguments of `record_start`, or None if `records` have no part."""
+        has_parts = any(isinstance(record, CachedPart) for record in records)
+        return (self._seen_at, self.epoch) if has_parts else None
+
+    def record_start(self, seen_at, epoch):
+        """Record that a router read of the start `epoch` at `seen_at` (Unix ms).
+
+        A later start than the present one clears the index. 0 is an unknown time.
+        """
+        if self.epoch is not None and (seen_at, epoch) <= (self._seen_at, self.epoch):
+            return
         if epoch != self.epoch:
-            self.epoch = epoch
             self._parts_by_key.clear()
+        self._seen_at, self.epoch = seen_at, epoch
+
+    def restart(self, epoch):
+        """Record that this router read that the store's present start is `epoch`.
+
+        The clocks of other routers may be ahead.
+        """
+        if epoch != self.epoch or not self._seen_at:
+            self.record_start(max(self._clock.wall(), self._seen_at + 1), epoch)
 
     def mark_current(self, as_of):
         """Record that the index was current at `as_of` ms."""
--- a/libs/fleet/src/mulberryhub/fleet/cache_watcher.py
+++ b/libs/fleet/src/mulberryhub/fleet/cache_watcher.py
@@ -43,6 +43,7 @@
         "_should_watch",
         "_clock",
         "_next_number",
+        "_epoch",
         "_is_failing",
     )
 
@@ -56,6 +57,7 @@
         self._should_watch = should_watch
         self._clock = clock
         self._next_number = None
+        self._epoch = None
         self._is_failing = False
 
     def start(self):
@@ -70,13 +72,13 @@
         else:
             events = self._read_events(address, self._next_number)
         cache_index = self._fleet_state.cache_index
-        if self._next_number is not None and (
-            events.is_lost or events.epoch != cache_index.epoch
-        ):
+        cache_index.restart(events.epoch)
+        # The index may have the store's new start from another router already.
+        has_gap = events.is_lost or events.epoch != self._epoch
+        if self._next_number is not None and has_gap:
             self._next_number = None
-            cache_index.restart(events.epoch)
             return
-        cache_index.restart(events.epoch)
+        self._epoch = events.epoch
         for part in events.parts:
             self._fleet_state.apply(part)
         self._next_number = events.next
--- a/libs/fleet/src/mulberryhub/fleet/channel.py
+++ b/libs/fleet/src/mulberryhub/fleet/channel.py
@@ -8,6 +8,7 @@
 
 from mulberryhub.base.green import Semaphore
 from mulberryhub.base.logs import error_text, module_logger
+from mulberryhub.base.ranges import Number
 from mulberryhub.fleet.admissions import Admitted
 from mulberryhub.fleet.records import Observation, Record, Usage, Weights
 from mulberryhub.fleet.rollout import Rollout
@@ -61,11 +62,14 @@
     unshared: Admitted = Admitted()
 
 
-class Update(msgspec.Struct, tag="News"):
+class Update(msgspec.Struct, tag="News", omit_defaults=True):
     """Sent by a publisher: new records and their age.
 
     Observations are sent even if no records are wanted. Updates between two heartbeats
     carry changes only, without usage. `age_by_topic` and `cache_index_age` are in ms.
+    `cache_start` is when the present start of the KV cache store was first read of
+    (Unix ms, 0 if unknown), and its epoch; it is sent with parts. What has its default
+    is not sent.
     `use` is the usage of the publisher's data centre, `remote_use` the total of the
     others. `admitted_by_data_centre` is what each other data centre admitted; to a
     subscriber in another data centre, the first update includes the admissions
@@ -81,6 +85,9 @@
     upstream_ids: list[str] | None = None
     is_current: bool = msgspec.field(default=False, name="reads")
     cache_index_age: int | None = msgspec.field(default=None, name="kept_age")
+    cache_start: tuple[Number, Number] | None = msgspec.field(
+        default=None, name="kept_start"
+    )
     use: Usage | None = None
     remote_use: Usage | None = msgspec.field(default=None, name="elsewhere")
     admitted_by_data_centre: dict[str, Admitted] = {}
--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -325,8 +325,7 @@
     def _make_update(self, revision):
         """Return an Update, without usage, of everything changed since `revision`."""
         fleet_state = self._fleet_state
-        update = Update()
-        update.is_current = self._is_current()
+        update = Update(is_current=self._is_current())
         update.coordinator = self._find_coordinator().name
         update.position_by_topic = {
             str(topic): position
@@ -338,6 +337,7 @@
                 update.age_by_topic[str(topic)] = age
         update.cache_index_age = fleet_state.cache_index.age()
         update.records = fleet_state.changes_since(revision)
+        update.cache_start = fleet_state.cache_index.start_of(update.records)
         return update
 
 
--- a/libs/fleet/src/mulberryhub/fleet/subscription.py
+++ b/libs/fleet/src/mulberryhub/fleet/subscription.py
@@ -145,6 +145,8 @@
         fleet_state = self._fleet_state
         self.is_publisher_current = update.is_current
         self.coordinator = update.coordinator or self.coordinator
+        if update.cache_start is not None:
+            fleet_state.cache_index.record_start(*update.cache_start)
         for record in update.records:
             fleet_state.apply(record, self.member.name)
         self._apply_positions(update)
