Count as not run only what an engine refuses, and cancel what may go on

Callers were told "not_run", and the request was sent to another engine outside the retry budget, after an answer with any status but 200, 500, 502 and 504: 201, 302, 507, 600. After 500, 502 and 504 the state was right, but the run was not cancelled, although it may go on.

The statuses that may have run were listed and all others counted as refusals. Now the refusals are listed (4xx, 501, 503, 505); other errors may have run and are cancelled; a status that is no error is no answer, as other garbage: the stream is resumed, then the engine is avoided.

--- a/libs/gateway/src/mulberryhub/gateway/attempts.py
+++ b/libs/gateway/src/mulberryhub/gateway/attempts.py
@@ -281,6 +281,8 @@
         self.was_sent = self.was_sent or failure.may_have_been_sent
         if not isinstance(failure, EngineErrorResponse):
             self._record_failure_and_cancel(upstream, failure)
+        elif failure.may_have_been_sent:
+            self._cancel(upstream)
         elif failure.status in BAD_REQUEST_STATUSES:
             raise ApiError(ErrorCode.BAD_REQUEST, str(failure), self._execution_state())
         self._end_attempt()
@@ -290,11 +292,12 @@
         if not isinstance(failure, StreamNotFound):
             self._dependencies.health.record_failure(upstream.id)
         if not isinstance(failure, ConnectFailed):
-            spawn_n(
-                self._dependencies.engine_client.cancel,
-                upstream,
-                self._engine_request.request_id,
-            )
+            self._cancel(upstream)
+
+    def _cancel(self, upstream):
+        """Cancel the request on `upstream` in the background."""
+        cancel = self._dependencies.engine_client.cancel
+        spawn_n(cancel, upstream, self._engine_request.request_id)
 
     def _start_attempt(self, upstream_id):
         self.upstream_id = upstream_id
--- a/libs/upstream/src/mulberryhub/upstream/engine.py
+++ b/libs/upstream/src/mulberryhub/upstream/engine.py
@@ -162,9 +162,11 @@
     if response.status == 404 and method == "GET":
         incarnation = incarnation_in(response.headers)
         raise StreamNotFound("the engine does not keep this stream", incarnation)
-    if response.status != 200:
+    if 400 <= response.status < 600:
         message = response.read(MAX_ERROR_BYTES).decode(errors="replace")
         raise EngineErrorResponse(response.status, message)
+    if response.status != 200:
+        raise StreamInterrupted(f"status {response.status} is no answer")
     if response.headers.get("X-Request-Id") != request.request_id:
         raise ResponseMismatch("answer to another request")
     content_type = response.headers.get("Content-Type", "")
--- a/libs/upstream/src/mulberryhub/upstream/errors.py
+++ b/libs/upstream/src/mulberryhub/upstream/errors.py
@@ -1,7 +1,7 @@
 """Failures of requests to engines and services."""
 
-# Error statuses after which the request may have been processed.
-POSSIBLY_PROCESSED_STATUSES = frozenset({500, 502, 504})
+# Error statuses that refuse a request, so that it was not processed, beside all of 4xx.
+REFUSAL_STATUSES = frozenset({501, 503, 505})
 
 
 class EngineFailure(Exception):
@@ -53,11 +53,16 @@
     def __init__(self, status, message):
         super().__init__(
             f"status {status}: {message}",
-            may_have_been_sent=status in POSSIBLY_PROCESSED_STATUSES,
+            may_have_been_sent=not is_refusal(status),
         )
         self.status = status
 
 
+def is_refusal(status):
+    """Return whether the error `status` says that the request was not processed."""
+    return 400 <= status < 500 or status in REFUSAL_STATUSES
+
+
 class StreamNotFound(EngineFailure):
     """The engine does not have the stream that was to be resumed.
 
