Try each engine twice at most for a stream that gets no further

A request whose engines all sent garbage (or broke off, each time without a new token) went round and round between them and used up all 50 retries of the router, so that broken streams of other callers could not go on; it ended after more than 10 s.

Only the order of the engines was chosen at a break; nothing kept which had failed since the last token. StreamBreaks does now, with the count of stalled resumptions that was in EngineAttempts; an engine that failed again without a new token is left out, so the pass over the engines ends with upstream_failed. The error names the last failure.

test_request_that_no_engine_completes_does_not_count_as_not_run failed before in all 3 cases: 6 retries until the deadline of the first token, and 50, where two engines allow 4. In none was the request counted as not run.

--- a/libs/gateway/src/mulberryhub/gateway/attempts.py
+++ b/libs/gateway/src/mulberryhub/gateway/attempts.py
@@ -2,6 +2,7 @@
 
 from mulberryhub.base.errors import ApiError, ErrorCode, ExecutionState
 from mulberryhub.base.green import sleep, spawn_n
+from mulberryhub.gateway.failover import StreamBreaks
 from mulberryhub.gateway.suspect_runs import SuspectRuns
 from mulberryhub.upstream.budget import backoff_ms
 from mulberryhub.upstream.errors import (
@@ -20,10 +21,6 @@
 MAX_TRIES_PER_ENGINE = 3
 LEASE_TIMEOUT_MS = 60_000
 
-# Consecutive resumptions without a new token after which another engine is tried.
-# Silence before the first token does not count, as the engine may not have begun.
-MAX_STALLED_RESUMPTIONS = 2
-
 # Connection failures after which the engine may still be working on the request.
 CONNECTION_FAILURES = (ResponseMismatch, EngineTimeout, StreamInterrupted)
 
@@ -54,8 +51,7 @@
         "_request_started_at",
         "_attempt_started_at",
         "_has_received_items",
-        "_stall_count",
-        "_last_break_token_count",
+        "_breaks",
         "_retry_count",
         "_has_reached_engine",
         "_suspect_runs",
@@ -77,8 +73,7 @@
         self._request_started_at = dependencies.clock.now()
         self._attempt_started_at = self._request_started_at
         self._has_received_items = False
-        self._stall_count = 0
-        self._last_break_token_count = -1
+        self._breaks = StreamBreaks()
         self._retry_count = 0
         self._has_reached_engine = False
         self._suspect_runs = SuspectRuns(
@@ -151,9 +146,11 @@
 
     # Opening a stream
 
-    def _open_on_any(self, upstream_ids):
-        """Open a stream on the first of the upstreams that accepts the call."""
-        failure = None
+    def _open_on_any(self, upstream_ids, failure=None):
+        """Open a stream on the first of the upstreams that accepts the call.
+
+        `failure` is the one after which it is tried, or None.
+        """
         for upstream in self._permitted_upstreams(list(self._upstreams(upstream_ids))):
             if not self._wait_for_retry():
                 break
@@ -357,18 +354,15 @@
         )
 
     def _should_resume(self, failure):
-        """Return whether the engine makes progress or has not yet begun."""
+        """Return whether the engine makes progress or has not yet begun.
+
+        Silence before the first token does not count, as the engine may not have begun.
+        """
         if isinstance(failure, StreamNotFound):
             return False
         if isinstance(failure, EngineTimeout) and self.token_count == 0:
             return True
-        self._stall_count = (
-            0
-            if self.token_count > self._last_break_token_count
-            else self._stall_count + 1
-        )
-        self._last_break_token_count = self.token_count
-        return self._stall_count < MAX_STALLED_RESUMPTIONS
+        return self._breaks.should_resume(self.token_count)
 
     def _resume_on(self, upstream):
         stream = self._dependencies.engine_client.resume(upstream, self._engine_request)
@@ -385,15 +379,13 @@
         `upstream` is the current engine, or None if it is no longer in the inventory.
         """
         self._record_crash(failure)
-        current_id = self.upstream_id
-        upstream_ids = [
-            id_ for id_ in self._decision.ranked_engine_ids if id_ != current_id
-        ]
+        upstream_ids = self._breaks.other_engines(
+            self._decision.ranked_engine_ids, self.upstream_id, self.token_count
+        )
         if upstream is not None:
             self._record_failure_and_cancel(upstream, failure)
-            upstream_ids.append(current_id)
         self._end_attempt()
-        self._open_on_any(upstream_ids)
+        self._open_on_any(upstream_ids, failure)
 
     def _execution_state(self):
         """Return whether any engine has executed or may have executed the call."""
--- a/tests/gateway/test_engine_garbage.py
+++ b/tests/gateway/test_engine_garbage.py
@@ -167,6 +167,26 @@
     assert second.requests(b"POST /v1/chat") == 1
 
 
+@pytest.mark.parametrize(
+    ("token_count", "state"),
+    [
+        (0, ExecutionState.UNKNOWN),
+        (2, ExecutionState.RAN),
+        (TOKEN_COUNT, ExecutionState.RAN),
+    ],
+)
+def test_request_that_no_engine_completes_does_not_count_as_not_run(token_count, state):
+    answer = garbage_after(token_count)
+    with raw_upstream(answer) as first, raw_upstream(answer) as second:
+        with Timeout(TEST_TIMEOUT_S):
+            trial = Trial([first, second])
+    assert (trial.texts, trial.has_ended) == (TEXTS[:token_count], False)
+    assert trial.error.execution_state is state
+    assert trial.retry_count <= MAX_RETRIES
+    assert trial.health.is_avoided("engine-0")
+    assert trial.health.is_avoided("engine-1")
+
+
 @pytest.mark.parametrize("status", [200, 201, 204, 206, 302, 600])
 def test_status_that_is_no_error_counts_as_a_broken_stream(status):
     with raw_upstream(status_answer(status)) as upstream, Timeout(TEST_TIMEOUT_S):
