Cancel the engine's run also where a broken stream ends the request

docs/design/streams.md says that the run is cancelled at the deadline of the first token. It was not: a stream that failed counted as ended, and EngineAttempts dropped it before the deadline, or the configuration, refused to go on. The engine kept a slot busy for a request that had its error, until it noticed that nobody reads.

Only the explicit end of a stream ends it now; after a failure its connection is closed, and EngineAttempts keeps it until it is resumed or goes on elsewhere, so that close() cancels the run.

--- a/libs/gateway/src/mulberryhub/gateway/attempts.py
+++ b/libs/gateway/src/mulberryhub/gateway/attempts.py
@@ -317,7 +317,6 @@
         Raise ApiError if neither is possible.
         """
         self._count_retry(failure)
-        self._stream = None
         self._check_first_token_deadline()
         self._engine_request.delivered_tokens = self.token_count
         self._engine_request.delivered_text = "".join(self._texts)
@@ -378,6 +377,7 @@
 
         `upstream` is the current engine, or None if it is no longer in the inventory.
         """
+        self._stream = None
         self._record_crash(failure)
         upstream_ids = self._breaks.other_engines(
             self._decision.ranked_engine_ids, self.upstream_id, self.token_count
--- a/libs/upstream/src/mulberryhub/upstream/engine_stream.py
+++ b/libs/upstream/src/mulberryhub/upstream/engine_stream.py
@@ -98,6 +98,14 @@
             raise self._pending_failure
         if self.ended:
             raise StopIteration
+        try:
+            return self._wait_for_items()
+        except EngineFailure as failure:
+            self._pending_failure = failure
+            self._reader.close()
+            raise
+
+    def _wait_for_items(self):
         started_at = monotonic()
         self._idle_bytes = 0
         while True:
@@ -109,10 +117,8 @@
     def _check_progress(self, started_at):
         """Raise EngineFailure if too much came, or for too long, without an item."""
         if self._idle_bytes > MAX_IDLE_BYTES:
-            self._close_connection()
             raise StreamInterrupted("too many bytes without a token")
         if monotonic() - started_at > self._token_timeout_s:
-            self._close_connection()
             raise EngineTimeout("no token within the timeout")
 
     def _to_items(self, events):
@@ -134,7 +140,7 @@
         except EngineFailure as failure:
             self._pending_failure = failure
         if self._pending_failure is not None:
-            self._close_connection()
+            self._reader.close()
             if not items:
                 raise self._pending_failure
         return items
@@ -152,13 +158,10 @@
                 self._idle_bytes += len(data)
             payload = self._decoder.feed(data)
         except TimeoutError as error:
-            self._close_connection()
             raise EngineTimeout("no token within the timeout") from error
         except (OSError, MalformedBody) as error:
-            self._close_connection()
             raise StreamInterrupted(str(error)) from error
         if not data:
-            self._close_connection()
             raise StreamInterrupted("the stream ended without an end event")
         return payload
 
@@ -195,20 +198,20 @@
             raise MalformedChunk("the end has no usage, or a text")
         if {index, usage.completion_tokens} != {self.next_index}:
             raise MalformedChunk(f"the end does not follow token {self.next_index - 1}")
-        self._close_connection()
-        counts = Usage(usage.prompt_tokens, usage.completion_tokens, self.cached_tokens)
-        return StreamEnd(chunk.finish_reason, counts)
-
-    def _close_connection(self):
-        """Mark the stream as ended and close its connection, which is not reused."""
         self.ended = True
         self._reader.close()
+        counts = Usage(usage.prompt_tokens, usage.completion_tokens, self.cached_tokens)
+        return StreamEnd(chunk.finish_reason, counts)
 
     def close(self):
-        """Cancel the request on the engine in the background, unless it has ended."""
+        """Cancel the request on the engine in the background, unless it has ended.
+
+        The engine may go on with it after a failure, so that it is cancelled then too.
+        """
         if self.ended:
             return
-        self._close_connection()
+        self.ended = True
+        self._reader.close()
         spawn_n(self._client.cancel, self._upstream, self.request_id)
 
 
--- a/tests/gateway/test_engine_garbage.py
+++ b/tests/gateway/test_engine_garbage.py
@@ -7,7 +7,7 @@
 
 from mulberryhub.base.clock import Clock
 from mulberryhub.base.counters import Counters
-from mulberryhub.base.errors import ApiError, ExecutionState
+from mulberryhub.base.errors import ApiError, ErrorCode, ExecutionState
 from mulberryhub.base.green import Timeout, sleep
 from mulberryhub.config.inventory import Upstream
 from mulberryhub.gateway.attempts import EngineAttempts
@@ -211,3 +211,14 @@
     assert trial.error.execution_state is ExecutionState.NOT_RUN
     assert not trial.health.is_avoided("engine-0")
     assert upstream.requests(b"POST /v1/cancel") == 0
+
+
+def test_run_is_cancelled_at_the_deadline_of_the_first_token():
+    def answer(connection):
+        connection.send(HEAD + CHUNKED)
+        connection.send_endlessly(encode_chunk(b":\n\n"), 1_000, pause_ms=50)
+
+    with raw_upstream(answer) as upstream, Timeout(TEST_TIMEOUT_S):
+        trial = Trial([upstream])
+        assert trial.error.code is ErrorCode.DEADLINE
+        assert upstream.requests(b"POST /v1/cancel") == 1
--- a/tests/upstream/test_engine_bytes.py
+++ b/tests/upstream/test_engine_bytes.py
@@ -3,17 +3,22 @@
 import pytest
 
 from mulberryhub.base.counters import Counters
+from mulberryhub.base.green import sleep
 from mulberryhub.upstream.engine import EngineClient
+from mulberryhub.upstream.errors import StreamInterrupted
 from mulberryhub.upstream.messages import EngineRequest
 from tests.support.raw_upstream import raw_upstream
 from tests.upstream.raw_engine import (
     BODY,
+    CHUNKED,
+    HEAD,
     REQUEST_ID,
     TEXTS,
     TOKEN_COUNT,
     answer_chunked,
     answer_to_the_close,
     chunk,
+    encode_chunk,
     engine_at,
     read_stream,
     whole_run,
@@ -63,3 +68,19 @@
     garbage = block % {b"chunk": chunk(), b"index": place} + b"\n\n"
     expected = (TEXTS[:place], False)
     assert read_stream(answer(with_garbage(garbage, place))) == expected
+
+
+def test_connection_is_closed_after_garbage_behind_tokens():
+    def answer(connection):
+        connection.send(HEAD + CHUNKED + encode_chunk(with_garbage(b"x\n\n", 2)))
+        was_closed.append(not connection.read_request())
+
+    was_closed = []
+    request = EngineRequest(REQUEST_ID, BODY)
+    with raw_upstream(answer) as upstream:
+        stream = EngineClient(Counters()).open(engine_at(upstream), request)
+        assert [token.text for token in stream.read_available()] == TEXTS[:2]
+        with pytest.raises(StreamInterrupted):
+            stream.read_available()
+        sleep(0.05)
+    assert was_closed == [True]
