Skip interim responses of engines and services

A service that sends 103 before its answer, or 1xx and garbage, had the 1xx taken as its answer, with an empty body, and that as the outcome of an order: http.client skips 100 alone. By reading, callers would then wait for a final response.

All of 1xx are skipped now, within the bounds in bytes and time of the answer, and what follows must be an answer.

--- a/libs/upstream/src/mulberryhub/upstream/bounded_http.py
+++ b/libs/upstream/src/mulberryhub/upstream/bounded_http.py
@@ -7,6 +7,7 @@
 HTTPConnection = urllib3.connection.HTTPConnection
 
 MAX_HEAD_BYTES = 65_536
+FIRST_FINAL_STATUS = 200
 
 
 class ResponseTooLong(OSError):
@@ -50,3 +51,10 @@
     def __init__(self, *arguments, max_bytes=MAX_HEAD_BYTES, **options):
         super().__init__(*arguments, **options)
         self.fp = BufferedReader(BoundedSource(self.fp.detach(), max_bytes))
+
+    def begin(self):
+        """Read the head of the response, and skip interim responses before it."""
+        super().begin()
+        while self.status < FIRST_FINAL_STATUS:
+            self.headers = None  # so that begin() reads the next head
+            super().begin()
