Bound the answers of the store in size and in time

One with a body without an end is held whole, so a process with a memory limit ends, with the requests that run; one that comes slowly holds the call for as long as bytes come.

Cause: urllib3 reads a body to its end, bounds only the pause between two reads, and skips interim responses without a bound.

StoreClient now uses the router's own HTTP client, as the clients of engines and of the KV cache store do: at most 4 MiB an answer (the store sends 1 MB and one record), 800 ms of silence as before, 4 s for the transfer, 16 MiB for all pages of a listing, and no page twice. The client joins short pieces at once, as each takes more than its bytes. TCP_USER_TIMEOUT stays 1,500 ms. Keys in queries are quoted now, `&` and `+` too. StoreLog moves to a module of its own.

The test of a listing without an end was not run on the unchanged code.

tests/adapter/test_store_era.py: its stand-in of urllib3's pool is one of the HTTP client now; the cases are the same, apart from the new one.

--- a/libs/http/src/mulberryhub/http/client.py
+++ b/libs/http/src/mulberryhub/http/client.py
@@ -1,34 +1,43 @@
 """HTTP client that reads complete responses, limited in time and in size."""
 
+from math import inf
+
+from mulberryhub.http.messages import Headers
 from mulberryhub.http.pool import ConnectionPool
+from mulberryhub.http.sockets import USER_TIMEOUT_MS
 
 CONNECT_TIMEOUT_MS = 300
 
 
 class Response:
-    """A complete response: status code and body bytes."""
+    """A complete response: status code, body bytes and Headers."""
 
-    __slots__ = ("status", "body")
+    __slots__ = ("status", "body", "headers")
 
-    def __init__(self, status, body):
+    def __init__(self, status, body, headers=None):
         self.status = status
         self.body = body
+        self.headers = headers or Headers()
 
 
 class HttpClient:
-    """Sends requests over a connection pool of its own."""
+    """Sends requests over a connection pool of its own.
+
+    `user_timeout` is TCP_USER_TIMEOUT in ms.
+    """
 
     __slots__ = ("_pool", "_clock")
 
-    def __init__(self, clock):
-        self._pool = ConnectionPool(clock)
+    def __init__(self, clock, user_timeout=USER_TIMEOUT_MS):
+        self._pool = ConnectionPool(clock, user_timeout)
         self._clock = clock
 
-    def send(self, address, request, timeout, max_bytes):
+    def send(self, address, request, timeout, max_bytes, max_silence=inf):
         """Send `request` to `address` and return the Response, or raise HttpError.
 
-        `timeout` limits the whole exchange in ms, connecting included. `max_bytes`
-        limits the length of the response body.
+        `timeout` limits the whole exchange in ms, connecting included, and
+        `max_silence` the ms for the head and between two pieces of the body.
+        `max_bytes` limits the length of the response body.
         """
         deadline = self._clock.now() + timeout
         self._pool.close_expired()
@@ -36,14 +45,16 @@
         if connection is None:
             connection = self._pool.open(address, min(CONNECT_TIMEOUT_MS, timeout))
         try:
-            connection.send(request, self._remaining_ms(deadline))
-            head = connection.read_head(self._remaining_ms(deadline))
-            body = connection.read_body(self._remaining_ms(deadline), max_bytes)
+            connection.send(request, min(max_silence, self._remaining_ms(deadline)))
+            head = connection.read_head(min(max_silence, self._remaining_ms(deadline)))
+            body = connection.read_body(
+                self._remaining_ms(deadline), max_bytes, max_silence
+            )
         except BaseException:
             connection.close()
             raise
         self._pool.release(connection)
-        return Response(head.status, body)
+        return Response(head.status, body, head.headers)
 
     def _remaining_ms(self, deadline):
         return max(1, deadline - self._clock.now())
--- a/libs/http/src/mulberryhub/http/outbound.py
+++ b/libs/http/src/mulberryhub/http/outbound.py
@@ -1,5 +1,7 @@
 """Client side of an upstream connection: sends a request, streams the response."""
 
+from math import inf
+
 import h11
 
 from mulberryhub.base.green import spawn
@@ -14,7 +16,7 @@
     ResponseTimeout,
     ResponseTruncated,
 )
-from mulberryhub.http.sockets import connect, receive, reset
+from mulberryhub.http.sockets import USER_TIMEOUT_MS, connect, receive, reset
 from mulberryhub.http.turns import RunTime, read_turns
 
 BACKGROUND_SEND_BYTES = 32_768  # longer requests are sent while the response is read
@@ -55,10 +57,13 @@
         self._run_time = RunTime()
 
     @classmethod
-    def open(cls, address, timeout, clock):
-        """Connect within `timeout` ms or raise ConnectionFailed."""
+    def open(cls, address, timeout, clock, user_timeout=USER_TIMEOUT_MS):
+        """Connect within `timeout` ms or raise ConnectionFailed.
+
+        `user_timeout` is TCP_USER_TIMEOUT in ms.
+        """
         try:
-            return cls(address, connect(address, timeout), clock)
+            return cls(address, connect(address, timeout, user_timeout), clock)
         except ConnectionRefusedError as error:
             raise ConnectionRefused(f"{address}: {error_text(error)}") from error
         except OSError as error:
@@ -110,21 +115,23 @@
             return bytes(event.data)
         return None
 
-    def read_body(self, timeout, max_bytes):
+    def read_body(self, timeout, max_bytes, max_silence=inf):
         """Return the rest of the body, which must arrive within `timeout` ms.
 
+        Each piece must arrive within `max_silence` ms.
         Raises ResponseTimeout, or ResponseBroken, also for a body longer than
         `max_bytes`.
         """
-        pieces = []
-        size = 0
+        body = bytearray()  # joined at once, as short pieces take more than their bytes
         deadline = self._clock.now() + timeout
-        while (data := self.read_data(deadline - self._clock.now())) is not None:
-            size += len(data)
-            if size > max_bytes:
+        while True:
+            time_left = deadline - self._clock.now()
+            data = self.read_data(min(max_silence, time_left))
+            if data is None:
+                return bytes(body)
+            if len(body) + len(data) > max_bytes:
                 raise ResponseBroken(f"{self.address}: body exceeds {max_bytes} bytes")
-            pieces.append(data)
-        return b"".join(pieces)
+            body += data
 
     def skip_response(self, request, timeout):
         """Discard the rest of a response that belongs to another request.
--- a/libs/http/src/mulberryhub/http/pool.py
+++ b/libs/http/src/mulberryhub/http/pool.py
@@ -4,6 +4,7 @@
 
 from mulberryhub.http.messages import ConnectionFailed, ConnectionRefused
 from mulberryhub.http.outbound import OutboundConnection
+from mulberryhub.http.sockets import USER_TIMEOUT_MS
 
 MAX_IDLE_MS = 10_000  # where the upstream announces no keep-alive timeout
 # Share of the announced keep-alive timeout for which a connection is reused, so that
@@ -13,12 +14,16 @@
 
 
 class ConnectionPool:
-    """Idle connections by address, most recently used first."""
+    """Idle connections by address, most recently used first.
 
-    __slots__ = ("_clock", "_idle_by_address")
+    `user_timeout` is TCP_USER_TIMEOUT in ms.
+    """
 
-    def __init__(self, clock):
+    __slots__ = ("_clock", "_user_timeout", "_idle_by_address")
+
+    def __init__(self, clock, user_timeout=USER_TIMEOUT_MS):
         self._clock = clock
+        self._user_timeout = user_timeout
         self._idle_by_address = defaultdict(list)
 
     def take_idle(self, address, max_idle=MAX_IDLE_MS):
@@ -37,7 +42,9 @@
 
     def open(self, address, timeout):
         """Return a connection made within `timeout` ms or raise ConnectionFailed."""
-        return OutboundConnection.open(address, timeout, self._clock)
+        return OutboundConnection.open(
+            address, timeout, self._clock, self._user_timeout
+        )
 
     def probe_refused(self, address, timeout):
         """Connect within `timeout` ms and return whether the connection was refused.
--- a/tests/adapter/test_store_era.py
+++ b/tests/adapter/test_store_era.py
@@ -3,7 +3,8 @@
 import msgspec
 import pytest
 
-from mulberryhub.adapter.store import ERA, StoreClient, StoreLog
+from mulberryhub.adapter.store import ERA, StoreClient
+from mulberryhub.adapter.store_log import StoreLog
 from mulberryhub.external.log import LogUnavailable, OffsetExpired
 from mulberryhub.fleet.state import Topic
 from mulberryhub.fleet.store import (
@@ -12,52 +13,50 @@
     StoreUnavailable,
     position_of,
 )
+from mulberryhub.http.client import Response
+from mulberryhub.http.messages import Headers
 
 
-class FakeResponse:
-    def __init__(self, status, data, era):
-        self.status = status
-        self.data = data
-        self.headers = {} if era is None else {ERA: era}
-
-
-class FakePool:
+class FakeHttpClient:
     """Returns the given responses in order, and records the queries."""
 
     def __init__(self):
         self.responses = []
         self.queries = []
 
-    def request(self, method, url, **more):
-        self.queries.append(url.partition("?")[2])
+    def send(self, address, request, timeout, max_bytes, max_silence):
+        self.queries.append(request.target.partition(b"?")[2].decode())
         return self.responses.pop(0)
 
 
 @pytest.fixture
 def client():
-    client = StoreClient("127.0.0.1:1")
-    client._pool = FakePool()
-    return client
+    return StoreClient("127.0.0.1:1", FakeHttpClient())
+
+
+def response(status, data, era):
+    pairs = [] if era is None else [(ERA, era.encode())]
+    return Response(status, data, Headers.from_pairs(pairs))
 
 
 def page(end, first=0, era=None, records=()):
     data = end.to_bytes(8) + first.to_bytes(8)
     data += b"".join(len(item).to_bytes(4) + item for item in records)
-    return FakeResponse(200, data, era)
+    return response(200, data, era)
 
 
 def gone(era=None, body=b'{"first":4}'):
-    return FakeResponse(410, body, era)
+    return response(410, body, era)
 
 
 def listing(end, era=None, more=False):
     items = [{"key": "k", "offset": end - 1, "value": "dg=="}]
     data = msgspec.json.encode({"items": items, "end": end, "more": more})
-    return FakeResponse(200, data, era)
+    return response(200, data, era)
 
 
 def answer(client, *responses):
-    client._pool.responses += responses
+    client._http_client.responses += responses
 
 
 def read(client, position):
@@ -75,7 +74,7 @@
 @pytest.mark.parametrize("cut_bytes", range(1, 7))
 def test_record_that_is_cut_short_is_read_again(client, cut_bytes):
     whole = page(7, records=[b"\x01kv", b"\x01kw"])
-    answer(client, FakeResponse(200, whole.data[:-cut_bytes], None))
+    answer(client, response(200, whole.body[:-cut_bytes], None))
     batch = read(client, 5)
     assert [entry.value for entry in batch.entries] == [b"v"]
     assert batch.end == 6
@@ -84,7 +83,7 @@
 @pytest.mark.parametrize("cut_bytes", range(1, 7))
 def test_answer_that_breaks_off_within_its_first_record_is_none(client, cut_bytes):
     whole = page(6, records=[b"\x01kv"])
-    answer(client, FakeResponse(200, whole.data[:-cut_bytes], None))
+    answer(client, response(200, whole.body[:-cut_bytes], None))
     with pytest.raises(StoreUnavailable):
         read(client, 5)
 
@@ -97,7 +96,7 @@
     with pytest.raises(StoreReverted) as reverted:
         read(client, end)
     assert reverted.value.first >= position_of(2, 0)
-    assert "from=9" in client._pool.queries[-1]
+    assert "from=9" in client._http_client.queries[-1]
 
 
 def test_history_that_expired_in_the_same_era_is_no_revert(client):
@@ -156,7 +155,19 @@
 
 def test_lost_answer_to_an_append_is_unavailable(client):
     log = StoreLog(client)
-    answer(client, listing(9, "2"), FakeResponse(200, b'{"offset":9,"end":10}', "1"))
+    answer(client, listing(9, "2"), response(200, b'{"offset":9,"end":10}', "1"))
     client.newest(Topic.OPERATOR)
     with pytest.raises(LogUnavailable):
         log.append("lease", [b"x"])
+
+
+@pytest.mark.parametrize("is_repeated", [False, True])
+def test_listing_without_an_end_is_given_up(client, is_repeated):
+    # Guards against a process that ends for the memory of pages that never end.
+    for number in range(100):
+        key = "k" if is_repeated else f"k{number}"
+        items = [{"key": key, "offset": 1, "value": "dg==" * 100_000}]
+        document = {"items": items, "end": 200, "more": True}
+        answer(client, response(200, msgspec.json.encode(document), None))
+    with pytest.raises(StoreUnavailable):
+        client.newest(Topic.OPERATOR)
