Bound incomplete messages between routers in memory and in time

The process ends for its memory, with the requests that run.

Cause: a message has a bound, all together have none, and the timeout starts anew with each read; a connection that has not said its name has none.

Now the incomplete messages of all connections hold 24 MB at most (long ones 18 MB; the connection that asks for more is closed and its router connects again), a message may take 5 s, and the first one has 64 KB and must come within 1 s. A message is copied once, not twice. Reads take turns as those of responses do.

--- a/libs/fleet/src/mulberryhub/fleet/channel.py
+++ b/libs/fleet/src/mulberryhub/fleet/channel.py
@@ -4,6 +4,9 @@
 the CPU time of a send on such a connection; see docs/design/platform.md.
 """
 
+import time
+from math import inf
+
 import msgspec
 
 from mulberryhub.base.green import Semaphore
@@ -11,15 +14,21 @@
 from mulberryhub.fleet.admissions import Admitted
 from mulberryhub.fleet.records import Observation, Record, Usage, Weights
 from mulberryhub.fleet.rollout import Rollout
+from mulberryhub.http.body_memory import BodyMemory
 from mulberryhub.http.sockets import close, connect, receive
+from mulberryhub.http.turns import RunTime, read_turns
 
 LENGTH_BYTES = 4
 MAX_MESSAGE_BYTES = 16_777_216
+MAX_FIRST_MESSAGE_BYTES = 65_536  # of a router that has not said its name
+MAX_MESSAGE_MS = 5_000  # from its first bytes to its last
+# Incomplete messages of all connections together; three quarters of it for long ones.
+MAX_INCOMPLETE_BYTES = 24_000_000
 CONNECT_TIMEOUT_MS = 300
 SEND_TIMEOUT_MS = 1_000
 
-
 log = module_logger(__name__)
+incomplete_messages = BodyMemory(MAX_INCOMPLETE_BYTES)
 
 
 class ChannelError(Exception):
@@ -210,12 +219,13 @@
 class Channel:
     """Sends and receives messages over one socket."""
 
-    __slots__ = ("_sock", "_buffer", "_send_lock")
+    __slots__ = ("_sock", "_buffer", "_send_lock", "_run_time")
 
     def __init__(self, sock):
         self._sock = sock
         self._buffer = bytearray()
         self._send_lock = Semaphore()
+        self._run_time = RunTime()
 
     @classmethod
     def open(cls, address):
@@ -238,13 +248,20 @@
             except OSError as error:
                 raise ChannelError(f"send failed: {error_text(error)}") from error
 
-    def receive(self, timeout=None):
-        """Return the next message; raise ChannelError on failure.
+    def receive_first(self, timeout):
+        """Like receive(), for a router that has not said its name."""
+        return self.receive(timeout, MAX_FIRST_MESSAGE_BYTES)
+
+    def receive(self, timeout=None, max_bytes=MAX_MESSAGE_BYTES):
+        """Return the next message, of up to `max_bytes`; raise ChannelError on failure.
 
         Without any bytes for `timeout` ms, the connection counts as failed.
         """
+        if self._run_time.is_used_up():
+            read_turns.wait()
+            self._run_time.restart()
         length = int.from_bytes(self._read_exactly(LENGTH_BYTES, timeout))
-        if length > MAX_MESSAGE_BYTES:
+        if length > max_bytes:
             raise ChannelError(f"message of {length} bytes exceeds the limit")
         return decode(self._read_exactly(length, timeout))
 
@@ -253,17 +270,37 @@
         close(self._sock)
 
     def _read_exactly(self, count, timeout):
-        timeout_s = None if timeout is None else timeout / 1000
-        while len(self._buffer) < count:
-            try:
-                data = receive(self._sock, timeout_s)
-            except TimeoutError as error:
-                raise ChannelError("silent") from error
-            except OSError as error:
-                raise ChannelError(f"receive failed: {error_text(error)}") from error
-            if not data:
-                raise ChannelError("closed")
-            self._buffer += data
-        result = bytes(self._buffer[:count])
+        """Return the next `count` bytes, of which MAX_MESSAGE_MS may pass in all."""
+        reservation = incomplete_messages.new_reservation()
+        deadline = inf
+        try:
+            while len(self._buffer) < count:
+                if self._buffer and deadline == inf:
+                    deadline = time.monotonic() + MAX_MESSAGE_MS / 1000
+                self._receive_more(timeout, deadline)
+                if not reservation.try_grow(min(count, len(self._buffer))):
+                    raise ChannelError("incomplete messages use all of their memory")
+        finally:
+            reservation.release()
+        with memoryview(self._buffer) as view:
+            result = bytes(view[:count])
         del self._buffer[:count]
         return result
+
+    def _receive_more(self, timeout, deadline):
+        """Receive bytes until `deadline` (monotonic s); raise ChannelError."""
+        began = time.monotonic()
+        if began >= deadline:
+            raise ChannelError(f"message took more than {MAX_MESSAGE_MS} ms")
+        wait = deadline - began if timeout is None else timeout / 1000
+        self._run_time.begin_wait()
+        try:
+            data = receive(self._sock, None if wait == inf else wait)
+        except TimeoutError as error:
+            raise ChannelError("silent") from error
+        except OSError as error:
+            raise ChannelError(f"receive failed: {error_text(error)}") from error
+        self._run_time.end_wait((time.monotonic() - began) * 1000)
+        if not data:
+            raise ChannelError("closed")
+        self._buffer += data
--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -149,7 +149,7 @@
     def _serve(self, channel):
         name = None
         try:
-            hello = channel.receive()
+            hello = channel.receive_first(SUBSCRIBER_TIMEOUT_MS)
             if isinstance(hello, CoordinatorRequest):
                 self._serve_requests(channel, hello)
             if not isinstance(hello, Hello):
