--- a/tests/adapter/test_odd_answers.py
+++ b/tests/adapter/test_odd_answers.py
@@ -64,7 +64,7 @@
     def __init__(self, body):
         self._body = body
 
-    def send(self, *_):
+    def send(self, *_, **__):
         return Response(200, self._body)
 
 
