--- a/libs/forward/src/mulberryhub/forward/relay.py
+++ b/libs/forward/src/mulberryhub/forward/relay.py
@@ -94,9 +94,10 @@
     def _relay_events(self, job, exchange, connection):
         """Send complete events only, so that another upstream can resume after them.
 
-        Nothing is sent of a read that holds bytes that are no event: there the stream
-        was broken off. So it was if it ends inside an event, whatever its framing says,
-        or without any events and without stating its end.
+        Nothing is sent of a read that holds bytes that are no event, as the events
+        beside them may be garbage too: there the stream was broken off. So it was if it
+        ends inside an event, whatever its framing says, or without any events and
+        without stating its end.
         """
         if not job.is_answer_started:
             self._start_answer(job, exchange, connection, None)
--- a/libs/http/src/mulberryhub/http/outbound.py
+++ b/libs/http/src/mulberryhub/http/outbound.py
@@ -1,6 +1,5 @@
 """Client side of an upstream connection: sends a request, streams the response."""
 
-import re
 from math import inf
 
 import h11
@@ -18,16 +17,13 @@
     ResponseTimeout,
     ResponseTruncated,
 )
+from mulberryhub.http.response_heads import find_fault
 from mulberryhub.http.sockets import USER_TIMEOUT_MS, connect, receive, reset
 from mulberryhub.http.turns import RunTime, read_turns
 
 BACKGROUND_SEND_BYTES = 32_768  # longer requests are sent while the response is read
 MAX_RESPONSE_HEAD_BYTES = 65_536  # including interim (1xx) responses
 MAX_SKIPPED_BODY_BYTES = 1_048_576  # of a response to another request
-HTTP_VERSIONS = (b"1.0", b"1.1")
-MAX_STATUS = 599
-STATUS_NO_CONTENT = 204
-CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 
 class OutboundConnection:
@@ -105,7 +101,7 @@
             if isinstance(event, h11.Response):
                 headers = Headers.from_pairs(event.headers.raw_items())
                 head = ResponseHead(event.status_code, headers)
-                fault = _find_fault(head, event.http_version)
+                fault = find_fault(head, event.http_version)
                 if fault is not None:
                     raise ResponseMalformed(f"{self.address}: {fault}")
                 self._store_keep_alive_timeout(headers)
@@ -281,24 +277,5 @@
     return ResponseTruncated(message) if is_cut else ResponseBroken(message)
 
 
-def _find_fault(head, http_version):
-    """Return why the length or the meaning of a response is uncertain, or None.
-
-    The parser accepts such a response, and makes a choice for which there is no ground.
-    """
-    is_chunked = head.headers.get(b"transfer-encoding") is not None
-    if http_version not in HTTP_VERSIONS:
-        return "not a version of HTTP/1"
-    if head.status > MAX_STATUS:
-        return f"status {head.status}"
-    if is_chunked and (head.length is not None or http_version != b"1.1"):
-        return "chunks beside a length or in HTTP/1.0"
-    if head.status == STATUS_NO_CONTENT and (is_chunked or head.length):
-        return "a body without content"
-    if any(CONTROL_CHARACTER.search(field.value) for field in head.headers.fields):
-        return "control characters in a header"
-    return None
-
-
 def _new_parser():
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES)
