Bound the incomplete events of all streams together

Each event had a bound, all together had none.

They share 8 MB now, counted as the bodies of requests are; a stream whose event doesn't fit is broken off.

--- a/libs/forward/src/mulberryhub/forward/events.py
+++ b/libs/forward/src/mulberryhub/forward/events.py
@@ -97,10 +97,15 @@
         self._line_bytes = 0
         self._open_line = bytearray()
 
+    @property
+    def open_bytes(self):
+        """Return the number of bytes of the incomplete event that are held."""
+        return self._line_bytes + len(self._open_line)
+
     @property
     def is_inside_event(self):
         """Return whether the bytes so far end inside an event."""
-        return bool(self._lines or self._open_line)
+        return bool(self.open_bytes)
 
     def feed(self, data):
         """Return the RawEvents that `data` completes.
@@ -167,7 +172,7 @@
 
     def _check_open_line(self):
         """Raise InvalidEvent if the incomplete line cannot become one of an event."""
-        if self._line_bytes + len(self._open_line) > MAX_EVENT_BYTES:
+        if self.open_bytes > MAX_EVENT_BYTES:
             raise InvalidEvent(f"event is larger than {MAX_EVENT_BYTES} bytes")
         if self._open_line and not self._may_become_line():
             raise InvalidEvent("received bytes that are no part of an event")
--- a/libs/forward/src/mulberryhub/forward/job.py
+++ b/libs/forward/src/mulberryhub/forward/job.py
@@ -112,6 +112,12 @@
             return self.last_event_id
         return self.call.last_event_id or 0 if self.is_taken_up else 0
 
+    def record_events(self, events, upstream):
+        """Record that the RawEvents `events` of `upstream` were sent to the client."""
+        self.event_count += len(events)
+        self.last_event_id = events[-1].id
+        self.last_event_upstream_id = upstream.id
+
     @property
     def is_stream(self):
         """Return whether the answer is a stream of events."""
--- a/libs/forward/src/mulberryhub/forward/relay.py
+++ b/libs/forward/src/mulberryhub/forward/relay.py
@@ -2,6 +2,7 @@
 
 from mulberryhub.forward.events import EventDecoder, is_event_stream
 from mulberryhub.forward.refusal import Reason, Refusal
+from mulberryhub.http.body_memory import BodyMemory
 from mulberryhub.http.messages import (
     SUCCESS_STATUSES,
     HttpError,
@@ -13,6 +14,7 @@
 
 MAX_BUFFERED_ANSWER_BYTES = 1_048_576  # longer answers are streamed
 MAX_TOTAL_BUFFERED_BYTES = 8_388_608  # of all buffered answers together
+MAX_INCOMPLETE_EVENT_BYTES = 8_388_608  # of all streams together
 
 
 class Relay:
@@ -23,13 +25,20 @@
     and data, None for none.
     """
 
-    __slots__ = ("_attempt_runner", "_event_header", "_clock", "_buffered_bytes")
+    __slots__ = (
+        "_attempt_runner",
+        "_event_header",
+        "_clock",
+        "_buffered_bytes",
+        "_incomplete_events",
+    )
 
     def __init__(self, attempt_runner, event_header, clock):
         self._attempt_runner = attempt_runner
         self._event_header = event_header
         self._clock = clock
         self._buffered_bytes = 0
+        self._incomplete_events = BodyMemory(MAX_INCOMPLETE_EVENT_BYTES)
 
     def run(self, job, connection):
         """Serve `job`; return whether the client's connection can be reused."""
@@ -105,18 +114,12 @@
             self._event_header, job.resume_after_id, job.call.output_tokens or None
         )
         has_events = False
-        while (data := self._read(job, exchange)) is not None:
-            events = decoder.feed(data)
-            if not events:
-                continue
+        for events in self._read_events(job, exchange, decoder):
             if not has_events:
                 self._attempt_runner.record_first_event(job, exchange)
             has_events = True
             connection.write(b"".join(event.data for event in events))
-            job.event_count += len(events)
-            job.last_event_upstream_id = exchange.attempt.upstream.id
-            for event in events:
-                job.last_event_id = event.id
+            job.record_events(events, exchange.attempt.upstream)
         if decoder.is_inside_event:
             self._raise_inside_event(exchange.head)
         if not has_events and not exchange.head.is_framed:
@@ -124,6 +127,20 @@
         exchange.finish()
         return connection.finish_response()
 
+    def _read_events(self, job, exchange, decoder):
+        """Yield the events that each read completes, until the end of the stream."""
+        reservation = self._incomplete_events.new_reservation()
+        try:
+            while (data := self._read(job, exchange)) is not None:
+                events = decoder.feed(data)
+                if events:
+                    reservation.release()
+                    yield events
+                if not reservation.try_grow(decoder.open_bytes):
+                    raise ResponseBroken("incomplete events use all of their memory")
+        finally:
+            reservation.release()
+
     @staticmethod
     def _raise_inside_event(head):
         """Raise the error of a stream that ends inside an event.
--- a/tests/forward/test_relay.py
+++ b/tests/forward/test_relay.py
@@ -1,4 +1,6 @@
+import threading
 from collections import deque
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -8,6 +10,7 @@
 from mulberryhub.forward.job import Job
 from mulberryhub.forward.relay import (
     MAX_BUFFERED_ANSWER_BYTES,
+    MAX_INCOMPLETE_EVENT_BYTES,
     MAX_TOTAL_BUFFERED_BYTES,
     Relay,
 )
@@ -142,3 +145,51 @@
 class SingleAttempt(FakeAttemptRunner):
     def record_broken_answer(self, job, exchange, error):
         raise error
+
+
+class WaitingExchange(FakeExchange):
+    """A stream of one event without an end, which waits once `pieces` are read."""
+
+    def __init__(self, pieces, clock, wait):
+        super().__init__(pieces, clock)
+        self.head = ResponseHead(
+            200, Headers.from_pairs([(b"content-type", b"text/event-stream")])
+        )
+        self._wait = wait
+
+    def read(self, timeout):
+        if not self._pieces:
+            self._wait()
+        return super().read(timeout)
+
+
+def test_incomplete_events_of_all_streams_share_one_limit():
+    pieces = [b"id: 1\ndata: ", PIECE, PIECE, PIECE]
+    stream_count = 2 * MAX_INCOMPLETE_EVENT_BYTES // (3 * len(PIECE))
+    clock = ManualClock()
+    all_read = threading.Event()
+    ended = threading.Semaphore(0)
+    waiting = []
+
+    def wait():
+        waiting.append(None)
+        ended.release()
+        all_read.wait(10)
+
+    exchanges = [WaitingExchange(pieces, clock, wait) for _ in range(stream_count)]
+    shared_relay = Relay(SingleAttempt(exchanges), None, clock)
+
+    def run():
+        job = Job(make_call(), make_route(), make_service(), None, 4_000)
+        with pytest.raises(ResponseBroken):
+            shared_relay.run(job, FakeClient())
+        ended.release()
+
+    with ThreadPoolExecutor(stream_count) as executor:
+        runs = [executor.submit(run) for _ in range(stream_count)]
+        for _ in range(stream_count):
+            ended.acquire(timeout=10)
+        held_bytes = len(waiting) * 3 * len(PIECE)
+        all_read.set()
+    assert all(run.exception() is None for run in runs)
+    assert 0 < held_bytes <= MAX_INCOMPLETE_EVENT_BYTES
