Let the ids of a stream begin with 0

What callers would see: each stream of an upstream that counts from 0 broken off at its first event.

Cause: 0 stood for "no event yet", so the first id had to be greater. Garbage with the id 0 before the first event can't be told from an event then; that case leaves the test of garbage there, as it does for the id 1.

--- a/libs/forward/src/mulberryhub/forward/events.py
+++ b/libs/forward/src/mulberryhub/forward/events.py
@@ -2,9 +2,9 @@
 
 An event is a line `id: NUMBER`, one or more lines `data: TEXT` and a blank line. An
 adapter may name a field with a number that may come in a line before the id. Each line
-ends with LF or CRLF, and the space behind the colon may be missing. Ids are positive
-and increase. They are taken for counts of the answer's tokens, of which an event may
-hold several.
+ends with LF or CRLF, and the space behind the colon may be missing. Ids increase, from 0 or
+more. They are taken for counts of the answer's tokens, of which an event may hold
+several.
 """
 
 import re
@@ -15,6 +15,7 @@
 
 MAX_EVENT_BYTES = 262_144
 STATUS_OK = 200
+NO_EVENT_ID = -1  # before the first event
 EVENT_STREAM_TYPE = b"text/event-stream"
 ID = b"id"
 DATA = b"data"
@@ -70,8 +71,8 @@
     """Decodes the events of one run from pieces of any size.
 
     `header_name` is the field that may come before the id, None for none. `last_id` is
-    the id of the event after which the run goes on, 0 for none. `max_id` is the number
-    of tokens that the answer may have, None if unknown.
+    the id of the event after which the run goes on, NO_EVENT_ID for none. `max_id` is
+    the number of tokens that the answer may have, None if unknown.
     """
 
     __slots__ = (
@@ -85,7 +86,7 @@
         "_open_line",
     )
 
-    def __init__(self, header_name=None, last_id=0, max_id=None):
+    def __init__(self, header_name=None, last_id=NO_EVENT_ID, max_id=None):
         self._kind_by_name = {ID: LineKind.ID, DATA: LineKind.DATA}
         if header_name is not None:
             self._kind_by_name[header_name] = LineKind.HEADER
--- a/libs/forward/src/mulberryhub/forward/job.py
+++ b/libs/forward/src/mulberryhub/forward/job.py
@@ -1,6 +1,7 @@
 """The state of one client request while it is being served."""
 
 from mulberryhub.fleet.records import RequestKind
+from mulberryhub.forward.events import NO_EVENT_ID
 from mulberryhub.forward.fingerprint import fingerprint_of, part_fingerprints_of
 from mulberryhub.permits.stock import Flow
 
@@ -103,14 +104,16 @@
 
     @property
     def resume_after_id(self):
-        """Return the id of the event after which a run goes on, 0 for none.
+        """Return the id of the event after which a run goes on, NO_EVENT_ID for none.
 
         It may have come from an earlier attempt. Streams that can't be resumed begin
         at their first event, whatever the client says.
         """
         if self.last_event_id is not None:
             return self.last_event_id
-        return self.call.last_event_id or 0 if self.is_taken_up else 0
+        if self.is_taken_up and self.call.last_event_id is not None:
+            return self.call.last_event_id
+        return NO_EVENT_ID
 
     def record_events(self, events, upstream):
         """Record that the RawEvents `events` of `upstream` were sent to the client."""
--- a/tests/forward/test_events.py
+++ b/tests/forward/test_events.py
@@ -62,6 +62,10 @@
         assert set(rest) == {b"data"}
 
 
+def test_first_event_may_have_the_id_zero():
+    assert [event.id for event in decode(b"id: 0\ndata: a\n\n")] == [0]
+
+
 @pytest.mark.parametrize("last_id, id", [(0, 0), (4, 4), (4, 3)])
 def test_event_that_the_client_has_already_is_rejected(last_id, id):
     with pytest.raises(InvalidEvent):
