--- a/tests/adapter/crashing_workers.py
+++ b/tests/adapter/crashing_workers.py
@@ -14,9 +14,11 @@
 
 ENTRY_EXPIRY_S = 3.6  # the store drops a worker's entry after this time of silence
 CRASH_BODY_PREFIX = b"crashes its worker"
+# Of one event, so that it is a valid answer of each kind of route.
 ANSWER = (
     "HTTP/1.1 200 OK\r\nX-Mulberryhub-Response-Seal: {worker}\r\n"
-    "X-Mulberryhub-Attempt-Id: {id}\r\nContent-Length: 2\r\n\r\nok"
+    "X-Mulberryhub-Attempt-Id: {id}\r\nContent-Type: text/event-stream\r\n"
+    "Content-Length: 16\r\n\r\nid: 1\ndata: ok\n\n"
 )
 
 STREAM_HEAD = (
