--- a/libs/forward/src/mulberryhub/forward/events.py
+++ b/libs/forward/src/mulberryhub/forward/events.py
@@ -2,8 +2,8 @@
 
 An event is a line `id: NUMBER`, one or more lines `data: TEXT` and a blank line. An
 adapter may name a field with a number that may come in a line before the id. Each line
-ends with LF or CRLF, and the space behind the colon may be missing. Ids increase, from 0 or
-more. They are taken for counts of the answer's tokens, of which an event may hold
+ends with LF or CRLF, and the space behind the colon may be missing. Ids increase, from
+0 or more. They are taken for counts of the answer's tokens, of which an event may hold
 several.
 """
 
