Log from which times the age of named weights is taken

Lines could not tell whether an age that was too short came from a wall clock or from the saver's own bound. `weights named` has the bound of this router and what others told, `age of weights known` the wall time beside the saved times, and the saver logs what it saves.

--- a/libs/fleet/src/mulberryhub/fleet/state.py
+++ b/libs/fleet/src/mulberryhub/fleet/state.py
@@ -172,7 +172,13 @@
         if not self.named_weights.apply(weights, self._operator_absent_at()):
             return
         if weights.version > newest:
-            log.info("weights named", model=weights.model, version=weights.version)
+            log.info(
+                "weights named",
+                model=weights.model,
+                version=weights.version,
+                absent_ms=self.age(Topic.OPERATOR),
+                told_ages_ms=weights.ages,
+            )
         newest = self.named_weights.newest(weights.model)
         known = Weights(weights.model, newest)
         self._record_and_notify(f"weights/{weights.model}", known)
@@ -181,7 +187,13 @@
         """Apply when versions were named, as routers keep it in the store."""
         if self.named_weights.apply_times(times):
             newest = self.named_weights.newest(times.model)
-            log.info("age of weights known", model=times.model, newest=newest)
+            log.info(
+                "age of weights known",
+                model=times.model,
+                newest=newest,
+                wall=self._clock.wall(),
+                named_at=times.named_at_by_version,
+            )
             self._record_and_notify(
                 f"weights/{times.model}", Weights(times.model, newest)
             )
--- a/libs/node/src/mulberryhub/node/naming_times.py
+++ b/libs/node/src/mulberryhub/node/naming_times.py
@@ -47,6 +47,11 @@
         for times in unsaved:
             self._store.put_record(times)
             self._named_weights.record_stored(times)
+            log.info(
+                "times of weights saved",
+                model=times.model,
+                named_at=times.named_at_by_version,
+            )
 
     def _run(self):
         while True:
