--- a/tests/adapter/test_replaced_weights.py
+++ b/tests/adapter/test_replaced_weights.py
@@ -3,6 +3,7 @@
 import signal
 import time
 from itertools import count
+from pathlib import Path
 
 import msgspec
 import pytest
@@ -19,6 +20,8 @@
 REQUEST_INTERVAL_S = 0.1
 WORKER_IDS = ("w1", "w2")
 ALWAYS = 1_000_000  # requests that a fault affects
+WALL_CLOCK_FOLDER = Path(__file__).parent / "wall_clock"
+WALL_CLOCK_STEP_MS = 4_000
 
 
 class MutedPlatform:
@@ -95,6 +98,21 @@
             router.start()
         wait_until(lambda: all(router.is_ready() for router in self.fleet.routers))
 
+    def use_stepped_clocks(self, folder):
+        """Restart all routers with wall clocks that `step_clocks` steps."""
+        self.step_file = folder / "wall_clock_step"
+        self.kill_routers()
+        for router in self.fleet.routers:
+            router.environment = {
+                "PYTHONPATH": str(WALL_CLOCK_FOLDER),
+                "WALL_CLOCK_STEP_FILE": str(self.step_file),
+            }
+        self.start_routers()
+
+    def step_clocks(self, step):
+        """Let the wall clocks of all routers differ from the true time by `step` ms."""
+        self.step_file.write_text(str(step))
+
     def late_runs(self, after):
         """Return the ids of runs on version 1 that began after `after` in s."""
         lines = self.runs_path.read_bytes().splitlines()
@@ -185,3 +203,30 @@
     platform.ask_until(ready_at + 6, platform.fleet.routers)
     for second in range(5):
         assert platform.runs_between(ready_at + second, ready_at + second + 1) > 5
+
+
+@pytest.mark.parametrize(
+    ("step_at_naming", "step_at_start"),
+    [
+        pytest.param(0, -WALL_CLOCK_STEP_MS, id="behind at the start"),
+        pytest.param(WALL_CLOCK_STEP_MS, 0, id="ahead while the naming is saved"),
+        pytest.param(0, WALL_CLOCK_STEP_MS, id="ahead at the start"),
+        pytest.param(-WALL_CLOCK_STEP_MS, 0, id="behind while the naming is saved"),
+    ],
+)
+def test_wrong_wall_clock_does_not_change_how_long_restarted_routers_use_old_weights(
+    platform, tmp_path, step_at_naming, step_at_start
+):
+    platform.use_stepped_clocks(tmp_path)
+    platform.step_clocks(step_at_naming)
+    named_at = platform.name_weights(2)
+    time.sleep(SAVE_TIME_S)
+    platform.kill_routers()
+    platform.step_clocks(step_at_start)
+    platform.start_routers()
+    end = named_at + VERSION_TIME_S
+    platform.ask_until(time.time() + CONTACT_TIME_S, platform.fleet.routers)
+    statuses = platform.ask_until(end - MARGIN_S, platform.fleet.routers)
+    assert statuses and set(statuses) == {200}
+    platform.ask_until(end + 2, platform.fleet.routers)
+    assert not platform.late_runs(end)
