Take the age of weights after a restart from the clock since boot, not from wall clocks

Cause: after a restart of all routers the time of a naming came from one wall time in the store, compared with the wall clock of the router that read it. A clock that was ahead at the saver or behind at the reader made weights look younger by the step, and nothing that was heard later corrected it.

Now each of the two routers that read the store for the others saves its times by the clock that counts from the boot of its VM, with the boot id. That clock goes on while no process runs, so the same router tells the exact age after its restart, and tells the other routers: a follower reports what it learns, too. Wall times only shorten the use of old weights.

Ruled out: an estimate by several wall clocks (one wrong source of time moves them all), and an anchor of each router (as many writes for each naming as routers).

Tests changed: the deputy no longer waits for the first reader, as each saves times of its own clock (both are checked to save); a wall time is checked to be no age. The saved times of the same router must now give the exact age, for all steps.

--- a/libs/fleet/src/mulberryhub/fleet/named_weights.py
+++ b/libs/fleet/src/mulberryhub/fleet/named_weights.py
@@ -3,12 +3,14 @@
 The store does not tell when a record was written. A router that follows the store knows
 that a version was named after the last time at which it was not there yet. A router
 that has just started does not know that time, unless another router tells it or it
-finds it in the store.
+saved it in the store by the clock that counts from the boot of its VM. Wall clocks may
+be wrong, so times that they tell only shorten the use of older weights.
 """
 
 from math import inf
 
-from mulberryhub.fleet.records import NamingTimes, Weights
+from mulberryhub.fleet.naming_clock import naming_times, saved_ages
+from mulberryhub.fleet.records import Weights
 
 MAX_VERSION_COUNT = 16  # of one model, the newest ones
 
@@ -16,33 +18,50 @@
 class NamedVersion:
     """A named version: it was named after `named_after` ms and heard of at `heard_at`.
 
-    `named_after` is None if it is unknown. It is estimated if it was taken from a wall
-    clock, which may be wrong.
+    `named_after` is None if it is unknown. `named_by_wall` is the earliest time that
+    wall clocks tell, None without any.
     """
 
-    __slots__ = ("named_after", "heard_at", "is_estimated")
+    __slots__ = ("named_after", "heard_at", "named_by_wall")
 
     def __init__(self, named_after, heard_at):
         self.named_after = named_after
         self.heard_at = heard_at
-        self.is_estimated = False
+        self.named_by_wall = None
 
-    def learn(self, named_after, is_estimated):
-        """Take over a time if none better is known; return whether it was."""
-        is_better = self.is_estimated and not is_estimated
-        if self.named_after is not None and not is_better:
+    @property
+    def earliest(self):
+        """Return the earliest time in ms that any clock tells, None if none does."""
+        return _earlier(self.named_after, self.named_by_wall)
+
+    def learn(self, named_after):
+        """Take over a time if none is known; return whether it was."""
+        if self.named_after is not None:
             return False
         self.named_after = named_after
-        self.is_estimated = is_estimated
         return True
 
 
 class NamedWeights:
-    """The named versions of all models, and which of their times are in the store."""
+    """The named versions of all models, and which of their times this router saved.
 
-    __slots__ = ("_versions_by_model", "_stored_by_model", "_clock")
+    `router` and `data_centre` are those of this router. `revision` grows with each time
+    that it learns.
+    """
 
-    def __init__(self, clock):
+    __slots__ = (
+        "revision",
+        "_router",
+        "_data_centre",
+        "_versions_by_model",
+        "_stored_by_model",
+        "_clock",
+    )
+
+    def __init__(self, clock, router="", data_centre=""):
+        self.revision = 0
+        self._router = router
+        self._data_centre = data_centre
         self._versions_by_model = {}
         self._stored_by_model = {}
         self._clock = clock
@@ -51,7 +70,7 @@
         """Return the newest named version of `model`, or 0 without any."""
         return max(self._versions_by_model.get(model, ()), default=0)
 
-    def apply(self, weights, absent_at, is_estimated=False):
+    def apply(self, weights, absent_at):
         """Apply a record; return whether it told anything new.
 
         `absent_at` is the last time in ms at which newer versions than the known ones
@@ -66,9 +85,10 @@
             known[weights.version] = NamedVersion(_earlier(absent_at, told), now)
         for version, told in told_by_version.items():
             named = known.setdefault(version, NamedVersion(None, now))
-            is_news |= named.learn(told, is_estimated)
-        for version in sorted(known)[:-MAX_VERSION_COUNT]:
-            del known[version]
+            is_news |= named.learn(told)
+        self._drop_old(known)
+        if is_news:
+            self.revision += 1
         return is_news
 
     def time_since_superseded(self, model, version):
@@ -93,16 +113,25 @@
             return None
         return self._clock.now() - min(named.heard_at for named in newer)
 
+    def longest_time_superseded(self, model, version):
+        """Return the longest time in ms for which any clock tells of a newer version.
+
+        Return 0 if none tells.
+        """
+        times = [named.earliest for named in self._newer(model, version)]
+        earliest = min((time for time in times if time is not None), default=None)
+        return 0 if earliest is None else self._clock.now() - earliest
+
     def with_ages(self, weights):
         """Return `weights` with the present ages of the versions of its model.
 
-        Estimated ones are left out: each router takes them from the store itself.
+        Times of wall clocks are left out: each router reads them from the store.
         """
         known = self._versions_by_model.get(weights.model, {})
         ages = {
             version: self._clock.now() - named.named_after
             for version, named in known.items()
-            if named.named_after is not None and not named.is_estimated
+            if named.named_after is not None
         }
         return Weights(weights.model, weights.version, ages)
 
@@ -114,51 +143,51 @@
         ]
 
     def apply_times(self, times):
-        """Apply times from the store; return whether they told anything new.
-
-        A time ahead of the wall clock counts as now.
-        """
-        self.record_stored(times)
-        wall = self._clock.wall()
-        ages = {
-            version: max(0, wall - named_at)
-            for version, named_at in times.named_at_by_version.items()
-        }
-        known = Weights(times.model, self.newest(times.model), ages)
-        return self.apply(known, None, is_estimated=True)
+        """Apply times that a router saved; return whether they told anything new."""
+        ages = saved_ages(times, self._router, self._clock)
+        if ages.since_boot:
+            self.record_stored(times)
+        newest = self.newest(times.model)
+        self._apply_wall_ages(times.model, ages.by_wall)
+        is_news = self.newest(times.model) > newest
+        known = Weights(times.model, self.newest(times.model), ages.since_boot)
+        return self.apply(known, None) or is_news
 
     def record_stored(self, times):
-        """Record that `times` are in the store."""
+        """Record that `times` of this router are in the store."""
         stored = self._stored_by_model.setdefault(times.model, set())
         stored.update(times.named_at_by_version)
 
     def unstored_times(self):
-        """Return the NamingTimes of each model that has versions not in the store.
-
-        Versions whose age is unknown are left out.
-        """
+        """Return the NamingTimes of each model with times that are not in the store."""
         return [
-            self._times(record)
+            naming_times(record, self._router, self._data_centre, self._clock)
             for record in self.records()
             if record.ages.keys() - self._stored_by_model.get(record.model, set())
         ]
 
-    def _times(self, record):
-        wall = self._clock.wall()
-        named_at_by_version = {
-            version: wall - age for version, age in record.ages.items()
-        }
-        return NamingTimes(record.model, named_at_by_version)
+    def _apply_wall_ages(self, model, age_by_version):
+        known = self._versions_by_model.setdefault(model, {})
+        now = self._clock.now()
+        for version, age in age_by_version.items():
+            named = known.setdefault(version, NamedVersion(None, now))
+            named.named_by_wall = _earlier(named.named_by_wall, now - age)
+        self._drop_old(known)
+
+    @staticmethod
+    def _drop_old(known):
+        for version in sorted(known)[:-MAX_VERSION_COUNT]:
+            del known[version]
 
     def _newer(self, model, version):
         known = self._versions_by_model.get(model, {})
         return [named for number, named in known.items() if number > version]
 
 
-def _earlier(absent_at, told):
+def _earlier(first, second):
     """Return the earlier of two times in ms, each None if unknown.
 
     What another router told may have waited while this one stood still.
     """
-    known = [time for time in (absent_at, told) if time is not None]
+    known = [time for time in (first, second) if time is not None]
     return min(known, default=None)
--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -138,13 +138,18 @@
 
 
 class NamingTimes(msgspec.Struct, frozen=True):
-    """When versions of a model's weights were named, as Unix times in ms at the latest.
+    """When versions of a model's weights were named, in ms at the earliest.
 
-    Routers keep it in the store for those that start later.
+    `router` saves them in the store, as Unix times and as times since the boot of its
+    VM, which `boot_id` identifies. An empty one means that these are unknown.
     """
 
     model: Text
     named_at_by_version: dict[Count, Number]
+    router: Text = ""
+    data_centre: Text = ""
+    boot_id: Text = ""
+    uptime_by_version: dict[Count, Number] = {}
 
 
 class Upstream(msgspec.Struct, frozen=True, tag=True):
--- a/libs/fleet/src/mulberryhub/fleet/state.py
+++ b/libs/fleet/src/mulberryhub/fleet/state.py
@@ -61,7 +61,8 @@
     and `as_of_by_topic` the time in ms as of which nothing newer was in the store.
     `regained_at_by_topic` is when current data was received again, from any source,
     after a gap of more than OUTAGE_THRESHOLD_MS. `listed_up_to` is the end of the last
-    complete listing that upstreams were compared with.
+    complete listing that upstreams were compared with. `router` and `data_centre` are
+    those of this router.
     """
 
     __slots__ = (
@@ -93,9 +94,9 @@
         "_changed",
     )
 
-    def __init__(self, clock):
+    def __init__(self, clock, router="", data_centre=""):
         self.configuration = None
-        self.named_weights = NamedWeights(clock)
+        self.named_weights = NamedWeights(clock, router, data_centre)
         self.upstreams_by_id = {}
         self.members_by_name = {}
         self.ranked_by_data_centre = {}
@@ -188,11 +189,15 @@
         if self.named_weights.apply_times(times):
             newest = self.named_weights.newest(times.model)
             log.info(
-                "age of weights known",
+                "saved times of weights read",
                 model=times.model,
                 newest=newest,
+                saved_by=times.router,
                 wall=self._clock.wall(),
                 named_at=times.named_at_by_version,
+                known_ages_ms=self.named_weights.with_ages(
+                    Weights(times.model, newest)
+                ).ages,
             )
             self._record_and_notify(
                 f"weights/{times.model}", Weights(times.model, newest)
--- a/libs/fleet/src/mulberryhub/fleet/subscription.py
+++ b/libs/fleet/src/mulberryhub/fleet/subscription.py
@@ -29,16 +29,27 @@
 class SentReport:
     """The content of the last report, its number and the ms at which it was sent.
 
-    `revision` is the local revision up to which observations were sent.
+    `revision` is the local revision up to which observations were sent,
+    `weights_revision` that of the named weights.
     """
 
-    __slots__ = ("number", "usage", "rollout_order", "revision", "sent_at")
+    __slots__ = (
+        "number",
+        "usage",
+        "rollout_order",
+        "revision",
+        "weights_revision",
+        "sent_at",
+    )
 
-    def __init__(self, number, usage, rollout_order, revision, sent_at):
+    def __init__(
+        self, number, usage, rollout_order, revision, weights_revision, sent_at
+    ):
         self.number = number
         self.usage = usage
         self.rollout_order = rollout_order
         self.revision = revision
+        self.weights_revision = weights_revision
         self.sent_at = sent_at
 
 
@@ -220,13 +231,15 @@
         report = Report(number, usage)
         if last_sent is None:
             report.admitted_by_data_centre = self._usage_table.admitted_by_data_centre()
-            report.weights = self._fleet_state.named_weights.records()
             if self.member.data_centre == self._local_member.data_centre:
                 report.unshared = self._usage_table.take_unshared()
         else:
             report.use = msgspec.structs.replace(
                 usage, admitted=usage.admitted.newest(REPORTED_SLOT_COUNT)
             )
+        named_weights = self._fleet_state.named_weights
+        if last_sent is None or last_sent.weights_revision != named_weights.revision:
+            report.weights = named_weights.records()
         rollout = self._fleet_state.rollout
         revision = self._fleet_state.revision
         report.observations = self._unsent_observations(last_sent)
@@ -235,7 +248,14 @@
         self._channel.send(report)
         if len(self._usage_by_report_number) < MAX_UNACKED_REPORT_COUNT:
             self._usage_by_report_number[number] = usage
-        return SentReport(number, usage, rollout.order, revision, self._clock.now())
+        return SentReport(
+            number,
+            usage,
+            rollout.order,
+            revision,
+            named_weights.revision,
+            self._clock.now(),
+        )
 
     def _unsent_observations(self, last_sent):
         """Return the observations that the publisher does not have."""
--- a/libs/forward/src/mulberryhub/forward/selection.py
+++ b/libs/forward/src/mulberryhub/forward/selection.py
@@ -167,14 +167,16 @@
 
         `newest` is the newest version in use. Where none newer is in use, weights of
         unknown age are used for a short time only, in which other routers may tell
-        their age and upstreams may load newer ones.
+        their age and upstreams may load newer ones. Wall clocks may end that earlier.
         """
         named = self._fleet_state.named_weights
         age = named.time_since_superseded(model, version)
         if age is None:
             return True
         if age == inf and version == newest:
-            return named.time_known_superseded(model, version) < UNKNOWN_AGE_TIME_MS
+            if named.time_known_superseded(model, version) >= UNKNOWN_AGE_TIME_MS:
+                return False
+            age = named.longest_time_superseded(model, version)
         return age + self._loads.work(upstream.id) < self._version_time
 
     def _costs(self, call, upstreams, ranked):
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -56,7 +56,7 @@
 
     `counters` must be PrometheusCounters.
     """
-    fleet_state = FleetState(clock)
+    fleet_state = FleetState(clock, settings.name, settings.data_centre)
     parts = RouterParts()
     parts.local_member = Member(
         settings.name,
@@ -193,7 +193,6 @@
         ports.store,
         fleet_state.named_weights,
         parts.source_selector.reader_rank,
-        clock,
     )
     router = Router(settings, parts, clock)
     parts.readiness_server = readiness_server(
--- a/tests/fleet/test_named_weights.py
+++ b/tests/fleet/test_named_weights.py
@@ -7,12 +7,14 @@
 from mulberryhub.fleet.records import NamingTimes, Weights
 
 MODEL = "m"
+ROUTER = "r1"
+STEP_MS = 2_400
 
 
 class Fixture:
     def __init__(self):
         self.clock = ManualClock(now=100_000)
-        self.named = NamedWeights(self.clock)
+        self.named = self.start(ROUTER)
 
     def apply(self, version, absent_for=None, **ages):
         absent_at = None if absent_for is None else self.clock.now() - absent_for
@@ -22,6 +24,21 @@
     def age(self, version):
         return self.named.time_since_superseded(MODEL, version)
 
+    def start(self, router):
+        return NamedWeights(self.clock, router, "a")
+
+    def save(self):
+        """Return the times that this router saves now."""
+        (times,) = self.named.unstored_times()
+        self.named.record_stored(times)
+        return times
+
+    def restart(self, router, times):
+        """Replace the router by a new process that reads what was saved."""
+        self.named = self.start(router)
+        self.named.apply(Weights(MODEL, 2), None)
+        self.named.apply_times(times)
+
 
 @pytest.fixture
 def fixture():
@@ -96,28 +113,81 @@
     assert fixture.named.records() == [Weights(MODEL, 2)]
 
 
-def test_age_is_learned_from_the_store_after_a_start(fixture):
+def test_saved_times_are_not_saved_again(fixture):
     fixture.apply(2, absent_for=300)
-    times = fixture.named.unstored_times()
-    fixture.named.record_stored(times[0])
+    times = fixture.save()
+    assert fixture.named.unstored_times() == []
+    fixture.restart(ROUTER, times)
     assert fixture.named.unstored_times() == []
-    restarted = NamedWeights(fixture.clock)
+
+
+@pytest.mark.parametrize("step_while_saved", [-STEP_MS, 0, STEP_MS])
+@pytest.mark.parametrize("step_at_start", [-STEP_MS, 0, STEP_MS])
+def test_step_of_the_wall_clock_does_not_change_the_age_after_a_restart(
+    fixture, step_while_saved, step_at_start
+):
+    fixture.apply(2, absent_for=300)
+    fixture.clock.step_wall(step_while_saved)
+    times = fixture.save()
+    fixture.clock.step_wall(step_at_start - step_while_saved)
     fixture.clock.advance(5_000)
-    restarted.apply(Weights(MODEL, 2), None)
-    assert restarted.apply_times(times[0])
-    assert restarted.time_since_superseded(MODEL, 1) == 5_300
-    assert restarted.unstored_times() == []
+    fixture.restart(ROUTER, times)
+    assert fixture.age(1) == 5_300
+    assert fixture.named.records() == [Weights(MODEL, 2, {2: 5_300})]
 
 
 def test_times_may_be_read_before_the_name_itself(fixture):
-    fixture.named.apply_times(NamingTimes(MODEL, {2: fixture.clock.wall() - 5_000}))
+    fixture.apply(2, absent_for=300)
+    times = fixture.save()
+    fixture.clock.advance(5_000)
+    fixture.named = fixture.start(ROUTER)
+    fixture.named.apply_times(times)
+    assert fixture.named.newest(MODEL) == 2
     fixture.apply(2)
-    assert fixture.age(1) == 5_000
+    assert fixture.age(1) == 5_300
+
+
+def test_times_that_another_vm_saved_do_not_tell_an_age(fixture):
+    fixture.apply(2, absent_for=300)
+    times = fixture.save()
+    fixture.clock.advance(5_000)
+    fixture.restart("r2", times)
+    assert fixture.age(1) == inf
+    assert fixture.named.longest_time_superseded(MODEL, 1) == 5_300
+    assert fixture.named.records() == [Weights(MODEL, 2)]
+
+
+@pytest.mark.parametrize(
+    ("boot_id", "uptime"),
+    [
+        pytest.param("later boot", 106_000, id="clock fits by chance"),
+        pytest.param("boot", 900, id="clock began anew"),
+        pytest.param("boot", 900_000, id="clock of a snapshot"),
+        pytest.param("", 105_000, id="boot is unknown"),
+    ],
+)
+def test_age_is_unknown_after_a_loss_of_power(fixture, boot_id, uptime):
+    fixture.apply(2, absent_for=300)
+    times = fixture.save()
+    fixture.clock.advance(5_000)
+    fixture.clock.reboot(boot_id, uptime)
+    fixture.restart(ROUTER, times)
+    assert fixture.age(1) == inf
+    assert fixture.named.longest_time_superseded(MODEL, 1) == 5_300
 
 
 def test_time_ahead_of_the_wall_clock_counts_as_now(fixture):
     fixture.named.apply_times(NamingTimes(MODEL, {2: fixture.clock.wall() + 5_000}))
-    assert fixture.age(1) == 0
+    assert fixture.age(1) == inf
+    assert fixture.named.longest_time_superseded(MODEL, 1) == 0
+
+
+def test_earliest_time_of_all_wall_clocks_counts(fixture):
+    wall = fixture.clock.wall()
+    fixture.named.apply_times(NamingTimes(MODEL, {2: wall - 4_000}, "r2"))
+    fixture.named.apply_times(NamingTimes(MODEL, {2: wall - 9_000}, "r3"))
+    fixture.named.apply_times(NamingTimes(MODEL, {2: wall - 1_000}, "r4"))
+    assert fixture.named.longest_time_superseded(MODEL, 1) == 9_000
 
 
 def test_age_that_a_router_tells_replaces_one_of_a_wall_clock(fixture):
@@ -130,6 +200,16 @@
     assert fixture.age(1) == 11_000
 
 
+def test_each_learned_time_is_a_new_revision(fixture):
+    fixture.apply(2)
+    named = fixture.named.revision
+    fixture.apply(2, v2=4_000)
+    assert fixture.named.revision > named
+    told = fixture.named.revision
+    fixture.apply(2, v2=4_000)
+    assert fixture.named.revision == told
+
+
 def test_only_the_newest_versions_are_kept(fixture):
     for version in range(1, MAX_VERSION_COUNT * 2):
         fixture.apply(version, absent_for=0)
--- a/tests/forward/test_selection.py
+++ b/tests/forward/test_selection.py
@@ -2,7 +2,7 @@
 
 from mulberryhub.base.clock import ManualClock
 from mulberryhub.base.counters import Counters
-from mulberryhub.fleet.records import UpstreamState, Usage, Weights
+from mulberryhub.fleet.records import NamingTimes, UpstreamState, Usage, Weights
 from mulberryhub.fleet.rollout import Rollout
 from mulberryhub.fleet.state import FleetState, Topic
 from mulberryhub.forward.availability import UpstreamAvailability
@@ -55,6 +55,11 @@
         service = service or make_service()
         return self.selector.choose(call, make_route(), service, set(tried_ids), FLOW)
 
+    def apply_wall_age(self, version, age):
+        """Apply the time of a naming that another router saved by its wall clock."""
+        named_at = self.clock.wall() - age
+        self.fleet_state.apply(NamingTimes(MODEL, {version: named_at}, "r2"))
+
     def add_load(self, id, requests):
         upstream = self.fleet_state.upstreams_by_id[id]
         work = estimate_work(make_call(), make_service(), upstream, False)
@@ -167,6 +172,23 @@
         fixture.clock.advance(UNKNOWN_AGE_TIME_MS)
         assert fixture.choose() is None
 
+    @pytest.mark.parametrize("wall_age", [0, VERSION_TIME_MS // 2])
+    def test_wall_clock_does_not_prolong_the_use_of_weights_of_unknown_age(
+        self, wall_age
+    ):
+        fixture = Fixture(make_upstream("old", 1, version=1))
+        fixture.apply_wall_age(2, wall_age)
+        assert fixture.choose().version == 1
+        fixture.clock.advance(UNKNOWN_AGE_TIME_MS)
+        assert fixture.choose() is None
+
+    def test_wall_clock_ends_the_use_of_weights_of_unknown_age(self):
+        fixture = Fixture(make_upstream("old", 1, version=1))
+        fixture.apply_wall_age(2, VERSION_TIME_MS - 500)
+        assert fixture.choose().version == 1
+        fixture.clock.advance(500)
+        assert fixture.choose() is None
+
     def test_old_weights_of_an_age_told_after_a_start_are_used(self):
         fixture = Fixture(make_upstream("old", 1, version=1))
         fixture.fleet_state.apply(Weights(MODEL, 2, {2: 1_000}))
--- a/tests/node/test_naming_times.py
+++ b/tests/node/test_naming_times.py
@@ -2,9 +2,9 @@
 
 from mulberryhub.base.clock import ManualClock
 from mulberryhub.fleet.named_weights import NamedWeights
-from mulberryhub.fleet.records import Weights
+from mulberryhub.fleet.records import NamingTimes, Weights
 from mulberryhub.fleet.store import StoreUnavailable
-from mulberryhub.node.naming_times import DEPUTY_DELAY_MS, NamingTimesSaver
+from mulberryhub.node.naming_times import NamingTimesSaver
 
 MODEL = "m"
 
@@ -24,8 +24,8 @@
     def __init__(self, rank):
         self.clock = ManualClock()
         self.store = FakeStore()
-        self.named = NamedWeights(self.clock)
-        self.saver = NamingTimesSaver(self.store, self.named, lambda: rank, self.clock)
+        self.named = NamedWeights(self.clock, "r1", "a")
+        self.saver = NamingTimesSaver(self.store, self.named, lambda: rank)
 
     def name(self, version, absent_at):
         self.named.apply(Weights(MODEL, version), absent_at)
@@ -49,12 +49,21 @@
     assert fixture.store.records == []
 
 
-def test_deputy_saves_what_the_first_reader_has_not():
-    fixture = Fixture(rank=1)
+@pytest.mark.parametrize("rank", [0, 1])
+def test_each_reader_saves_the_times_of_its_own_clock(rank):
+    fixture = Fixture(rank)
     fixture.name(2, fixture.clock.now())
     fixture.saver.step()
-    assert fixture.store.records == []
-    fixture.clock.advance(DEPUTY_DELAY_MS)
+    (times,) = fixture.store.records
+    assert (times.router, times.data_centre) == ("r1", "a")
+    assert times.boot_id == fixture.clock.boot_id()
+    assert times.uptime_by_version == {2: fixture.clock.now()}
+
+
+def test_times_that_another_router_saved_do_not_keep_a_reader_from_saving():
+    fixture = Fixture(rank=1)
+    fixture.name(2, fixture.clock.now())
+    fixture.named.apply_times(NamingTimes(MODEL, {2: fixture.clock.wall()}, "r2", "b"))
     fixture.saver.step()
     assert len(fixture.store.records) == 1
 
@@ -62,7 +71,7 @@
 def test_other_routers_do_not_save():
     fixture = Fixture(rank=None)
     fixture.name(2, fixture.clock.now())
-    fixture.clock.advance(DEPUTY_DELAY_MS * 10)
+    fixture.clock.advance(60_000)
     fixture.saver.step()
     assert fixture.store.records == []
 
