Do not take a failed read for proof that nothing was named before it

A router whose first read after a pause failed took weights that were named during the pause for younger than that read, told that age to others and saved it for routers that start later. A router that the store refused, while it served the operator, did the same, and an age told by another router did not correct it.

Cause: the start of a failed read moved the bound before which a version was not yet named, since a store that is away names nothing. That is an assumption: the store may serve others, and a router that stood still did not read at all.

Failed reads now count only without a pause between them, and an age that rests on them is provisional: it is neither told nor saved, and an age that another router tells replaces it. In an outage for all, weights named at its end are still no older than the outage lets them be.

--- a/libs/fleet/src/mulberryhub/fleet/named_weights.py
+++ b/libs/fleet/src/mulberryhub/fleet/named_weights.py
@@ -18,27 +18,35 @@
 class NamedVersion:
     """A named version: it was named after `named_after` ms and heard of at `heard_at`.
 
-    `named_after` is None if it is unknown. `named_by_wall` is the earliest time that
-    wall clocks tell, None without any.
+    `named_after` is None if it is unknown, and provisional if it rests on failed reads
+    of the store. `named_by_wall` is the earliest time that wall clocks tell, None
+    without any.
     """
 
-    __slots__ = ("named_after", "heard_at", "named_by_wall")
+    __slots__ = ("named_after", "heard_at", "is_provisional", "named_by_wall")
 
-    def __init__(self, named_after, heard_at):
+    def __init__(self, named_after, heard_at, is_provisional=False):
         self.named_after = named_after
         self.heard_at = heard_at
+        self.is_provisional = is_provisional
         self.named_by_wall = None
 
+    @property
+    def is_certain(self):
+        """Return whether other routers may rely on `named_after`."""
+        return self.named_after is not None and not self.is_provisional
+
     @property
     def earliest(self):
         """Return the earliest time in ms that any clock tells, None if none does."""
         return _earlier(self.named_after, self.named_by_wall)
 
     def learn(self, named_after):
-        """Take over a time if none is known; return whether it was."""
-        if self.named_after is not None:
+        """Take over a time if none is known for certain; return whether it was."""
+        if self.is_certain:
             return False
         self.named_after = named_after
+        self.is_provisional = False
         return True
 
 
@@ -70,11 +78,12 @@
         """Return the newest named version of `model`, or 0 without any."""
         return max(self._versions_by_model.get(model, ()), default=0)
 
-    def apply(self, weights, absent_at):
+    def apply(self, weights, absent_at, unreadable_at=None):
         """Apply a record; return whether it told anything new.
 
         `absent_at` is the last time in ms at which newer versions than the known ones
-        were not in the store, None if that is unknown.
+        were not in the store, None if that is unknown. `unreadable_at` is a later one
+        at which this router could not read the store, None without any.
         """
         known = self._versions_by_model.setdefault(weights.model, {})
         now = self._clock.now()
@@ -82,7 +91,7 @@
         is_news = weights.version > self.newest(weights.model)
         if is_news:
             told = told_by_version.get(weights.version)
-            known[weights.version] = NamedVersion(_earlier(absent_at, told), now)
+            known[weights.version] = self._heard(absent_at, unreadable_at, told)
         for version, told in told_by_version.items():
             named = known.setdefault(version, NamedVersion(None, now))
             is_news |= named.learn(told)
@@ -125,13 +134,14 @@
     def with_ages(self, weights):
         """Return `weights` with the present ages of the versions of its model.
 
-        Times of wall clocks are left out: each router reads them from the store.
+        Provisional times are left out, and those of wall clocks, which each router
+        reads from the store.
         """
         known = self._versions_by_model.get(weights.model, {})
         ages = {
             version: self._clock.now() - named.named_after
             for version, named in known.items()
-            if named.named_after is not None
+            if named.is_certain
         }
         return Weights(weights.model, weights.version, ages)
 
@@ -166,6 +176,15 @@
             if record.ages.keys() - self._stored_by_model.get(record.model, set())
         ]
 
+    def _heard(self, absent_at, unreadable_at, told):
+        """Return the NamedVersion of news; see `apply`, `told` may be None."""
+        now = self._clock.now()
+        if unreadable_at is None:
+            return NamedVersion(_earlier(absent_at, told), now)
+        if told is None:
+            return NamedVersion(unreadable_at, now, is_provisional=True)
+        return NamedVersion(told, now)
+
     def _apply_wall_ages(self, model, age_by_version):
         known = self._versions_by_model.setdefault(model, {})
         now = self._clock.now()
--- a/libs/fleet/src/mulberryhub/fleet/state.py
+++ b/libs/fleet/src/mulberryhub/fleet/state.py
@@ -13,6 +13,7 @@
 from mulberryhub.fleet.cache_index import CacheIndex
 from mulberryhub.fleet.changes import ChangeLog
 from mulberryhub.fleet.departures import Departures
+from mulberryhub.fleet.failed_reads import FailedReads
 from mulberryhub.fleet.leaders import ranked
 from mulberryhub.fleet.named_weights import NamedWeights
 from mulberryhub.fleet.outdated import OutdatedFilter
@@ -86,7 +87,7 @@
         "_outdated_filter",
         "_departures",
         "_running_versions",
-        "_unreadable_at",
+        "_failed_reads",
         "_changes",
         "_rollout_at",
         "_clock",
@@ -115,7 +116,7 @@
         self._outdated_filter = OutdatedFilter()
         self._departures = Departures()
         self._running_versions = RunningVersions()
-        self._unreadable_at = UNKNOWN_POSITION
+        self._failed_reads = FailedReads()
         self._changes = ChangeLog()
         self._rollout_at = None
         self._clock = clock
@@ -170,7 +171,9 @@
     def apply_weights(self, weights):
         """Apply what is known of the weights versions that the operator named."""
         newest = self.named_weights.newest(weights.model)
-        if not self.named_weights.apply(weights, self._operator_absent_at()):
+        absent_at = self._operator_absent_at()
+        unreadable_at = self._failed_reads.last_after(absent_at)
+        if not self.named_weights.apply(weights, absent_at, unreadable_at):
             return
         if weights.version > newest:
             log.info(
@@ -204,16 +207,13 @@
             )
 
     def record_unreadable(self, called_at):
-        """Record that a read of the operator's topic, sent at `called_at` ms, failed.
-
-        While the store is away, nothing new is named in it.
-        """
-        self._unreadable_at = max(self._unreadable_at, called_at)
+        """Record that a read of the operator's topic, begun at `called_at`, failed."""
+        self._failed_reads.record(called_at, self._operator_absent_at())
 
     def _operator_absent_at(self):
         """Return the last time in ms without news of the operator, None if unknown."""
         as_of = self.as_of_by_topic[Topic.OPERATOR]
-        return None if as_of == UNKNOWN_POSITION else max(as_of, self._unreadable_at)
+        return None if as_of == UNKNOWN_POSITION else as_of
 
     def apply_upstream(self, upstream):
         """Apply an upstream's own record if it is newer."""
