Count the time for which a message of a router waited in the ages that it tells

A message that waits on a link or at a receiver that stands still for up to 1.5 s told ages as of its sending, taken as of its receipt. The receiver then took weights for younger by as much, which is more than the margin of 0.7 s before the limit, or believed that they had not been named yet at a time at which they had.

Messages now tell when their ages were taken, by the clock of the sender. Clocks of VMs differ, but run at the same speed: what a message took longer than the fastest one of its connection is the time for which it waited. It is added to the ages of weights, and taken off the bound before which nothing was named. How current a topic is stays as it was, so routers read the store no more often than before. The first message of a connection is not corrected. Routers of earlier builds ignore the field, and theirs lack it.

--- a/libs/fleet/src/mulberryhub/fleet/channel.py
+++ b/libs/fleet/src/mulberryhub/fleet/channel.py
@@ -57,7 +57,8 @@
     `weights` with the ages of the named versions. Later reports have only the newest
     slots of the subscriber's own admissions. `unshared` are older ones of its own, of a
     time in which it heard no other router.
-    `observations` are new ones, without those that the publisher sent.
+    `observations` are new ones, without those that the publisher sent. `sent_at` is in
+    ms by the sender's clock, None in reports of earlier builds.
     """
 
     number: int
@@ -69,6 +70,7 @@
     observations: list[Observation] = []
     weights: list[Weights] = []
     unshared: Admitted = Admitted()
+    sent_at: int | None = None
 
 
 class Update(msgspec.Struct, tag="News", omit_defaults=True):
@@ -86,6 +88,8 @@
     lists all known upstreams, first and again after a listing, as records of removals
     do not go back that far. `is_current` is set if the publisher's own data is fresh.
     `coordinator` is the name of the router that the publisher asks for permits.
+    `sent_at` is when ages were taken, in ms by the sender's clock, None in updates of
+    earlier builds and without ages.
     """
 
     records: list[Record] = []
@@ -102,6 +106,7 @@
     admitted_by_data_centre: dict[str, Admitted] = {}
     rollout: Rollout | None = None
     coordinator: str = ""
+    sent_at: int | None = None
 
 
 class ReportAck(msgspec.Struct, tag="Counted"):
--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -21,6 +21,7 @@
 )
 from mulberryhub.fleet.records import Configuration, Member, Upstream
 from mulberryhub.fleet.state import UNKNOWN_POSITION, Topic
+from mulberryhub.fleet.transit import TransitDelay
 from mulberryhub.fleet.usage import PUBLISHED_SLOT_COUNT
 from mulberryhub.http.accept_loop import run_accept_loop
 from mulberryhub.http.sockets import close, open_listener, set_socket_options
@@ -155,11 +156,14 @@
             if not isinstance(hello, Hello):
                 raise ChannelError("first message is not a Hello")
             name = hello.name
+            transit_delay = TransitDelay()
             spawn_task(self._publish, Subscriber(channel, hello))
             while True:
                 report = channel.receive(SUBSCRIBER_TIMEOUT_MS)
                 if isinstance(report, Report):
-                    self._apply_report(name, hello, report)
+                    now = self._clock.now()
+                    waited = transit_delay.measure(report.sent_at, now)
+                    self._apply_report(name, hello, report, waited)
         except ChannelError as error:
             log.debug("subscription ended", subscriber=name, reason=str(error))
         finally:
@@ -173,7 +177,8 @@
             channel.send(self._coordinate(request))
             request = channel.receive()
 
-    def _apply_report(self, name, hello, report):
+    def _apply_report(self, name, hello, report, waited):
+        """Apply a report that waited for `waited` ms on the way."""
         if hello.data_centre == self._usage_table.data_centre:
             self._usage_table.record_report(
                 name,
@@ -185,7 +190,7 @@
         for observation in report.observations:
             self._fleet_state.apply(observation, name)
         for weights in report.weights:
-            self._fleet_state.apply(weights, name)
+            self._fleet_state.apply(weights.aged(waited), name)
         if report.rollout is not None:
             self._fleet_state.apply_rollout(report.rollout)
 
@@ -325,7 +330,7 @@
     def _make_update(self, revision):
         """Return an Update, without usage, of everything changed since `revision`."""
         fleet_state = self._fleet_state
-        update = Update(is_current=self._is_current())
+        update = Update(is_current=self._is_current(), sent_at=self._clock.now())
         update.coordinator = self._find_coordinator().name
         update.position_by_topic = {
             str(topic): position
--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -136,6 +136,11 @@
     version: Count
     ages: dict[Count, Count] = {}
 
+    def aged(self, delay):
+        """Return this record as of `delay` ms later."""
+        ages = {version: age + delay for version, age in self.ages.items()}
+        return Weights(self.model, self.version, ages)
+
 
 class NamingTimes(msgspec.Struct, frozen=True):
     """When versions of a model's weights were named, in ms at the earliest.
--- a/libs/fleet/src/mulberryhub/fleet/state.py
+++ b/libs/fleet/src/mulberryhub/fleet/state.py
@@ -87,6 +87,7 @@
         "_outdated_filter",
         "_departures",
         "_running_versions",
+        "_operator_absent_at",
         "_failed_reads",
         "_changes",
         "_rollout_at",
@@ -116,6 +117,7 @@
         self._outdated_filter = OutdatedFilter()
         self._departures = Departures()
         self._running_versions = RunningVersions()
+        self._operator_absent_at = None
         self._failed_reads = FailedReads()
         self._changes = ChangeLog()
         self._rollout_at = None
@@ -131,11 +133,18 @@
         """Block until the next change."""
         self._changed.wait()
 
-    def mark_read_up_to(self, topic, position, as_of):
+    def mark_read_up_to(self, topic, position, as_of, waited=0):
         """Record that `topic` is known up to `position`, as of `as_of` ms.
 
-        If `position` is UNKNOWN_POSITION, only the time is recorded.
+        If `position` is UNKNOWN_POSITION, only the time is recorded. What told it
+        waited for `waited` ms on the way, which `as_of` does not count.
         """
+        if topic is Topic.OPERATOR:
+            absent_at = as_of - waited
+            known = self._operator_absent_at
+            self._operator_absent_at = (
+                absent_at if known is None else max(known, absent_at)
+            )
         if position > self.position_by_topic[topic]:
             self.position_by_topic[topic] = position
         before = self.as_of_by_topic[topic]
@@ -171,7 +180,7 @@
     def apply_weights(self, weights):
         """Apply what is known of the weights versions that the operator named."""
         newest = self.named_weights.newest(weights.model)
-        absent_at = self._operator_absent_at()
+        absent_at = self._operator_absent_at
         unreadable_at = self._failed_reads.last_after(absent_at)
         if not self.named_weights.apply(weights, absent_at, unreadable_at):
             return
@@ -208,12 +217,7 @@
 
     def record_unreadable(self, called_at):
         """Record that a read of the operator's topic, begun at `called_at`, failed."""
-        self._failed_reads.record(called_at, self._operator_absent_at())
-
-    def _operator_absent_at(self):
-        """Return the last time in ms without news of the operator, None if unknown."""
-        as_of = self.as_of_by_topic[Topic.OPERATOR]
-        return None if as_of == UNKNOWN_POSITION else as_of
+        self._failed_reads.record(called_at, self._operator_absent_at)
 
     def apply_upstream(self, upstream):
         """Apply an upstream's own record if it is newer."""
--- a/libs/fleet/src/mulberryhub/fleet/subscription.py
+++ b/libs/fleet/src/mulberryhub/fleet/subscription.py
@@ -13,7 +13,9 @@
     ReportAck,
     Update,
 )
+from mulberryhub.fleet.records import Weights
 from mulberryhub.fleet.state import UNKNOWN_POSITION, Topic
+from mulberryhub.fleet.transit import TransitDelay
 from mulberryhub.fleet.usage import REPORTED_SLOT_COUNT
 
 REPORT_INTERVAL_MS = 250  # between reports without a notable change
@@ -75,6 +77,7 @@
         "_channel",
         "_acked_number",
         "_usage_by_report_number",
+        "_transit_delay",
     )
 
     def __init__(
@@ -101,6 +104,7 @@
         self._channel = None
         self._acked_number = None
         self._usage_by_report_number = {}
+        self._transit_delay = TransitDelay()
 
     def start(self):
         """Subscribe in the background; `ended` is set when the subscription is over."""
@@ -129,7 +133,8 @@
                 if isinstance(message, ReportAck):
                     self._apply_ack(message.number)
                 elif isinstance(message, Update):
-                    self._apply_update(message)
+                    waited = self._transit_delay.measure(message.sent_at, received_at)
+                    self._apply_update(message, waited)
         except ChannelError as error:
             if not self.ended:
                 log.info("member lost", member=self.member.name, reason=str(error))
@@ -152,15 +157,18 @@
             },
         )
 
-    def _apply_update(self, update):
+    def _apply_update(self, update, waited):
+        """Apply an update that waited for `waited` ms on the way."""
         fleet_state = self._fleet_state
         self.is_publisher_current = update.is_current
         self.coordinator = update.coordinator or self.coordinator
         if update.cache_start is not None:
             fleet_state.cache_index.record_start(*update.cache_start)
         for record in update.records:
+            if isinstance(record, Weights):
+                record = record.aged(waited)
             fleet_state.apply(record, self.member.name)
-        self._apply_positions(update)
+        self._apply_positions(update, waited)
         now = self._clock.now()
         if update.cache_index_age is not None:
             fleet_state.cache_index.mark_current(now - update.cache_index_age)
@@ -189,7 +197,7 @@
         ]:
             del self._usage_by_report_number[older]
 
-    def _apply_positions(self, update):
+    def _apply_positions(self, update, waited):
         """Apply the publisher's position in each topic, and removals up to it."""
         now = self._clock.now()
         for name, position in update.position_by_topic.items():
@@ -204,7 +212,7 @@
                     self._fleet_state.seen_software.record_skip()
             age = update.age_by_topic.get(topic)
             if age is not None:
-                self._fleet_state.mark_read_up_to(topic, position, now - age)
+                self._fleet_state.mark_read_up_to(topic, position, now - age, waited)
 
     def _report_loop(self):
         last_sent = None
@@ -240,6 +248,7 @@
         named_weights = self._fleet_state.named_weights
         if last_sent is None or last_sent.weights_revision != named_weights.revision:
             report.weights = named_weights.records()
+        report.sent_at = self._clock.now()
         rollout = self._fleet_state.rollout
         revision = self._fleet_state.revision
         report.observations = self._unsent_observations(last_sent)
