Show that a router that stood still saves its return as the time of a naming

With no clock stepped: a router that reads the store for the others stands still while weights are named, and all are killed 0.8 s after its return.

At their return they accept connections that others opened meanwhile and have given up; the first report on each has the ages as of its sending, which are taken as of its receipt.

--- a/tests/adapter/test_replaced_weights.py
+++ b/tests/adapter/test_replaced_weights.py
@@ -230,3 +230,22 @@
     assert statuses and set(statuses) == {200}
     platform.ask_until(end + 2, platform.fleet.routers)
     assert not platform.late_runs(end)
+
+
+@pytest.mark.parametrize("index", [0, 1])
+def test_router_frozen_during_the_naming_does_not_save_its_return_as_the_naming(
+    platform, index
+):
+    frozen = platform.fleet.routers[index]
+    frozen.popen.send_signal(signal.SIGSTOP)
+    try:
+        time.sleep(2.0)
+        named_at = platform.name_weights(2)
+        time.sleep(4.0)
+    finally:
+        frozen.popen.send_signal(signal.SIGCONT)
+    time.sleep(0.8)
+    platform.restart_routers()
+    end = named_at + VERSION_TIME_S
+    platform.ask_until(end + 3, platform.fleet.routers)
+    assert not platform.late_runs(end)
--- a/tests/fleet/test_late_messages.py
+++ b/tests/fleet/test_late_messages.py
@@ -88,3 +88,22 @@
     wait_until(lambda: pair.publisher.fleet_state.named_weights.newest("m") == 2)
     assert age_at(pair.publisher) >= age_at(pair.subscriber) - TOLERANCE_MS
     assert age_at(pair.publisher) >= STALL_S * 1000
+
+
+def test_report_that_waited_for_its_receiver_does_not_make_weights_younger():
+    publisher, subscriber = Node("n1"), Node("n2")
+    link = Link(publisher.member.address)
+    link.set_fault(LinkFault.STALL)
+    publisher.member = replace(publisher.member, address=link.address)
+    publisher.fleet_state.apply(Weights("m", 2))
+    now = subscriber.clock.now()
+    subscriber.fleet_state.mark_read_up_to(Topic.OPERATOR, 5, now)
+    subscriber.fleet_state.apply(Weights("m", 2))
+    subscription = subscriber.subscribe(publisher)
+    wait_until(lambda: subscription.ended)
+    link.set_fault(LinkFault.NONE)
+    sleep(0.3)
+    assert age_at(publisher) >= age_at(subscriber)
+    link.close()
+    publisher.publisher.stop()
+    subscriber.publisher.stop()
