Believe the ages that another router tells only as far as its message cannot be late

What callers saw: requests began on weights that had been replaced for more than the limit of 12 s (VERSION), after all routers were killed shortly after a router that reads the store had stood still during the naming.

Cause: a router that returns from a pause accepts connections that others opened and gave up meanwhile. The first report on each has the ages of weights as of its sending, some seconds ago, and they were taken as of its receipt. They replaced the time from the store, which is an estimate, were saved in the store in place of the right time, and were all that was known once all routers had been killed. The class: a message is taken for as fresh as its receipt.

Reports now tell when they were sent, by the clock of their sender, and which update they answer; updates tell when their ages were taken. What answers a message was sent after it, so the time for which it waited is bounded, however the clocks differ. Ages are counted as older by that bound, and not believed without one. A subscriber therefore tells ages once it has heard the publisher, at once. This replaces the comparison with the fastest message, which said nothing of the first one.

--- a/libs/fleet/src/mulberryhub/fleet/channel.py
+++ b/libs/fleet/src/mulberryhub/fleet/channel.py
@@ -53,12 +53,14 @@
     """Sent by a subscriber: its own usage, new observations and rollouts.
 
     `admitted_by_data_centre` is set in the first report: it holds all admissions
-    known to the subscriber, and restores the state of a restarted publisher, as does
-    `weights` with the ages of the named versions. Later reports have only the newest
+    known to the subscriber, and restores the state of a restarted publisher, as do
+    `weights`, the named versions with their ages. Later reports have only the newest
     slots of the subscriber's own admissions. `unshared` are older ones of its own, of a
-    time in which it heard no other router.
-    `observations` are new ones, without those that the publisher sent. `sent_at` is in
-    ms by the sender's clock, None in reports of earlier builds.
+    time in which it heard no other router. `observations` are new ones, without those
+    that the publisher sent. `sent_at` is in ms by the sender's clock; the report was
+    sent after the update that the publisher sent at `answered_at`. Both are None in
+    reports of earlier builds, and the latter before the first update, until when
+    `weights` are not sent.
     """
 
     number: int
@@ -71,6 +73,7 @@
     weights: list[Weights] = []
     unshared: Admitted = Admitted()
     sent_at: int | None = None
+    answered_at: int | None = None
 
 
 class Update(msgspec.Struct, tag="News", omit_defaults=True):
--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -21,7 +21,7 @@
 )
 from mulberryhub.fleet.records import Configuration, Member, Upstream
 from mulberryhub.fleet.state import UNKNOWN_POSITION, Topic
-from mulberryhub.fleet.transit import TransitDelay
+from mulberryhub.fleet.transit import TransitBound
 from mulberryhub.fleet.usage import PUBLISHED_SLOT_COUNT
 from mulberryhub.http.accept_loop import run_accept_loop
 from mulberryhub.http.sockets import close, open_listener, set_socket_options
@@ -156,14 +156,16 @@
             if not isinstance(hello, Hello):
                 raise ChannelError("first message is not a Hello")
             name = hello.name
-            transit_delay = TransitDelay()
+            transit_bound = TransitBound()
             spawn_task(self._publish, Subscriber(channel, hello))
             while True:
                 report = channel.receive(SUBSCRIBER_TIMEOUT_MS)
                 if isinstance(report, Report):
+                    if report.answered_at is not None:
+                        transit_bound.learn(report.sent_at, report.answered_at)
                     now = self._clock.now()
-                    waited = transit_delay.measure(report.sent_at, now)
-                    self._apply_report(name, hello, report, waited)
+                    wait = transit_bound.longest_wait(report.sent_at, now)
+                    self._apply_report(name, hello, report, wait)
         except ChannelError as error:
             log.debug("subscription ended", subscriber=name, reason=str(error))
         finally:
@@ -177,8 +179,8 @@
             channel.send(self._coordinate(request))
             request = channel.receive()
 
-    def _apply_report(self, name, hello, report, waited):
-        """Apply a report that waited for `waited` ms on the way."""
+    def _apply_report(self, name, hello, report, wait):
+        """Apply a report that waited for at most `wait` ms, None if unknown."""
         if hello.data_centre == self._usage_table.data_centre:
             self._usage_table.record_report(
                 name,
@@ -190,7 +192,7 @@
         for observation in report.observations:
             self._fleet_state.apply(observation, name)
         for weights in report.weights:
-            self._fleet_state.apply(weights.aged(waited), name)
+            self._fleet_state.apply(weights.aged(wait), name)
         if report.rollout is not None:
             self._fleet_state.apply_rollout(report.rollout)
 
@@ -268,7 +270,9 @@
         """
         before = subscriber.progress or Progress()
         wants_records = subscriber.hello.wants_records
-        update = self._make_update(before.revision) if wants_records else Update()
+        update = (
+            self._make_update(before.revision) if wants_records else self._bare_update()
+        )
         if subscriber.progress is None:
             self._add_initial_usage(subscriber, update)
         elif self._clock.now() - subscriber.usage_sent_at >= REMOTE_USAGE_INTERVAL_MS:
@@ -284,6 +288,9 @@
             return None
         return update
 
+    def _bare_update(self):
+        return Update(sent_at=self._clock.now())
+
     def _add_initial_usage(self, subscriber, update):
         """Add usage to the first Update for a router of another data centre.
 
--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -136,9 +136,14 @@
     version: Count
     ages: dict[Count, Count] = {}
 
-    def aged(self, delay):
-        """Return this record as of `delay` ms later."""
-        ages = {version: age + delay for version, age in self.ages.items()}
+    def aged(self, wait):
+        """Return this record as of at most `wait` ms later.
+
+        Its ages are unknown then if `wait` is None.
+        """
+        if wait is None:
+            return Weights(self.model, self.version)
+        ages = {version: age + wait for version, age in self.ages.items()}
         return Weights(self.model, self.version, ages)
 
 
--- a/libs/fleet/src/mulberryhub/fleet/state.py
+++ b/libs/fleet/src/mulberryhub/fleet/state.py
@@ -133,14 +133,15 @@
         """Block until the next change."""
         self._changed.wait()
 
-    def mark_read_up_to(self, topic, position, as_of, waited=0):
+    def mark_read_up_to(self, topic, position, as_of, wait=0):
         """Record that `topic` is known up to `position`, as of `as_of` ms.
 
         If `position` is UNKNOWN_POSITION, only the time is recorded. What told it
-        waited for `waited` ms on the way, which `as_of` does not count.
+        waited for at most `wait` ms on the way, None if unknown, which `as_of` does not
+        count.
         """
-        if topic is Topic.OPERATOR:
-            absent_at = as_of - waited
+        if topic is Topic.OPERATOR and wait is not None:
+            absent_at = as_of - wait
             known = self._operator_absent_at
             self._operator_absent_at = (
                 absent_at if known is None else max(known, absent_at)
--- a/libs/fleet/src/mulberryhub/fleet/subscription.py
+++ b/libs/fleet/src/mulberryhub/fleet/subscription.py
@@ -15,7 +15,7 @@
 )
 from mulberryhub.fleet.records import Weights
 from mulberryhub.fleet.state import UNKNOWN_POSITION, Topic
-from mulberryhub.fleet.transit import TransitDelay
+from mulberryhub.fleet.transit import TransitBound
 from mulberryhub.fleet.usage import REPORTED_SLOT_COUNT
 
 REPORT_INTERVAL_MS = 250  # between reports without a notable change
@@ -32,7 +32,7 @@
     """The content of the last report, its number and the ms at which it was sent.
 
     `revision` is the local revision up to which observations were sent,
-    `weights_revision` that of the named weights.
+    `weights_revision` that of the named weights, None before they were sent.
     """
 
     __slots__ = (
@@ -77,7 +77,8 @@
         "_channel",
         "_acked_number",
         "_usage_by_report_number",
-        "_transit_delay",
+        "_transit_bound",
+        "_answered_at",
     )
 
     def __init__(
@@ -104,7 +105,8 @@
         self._channel = None
         self._acked_number = None
         self._usage_by_report_number = {}
-        self._transit_delay = TransitDelay()
+        self._transit_bound = TransitBound()
+        self._answered_at = None
 
     def start(self):
         """Subscribe in the background; `ended` is set when the subscription is over."""
@@ -121,9 +123,9 @@
             self._channel = Channel.open(self.member.address)
             if self.ended:
                 return
+            received_at = hello_sent_at = self._clock.now()
             self._channel.send(self._make_hello())
             spawn_task(self._report_loop)
-            received_at = self._clock.now()
             while not self.ended:
                 message = self._channel.receive(PUBLISHER_TIMEOUT_MS)
                 # The timeout does not count the ms in which the machine slept.
@@ -133,14 +135,23 @@
                 if isinstance(message, ReportAck):
                     self._apply_ack(message.number)
                 elif isinstance(message, Update):
-                    waited = self._transit_delay.measure(message.sent_at, received_at)
-                    self._apply_update(message, waited)
+                    self._apply_update(
+                        message, self._longest_wait(message, hello_sent_at, received_at)
+                    )
         except ChannelError as error:
             if not self.ended:
                 log.info("member lost", member=self.member.name, reason=str(error))
         finally:
             self.close()
 
+    def _longest_wait(self, update, hello_sent_at, received_at):
+        """Return for how many ms at most an update waited, None if it does not tell."""
+        if update.sent_at is not None:
+            if self._answered_at is None:
+                self._transit_bound.learn(update.sent_at, hello_sent_at)
+            self._answered_at = update.sent_at
+        return self._transit_bound.longest_wait(update.sent_at, received_at)
+
     def _make_hello(self):
         fleet_state = self._fleet_state
         configuration = fleet_state.configuration
@@ -157,8 +168,8 @@
             },
         )
 
-    def _apply_update(self, update, waited):
-        """Apply an update that waited for `waited` ms on the way."""
+    def _apply_update(self, update, wait):
+        """Apply an update that waited for at most `wait` ms, None if unknown."""
         fleet_state = self._fleet_state
         self.is_publisher_current = update.is_current
         self.coordinator = update.coordinator or self.coordinator
@@ -166,9 +177,9 @@
             fleet_state.cache_index.record_start(*update.cache_start)
         for record in update.records:
             if isinstance(record, Weights):
-                record = record.aged(waited)
+                record = record.aged(wait)
             fleet_state.apply(record, self.member.name)
-        self._apply_positions(update, waited)
+        self._apply_positions(update, wait)
         now = self._clock.now()
         if update.cache_index_age is not None:
             fleet_state.cache_index.mark_current(now - update.cache_index_age)
@@ -197,7 +208,7 @@
         ]:
             del self._usage_by_report_number[older]
 
-    def _apply_positions(self, update, waited):
+    def _apply_positions(self, update, wait):
         """Apply the publisher's position in each topic, and removals up to it."""
         now = self._clock.now()
         for name, position in update.position_by_topic.items():
@@ -212,7 +223,7 @@
                     self._fleet_state.seen_software.record_skip()
             age = update.age_by_topic.get(topic)
             if age is not None:
-                self._fleet_state.mark_read_up_to(topic, position, now - age, waited)
+                self._fleet_state.mark_read_up_to(topic, position, now - age, wait)
 
     def _report_loop(self):
         last_sent = None
@@ -245,10 +256,7 @@
             report.use = msgspec.structs.replace(
                 usage, admitted=usage.admitted.newest(REPORTED_SLOT_COUNT)
             )
-        named_weights = self._fleet_state.named_weights
-        if last_sent is None or last_sent.weights_revision != named_weights.revision:
-            report.weights = named_weights.records()
-        report.sent_at = self._clock.now()
+        weights_revision = self._add_weights(report, last_sent)
         rollout = self._fleet_state.rollout
         revision = self._fleet_state.revision
         report.observations = self._unsent_observations(last_sent)
@@ -262,10 +270,28 @@
             usage,
             rollout.order,
             revision,
-            named_weights.revision,
+            weights_revision,
             self._clock.now(),
         )
 
+    def _add_weights(self, report, last_sent):
+        """Add the named weights if they are due; return the revision that was sent.
+
+        The publisher can only tell how old a report is if it answers an update.
+        """
+        report.sent_at = self._clock.now()
+        report.answered_at = self._answered_at
+        if not self._are_weights_due(last_sent):
+            return None if last_sent is None else last_sent.weights_revision
+        report.weights = self._fleet_state.named_weights.records()
+        return self._fleet_state.named_weights.revision
+
+    def _are_weights_due(self, last_sent):
+        if self._answered_at is None:
+            return False
+        revision = self._fleet_state.named_weights.revision
+        return last_sent is None or last_sent.weights_revision != revision
+
     def _unsent_observations(self, last_sent):
         """Return the observations that the publisher does not have."""
         reported_revision = 0 if last_sent is None else last_sent.revision
@@ -275,6 +301,8 @@
         """Return whether there is a change to report at once."""
         if self._fleet_state.rollout.order != last_sent.rollout_order:
             return True
+        if self._are_weights_due(last_sent):
+            return True
         return bool(self._unsent_observations(last_sent))
 
     def _wait_until_next_check(self, last_sent):
--- a/libs/fleet/src/mulberryhub/fleet/transit.py
+++ b/libs/fleet/src/mulberryhub/fleet/transit.py
@@ -1,26 +1,34 @@
-"""How long messages of a connection waited on the way or at their receiver."""
+"""For how long at most a message of another router waited on its way to this one.
 
+The clocks of two VMs run at the same speed, but differ by an unknown time. A message
+that answers an earlier one was sent after that. This bounds the difference, whatever
+either of the messages waited for.
+"""
 
-class TransitDelay:
-    """Compares when messages were sent and received, each by a clock of its own.
 
-    The clocks run at the same speed, so a message that arrives later than the fastest
-    one did has waited for the difference.
-    """
+class TransitBound:
+    """Bounds the time between the sending and the receipt of messages of a sender."""
 
     __slots__ = ("_least_difference",)
 
     def __init__(self):
         self._least_difference = None
 
-    def measure(self, sent_at, received_at):
-        """Return for how many ms a message waited, beyond the fastest one.
+    def learn(self, sent_at, answered_at):
+        """Learn that a message was sent after `answered_at`.
 
-        `sent_at` is None if its sender does not tell.
+        `sent_at` is in ms by the clock of its sender, `answered_at` in ms by that of
+        this router: when it sent the message that was answered.
         """
-        if sent_at is None:
-            return 0
-        difference = received_at - sent_at
-        if self._least_difference is None or difference < self._least_difference:
+        difference = answered_at - sent_at
+        if self._least_difference is None or difference > self._least_difference:
             self._least_difference = difference
-        return difference - self._least_difference
+
+    def longest_wait(self, sent_at, received_at):
+        """Return for how many ms at most a message waited, None if that is unknown.
+
+        `sent_at` is None if its sender does not tell.
+        """
+        if sent_at is None or self._least_difference is None:
+            return None
+        return received_at - sent_at - self._least_difference
