Keep the orders of two holders apart where their clocks drift

The margin for the drift of clocks was waited for before the lease was taken, but not before the first order, which counted from the same record: the duration and the delay of orders without the margin. Both now wait for the margin.

test_slow_clock_of_a_holder_brings_no_orders_of_two_holders_too_close failed before. The model test beside it plays routers that stop, start again, lose appends and wait for the log; it passed before and guards what follows.

--- a/libs/orders/src/mulberryhub/orders/lease.py
+++ b/libs/orders/src/mulberryhub/orders/lease.py
@@ -96,6 +96,11 @@
             and self._clock.now() < self._expiry_ms
         )
 
+    @property
+    def wait_ms(self):
+        """Return the ms for which other routers wait after the last acquisition."""
+        return self._duration_ms + self._margin_ms
+
     @property
     def is_last_holder(self):
         """Return whether this router wrote the last record that acquired the lease.
@@ -114,15 +119,13 @@
     def has_other_expired_for(self, min_elapsed_ms):
         """Return whether the last lease of another router ended long enough ago.
 
-        This is the case `min_elapsed_ms` after its expiry, and where no lease of
-        another router has been read.
+        This is the case `min_elapsed_ms` after its expiry, with the margin, and where
+        no lease of another router has been read.
         """
         if self._other_observed_ms is None:
             return True
-        return (
-            self._clock.now() - self._other_observed_ms
-            >= self._duration_ms + min_elapsed_ms
-        )
+        elapsed_ms = self._clock.now() - self._other_observed_ms
+        return elapsed_ms >= self.wait_ms + min_elapsed_ms
 
     def renew_or_acquire(self):
         """Read new records, then renew the lease, or acquire it where it has expired.
@@ -149,9 +152,7 @@
             self._counters.add("retry.lease")
 
     def _has_expired(self):
-        return (
-            self._clock.now() - self._observed_ms > self._duration_ms + self._margin_ms
-        )
+        return self._clock.now() - self._observed_ms > self.wait_ms
 
     def _append_request(self):
         nonce = token_bytes(NONCE_BYTES)
