Let a restarted holder have its own lease, whoever held it before

The router that had held the lease did not know itself again where the last 100 records of the log had one of another router too. It read all of them in the same ms, and so took the lease of the other for as new as its own: it waited for one lease, and for the delay of orders of two holders after that.

The last record that acquired the lease now tells by its holder who that was. An own record shows that the lease of any other had ended before, and names the time since (`since_other_ms`; 0 in records of earlier releases, which then wait for the delay of orders). A holder is one machine, and runs one process at a time.

These tests failed before: test_restarted_holder_does_not_wait_for_its_own_lease_after_ one_of_another, test_restarted_holder_waits_where_another_held_the_lease_lately and test_restarted_holder_does_not_wait_where_the_first_records_of_the_log_are_gone.

--- a/libs/orders/src/mulberryhub/orders/lease.py
+++ b/libs/orders/src/mulberryhub/orders/lease.py
@@ -6,6 +6,9 @@
 they read the last such record. The holder counts the duration from before its
 append. Two routers therefore never hold the lease at the same time, unless their
 clocks drift apart by more than the margin within one duration.
+
+A holder is known by its name: a router that is started again under its name is the
+holder that it was, and the lease of any other had ended when it acquired its own.
 """
 
 from secrets import token_bytes
@@ -19,6 +22,7 @@
 LEASE_MARGIN_MS = 1_000  # tolerated clock drift between routers in one duration
 NONCE_BYTES = 12
 PAGE_RECORD_COUNT = 100
+MAX_SINCE_OTHER_MS = 3_600_000  # written where no lease of another router is known
 
 logger = module_logger(__name__)
 
@@ -27,12 +31,14 @@
     """A request for the lease.
 
     `after` is the last offset that its writer had read, `nonce` a random value that
-    identifies the request.
+    identifies the request. `since_other_ms` is the time in ms since the writer last
+    read a lease of another router, 0 where the writer's software does not say.
     """
 
     holder: str
     nonce: bytes
     after: int
+    since_other_ms: int = 0
 
 
 class Lease:
@@ -57,6 +63,7 @@
         "_next_offset",
         "_observed_ms",
         "_other_observed_ms",
+        "_is_last_own",
         "_current_nonce",
         "_append_start_by_nonce",
         "_expiry_ms",
@@ -84,6 +91,7 @@
         self._next_offset = None
         self._observed_ms = None
         self._other_observed_ms = None
+        self._is_last_own = False
         self._current_nonce = None
         self._append_start_by_nonce = {}
         self._expiry_ms = 0
@@ -105,16 +113,9 @@
     def is_last_holder(self):
         """Return whether this router wrote the last record that acquired the lease.
 
-        The lease may have expired since.
+        The lease may have expired since, and the router may have been restarted.
         """
-        return (
-            self._observed_ms is not None
-            and self._current_nonce is not None
-            and (
-                self._other_observed_ms is None
-                or self._other_observed_ms < self._observed_ms
-            )
-        )
+        return self._is_last_own
 
     def has_other_expired_for(self, min_elapsed_ms):
         """Return whether the last lease of another router ended long enough ago.
@@ -157,9 +158,16 @@
     def _append_request(self):
         nonce = token_bytes(NONCE_BYTES)
         self._append_start_by_nonce[nonce] = self._clock.now()
-        record = LeaseRecord(self._holder, nonce, self._next_offset - 1)
+        record = LeaseRecord(
+            self._holder, nonce, self._next_offset - 1, self._since_other()
+        )
         self._log.append(self._name, [msgspec.msgpack.encode(record)])
 
+    def _since_other(self):
+        if self._other_observed_ms is None:
+            return MAX_SINCE_OTHER_MS
+        return min(MAX_SINCE_OTHER_MS, self._clock.now() - self._other_observed_ms)
+
     def _read(self):
         """Apply all new records; on the first call, the last PAGE_RECORD_COUNT."""
         if self._next_offset is None:
@@ -184,6 +192,7 @@
         except OffsetExpired as error:
             if not self.is_held:
                 self._current_nonce = None
+                self._is_last_own = False
                 self._observed_ms = self._other_observed_ms = self._clock.now()
             self._next_offset = error.oldest
         try:
@@ -207,8 +216,23 @@
             {} if start_ms is None else {request.nonce: start_ms}
         )
         self._expiry_ms = 0 if start_ms is None else start_ms + self._duration_ms
-        if request.holder != self._holder:
-            self._other_observed_ms = self._clock.now()
+        if request.holder == self._holder:
+            self._is_last_own = True
+            self._limit_other_observed(request)
+        else:
+            self._is_last_own = False
+            self._other_observed_ms = self._observed_ms
+
+    def _limit_other_observed(self, request):
+        """Apply what a record of this router, or of its earlier process, tells.
+
+        The lease of any other had ended before it was appended.
+        """
+        if self._other_observed_ms is None:
+            return
+        since_ms = max(request.since_other_ms, self._duration_ms)
+        latest_ms = self._clock.now() - since_ms
+        self._other_observed_ms = min(self._other_observed_ms, latest_ms)
 
     def _report_change(self):
         """Log and count a lease that this router has acquired or lost."""
--- a/tests/orders/test_lease.py
+++ b/tests/orders/test_lease.py
@@ -1,3 +1,4 @@
+import msgspec
 from hypothesis import given, settings, strategies as st
 
 from mulberryhub.base.clock import ManualClock
@@ -144,3 +145,85 @@
     clock.advance(LEASE_DURATION_MS + LEASE_MARGIN_MS + 1)
     second.renew_or_acquire()
     assert second.is_held and not first.is_held
+
+
+ORDER_DELAY_MS = 3_000
+
+
+def hold_for(lease, clock, duration):
+    for _ in range(duration // 500):
+        clock.advance(500)
+        lease.renew_or_acquire()
+        assert lease.is_held
+
+
+def take_over(lease, clock):
+    lease.renew_or_acquire()
+    clock.advance(LEASE_DURATION_MS + LEASE_MARGIN_MS + 1)
+    lease.renew_or_acquire()
+    assert lease.is_held
+
+
+def test_restarted_holder_does_not_wait_for_its_own_lease_after_one_of_another():
+    clock = ManualClock()
+    log = MemoryLog(clock)
+    first, second, _ = make_leases(log, clock)
+    acquire(first, clock)
+    take_over(second, clock)
+    hold_for(second, clock, LEASE_DURATION_MS)
+    restarted = make_leases(log, clock)[1]
+    restarted.renew_or_acquire()
+    assert restarted.is_held
+    assert restarted.has_other_expired_for(ORDER_DELAY_MS)
+
+
+def test_restarted_holder_waits_where_another_held_the_lease_lately():
+    clock = ManualClock()
+    log = MemoryLog(clock)
+    first, second, _ = make_leases(log, clock)
+    acquire(first, clock)
+    taken_at = clock.now()
+    take_over(second, clock)
+    restarted = make_leases(log, clock)[1]
+    restarted.renew_or_acquire()
+    assert restarted.is_held
+    while not restarted.has_other_expired_for(ORDER_DELAY_MS):
+        clock.advance(100)
+    assert clock.now() - taken_at >= LEASE_DURATION_MS + ORDER_DELAY_MS
+
+
+def test_restarted_router_waits_for_a_lease_taken_after_its_own():
+    clock = ManualClock()
+    log = MemoryLog(clock)
+    first, second, _ = make_leases(log, clock)
+    acquire(first, clock)
+    take_over(second, clock)
+    restarted = make_leases(log, clock)[0]
+    restarted.renew_or_acquire()
+    assert not restarted.is_last_holder and not restarted.is_held
+    assert not restarted.has_other_expired_for(ORDER_DELAY_MS)
+
+
+def test_record_of_an_earlier_release_is_read():
+    clock = ManualClock()
+    log = MemoryLog(clock)
+    payload = msgspec.msgpack.encode({"holder": "vm-0", "nonce": b"1", "after": -1})
+    log.add("lease", [payload])
+    first, second, _ = make_leases(log, clock)
+    first.renew_or_acquire()
+    second.renew_or_acquire()
+    assert first.is_held and not second.is_held
+
+
+def test_restarted_holder_does_not_wait_where_the_first_records_of_the_log_are_gone():
+    clock = ManualClock()
+    log = MemoryLog(clock)
+    first, second, _ = make_leases(log, clock)
+    acquire(first, clock)
+    take_over(second, clock)
+    hold_for(second, clock, LEASE_DURATION_MS)
+    log.oldest = log.end("lease") - 1
+    restarted = make_leases(log, clock)[1]
+    restarted.renew_or_acquire()
+    assert restarted.is_held
+    assert restarted.has_other_expired_for(ORDER_DELAY_MS)
