Count a stopped holder's lease from when its rollout was heard of

Three waits followed one another, each counted anew: 4 s since the last news of the rollout, the delay of the router's rank, then a first read of the log, from which the lease and the delay of orders were counted, as if the holder had renewed it just then. After a start, the log was read a second later, and only by two routers.

The fence of a rollout is the offset of the lease's record. A router that hears of it knows that the record was there, so it notes the time; if the record turns out to be the last one, lease and delay count from then. The holder publishes its rollout after each renewal, also while its loads wait. Others try to take the lease once that may have ended, by rank; the delays of ranks run beside the delay of orders. ONE holds as before: the time at which a record was heard of lies after its append. The model of routers that stop, start again and lose appends now lets them tell each other of records; it fails where a record that was told of counts for a later one, or 2 s earlier than told.

--- a/libs/orders/src/mulberryhub/orders/lease.py
+++ b/libs/orders/src/mulberryhub/orders/lease.py
@@ -64,6 +64,8 @@
         "_observed_ms",
         "_other_observed_ms",
         "_is_last_own",
+        "_known_offset",
+        "_known_ms",
         "_current_nonce",
         "_append_start_by_nonce",
         "_expiry_ms",
@@ -92,6 +94,8 @@
         self._observed_ms = None
         self._other_observed_ms = None
         self._is_last_own = False
+        self._known_offset = None
+        self._known_ms = None
         self._current_nonce = None
         self._append_start_by_nonce = {}
         self._expiry_ms = 0
@@ -104,6 +108,11 @@
             and self._clock.now() < self._expiry_ms
         )
 
+    @property
+    def is_read(self):
+        """Return whether this router has begun to read the log."""
+        return self._next_offset is not None
+
     @property
     def wait_ms(self):
         """Return the ms for which other routers wait after the last acquisition."""
@@ -128,6 +137,15 @@
         elapsed_ms = self._clock.now() - self._other_observed_ms
         return elapsed_ms >= self.wait_ms + min_elapsed_ms
 
+    def note_record(self, offset):
+        """Note that the log holds a record at `offset` now, as another router said.
+
+        If it turns out to be the last that acquired the lease, it was read late.
+        """
+        if offset != self._known_offset:
+            self._known_offset = offset
+            self._known_ms = self._clock.now()
+
     def renew_or_acquire(self):
         """Read new records, then renew the lease, or acquire it where it has expired.
 
@@ -210,7 +228,7 @@
             return
         self.offset = record.offset
         self._current_nonce = request.nonce
-        self._observed_ms = self._clock.now()
+        self._observed_ms = self._observation_time(record.offset)
         start_ms = self._append_start_by_nonce.get(request.nonce)
         self._append_start_by_nonce = (
             {} if start_ms is None else {request.nonce: start_ms}
@@ -223,6 +241,10 @@
             self._is_last_own = False
             self._other_observed_ms = self._observed_ms
 
+    def _observation_time(self, offset):
+        """Return the first time at which this router knew of the record at `offset`."""
+        return self._known_ms if offset == self._known_offset else self._clock.now()
+
     def _limit_other_observed(self, request):
         """Apply what a record of this router, or of its earlier process, tells.
 
--- a/libs/weights/src/mulberryhub/weights/manager.py
+++ b/libs/weights/src/mulberryhub/weights/manager.py
@@ -1,6 +1,5 @@
 """Orders upstreams to load the newest weights while this router holds the lease."""
 
-from mulberryhub.base.digest import rendezvous_score
 from mulberryhub.base.green import sleep
 from mulberryhub.base.logs import module_logger
 from mulberryhub.base.tasks import spawn_service, spawn_task
@@ -9,10 +8,9 @@
 from mulberryhub.weights.loaded import LoadedVersions
 from mulberryhub.weights.messages import LoadOrder, OrderResult
 from mulberryhub.weights.plan import choose_next_loads, find_outdated
+from mulberryhub.weights.takeover import TAKEOVER_DELAY_PER_RANK_MS, Takeover
 
 STEP_INTERVAL_MS = 50
-TAKEOVER_DELAY_PER_RANK_MS = 600
-MAX_TAKEOVER_RANK = 6
 FIRST_LEASE_READ_DELAY_MS = 1_000  # after the start, by the first two routers in rank
 LEASE_RENEWAL_INTERVAL_MS = 700
 ROLLOUT_HEARTBEAT_MS = 1_000  # between updates of a rollout that makes no progress
@@ -30,9 +28,8 @@
 class RolloutManager:
     """Rolls out new weights to the upstreams of all services.
 
-    Routers rank themselves for the lease. When upstreams need new weights and no other
-    router reports a rollout, a router takes the lease after a delay that grows with
-    its rank, then sends orders and publishes the progress to the other routers.
+    When upstreams need new weights, a router takes the lease when its Takeover allows
+    it, then sends orders and publishes the progress to the other routers.
 
     `read_report(upstream)` returns an EngineReport or None, and
     `send_order(upstream, order)` returns an OrderResult. `loads` are the requests in
@@ -59,6 +56,7 @@
         "_loading_by_id",
         "_retry_at_by_id",
         "_loaded",
+        "_takeover",
         "_rollout_fence",
         "_rollout_revision",
         "_rejected_fence",
@@ -96,6 +94,7 @@
         self._loading_by_id = {}
         self._retry_at_by_id = {}
         self._loaded = LoadedVersions()
+        self._takeover = Takeover(name, fleet_state, lease, clock)
         self._rollout_fence = -1
         self._rollout_revision = 0
         self._rejected_fence = -1
@@ -107,6 +106,7 @@
 
     def step(self):
         """Renew the lease, start loads and publish the progress, as far as needed."""
+        self._takeover.note_rollout(self._rollout_fence)
         if self._is_idle():
             return
         revision = self._fleet_state.revision
@@ -118,16 +118,11 @@
         now = self._clock.now()
         if self._pending_since is None:
             self._pending_since = now
-        if not self._owns_rollout() and self._fleet_state.is_rolling_out():
-            self._pending_since = now
-            return
-        if (
-            not self._lease.is_held
-            and now - self._pending_since < self._takeover_delay()
-        ):
+        self._takeover.read_lease()
+        if not self._lease.is_held and not self._takeover.may_take(self._pending_since):
             return
         self._renew_lease(now)
-        if self.may_send_orders():
+        if self.may_send_orders() and self._may_start_loads():
             self._start_loads(outdated)
             self._publish_heartbeat()
 
@@ -142,12 +137,15 @@
             and self._lease.offset > self._rejected_fence
         )
 
+    def _may_start_loads(self):
+        return self._owns_rollout() or not self._takeover.may_others_load()
+
     def _run(self):
         started_at = self._clock.now()
         while self._clock.now() - started_at < FIRST_LEASE_READ_DELAY_MS:
             sleep(STEP_INTERVAL_MS / 1000)
             self.step()
-        if self._takeover_delay() <= TAKEOVER_DELAY_PER_RANK_MS:
+        if self._takeover.rank_delay() <= TAKEOVER_DELAY_PER_RANK_MS:
             self._lease.read_new_records()
         while True:
             sleep(STEP_INTERVAL_MS / 1000)
@@ -167,22 +165,6 @@
             and self._rollout_fence >= 0
         )
 
-    def _takeover_delay(self):
-        """Return the ms to wait before taking the lease, by this router's rank.
-
-        The router that took the lease last does not wait.
-        """
-        if self._lease.is_last_holder:
-            return 0
-        members_by_name = self._fleet_state.members_by_name
-        ranked = sorted(
-            members_by_name, key=lambda name: rendezvous_score(b"order", name.encode())
-        )
-        rank = (
-            ranked.index(self._name) if self._name in members_by_name else len(ranked)
-        )
-        return min(rank, MAX_TAKEOVER_RANK) * TAKEOVER_DELAY_PER_RANK_MS
-
     def _renew_lease(self, now):
         """Acquire or renew the lease, at most every LEASE_RENEWAL_INTERVAL_MS."""
         if (
@@ -357,11 +339,13 @@
         return False
 
     def _publish_heartbeat(self):
-        """Publish the rollout if none was published for ROLLOUT_HEARTBEAT_MS."""
-        if (
-            self._loading_by_id
-            and self._clock.now() - self._published_at >= ROLLOUT_HEARTBEAT_MS
-        ):
+        """Publish the rollout after each renewal of the lease, and at intervals.
+
+        Others count the lease from when they hear of its record.
+        """
+        elapsed = self._clock.now() - self._published_at
+        has_renewed = self._rollout_fence != self._lease.offset
+        if has_renewed or elapsed >= ROLLOUT_HEARTBEAT_MS:
             self._publish_rollout()
 
     def _publish_rollout(self):
--- a/tests/orders/test_lease.py
+++ b/tests/orders/test_lease.py
@@ -204,6 +204,28 @@
     assert not restarted.has_other_expired_for(ORDER_DELAY_MS)
 
 
+def test_lease_counts_from_when_others_told_of_its_record():
+    clock = ManualClock()
+    log = MemoryLog(clock)
+    first, second, _ = make_leases(log, clock)
+    acquire(first, clock)
+    second.note_record(first.offset)
+    clock.advance(LEASE_DURATION_MS + LEASE_MARGIN_MS + 1)
+    second.renew_or_acquire()
+    assert second.is_held and not first.is_held
+
+
+def test_record_that_others_told_of_does_not_shorten_a_renewed_lease():
+    clock = ManualClock()
+    log = MemoryLog(clock)
+    first, second, _ = make_leases(log, clock)
+    acquire(first, clock)
+    second.note_record(first.offset)
+    hold_for(first, clock, LEASE_DURATION_MS + LEASE_MARGIN_MS + 500)
+    second.renew_or_acquire()
+    assert first.is_held and not second.is_held
+
+
 def test_record_of_an_earlier_release_is_read():
     clock = ManualClock()
     log = MemoryLog(clock)
--- a/tests/orders/test_lease_turns.py
+++ b/tests/orders/test_lease_turns.py
@@ -1,7 +1,7 @@
 """Routers that take the lease in turn give no orders within the time between holders.
 
-They stand still, start again, lose appends and wait for the log, on clocks that run at
-different rates.
+They stand still, start again, tell each other of records, lose appends and wait for the
+log, on clocks that run at different rates.
 """
 
 from hypothesis import given, settings, strategies as st
@@ -69,21 +69,27 @@
             self.leases[number] = self._make(number)
             self.stopped_until[number] = self.rounds
         for _ in range(rounds):
-            self.play_round()
+            self.play_round(tells=event == "tell")
 
-    def play_round(self):
+    def play_round(self, tells):
         self.rounds += 1
         self.clock.advance(ROUND_MS)
         for number in ROUTERS:
             if self.stopped_until[number] < self.rounds:
-                self._step(number)
+                self._step(number, tells)
 
-    def _step(self, number):
+    def _step(self, number, tells):
         lease = self.leases[number]
         if (self.rounds + number) % RENEWAL_ROUNDS == 0:
             lease.renew_or_acquire()
         if lease.is_held and lease.has_other_expired_for(ORDER_DELAY_MS):
             self._order(number, lease)
+            if tells:
+                self._tell(lease.offset)
+
+    def _tell(self, offset):
+        for lease in self.leases:
+            lease.note_record(offset)
 
     def _order(self, number, lease):
         now = self.clock.now()
@@ -96,7 +102,7 @@
 
 EVENTS = st.lists(
     st.tuples(
-        st.sampled_from(["run", "stop", "stop", "restart"]),
+        st.sampled_from(["run", "stop", "stop", "restart", "tell", "tell"]),
         st.sampled_from(ROUTERS),
         st.sampled_from([1, 5, 20, 30, 60, 90]),
     ),
--- a/tests/weights/simulated_fleet.py
+++ b/tests/weights/simulated_fleet.py
@@ -42,7 +42,7 @@
         self.engines_by_id = {f"u{n}": FakeEngine() for n in range(upstreams)}
         self.managers = []
 
-    def add_manager(self, name):
+    def add_manager(self, name, reads_lease=True):
         fleet_state = FleetState(self.clock)
         for index, id in enumerate(self.engines_by_id):
             fleet_state.apply(make_upstream(id, index + 1))
@@ -71,7 +71,8 @@
             self.clock,
             Counters(),
         )
-        lease.read_new_records()
+        if reads_lease:
+            lease.read_new_records()
         self.managers.append(manager)
         return manager, fleet_state
 
