Keep the weights versions of an upstream that restarts with its clock behind

What callers saw: nothing was reported. An upstream that started again under its id after the clock of its VM was set back counted as one of weights version 0 at all routers until it started once more with a later time. It got no requests once newer weights had been in use for the time limit, was given orders to load again and again, and until then its requests named no expected version, so that no refusal of the upstream would have shown a wrong belief.

Cause: RunningVersions held the start with the highest wall time for the newest, and dropped what the record and the answers of the newer start told.

Why the fix works: a start identifies an incarnation and is no longer compared with others. Versions count for the incarnation that reported them; which one is running tells the listed record, and records are ordered by the store's offsets.

--- a/libs/fleet/src/mulberryhub/fleet/running_versions.py
+++ b/libs/fleet/src/mulberryhub/fleet/running_versions.py
@@ -2,50 +2,33 @@
 
 from collections import OrderedDict
 
-MAX_UPSTREAM_COUNT = 20_000  # beyond which those without news for longest are dropped
-
-
-class IncarnationVersions:
-    """The highest versions by model that one incarnation of an upstream reported."""
-
-    __slots__ = ("started", "by_model")
-
-    def __init__(self, started):
-        self.started = started
-        self.by_model = {}
+MAX_INCARNATION_COUNT = 20_000  # beyond which those without news longest are dropped
 
 
 class RunningVersions:
-    """The versions of the newest incarnation of each upstream.
+    """The highest versions by model that each incarnation of an upstream reported.
 
-    What is known of an incarnation does not depend on the order in which it was told.
+    What is known of an incarnation depends neither on the order in which it was told
+    nor on other incarnations. Their starts are not compared: the clock of the
+    upstream's VM may have been set back between them.
     """
 
-    __slots__ = ("_versions_by_id",)
+    __slots__ = ("_versions_by_incarnation",)
 
     def __init__(self):
-        self._versions_by_id = OrderedDict()
+        self._versions_by_incarnation = OrderedDict()
 
     def update(self, id, started, versions):
-        """Record `versions` by model, reported by the incarnation `started` (ms).
-
-        A later incarnation has none of the earlier one's.
-        """
-        known = self._versions_by_id.get(id)
-        if known is not None and started < known.started:
-            return
-        if known is None or known.started < started:
-            known = self._versions_by_id[id] = IncarnationVersions(started)
-        self._versions_by_id.move_to_end(id)
-        if len(self._versions_by_id) > MAX_UPSTREAM_COUNT:
-            self._versions_by_id.popitem(last=False)
+        """Record `versions` by model, reported by the incarnation `started`."""
+        incarnations = self._versions_by_incarnation
+        known = incarnations.setdefault((id, started), {})
+        incarnations.move_to_end((id, started))
+        if len(incarnations) > MAX_INCARNATION_COUNT:
+            incarnations.popitem(last=False)
         for model, version in versions.items():
-            if version > known.by_model.get(model, 0):
-                known.by_model[model] = version
+            if version > known.get(model, 0):
+                known[model] = version
 
     def at(self, id, started, model):
         """Return the version of `model` at an incarnation, or 0 if unknown."""
-        known = self._versions_by_id.get(id)
-        if known is None or known.started != started:
-            return 0
-        return known.by_model.get(model, 0)
+        return self._versions_by_incarnation.get((id, started), {}).get(model, 0)
