Use an upstream that starts again with its clock behind after it left

What callers saw: nothing was reported. An upstream that announced its shutdown or a pause in an answer, and started again under its id after the clock of its VM was set back, counted as still shutting down at all routers until it started with a later time. It got no requests.

Cause: departures and pauses compared the wall times of the starts.

Why the fix works: a departure tells the offset of a record of its incarnation. The store gives offsets in order, so any record of a later incarnation has a higher one, and any of an earlier one a lower one; no clock takes part. Departures of routers of an earlier build tell no offset and are ordered by start as before. A pause counts for the incarnation that asked for it.

--- a/libs/fleet/src/mulberryhub/fleet/departures.py
+++ b/libs/fleet/src/mulberryhub/fleet/departures.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 
 from mulberryhub.base.logs import module_logger
+from mulberryhub.fleet.incarnations import is_later
 
 MAX_DEPARTURE_COUNT = 10_000  # records
 
@@ -20,7 +21,7 @@
     def apply(self, departure):
         """Apply a Departure; return whether it is new."""
         known = self._departures_by_id.get(departure.id)
-        if known is not None and known.started >= departure.started:
+        if known is not None and not is_later(departure, known):
             return False
         self._departures_by_id[departure.id] = departure
         if len(self._departures_by_id) > MAX_DEPARTURE_COUNT:
@@ -34,6 +35,6 @@
         return True
 
     def has(self, upstream):
-        """Return whether this incarnation of an upstream announced its shutdown."""
+        """Return whether this incarnation of an upstream, or a later one, leaves."""
         departure = self._departures_by_id.get(upstream.id)
-        return departure is not None and upstream.started <= departure.started
+        return departure is not None and not is_later(upstream, departure)
--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -14,6 +14,7 @@
     Text,
 )
 from mulberryhub.fleet.admissions import Admitted
+from mulberryhub.fleet.incarnations import UNKNOWN_OFFSET
 
 
 class RequestKind(StrEnum):
@@ -201,12 +202,14 @@
 class Departure(msgspec.Struct, frozen=True, tag=True):
     """An upstream that announced its shutdown in an answer to the router `source`.
 
-    `started` identifies its incarnation; a later one may take requests again.
+    `started` identifies its incarnation, and `offset` is that of a record of it; a
+    later incarnation may take requests again.
     """
 
     id: Text
     started: Count
     source: Text
+    offset: Number = UNKNOWN_OFFSET
 
 
 class RateLimit(msgspec.Struct, frozen=True, tag=True):
--- a/libs/forward/src/mulberryhub/forward/availability.py
+++ b/libs/forward/src/mulberryhub/forward/availability.py
@@ -51,7 +51,9 @@
     def record_answer(self, upstream, facts):
         """Record the departure or pause that the AnswerFacts `facts` announce."""
         if facts.is_shutting_down:
-            departure = Departure(upstream.id, upstream.started, self._name)
+            departure = Departure(
+                upstream.id, upstream.started, self._name, upstream.offset
+            )
             self._fleet_state.apply_departure(departure)
         if facts.pause is not None:
             self._record_pause(upstream, facts.pause)
@@ -88,7 +90,7 @@
         if pause is None:
             return 0
         remaining = pause.until - self._clock.now()
-        if remaining <= 0 or upstream.started > pause.started:
+        if remaining <= 0 or upstream.started != pause.started:
             del self._pauses_by_id[upstream.id]
             return 0
         return remaining
--- a/tests/forward/test_availability.py
+++ b/tests/forward/test_availability.py
@@ -54,13 +54,16 @@
     assert fixture.time_until_open(again) is None
 
 
-def test_later_incarnation_accepts_requests():
+@pytest.mark.parametrize(
+    "later_started", [6, 1], ids=["right clock", "clock behind at the restart"]
+)
+def test_later_incarnation_accepts_requests(later_started):
     fixture = Fixture()
     upstream = make_upstream("u1", 1, started=5)
     fixture.availability.record_answer(
         upstream, make_facts(is_shutting_down=True, pause=60_000)
     )
-    assert fixture.accepts_requests(make_upstream("u1", 2, started=6))
+    assert fixture.accepts_requests(make_upstream("u1", 2, started=later_started))
     assert fixture.accepts_requests(make_upstream("u2", 2, started=5))
 
 
