Know the limit of an upstream that restarts with its clock behind

What callers saw: nothing was reported. An upstream that limits its requests, and started again under its id after the clock of its VM was set back, counted as one without a limit at all routers until it started with a later time: the limit of the start before hid each one that it told. Routers sent it more than it accepts.

Cause: limits were ordered by the wall times of the starts.

Why the fix works: a limit tells the offset of a record of its incarnation, and limits of two incarnations are ordered by these, as departures are.

Evidence: test_rate_limits.py::test_limit_of_an_upstream_that_restarted_with_a_wrong_ clock_is_known[behind at the restart] failed before (None in place of 4.0), passes now, with the limits told in any order. No existing test changed.

--- a/libs/fleet/src/mulberryhub/fleet/rate_limits.py
+++ b/libs/fleet/src/mulberryhub/fleet/rate_limits.py
@@ -4,6 +4,7 @@
 from math import inf
 
 from mulberryhub.base.logs import module_logger
+from mulberryhub.fleet.incarnations import is_later
 
 MAX_LIMIT_COUNT = 10_000  # records
 # Without an answer that confirms it. While clients ask for an upstream, routers send it
@@ -36,7 +37,7 @@
     def apply(self, limit):
         """Apply a RateLimit; return whether it is new."""
         known = self._known_by_id.get(limit.id)
-        if known is not None and _order(known.limit) >= _order(limit):
+        if known is not None and not _is_newer(limit, known.limit):
             return False
         self._known_by_id[limit.id] = KnownLimit(limit, self._clock.now())
         if len(self._known_by_id) > MAX_LIMIT_COUNT:
@@ -64,7 +65,13 @@
         return None if known is None else known.limit.rate
 
 
+def _is_newer(limit, known):
+    if limit.started != known.started:
+        return is_later(limit, known)
+    return _order(limit) > _order(known)
+
+
 def _order(limit):
     """Return the sort key by age; of limits with the same number, the lower wins."""
     rate = inf if limit.rate is None else limit.rate
-    return (limit.started, limit.number, -rate)
+    return (limit.number, -rate)
--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -215,14 +215,15 @@
 class RateLimit(msgspec.Struct, frozen=True, tag=True):
     """The requests/s that an upstream accepts from all routers together.
 
-    `started` identifies its incarnation. A higher `number` is newer; a `rate` of None
-    means that it no longer limits requests.
+    `started` identifies its incarnation, and `offset` is that of a record of it. A
+    higher `number` is newer; a `rate` of None means that it no longer limits requests.
     """
 
     id: Text
     started: Count
     number: Number
     rate: Amount | None
+    offset: Number = UNKNOWN_OFFSET
 
 
 class CrashedRun(msgspec.Struct, frozen=True, array_like=True):
--- a/libs/forward/src/mulberryhub/forward/rate_limits.py
+++ b/libs/forward/src/mulberryhub/forward/rate_limits.py
@@ -94,7 +94,7 @@
             self._apply(upstream, known.limit.number + 1, rate)
 
     def _apply(self, upstream, number, rate):
-        limit = RateLimit(upstream.id, upstream.started, number, rate)
+        limit = RateLimit(upstream.id, upstream.started, number, rate, upstream.offset)
         self._fleet_state.apply_rate_limit(limit)
 
     def _log_unreadable(self, upstream):
--- a/tests/fleet/test_rate_limits.py
+++ b/tests/fleet/test_rate_limits.py
@@ -1,5 +1,9 @@
 """Merging of rate limits that routers observe in answers of upstreams."""
 
+from itertools import permutations as permutations_of
+
+import msgspec
+import pytest
 from hypothesis import given
 from hypothesis.strategies import (
     builds,
@@ -27,6 +31,13 @@
 )
 
 
+class EarlierRateLimit(msgspec.Struct, frozen=True, tag="RateLimit"):
+    id: str
+    started: int
+    number: int
+    rate: float | None
+
+
 def merge(limits):
     rate_limits = RateLimits(ManualClock())
     for limit in limits:
@@ -52,6 +63,33 @@
     assert merge([RateLimit("u1", 1, 0, 4)]) == [4, None, None, None]
 
 
+@pytest.mark.parametrize(
+    "later_started", [1, 900], ids=["behind at the restart", "ahead at the restart"]
+)
+def test_limit_of_an_upstream_that_restarted_with_a_wrong_clock_is_known(
+    later_started,
+):
+    limits = [
+        RateLimit("u1", 500, 0, 40.0, 1),
+        RateLimit("u1", 500, 1, 8.0, 2),
+        RateLimit("u1", later_started, 0, 4.0, 3),
+    ]
+    for order in permutations_of(limits):
+        rate_limits = RateLimits(ManualClock())
+        for limit in order:
+            rate_limits.apply(limit)
+        restarted = make_upstream("u1", 3, started=later_started)
+        assert rate_limits.rate(restarted) == 4.0
+
+
+def test_limits_are_read_by_earlier_builds_and_from_them():
+    data = msgspec.msgpack.encode(RateLimit("u1", 5, 1, 4.0, 7))
+    earlier = msgspec.msgpack.decode(data, type=EarlierRateLimit)
+    assert earlier == EarlierRateLimit("u1", 5, 1, 4.0)
+    read = msgspec.msgpack.decode(msgspec.msgpack.encode(earlier), type=RateLimit)
+    assert read == RateLimit("u1", 5, 1, 4.0)
+
+
 def test_limit_that_no_answer_confirms_is_forgotten():
     clock = ManualClock()
     rate_limits = RateLimits(clock)
