Count the crash of an upstream that restarts with its clock behind

What callers saw: nothing was reported. Where only the store shows that an upstream crashed (its new process answers on the address by the time a router connects), and the clock of its VM was set back before the new start, the crash did not count. A request that crashes upstreams stays allowed for longer (BUDGET).

Cause: a listed start counted as a restart only if its wall time was higher.

Why the fix works: the offsets of the two records tell which one is later.

Evidence: test_store_reveals_a_crash_that_connecting_does_not[restarted with its clock behind] failed before (0 crashed runs in place of 1) and passes now. The two cases that the test had are the same; it takes the difference of the starts in place of a flag.

--- a/libs/forward/src/mulberryhub/forward/quarantine.py
+++ b/libs/forward/src/mulberryhub/forward/quarantine.py
@@ -12,6 +12,7 @@
 from mulberryhub.base.logs import module_logger
 from mulberryhub.base.tasks import spawn_task
 from mulberryhub.fleet.blame import SETTLE_MS
+from mulberryhub.fleet.incarnations import is_later
 from mulberryhub.fleet.records import Suspect, UpstreamState
 from mulberryhub.forward.crash_reports import PendingVerdicts, crash_reports
 from mulberryhub.forward.possible_crashes import CutRun, PossibleCrash, RunSuspect
@@ -268,7 +269,7 @@
                 self._forget(possible_crash)
             elif current is None:
                 self._record_crash(possible_crash, "removed")
-            elif current.started > upstream.started:
+            elif is_later(current, upstream):
                 self._record_crash(possible_crash, "restarted")
             elif self._is_leaving(upstream):
                 self._forget(possible_crash)
--- a/tests/forward/test_quarantine.py
+++ b/tests/forward/test_quarantine.py
@@ -227,8 +227,12 @@
     assert count_crashes(router, job) == 1
 
 
-@pytest.mark.parametrize("is_restarted", [True, False])
-def test_store_reveals_a_crash_that_connecting_does_not(time, is_restarted):
+@pytest.mark.parametrize(
+    "start_difference",
+    [1, -1, None],
+    ids=["restarted", "restarted with its clock behind", "removed"],
+)
+def test_store_reveals_a_crash_that_connecting_does_not(time, start_difference):
     simulation = Simulation(time, 1, 1)
     router, worker = (
         simulation.routers[0],
@@ -238,11 +242,12 @@
     time.run(1_000)
     assert count_crashes(router, job) == 0
     upstream = worker.upstream
-    if is_restarted:
-        restarted = make_upstream(upstream.id, 10_000, started=upstream.started + 1)
-        router.fleet_state.apply(restarted)
-    else:
+    if start_difference is None:
         router.fleet_state.apply(Removal(upstream.id, 10_000))
+    else:
+        started = upstream.started + start_difference
+        restarted = make_upstream(upstream.id, 10_000, started=started)
+        router.fleet_state.apply(restarted)
     assert count_crashes(router, job) == 1
 
 
