Read the KV cache store anew if another router's clock cleared the index

What callers saw: nothing was reported. Where a router with its wall clock ahead had read of an earlier start of the KV cache store, and a router that started later had read of the present start only, the earlier start cleared the index of the latter. The next read set the start right, but the parts told before were missing until the store changed them: their next uses were computed again.

Cause: starts are ordered by wall times, and the watcher compared the start in the answer with the one that it had read of last itself, which had not changed.

Why the fix works: the index counts how often it was cleared, and the watcher reads all parts if it was cleared since its last answer. Which start counts still rests on wall clocks until the next read of the store, which always wins.

Evidence: test_cache_starts.py::test_watcher_regains_all_parts_though_the_clock_of_ another_router_is_wrong[ahead] failed before and passes now; [behind] passed before and now. No existing test changed.

--- a/libs/fleet/src/mulberryhub/fleet/cache_index.py
+++ b/libs/fleet/src/mulberryhub/fleet/cache_index.py
@@ -13,13 +13,23 @@
 
     `epoch` identifies a start of the store; a new start clears the index. Epochs have
     no order, so starts are ordered by when a router first read of them, and those of
-    which that is unknown by their epochs.
+    which that is unknown by their epochs. The wall clock of a router may be wrong, so
+    an earlier start may count until the present one is read of again. `clear_count` is
+    how often the index was cleared.
     """
 
-    __slots__ = ("epoch", "_seen_at", "_clock", "_parts_by_key", "_as_of")
+    __slots__ = (
+        "epoch",
+        "clear_count",
+        "_seen_at",
+        "_clock",
+        "_parts_by_key",
+        "_as_of",
+    )
 
     def __init__(self, clock):
         self.epoch = None
+        self.clear_count = 0
         self._seen_at = 0
         self._clock = clock
         self._parts_by_key = OrderedDict()
@@ -54,6 +64,7 @@
             return
         if epoch != self.epoch:
             self._parts_by_key.clear()
+            self.clear_count += 1
         self._seen_at, self.epoch = seen_at, epoch
 
     def restart(self, epoch):
--- a/libs/fleet/src/mulberryhub/fleet/cache_watcher.py
+++ b/libs/fleet/src/mulberryhub/fleet/cache_watcher.py
@@ -44,6 +44,7 @@
         "_clock",
         "_next_number",
         "_epoch",
+        "_clear_count",
         "_is_failing",
     )
 
@@ -58,6 +59,7 @@
         self._clock = clock
         self._next_number = None
         self._epoch = None
+        self._clear_count = None
         self._is_failing = False
 
     def start(self):
@@ -73,17 +75,29 @@
             events = self._read_events(address, self._next_number)
         cache_index = self._fleet_state.cache_index
         cache_index.restart(events.epoch)
-        # The index may have the store's new start from another router already.
-        has_gap = events.is_lost or events.epoch != self._epoch
-        if self._next_number is not None and has_gap:
+        if self._next_number is not None and self._lacks_parts(events):
             self._next_number = None
             return
         self._epoch = events.epoch
+        self._clear_count = cache_index.clear_count
         for part in events.parts:
             self._fleet_state.apply(part)
         self._next_number = events.next
         cache_index.mark_current(requested_at)
 
+    def _lacks_parts(self, events):
+        """Return whether the index lacks parts from before `events`.
+
+        Another router may have told the store's new start already, or an earlier one
+        that cleared the index.
+        """
+        cache_index = self._fleet_state.cache_index
+        return (
+            events.is_lost
+            or events.epoch != self._epoch
+            or cache_index.clear_count != self._clear_count
+        )
+
     def _run(self):
         while True:
             address = self._find_address() if self._should_watch() else None
--- a/tests/fleet/test_cache_starts.py
+++ b/tests/fleet/test_cache_starts.py
@@ -1,5 +1,7 @@
 """Which of two starts of the KV cache store counts, as their epochs have no order."""
 
+import pytest
+
 from mulberryhub.base.clock import ManualClock
 from mulberryhub.fleet.cache_index import CacheIndex
 from mulberryhub.fleet.cache_watcher import CacheEvents, CacheWatcher
@@ -104,6 +106,32 @@
     assert not index.holds("s", "p")
 
 
+@pytest.mark.parametrize("clock_error", [-HOUR_MS, HOUR_MS], ids=["behind", "ahead"])
+def test_watcher_regains_all_parts_though_the_clock_of_another_router_is_wrong(
+    clock_error,
+):
+    clock = ManualClock(now=100_000)
+    fleet_state = FleetState(clock)
+    index = fleet_state.cache_index
+    events = CacheEvents(4, 8, False, [make_part(4, "q")])
+    later = CacheEvents(4, 8, False, [])
+    watcher = CacheWatcher(
+        lambda: "a:1",
+        lambda address, since: later,
+        lambda address: events,
+        fleet_state,
+        lambda: True,
+        clock,
+    )
+    watcher.step("a:1")
+    assert index.holds("s", "q")
+    index.record_start(clock.wall() + clock_error, 9)
+    for _ in range(3):
+        watcher.step("a:1")
+    assert index.epoch == 4
+    assert index.holds("s", "q")
+
+
 def test_start_is_told_with_parts_only():
     index = make_index()
     index.restart(9)
