Take the age of an engine's load from the router's own call

What callers saw: nothing was reported. With the wall clock of an engine behind that of the router, each report of its load counted as that much older and was discounted, so that a busy engine looked idle; it never mended while the clocks differed. After a step ahead of the router's clock all reports were ignored for as long as the step, as they seemed older than the last one.

Cause: the age of a report was the difference of two wall clocks, cut off at 0.

Why the fix works: an engine makes the report when it is asked, so it is no older than the call, which the router's own steady clock times. The estimate is never too young.

Evidence: tests/upstream/test_engine_monitor.py, three tests failed before (ages of an hour, an age of 0 for a call of 700 ms) and pass now: clocks of engines and of routers an hour behind and ahead, and stepped back between reports. tests/routing and test_engine_control_bytes.py with it: 160 passed. In the test file a local name was changed, as it hid the module; no check was.

--- a/libs/upstream/src/mulberryhub/upstream/engine_monitor.py
+++ b/libs/upstream/src/mulberryhub/upstream/engine_monitor.py
@@ -56,6 +56,7 @@
                 sleep(POLL_INTERVAL_MS / 1000)
 
     def _poll(self, engine):
+        requested_at = self._clock.now()
         try:
             load = read_load(engine, POLL_TIMEOUT_MS)
         except EngineFailure as failure:
@@ -65,7 +66,8 @@
             return
         self._health.record_success(engine.id)
         self.record_incarnation(engine.id, load.incarnation)
-        age_ms = max(0, self._clock.wall() - load.time)
+        # The engine's own time of the report is of another clock, and may be off.
+        age_ms = self._clock.now() - requested_at
         self._policy.record_report(engine.id, load, age_ms)
 
     def record_incarnation(self, engine_id, incarnation):
