Test that wall clocks that are wrong change no verdict, claim or heartbeat

Guards for places that read a wall clock, or a time of another process, and are right: saved verdicts with clocks that differ by seconds, calls with a key through routers that are an hour off, heartbeats of the log, and upstreams in a store that came back from an older copy, each behind and ahead. All pass on the code before (13 passed).

--- a/tests/fleet/test_outdated.py
+++ b/tests/fleet/test_outdated.py
@@ -66,6 +66,17 @@
     assert fixture.upstream.address == "10.0.0.9:80"
 
 
+@pytest.mark.parametrize("started", [1, 900], ids=["behind", "ahead"])
+def test_incarnation_with_a_wrong_clock_is_used_with_its_second_record_at_latest(
+    started,
+):
+    fixture = Fixture()
+    fixture.read(0, 5, started=500)
+    fixture.read(1, 2, started=started)
+    fixture.read(1, 4, started=started)
+    assert fixture.upstream.started == started
+
+
 def test_earlier_incarnation_of_the_copy_is_not_used():
     fixture = Fixture()
     fixture.read(0, 5, started=1)
--- a/tests/fleet/test_suspects.py
+++ b/tests/fleet/test_suspects.py
@@ -1,6 +1,7 @@
 from functools import reduce
 
 import msgspec
+import pytest
 from hypothesis import example, given, strategies as st
 
 from mulberryhub.base.clock import ManualClock
@@ -216,6 +217,23 @@
     assert not late_fleet_state.suspects.is_quarantined("f")
 
 
+# The clock of the router that saves a verdict, less that of the one that reads it.
+@pytest.mark.parametrize("difference", [-5_000, 5_000], ids=["behind", "ahead"])
+def test_stored_verdict_counts_though_wall_clocks_differ_by_seconds(difference):
+    reader = ManualClock(now=1_000)
+    saved_at = reader.wall() + difference
+    verdict = Verdict(
+        Suspect("f", 0, crashed_runs("a", "b", "c", is_repeat=True)), saved_at
+    )
+    fleet_state = FleetState(reader)
+    fleet_state.apply(verdict)
+    assert fleet_state.suspects.is_quarantined("f")
+    reader.advance(QUARANTINE_MS - 1)
+    assert fleet_state.suspects.is_quarantined("f")
+    reader.advance(1)
+    assert not fleet_state.suspects.is_quarantined("f")
+
+
 class EarlierCrashedRun(msgspec.Struct, frozen=True, array_like=True):
     upstream: str
     started: int
--- a/tests/orders/test_at_most_once.py
+++ b/tests/orders/test_at_most_once.py
@@ -19,6 +19,7 @@
 from tests.support.memory_log import MemoryLog
 
 FINGERPRINT = b"fingerprint"
+HOUR_MS = 3_600_000
 
 
 class FakeService:
@@ -251,6 +252,34 @@
     assert service.runs == 0
 
 
+class WrongClock(Clock):
+    """A clock whose wall time is off by `error` ms."""
+
+    __slots__ = ("error",)
+
+    def __init__(self, error):
+        self.error = error
+
+    def wall(self):
+        return super().wall() + self.error
+
+
+@pytest.mark.parametrize("error", [-HOUR_MS, HOUR_MS], ids=["behind", "ahead"])
+def test_call_runs_once_whatever_the_wall_clocks_of_routers_say(log, service, error):
+    def make_wrong_caller():
+        client = LogClient(log.address)
+        return AtMostOnceCaller(client, WrongClock(error), Counters())
+
+    for first, second in (
+        (make_wrong_caller(), make_caller(log)),
+        (make_caller(log), make_wrong_caller()),
+    ):
+        key, runs = make_key(), service.runs
+        answers = [call(first, key, service), call(second, key, service)]
+        assert [answer.replayed for answer in answers] == [False, True]
+        assert service.runs == runs + 1
+
+
 def test_repeat_after_the_records_expired_is_refused(log, service):
     key, caller = make_key(), make_caller(log, partition_count=1)
     call(caller, key, service)
--- a/tests/orders/test_partition.py
+++ b/tests/orders/test_partition.py
@@ -107,6 +107,21 @@
     assert counters.by_name["orders.marks"] == 2
 
 
+@pytest.mark.parametrize("error", [-5_000, 5_000], ids=["behind", "ahead"])
+def test_wrong_wall_clock_delays_a_heartbeat_by_its_error_at_most(log, clock, error):
+    def check():
+        append_heartbeat_if_idle(partition, clock.wall() + error, Counters())
+        return len(log.records_by_stream["claims-0"])
+
+    partition = make_partition(log)
+    partition.append(make_claim())
+    clock.advance(IDLE_THRESHOLD_MS - abs(error) - 1)
+    assert check() == 1
+    clock.advance(2 * abs(error) + 1)
+    assert check() == 2
+    assert check() == 2
+
+
 def test_unreadable_record_is_skipped(log):
     log.add("claims-0", [b"\xc1", b"nonsense"])
     partition = make_partition(log)
