--- a/libs/replica/src/mulberryhub/replica/member_stream.py
+++ b/libs/replica/src/mulberryhub/replica/member_stream.py
@@ -19,30 +19,32 @@
     """Reads the stream; `table` is None while the members are unknown.
 
     `is_caught_up` tells whether the last read reached the end of the log.
-    `snapshot_time` is the log's time in ms of the newest snapshot read, and
-    `snapshot_offset` its offset. `snapshot_request_time` is the log's time in ms of
-    the newest request for a snapshot, or None if there is none or a snapshot
-    followed it.
+    `snapshot_read_at` is when the newest snapshot was read, None if there is none, and
+    `snapshot_offset` its offset. `snapshot_requested_at` is when the newest request for
+    a snapshot was read, or None if there is none or a snapshot followed it. Both are
+    times of `clock`, as the log's clock may be off against that of this VM.
     """
 
     __slots__ = (
         "table",
         "is_caught_up",
-        "snapshot_time",
+        "snapshot_read_at",
         "snapshot_offset",
-        "snapshot_request_time",
+        "snapshot_requested_at",
         "_client",
+        "_clock",
         "_next_offset",
         "_buffered_records",
     )
 
-    def __init__(self, client):
+    def __init__(self, client, clock):
         self.table = MemberTable()
         self.is_caught_up = False
-        self.snapshot_time = None
+        self.snapshot_read_at = None
         self.snapshot_offset = 0
-        self.snapshot_request_time = None
+        self.snapshot_requested_at = None
         self._client = client
+        self._clock = clock
         self._next_offset = 0
         self._buffered_records = []
 
@@ -89,7 +91,7 @@
             log.warning("malformed member record at offset {}", log_record.offset)
             return
         if isinstance(record, SnapshotRequested):
-            self.snapshot_request_time = log_record.time
+            self.snapshot_requested_at = self._clock.now()
         elif isinstance(record, MembersSnapshot):
             self._apply_snapshot(log_record, record)
         if self.table is None:
@@ -98,9 +100,9 @@
             self.table.apply(log_record.offset, record)
 
     def _apply_snapshot(self, log_record, snapshot):
-        self.snapshot_time = log_record.time
+        self.snapshot_read_at = self._clock.now()
         self.snapshot_offset = log_record.offset
-        self.snapshot_request_time = None
+        self.snapshot_requested_at = None
         if self.table is not None:
             return
         first = (
--- a/libs/replica/src/mulberryhub/replica/membership.py
+++ b/libs/replica/src/mulberryhub/replica/membership.py
@@ -88,7 +88,7 @@
         self._counters = counters or Counters()
         self._fits_view = fits_view
         self._removal_delay = removal_delay
-        self._stream = MemberStream(log_client)
+        self._stream = MemberStream(log_client, self._clock)
         self._listeners = []
         self._threads = []
         self._due_by_action = {}
@@ -293,18 +293,18 @@
         stream = self._stream
         if not self.is_member():
             return
-        wall_time = self._clock.wall()
+        now = self._clock.now()
         rank_delay = self._rank("snapshot") * RANK_DELAY_MS
-        if stream.snapshot_time is None:
-            stream.snapshot_time = wall_time
-        due = stream.snapshot_time + SNAPSHOT_INTERVAL_MS + rank_delay
-        if stream.snapshot_request_time is not None:
-            due = min(due, stream.snapshot_request_time + rank_delay)
+        if stream.snapshot_read_at is None:
+            stream.snapshot_read_at = now
+        due = stream.snapshot_read_at + SNAPSHOT_INTERVAL_MS + rank_delay
+        if stream.snapshot_requested_at is not None:
+            due = min(due, stream.snapshot_requested_at + rank_delay)
         record_count = stream.table.last_offset - stream.snapshot_offset
         is_long = record_count >= SNAPSHOT_INTERVAL_RECORD_COUNT * (
             1 + self._rank("snapshot")
         )
-        if wall_time >= due or is_long:
+        if now >= due or is_long:
             self._append_rate_limited("snapshot", stream.table.snapshot())
 
     def _rank(self, subject):
--- a/tests/replica/test_membership.py
+++ b/tests/replica/test_membership.py
@@ -1,5 +1,6 @@
 import pytest
 
+from mulberryhub.base.clock import Clock
 from mulberryhub.base.green import sleep
 from mulberryhub.external.log import LogClient
 from mulberryhub.external.vm_list import VmListClient
@@ -8,9 +9,29 @@
 from mulberryhub.peers.server import PeerServer
 from mulberryhub.replica import membership as membership_module
 from mulberryhub.replica.member_exchange import MemberExchange
+from mulberryhub.replica.member_records import (
+    MembersSnapshot,
+    SnapshotRequested,
+    decode_record,
+    encode_record,
+)
 from mulberryhub.replica.membership import Membership
 
 MAX_POLL_COUNT = 300
+HOUR_MS = 3_600_000
+SNAPSHOT_REPEAT_TIME_S = 2.0  # several of the shortened intervals between appends
+
+
+class WrongClock(Clock):
+    """A clock whose wall time is off by `error` ms."""
+
+    __slots__ = ("error",)
+
+    def __init__(self, error):
+        self.error = error
+
+    def wall(self):
+        return super().wall() + self.error
 
 
 @pytest.fixture
@@ -160,6 +181,34 @@
     wait_for_view([a, b], "a", "b")
 
 
+@pytest.mark.parametrize("error", [-HOUR_MS, HOUR_MS], ids=["behind", "ahead"])
+def test_requested_snapshot_is_written_whatever_the_wall_clock_says(start, log, error):
+    a = start("a", clock=WrongClock(error))
+    wait_for_view([a], "a")
+    log.set_faults(retention=2)
+    LogClient(log.address).append("members", [b"\xc0", b"\xc0"])
+    b = start("b")
+    wait_for_view([a, b], "a", "b")
+
+
+@pytest.mark.parametrize("error", [-HOUR_MS, HOUR_MS], ids=["behind", "ahead"])
+def test_wrong_wall_clock_does_not_repeat_snapshots(start, log, error):
+    def count_snapshots():
+        records = [
+            decode_record(record.payload)
+            for record in client.read("members", 0).records
+        ]
+        return sum(isinstance(record, MembersSnapshot) for record in records)
+
+    client = LogClient(log.address)
+    a = start("a", clock=WrongClock(error))
+    wait_for_view([a], "a")
+    client.append("members", [encode_record(SnapshotRequested("b"))])
+    wait_until(lambda: count_snapshots() == 1)
+    sleep(SNAPSHOT_REPEAT_TIME_S)
+    assert count_snapshots() == 1
+
+
 def test_start_without_members_when_no_snapshot_arrives(start, log):
     log.set_faults(retention=1)
     LogClient(log.address).append("members", [b"\xc0", b"\xc0"])
