--- a/libs/replica/src/mulberryhub/replica/snapshots.py
+++ b/libs/replica/src/mulberryhub/replica/snapshots.py
@@ -27,6 +27,8 @@
         "_clock",
         "_counters",
         "_active_config",
+        "_known_covered_position",
+        "_covered_since",
         "_due_time",
         "_is_writing",
     )
@@ -36,6 +38,8 @@
         self._clock = clock
         self._counters = counters
         self._active_config = active_config
+        self._known_covered_position = None
+        self._covered_since = None
         self._due_time = None
         self._is_writing = False
 
@@ -76,17 +80,29 @@
         if not active_config.is_caught_up or state.offset < 0 or not state.is_complete:
             return False
         covered = self._covered_position
+        self._record_covered(covered)
         if page.oldest > covered or page.end - covered > MAX_UNCOVERED_RECORD_COUNT:
             return True
         if page.oldest > 0 and 2 * (covered - page.oldest) < page.end - page.oldest:
             return True
-        covered_time = active_config.replayer.covered_time
-        return (
-            covered_time is not None and self._age(covered_time) > MAX_SNAPSHOT_AGE_MS
-        )
+        return self._clock.now() - self._covered_since > MAX_SNAPSHOT_AGE_MS
 
-    def _age(self, time):
-        return self._clock.wall() - time
+    def _record_covered(self, covered):
+        """Record since when the records before the position `covered` are covered.
+
+        That is when this router read of it. Only at its first read the age is the
+        difference to the log's time, which may call for one snapshot too many.
+        """
+        if covered == self._known_covered_position:
+            return
+        is_first = self._known_covered_position is None
+        age = self._age_at_log() if is_first else 0
+        self._known_covered_position = covered
+        self._covered_since = self._clock.now() - age
+
+    def _age_at_log(self):
+        covered_time = self._active_config.replayer.covered_time
+        return 0 if covered_time is None else max(0, self._clock.wall() - covered_time)
 
     def _write(self):
         snapshot = self._active_config.state.to_snapshot()
--- a/tests/replica/test_snapshots.py
+++ b/tests/replica/test_snapshots.py
@@ -3,9 +3,17 @@
 from mulberryhub.base.clock import Clock
 from mulberryhub.base.counters import Counters
 from mulberryhub.base.digest import key_hash
+from mulberryhub.base.green import sleep
 from mulberryhub.external.log import LogClient
+from mulberryhub.replica import snapshots
 from mulberryhub.replica.config import ConfigReplica
-from mulberryhub.replica.records import CONFIG_STREAM, encode_record
+from mulberryhub.replica.records import (
+    CONFIG_STREAM,
+    ConfigSnapshot,
+    decode_record,
+    encode_record,
+)
+from mulberryhub.replica.snapshots import MAX_SNAPSHOT_AGE_MS
 from tests.support.inventories import document
 from tests.support.waiting import wait_for
 
@@ -17,8 +25,8 @@
     return fleet.start("mulberryhub.standins.log")
 
 
-def start_replica(log):
-    replica = ConfigReplica(LogClient(log.address), Clock(), Counters())
+def start_replica(log, clock=None):
+    replica = ConfigReplica(LogClient(log.address), clock or Clock(), Counters())
     replica.start()
     wait_for(lambda: replica.is_caught_up)
     return replica
@@ -99,3 +107,50 @@
     wait_for(lambda: replica.status().position == 4)
     assert replica.current().inventory.workspaces[0].rate == 8
     assert start_replica(log).current().inventory.workspaces[0].rate == 8
+
+
+class WrongClock(Clock):
+    """A clock whose wall time is off by `error` ms."""
+
+    __slots__ = ("error",)
+
+    def __init__(self, error):
+        self.error = error
+
+    def wall(self):
+        return super().wall() + self.error
+
+
+def count_snapshots(log):
+    page = LogClient(log.address).read(CONFIG_STREAM, 0)
+    records = [decode_record(record.payload) for record in page.records]
+    return sum(isinstance(record, ConfigSnapshot) for record in records)
+
+
+@pytest.mark.parametrize(
+    "error, count",
+    [(-2 * MAX_SNAPSHOT_AGE_MS, 0), (2 * MAX_SNAPSHOT_AGE_MS, 1)],
+    ids=["behind", "ahead"],
+)
+def test_wrong_wall_clock_calls_for_one_snapshot_at_most(
+    log, monkeypatch, error, count
+):
+    monkeypatch.setattr(snapshots, "MAX_DELAY_MS", 10)
+    replica = start_replica(log, WrongClock(error))
+    replica.set_inventory(-1, "ana", document(rate=7))
+    for _ in range(5):
+        append_other_records(log, 1)
+        end = read_bounds(log).end
+        wait_for(lambda end=end: replica.status().position >= end)
+    sleep(1)
+    assert count_snapshots(log) == count
+
+
+def test_snapshot_is_written_after_its_time(log, monkeypatch):
+    monkeypatch.setattr(snapshots, "MAX_DELAY_MS", 10)
+    monkeypatch.setattr(snapshots, "MAX_SNAPSHOT_AGE_MS", 500)
+    replica = start_replica(log)
+    replica.set_inventory(-1, "ana", document(rate=7))
+    sleep(0.6)
+    append_other_records(log, 1)
+    wait_for(lambda: count_snapshots(log) >= 1)
