--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -14,6 +14,7 @@
     Text,
 )
 from mulberryhub.fleet.admissions import Admitted
+from mulberryhub.fleet.incarnations import UNKNOWN_OFFSET
 
 
 class RequestKind(StrEnum):
@@ -216,25 +217,28 @@
 class Departure(msgspec.Struct, frozen=True, tag=True):
     """An upstream that announced its shutdown in an answer to the router `source`.
 
-    `started` identifies its incarnation; a later one may take requests again.
+    `started` identifies its incarnation, and `offset` is that of a record of it; a
+    later incarnation may take requests again.
     """
 
     id: Text
     started: Count
     source: Text
+    offset: Number = UNKNOWN_OFFSET
 
 
 class RateLimit(msgspec.Struct, frozen=True, tag=True):
     """The requests/s that an upstream accepts from all routers together.
 
-    `started` identifies its incarnation. A higher `number` is newer; a `rate` of None
-    means that it no longer limits requests.
+    `started` identifies its incarnation, and `offset` is that of a record of it. A
+    higher `number` is newer; a `rate` of None means that it no longer limits requests.
     """
 
     id: Text
     started: Count
     number: Number
     rate: Amount | None
+    offset: Number = UNKNOWN_OFFSET
 
 
 class CrashedRun(msgspec.Struct, frozen=True, array_like=True):
