Let no more upstreams load at once where other routers are not heard

A router that holds the lease and does not hear the others, be it for a cut of some seconds, counted the demand of their clients as none. So it let the whole share of upstreams that may load do so at once, while the clients of the others went on asking those that were left: with 6 routers, a demand of 54% of 10 upstreams and a cut of 5 s, 4 upstreams loaded at once where 2 can be spared.

Cause: reports of others count for 1 s and sums for 2 s, and after that their demand was zero: what is not known was taken for harmless. DemandEstimate keeps the demand as it was while most routers were heard, settled so that clients that move to another router are not counted at both, until the unheard ones count as ended (60 s). More demand than that counts as before. It can only make a router load fewer at once; loads near the time limit start whatever the demand.

--- a/libs/node/src/mulberryhub/node/coordination.py
+++ b/libs/node/src/mulberryhub/node/coordination.py
@@ -1,6 +1,7 @@
 """Builds the parts that keep rates over all routers, for the composition root."""
 
 from mulberryhub.fleet.channel import PermitRequest, QuotaGrant, QuotaRequest
+from mulberryhub.fleet.demand_estimate import DemandEstimate
 from mulberryhub.fleet.records import Usage
 from mulberryhub.fleet.router_counts import RouterCounts
 from mulberryhub.fleet.usage import UsageTable
@@ -27,11 +28,7 @@
     name = parts.local_member.name
 
     def count_followers():
-        usage = usage_table.own()
-        others = usage_table.others()
-        if others is not None:
-            usage.add(others)
-        return usage.followers_by_coordinator.get(name, 0)
+        return _known_usage(usage_table).followers_by_coordinator.get(name, 0)
 
     def count_routers():
         return len(parts.fleet_state.members_by_name)
@@ -90,6 +87,7 @@
     parts.router_counts = RouterCounts(
         usage_table.others, lambda: len(fleet_state.members_by_name), clock
     )
+    parts.demand_estimate = DemandEstimate(lambda: _known_usage(usage_table), clock)
     quota_rule = QuotaRule(
         bounds.quota_window, bounds.quota_overage, bounds.quota_slack
     )
@@ -105,3 +103,12 @@
     )
     loads = Loads(usage_table.others, clock)
     return usage_table, quotas, loads
+
+
+def _known_usage(usage_table):
+    """Return the Usage of this router and of those that it hears."""
+    usage = usage_table.own()
+    others = usage_table.others()
+    if others is not None:
+        usage.add(others)
+    return usage
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -176,15 +176,8 @@
         BodyMemory(body_memory_capacity(settings.memory_limit)),
     )
 
-    def demand_for(service):
-        total = usage_table.own()
-        others = usage_table.others()
-        if others is not None:
-            total.add(others)
-        return total.demand_by_service.get(service, 0)
-
     pool_builder = PoolBuilder(
-        fleet_state, loads.work, connect_health.is_avoided, demand_for
+        fleet_state, loads.work, connect_health.is_avoided, parts.demand_estimate.of
     )
     parts.rollout_manager = _build_rollout_manager(
         settings, ports, fleet_state, rate_limits, loads, pool_builder, counters, clock
--- a/libs/node/src/mulberryhub/node/router.py
+++ b/libs/node/src/mulberryhub/node/router.py
@@ -53,6 +53,7 @@
         parts.source_selector.start()
         parts.coordinator_share.start()
         parts.router_counts.start()
+        parts.demand_estimate.start()
         parts.removals.start()
         parts.stream_origins.start()
         spawn_service(self._run_registration)
@@ -168,6 +169,7 @@
         "source_selector",
         "coordinator_share",
         "router_counts",
+        "demand_estimate",
         "coordinate",
         "followers",
         "removals",
