Show how long upstreams are avoided over a pause of the router

The table of beliefs had no test of it. The avoidance goes on while the router stands still and ends in its time, and a failure after a pause of 60 s counts as the first one.

--- a/tests/upstream/test_health.py
+++ b/tests/upstream/test_health.py
@@ -1,3 +1,5 @@
+import pytest
+
 from mulberryhub.base.clock import ManualClock
 from mulberryhub.base.counters import Counters
 from mulberryhub.upstream.health import UpstreamHealth
@@ -51,3 +53,27 @@
     assert not health.is_avoided("a")
     health.record_success("a")
     assert not health.failing_by_id
+
+
+# The clock goes on while the router stands still: what it knows is too old to act on.
+@pytest.mark.parametrize(
+    "pause, is_avoided", [(1_000, True), (5_000, True), (60_000, False)]
+)
+def test_avoidance_goes_on_during_a_pause_and_ends_in_its_time(pause, is_avoided):
+    clock = ManualClock()
+    health = UpstreamHealth(clock, Counters())
+    for _ in range(20):
+        health.record_failure("a")
+    clock.advance(pause)
+    assert health.is_avoided("a") == is_avoided
+
+
+def test_first_failure_after_a_long_pause_counts_as_the_first():
+    clock = ManualClock()
+    health = UpstreamHealth(clock, Counters())
+    for _ in range(20):
+        health.record_failure("a")
+    clock.advance(60_000)
+    health.record_failure("a")
+    clock.advance(1_000)
+    assert not health.is_avoided("a")
