Count the bytes of a buffered answer until its client has them

Answers of up to 1 MB are buffered so that another upstream can still run the request, within 8 MB of all answers together. The bytes were given back to that bound before the answer was written, so answers that slow readers had not taken yet were held beside the bound, without a limit. The bytes count until the write is over now; beyond the bound, answers are streamed.

tests/forward/test_relay.py: the new test failed before (no bytes counted during the write).

--- a/libs/forward/src/mulberryhub/forward/relay.py
+++ b/libs/forward/src/mulberryhub/forward/relay.py
@@ -72,7 +72,8 @@
     def _relay_buffered(self, job, exchange, connection):
         """Buffer the whole answer before sending it, unless it is too long for that.
 
-        Until the answer is sent, another upstream can still run the request.
+        Until the answer is sent, another upstream can still run the request. Its bytes
+        count until the client has taken them.
         """
         body = b""
         try:
@@ -84,12 +85,12 @@
                     or self._buffered_bytes > MAX_TOTAL_BUFFERED_BYTES
                 ):
                     return self._relay_streamed(job, exchange, connection, body)
+            exchange.finish()
+            self._start_answer(job, exchange, connection, len(body))
+            connection.write(body)
+            return connection.finish_response()
         finally:
             self._buffered_bytes -= len(body)
-        exchange.finish()
-        self._start_answer(job, exchange, connection, len(body))
-        connection.write(body)
-        return connection.finish_response()
 
     def _relay_streamed(self, job, exchange, connection, buffered=b""):
         self._start_answer(job, exchange, connection, exchange.head.length)
--- a/tests/forward/test_relay.py
+++ b/tests/forward/test_relay.py
@@ -125,6 +125,24 @@
     assert shared_relay._buffered_bytes == MAX_TOTAL_BUFFERED_BYTES
 
 
+def test_buffered_answer_counts_until_its_client_has_read_it():
+    # Guards against memory that slow readers hold beside the limit.
+    attempt_runner = FakeAttemptRunner([FakeExchange([PIECE, PIECE], ManualClock())])
+    shared_relay = Relay(attempt_runner, None, ManualClock())
+    counted = []
+
+    class SlowClient(FakeClient):
+        def write(self, data):
+            counted.append(shared_relay._buffered_bytes)
+
+    job = Job(
+        make_call(), make_route(RequestKind.IDEMPOTENT), make_service(), None, 4_000
+    )
+    shared_relay.run(job, SlowClient())
+    assert counted == [2 * len(PIECE)]
+    assert shared_relay._buffered_bytes == 0
+
+
 def test_slow_answer_ends_at_its_deadline():
     clock = ManualClock()
     slow = FakeExchange([b"x"] * 100, clock, pause=100)
