Tell what is not known of a naming, and bound each told time by when it was sent

Cause: a router told and saved the versions whose age it knows and left the others out, so a router that starts took all older weights for replaced by the last naming. How current a topic is was relayed without the time for which the first message had waited. A pause between the receipt of a message and its use was not counted. And one slow first exchange made all later ages of a connection too long.

Weights and NamingTimes name versions of unknown age, a receiver takes them as such. Updates tell apart how long ago the operator had certainly written nothing newer; the age of a topic decides only what is read. Ages count from one time, when the message was sent at the earliest, whatever the process does after its receipt. The oldest version that is kept counts for those before it. Acknowledgements of reports tell when they were sent, so that each exchange may improve the bound.

These are one commit, as all change what passes between two routers on weights.

--- a/libs/fleet/src/mulberryhub/fleet/channel.py
+++ b/libs/fleet/src/mulberryhub/fleet/channel.py
@@ -91,8 +91,9 @@
     lists all known upstreams, first and again after a listing, as records of removals
     do not go back that far. `is_current` is set if the publisher's own data is fresh.
     `coordinator` is the name of the router that the publisher asks for permits.
-    `sent_at` is when ages were taken, in ms by the sender's clock, None in updates of
-    earlier builds and without ages.
+    `operator_absent_age` is how many ms ago the operator had certainly written nothing
+    newer. `sent_at` is when ages were taken, in ms by the sender's clock, None in
+    updates of earlier builds.
     """
 
     records: list[Record] = []
@@ -109,13 +110,18 @@
     admitted_by_data_centre: dict[str, Admitted] = {}
     rollout: Rollout | None = None
     coordinator: str = ""
+    operator_absent_age: int | None = None
     sent_at: int | None = None
 
 
 class ReportAck(msgspec.Struct, tag="Counted"):
-    """Sent by a publisher: the number of the report included in the next update."""
+    """Sent by a publisher: the number of the report included in the next update.
+
+    `sent_at` is in ms by its clock, None from earlier builds.
+    """
 
     number: int
+    sent_at: int | None = None
 
 
 class PermitRequest(msgspec.Struct, tag=True):
--- a/libs/fleet/src/mulberryhub/fleet/named_weights.py
+++ b/libs/fleet/src/mulberryhub/fleet/named_weights.py
@@ -49,6 +49,16 @@
         self.is_provisional = False
         return True
 
+    def include(self, earlier):
+        """Count from when the version `earlier` was named."""
+        if earlier.named_after is None:
+            self.named_after = None
+        elif self.named_after is not None:
+            self.named_after = min(self.named_after, earlier.named_after)
+        self.is_provisional = self.is_provisional or earlier.is_provisional
+        self.heard_at = min(self.heard_at, earlier.heard_at)
+        self.named_by_wall = _earlier(self.named_by_wall, earlier.named_by_wall)
+
 
 class NamedWeights:
     """The named versions of all models, and which of their times this router saved.
@@ -78,16 +88,17 @@
         """Return the newest named version of `model`, or 0 without any."""
         return max(self._versions_by_model.get(model, ()), default=0)
 
-    def apply(self, weights, absent_at, unreadable_at=None):
+    def apply(self, weights, absent_at, unreadable_at=None, as_of=None):
         """Apply a record; return whether it told anything new.
 
         `absent_at` is the last time in ms at which newer versions than the known ones
         were not in the store, None if that is unknown. `unreadable_at` is a later one
-        at which this router could not read the store, None without any.
+        at which this router could not read the store, None without any. `as_of` is the
+        time in ms at which the ages of `weights` held, by default now.
         """
         known = self._versions_by_model.setdefault(weights.model, {})
         now = self._clock.now()
-        told_by_version = {version: now - age for version, age in weights.ages.items()}
+        told_by_version = _naming_times(weights, now if as_of is None else as_of)
         is_news = weights.version > self.newest(weights.model)
         if is_news:
             told = told_by_version.get(weights.version)
@@ -95,6 +106,9 @@
         for version, told in told_by_version.items():
             named = known.setdefault(version, NamedVersion(None, now))
             is_news |= named.learn(told)
+        is_news |= not known.keys() >= set(weights.unaged)
+        for version in weights.unaged:
+            known.setdefault(version, NamedVersion(None, now))
         self._drop_old(known)
         if is_news:
             self.revision += 1
@@ -143,7 +157,12 @@
             for version, named in known.items()
             if named.is_certain
         }
-        return Weights(weights.model, weights.version, ages)
+        unaged = [
+            version
+            for version in known
+            if version not in ages and version != weights.version
+        ]
+        return Weights(weights.model, weights.version, ages, unaged)
 
     def records(self):
         """Return the newest Weights of each model, with ages."""
@@ -160,7 +179,9 @@
         newest = self.newest(times.model)
         self._apply_wall_ages(times.model, ages.by_wall)
         is_news = self.newest(times.model) > newest
-        known = Weights(times.model, self.newest(times.model), ages.since_boot)
+        known = Weights(
+            times.model, self.newest(times.model), ages.since_boot, times.unaged
+        )
         return self.apply(known, None) or is_news
 
     def record_stored(self, times):
@@ -195,14 +216,20 @@
 
     @staticmethod
     def _drop_old(known):
-        for version in sorted(known)[:-MAX_VERSION_COUNT]:
-            del known[version]
+        """Drop the oldest versions; the oldest one that is left counts for them."""
+        while len(known) > MAX_VERSION_COUNT:
+            oldest, second = sorted(known)[:2]
+            known[second].include(known.pop(oldest))
 
     def _newer(self, model, version):
         known = self._versions_by_model.get(model, {})
         return [named for number, named in known.items() if number > version]
 
 
+def _naming_times(weights, as_of):
+    return {version: as_of - age for version, age in weights.ages.items()}
+
+
 def _earlier(first, second):
     """Return the earlier of two times in ms, each None if unknown.
 
--- a/libs/fleet/src/mulberryhub/fleet/naming_clock.py
+++ b/libs/fleet/src/mulberryhub/fleet/naming_clock.py
@@ -39,6 +39,7 @@
         data_centre,
         clock.boot_id(),
         {version: now - age for version, age in weights.ages.items()},
+        weights.unaged,
     )
 
 
--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -165,7 +165,8 @@
                         transit_bound.learn(report.sent_at, report.answered_at)
                     now = self._clock.now()
                     wait = transit_bound.longest_wait(report.sent_at, now)
-                    self._apply_report(name, hello, report, wait)
+                    as_of = None if wait is None else now - wait
+                    self._apply_report(name, hello, report, as_of)
         except ChannelError as error:
             log.debug("subscription ended", subscriber=name, reason=str(error))
         finally:
@@ -179,8 +180,8 @@
             channel.send(self._coordinate(request))
             request = channel.receive()
 
-    def _apply_report(self, name, hello, report, wait):
-        """Apply a report that waited for at most `wait` ms, None if unknown."""
+    def _apply_report(self, name, hello, report, as_of):
+        """Apply a report that was sent at `as_of` ms or later, None if unknown."""
         if hello.data_centre == self._usage_table.data_centre:
             self._usage_table.record_report(
                 name,
@@ -192,7 +193,7 @@
         for observation in report.observations:
             self._fleet_state.apply(observation, name)
         for weights in report.weights:
-            self._fleet_state.apply(weights.aged(wait), name)
+            self._fleet_state.apply_told_weights(weights, as_of)
         if report.rollout is not None:
             self._fleet_state.apply_rollout(report.rollout)
 
@@ -242,7 +243,11 @@
             update = self._update_for_remote(subscriber)
             return b"" if update is None else encode(update)
         acked_number = self._usage_table.acked_report_number(hello.name)
-        prefix = b"" if acked_number is None else encode(ReportAck(acked_number))
+        prefix = (
+            b""
+            if acked_number is None
+            else encode(ReportAck(acked_number, self._clock.now()))
+        )
         if subscriber.progress == broadcast.before:
             subscriber.progress = broadcast.after
             return prefix + broadcast.data
@@ -347,6 +352,9 @@
             age = fleet_state.age(topic)
             if age is not None:
                 update.age_by_topic[str(topic)] = age
+        absent_at = fleet_state.operator_absent_at
+        if absent_at is not None:
+            update.operator_absent_age = update.sent_at - absent_at
         update.cache_index_age = fleet_state.cache_index.age()
         update.records = fleet_state.changes_since(revision)
         update.cache_start = fleet_state.cache_index.start_of(update.records)
--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -130,29 +130,27 @@
     """The newest version of a model's weights that the operator announced.
 
     Between routers, `ages` has for how many ms at most each version has been named, of
-    the versions whose age the sender knows.
+    the versions whose age the sender knows. `unaged` are earlier ones whose age it does
+    not know.
     """
 
     model: Text
     version: Count
     ages: dict[Count, Count] = {}
+    unaged: list[Count] = []
 
-    def aged(self, wait):
-        """Return this record as of at most `wait` ms later.
-
-        Its ages are unknown then if `wait` is None.
-        """
-        if wait is None:
-            return Weights(self.model, self.version)
-        ages = {version: age + wait for version, age in self.ages.items()}
-        return Weights(self.model, self.version, ages)
+    def without_ages(self):
+        """Return this record with all ages unknown."""
+        earlier = [version for version in self.ages if version != self.version]
+        return Weights(self.model, self.version, unaged=[*self.unaged, *earlier])
 
 
 class NamingTimes(msgspec.Struct, frozen=True):
     """When versions of a model's weights were named, in ms at the earliest.
 
     `router` saves them in the store, as Unix times and as times since the boot of its
-    VM, which `boot_id` identifies. An empty one means that these are unknown.
+    VM, which `boot_id` identifies. An empty one means that these are unknown. `unaged`
+    are versions of which the router does not know when they were named.
     """
 
     model: Text
@@ -161,6 +159,7 @@
     data_centre: Text = ""
     boot_id: Text = ""
     uptime_by_version: dict[Count, Number] = {}
+    unaged: list[Count] = []
 
 
 class Upstream(msgspec.Struct, frozen=True, tag=True):
--- a/libs/fleet/src/mulberryhub/fleet/reporter.py
+++ b/libs/fleet/src/mulberryhub/fleet/reporter.py
@@ -55,7 +55,7 @@
         "_clock",
         "_last_sent",
         "_acked_number",
-        "_usage_by_number",
+        "_sent_by_number",
     )
 
     def __init__(self, member, local_member, fleet_state, usage_table, clock):
@@ -67,17 +67,23 @@
         self._clock = clock
         self._last_sent = None
         self._acked_number = None
-        self._usage_by_number = {}
+        self._sent_by_number = {}
 
     def record_ack(self, number):
         """Record which report the next update includes, and drop older ones."""
         self._acked_number = number
-        for older in [other for other in self._usage_by_number if other < number]:
-            del self._usage_by_number[older]
+        for older in [other for other in self._sent_by_number if other < number]:
+            del self._sent_by_number[older]
 
     def acked_usage(self):
         """Return the Usage in the report that the last update includes, or None."""
-        return self._usage_by_number.get(self._acked_number)
+        acked = self._sent_by_number.get(self._acked_number)
+        return None if acked is None else acked.usage
+
+    def acked_sent_at(self):
+        """Return when the report was sent that the last update includes, or None."""
+        acked = self._sent_by_number.get(self._acked_number)
+        return None if acked is None else acked.sent_at
 
     def send_due(self, channel):
         """Send a report if one is due; raise ChannelError."""
@@ -111,17 +117,18 @@
         report.observations = self._unsent_observations()
         if last_sent is None or rollout.order != last_sent.rollout_order:
             report.rollout = rollout
-        channel.send(report)
-        if len(self._usage_by_number) < MAX_UNACKED_REPORT_COUNT:
-            self._usage_by_number[number] = usage
-        return SentReport(
+        sent = SentReport(
             number,
             usage,
             rollout.order,
             revision,
             weights_revision,
-            self._clock.now(),
+            report.sent_at,
         )
+        channel.send(report)
+        if len(self._sent_by_number) < MAX_UNACKED_REPORT_COUNT:
+            self._sent_by_number[number] = sent
+        return sent
 
     def _add_usage(self, report, usage):
         """Add all admissions to the first report, the newest ones to later ones."""
--- a/libs/fleet/src/mulberryhub/fleet/state.py
+++ b/libs/fleet/src/mulberryhub/fleet/state.py
@@ -62,8 +62,9 @@
     and `as_of_by_topic` the time in ms as of which nothing newer was in the store.
     `regained_at_by_topic` is when current data was received again, from any source,
     after a gap of more than OUTAGE_THRESHOLD_MS. `listed_up_to` is the end of the last
-    complete listing that upstreams were compared with. `router` and `data_centre` are
-    those of this router.
+    complete listing that upstreams were compared with. `operator_absent_at` is the last
+    time in ms at which the operator had certainly written nothing newer, or None.
+    `router` and `data_centre` are those of this router.
     """
 
     __slots__ = (
@@ -81,13 +82,13 @@
         "as_of_by_topic",
         "regained_at_by_topic",
         "listed_up_to",
+        "operator_absent_at",
         "revision",
         "_removed_by_id",
         "_removed_at_by_id",
         "_outdated_filter",
         "_departures",
         "_running_versions",
-        "_operator_absent_at",
         "_failed_reads",
         "_changes",
         "_rollout_at",
@@ -117,7 +118,7 @@
         self._outdated_filter = OutdatedFilter()
         self._departures = Departures()
         self._running_versions = RunningVersions()
-        self._operator_absent_at = None
+        self.operator_absent_at = None
         self._failed_reads = FailedReads()
         self._changes = ChangeLog()
         self._rollout_at = None
@@ -133,19 +134,14 @@
         """Block until the next change."""
         self._changed.wait()
 
-    def mark_read_up_to(self, topic, position, as_of, wait=0):
+    def mark_read_up_to(self, topic, position, as_of, is_certain=True):
         """Record that `topic` is known up to `position`, as of `as_of` ms.
 
-        If `position` is UNKNOWN_POSITION, only the time is recorded. What told it
-        waited for at most `wait` ms on the way, None if unknown, which `as_of` does not
-        count.
+        If `position` is UNKNOWN_POSITION, only the time is recorded. It is not certain
+        if a message told it, which may have waited.
         """
-        if topic is Topic.OPERATOR and wait is not None:
-            absent_at = as_of - wait
-            known = self._operator_absent_at
-            self._operator_absent_at = (
-                absent_at if known is None else max(known, absent_at)
-            )
+        if topic is Topic.OPERATOR and is_certain:
+            self.record_operator_absent(as_of)
         if position > self.position_by_topic[topic]:
             self.position_by_topic[topic] = position
         before = self.as_of_by_topic[topic]
@@ -154,6 +150,11 @@
             if as_of - before > OUTAGE_THRESHOLD_MS:
                 self.regained_at_by_topic[topic] = self._clock.now()
 
+    def record_operator_absent(self, time):
+        """Record that the operator had written nothing newer at `time` ms."""
+        known = self.operator_absent_at
+        self.operator_absent_at = time if known is None else max(known, time)
+
     def record_listing(self, end):
         """Record that upstreams were compared with a complete listing as of `end`."""
         self.seen_software.record_skip()
@@ -178,12 +179,15 @@
         )
         self._record_and_notify("configuration", configuration)
 
-    def apply_weights(self, weights):
-        """Apply what is known of the weights versions that the operator named."""
+    def apply_weights(self, weights, as_of=None):
+        """Apply what is known of the weights versions that the operator named.
+
+        `as_of` is the time in ms at which its ages held, by default now.
+        """
         newest = self.named_weights.newest(weights.model)
-        absent_at = self._operator_absent_at
+        absent_at = self.operator_absent_at
         unreadable_at = self._failed_reads.last_after(absent_at)
-        if not self.named_weights.apply(weights, absent_at, unreadable_at):
+        if not self.named_weights.apply(weights, absent_at, unreadable_at, as_of):
             return
         if weights.version > newest:
             log.info(
@@ -197,6 +201,15 @@
         known = Weights(weights.model, newest)
         self._record_and_notify(f"weights/{weights.model}", known)
 
+    def apply_told_weights(self, weights, as_of):
+        """Apply Weights of another router, whose ages held at `as_of` ms or later.
+
+        Its ages are not believed if `as_of` is None.
+        """
+        self.apply_weights(
+            weights if as_of is not None else weights.without_ages(), as_of
+        )
+
     def apply_naming_times(self, times):
         """Apply when versions were named, as routers keep it in the store."""
         if self.named_weights.apply_times(times):
@@ -218,7 +231,7 @@
 
     def record_unreadable(self, called_at):
         """Record that a read of the operator's topic, begun at `called_at`, failed."""
-        self._failed_reads.record(called_at, self._operator_absent_at)
+        self._failed_reads.record(called_at, self.operator_absent_at)
 
     def apply_upstream(self, upstream):
         """Apply an upstream's own record if it is newer."""
--- a/libs/fleet/src/mulberryhub/fleet/subscription.py
+++ b/libs/fleet/src/mulberryhub/fleet/subscription.py
@@ -94,11 +94,10 @@
                     raise ChannelError("old messages")
                 received_at = self._clock.now()
                 if isinstance(message, ReportAck):
-                    self._reporter.record_ack(message.number)
+                    self._apply_ack(message)
                 elif isinstance(message, Update):
-                    self._apply_update(
-                        message, self._longest_wait(message, hello_sent_at, received_at)
-                    )
+                    self._learn_transit(message, hello_sent_at)
+                    self._apply_update(message, received_at)
         except ChannelError as error:
             if not self.ended:
                 log.info("member lost", member=self.member.name, reason=str(error))
@@ -113,13 +112,18 @@
         except ChannelError:
             self.close()
 
-    def _longest_wait(self, update, hello_sent_at, received_at):
-        """Return for how many ms at most an update waited, None if it does not tell."""
+    def _apply_ack(self, ack):
+        self._reporter.record_ack(ack.number)
+        answered_at = self._reporter.acked_sent_at()
+        if ack.sent_at is not None and answered_at is not None:
+            self._transit_bound.learn(ack.sent_at, answered_at)
+
+    def _learn_transit(self, update, hello_sent_at):
+        """Learn how long updates take at most; the first one answers the Hello."""
         if update.sent_at is not None:
             if self._reporter.answered_at is None:
                 self._transit_bound.learn(update.sent_at, hello_sent_at)
             self._reporter.answered_at = update.sent_at
-        return self._transit_bound.longest_wait(update.sent_at, received_at)
 
     def _make_hello(self):
         fleet_state = self._fleet_state
@@ -137,8 +141,10 @@
             },
         )
 
-    def _apply_update(self, update, wait):
-        """Apply an update that waited for at most `wait` ms, None if unknown."""
+    def _apply_update(self, update, received_at):
+        """Apply an update that was received at `received_at` ms."""
+        wait = self._transit_bound.longest_wait(update.sent_at, received_at)
+        as_of = None if wait is None else received_at - wait
         fleet_state = self._fleet_state
         self.is_publisher_current = update.is_current
         self.coordinator = update.coordinator or self.coordinator
@@ -146,9 +152,12 @@
             fleet_state.cache_index.record_start(*update.cache_start)
         for record in update.records:
             if isinstance(record, Weights):
-                record = record.aged(wait)
-            fleet_state.apply(record, self.member.name)
-        self._apply_positions(update, wait)
+                fleet_state.apply_told_weights(record, as_of)
+            else:
+                fleet_state.apply(record, self.member.name)
+        self._apply_positions(update)
+        if as_of is not None and update.operator_absent_age is not None:
+            fleet_state.record_operator_absent(as_of - update.operator_absent_age)
         now = self._clock.now()
         if update.cache_index_age is not None:
             fleet_state.cache_index.mark_current(now - update.cache_index_age)
@@ -167,7 +176,7 @@
             usage_table.record_local(update.use, self._reporter.acked_usage())
             usage_table.record_remote_total(update.remote_use, admitted)
 
-    def _apply_positions(self, update, wait):
+    def _apply_positions(self, update):
         """Apply the publisher's position in each topic, and removals up to it."""
         now = self._clock.now()
         for name, position in update.position_by_topic.items():
@@ -182,4 +191,5 @@
                     self._fleet_state.seen_software.record_skip()
             age = update.age_by_topic.get(topic)
             if age is not None:
-                self._fleet_state.mark_read_up_to(topic, position, now - age, wait)
+                as_of = now - age
+                self._fleet_state.mark_read_up_to(topic, position, as_of, False)
--- a/tests/fleet/test_told_ages.py
+++ b/tests/fleet/test_told_ages.py
@@ -170,9 +170,13 @@
             records=[make_upstream("u1", 4)],
             position_by_topic={"operator": 5},
             age_by_topic={"operator": 0},
+            operator_absent_age=0,
+            sent_at=clock.now(),
         )
         received_at = clock.now()
-        subscription._apply_update(update, 0)
+        subscription._learn_transit(update, received_at)
+        subscription._apply_update(update, received_at)
+        assert fleet_state.operator_absent_at is not None
         fleet_state.apply(Weights(MODEL, 2))
         assert age_of_replaced(fleet_state, 1) >= clock.now() - received_at
 
@@ -186,8 +190,14 @@
         subscription = Subscription(
             member, local, True, fleet_state, removals, None, clock
         )
-        update = Update(records=[make_upstream("u1", 4), Weights(MODEL, 2, {2: 100})])
-        subscription._apply_update(update, 0)
+        update = Update(
+            records=[make_upstream("u1", 4), Weights(MODEL, 2, {2: 100})],
+            sent_at=clock.now(),
+        )
+        received_at = clock.now()
+        subscription._learn_transit(update, received_at)
+        subscription._apply_update(update, received_at)
+        assert age_of_replaced(fleet_state, 1) < inf
         assert age_of_replaced(fleet_state, 1) >= PAUSE_MS + 100
 
 
