Let requests wait for the configuration after a pause instead of refusing them

Callers got 503 not_ready from a router that was alive but had got processor time late: five tests of system and cli failed so once, at a load of 20 to 28. Handlers wait up to 5 s for the configuration to be confirmed (`wait_for_view`), but the dispatch refused each request before it reached them, as it asked the same question as the readiness check.

Seen: six fleets started and restarted beside three busy processes, at a load of 21: one of 66 starts counted a pause of over 1.5 s (`config.paused`) and refused. test_paused_router_serves_requests_that_came_in_the_pause failed before with 503 and passes now.

Requests are now refused only where no configuration is known at all. A key that was withdrawn in the pause is still refused, because every handler waits for the confirmed view; /readyz still answers 503 until it is confirmed, so that a balancer prefers other routers.

--- a/libs/daemon/src/mulberryhub/daemon/root.py
+++ b/libs/daemon/src/mulberryhub/daemon/root.py
@@ -117,6 +117,7 @@
             **router_admin_api.endpoints(),
         },
         service_forwarder.handle,
+        lambda: replica.last_known_view is not None and limiter.is_ready,
         lambda: replica.current() is not None and limiter.is_ready,
         lambda: lifecycle.fails_readiness,
         lambda: limiter.holds_shares,
--- a/libs/gateway/src/mulberryhub/gateway/app.py
+++ b/libs/gateway/src/mulberryhub/gateway/app.py
@@ -41,15 +41,17 @@
     """WSGI application that dispatches requests to endpoints.
 
     `endpoints_by_path` holds the endpoints with fixed paths; `fallback(request)`
-    handles all other paths. `is_ready()` tells whether requests can be served,
-    `is_stopping()` whether the load balancer should stop sending new requests, and
-    `holds_shares()` whether the router admits requests from its own share of the
-    rate limits.
+    handles all other paths. `can_serve()` tells whether a configuration is known, so
+    that requests are accepted; handlers wait until it is confirmed. `is_ready()` tells
+    whether it is confirmed now, `is_stopping()` whether the load balancer should stop
+    sending new requests, and `holds_shares()` whether the router admits requests from
+    its own share of the rate limits.
     """
 
     __slots__ = (
         "endpoints_by_path",
         "_fallback",
+        "_can_serve",
         "_is_ready",
         "_is_stopping",
         "_holds_shares",
@@ -58,12 +60,20 @@
     )
 
     def __init__(
-        self, endpoints_by_path, fallback, is_ready, is_stopping, holds_shares, counters
+        self,
+        endpoints_by_path,
+        fallback,
+        can_serve,
+        is_ready,
+        is_stopping,
+        holds_shares,
+        counters,
     ):
         self.endpoints_by_path = dict(endpoints_by_path)
         self.endpoints_by_path["/healthz"] = Endpoint("GET", self._get_health)
         self.endpoints_by_path["/readyz"] = Endpoint("GET", self._get_readiness)
         self._fallback = fallback
+        self._can_serve = can_serve
         self._is_ready = is_ready
         self._is_stopping = is_stopping
         self._holds_shares = holds_shares
@@ -117,8 +127,8 @@
             self._running_handlers.discard(handler)
 
     def _dispatch(self, request):
-        if not self._is_served_unready(request.path):
-            self.require_ready()
+        if not self._is_served_unready(request.path) and not self._can_serve():
+            raise _not_ready_error()
         endpoint = self.endpoints_by_path.get(request.path)
         if endpoint is None:
             return self._fallback(request)
@@ -133,20 +143,20 @@
         """Return whether `path` is served while the router is not ready."""
         return path in PATHS_SERVED_UNREADY or path.startswith(ADMIN_PATH_PREFIX)
 
-    def require_ready(self):
-        """Raise ApiError if the router is not ready to serve requests."""
-        if not self._is_ready():
-            raise ApiError(
-                ErrorCode.NOT_READY,
-                "no configuration is in force",
-                retry_after=NOT_READY_RETRY_AFTER_MS,
-            )
-
     def _get_health(self, request):
         return HttpResponse(200, b"ok\n", "text/plain")
 
     def _get_readiness(self, request):
-        self.require_ready()
+        if not self._is_ready():
+            raise _not_ready_error()
         if self._is_stopping():
             raise ApiError(ErrorCode.STOPPING, "the router is stopping")
         return json_response(ReadinessBody(self._holds_shares()))
+
+
+def _not_ready_error():
+    return ApiError(
+        ErrorCode.NOT_READY,
+        "no configuration is in force",
+        retry_after=NOT_READY_RETRY_AFTER_MS,
+    )
--- a/tests/gateway/test_app.py
+++ b/tests/gateway/test_app.py
@@ -11,11 +11,12 @@
     raise ZeroDivisionError("secret detail")
 
 
-def make_gateway(handler, is_ready=True, is_stopping=False):
+def make_gateway(handler, is_ready=True, is_stopping=False, can_serve=None):
     counters = Counters()
     gateway = Gateway(
         {"/v1/models": Endpoint("GET", handler)},
         lambda request: json_response({"path": request.path}),
+        lambda: is_ready if can_serve is None else can_serve,
         lambda: is_ready,
         lambda: is_stopping,
         lambda: True,
@@ -58,6 +59,14 @@
         assert (status, document["error"]["code"]) == (503, "not_ready")
 
 
+def test_requests_are_accepted_while_a_known_configuration_is_not_confirmed():
+    gateway, _ = make_gateway(
+        lambda request: json_response({}), is_ready=False, can_serve=True
+    )
+    assert send_request(gateway)[0] == 200
+    assert send_request(gateway, "/readyz")[0] == 503
+
+
 def test_stopping_router_serves_requests_but_fails_readiness():
     gateway, _ = make_gateway(lambda request: json_response({}), is_stopping=True)
     assert send_request(gateway)[0] == 200
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -27,6 +27,7 @@
 
 KEY_HASH = key_hash(KEY)
 MAX_WITHDRAWAL_TIME_S = 5.0
+PAUSE_S = 2.0
 
 
 class KeepAliveConnection:
@@ -159,6 +160,20 @@
     assert statuses <= {401, 503}
 
 
+def status_after_pause(router, send):
+    """Return the status of a request sent while the process of `router` is paused."""
+    router.send_signal(signal.SIGSTOP)
+    with ThreadPoolExecutor(1) as pool:
+        status = pool.submit(send, router)
+        time.sleep(PAUSE_S)
+        router.send_signal(signal.SIGCONT)
+        return status.result()
+
+
+def test_paused_router_serves_requests_that_came_in_the_pause(new_fleet):
+    assert status_after_pause(new_fleet.routers[5], status_of) == 200
+
+
 def test_routers_restarted_while_the_log_is_down_get_the_offset_of_the_first(new_fleet):
     fleet = new_fleet
     fleet.log.set_faults(outage=True)
