Let operators' requests wait for the configuration after a pause as callers' do

Operators, and `mulberryhub apply`, got 503 not_ready from a router whose process had got processor time late, since the administration API took a configuration that waits for its confirmation for one that is not known. Tests that read a router's offset or rate failed so.

It now waits with `wait_for_view`, as callers' requests do, and refuses an operator whose key was withdrawn in the pause.

--- a/libs/gateway/src/mulberryhub/gateway/admin.py
+++ b/libs/gateway/src/mulberryhub/gateway/admin.py
@@ -121,14 +121,11 @@
         """Return the id of the operator who sent `request`.
 
         Raise ApiError if the key is not an operator's, or if it cannot be checked
-        because no configuration is in force.
+        because the configuration is not confirmed in time.
         """
         if not self._replica.has_operators:
             return self._require_bootstrap_operator(request)
-        view = self._replica.current()
-        if view is None:
-            raise _not_ready_error()
-        return authenticate_operator(request, view).id
+        return authenticate_operator(request, self._replica.wait_for_view()).id
 
     def _require_operator_for_change(self, request):
         """Return the operator's id; raise ApiError if the operators are not known."""
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -174,6 +174,13 @@
     assert status_after_pause(new_fleet.routers[5], status_of) == 200
 
 
+def test_paused_router_answers_an_operator_who_asked_in_the_pause(new_fleet):
+    def status_of_admin(router):
+        return admin(router, "GET", "/admin/status").status
+
+    assert status_after_pause(new_fleet.routers[5], status_of_admin) == 200
+
+
 def test_routers_restarted_while_the_log_is_down_get_the_offset_of_the_first(new_fleet):
     fleet = new_fleet
     fleet.log.set_faults(outage=True)
