Do not take a slow start of a router for a pause of its process

Seen: beside three busy processes one of 66 routers counted a pause soon after its start. The watch for pauses began when the replica was built, so over 1.5 s until it was started counted as a pause, and a state that a peer sent in answer to a later question counted as unconfirmed: while the log was down, the router answered 503 not_ready until a second peer's answer or for 3 s.

--- a/libs/replica/src/mulberryhub/replica/config.py
+++ b/libs/replica/src/mulberryhub/replica/config.py
@@ -96,6 +96,7 @@
 
     def start(self):
         """Start green threads that read the log and synchronize with peers."""
+        self._active_config.freshness.start()
         jobs = [self._tailer.run, self._committer.flush_withdrawals]
         if self._sync is not None:
             jobs.append(self._sync.run)
--- a/libs/replica/src/mulberryhub/replica/freshness.py
+++ b/libs/replica/src/mulberryhub/replica/freshness.py
@@ -21,6 +21,10 @@
         self._last_check = clock.now()
         self._unconfirmed_since = None
 
+    def start(self):
+        """Begin to watch for pauses; call this before the state is first requested."""
+        self._last_check = self._clock.now()
+
     def check(self):
         """Return whether the state is fresh.
 
--- a/tests/replica/test_config.py
+++ b/tests/replica/test_config.py
@@ -1,12 +1,21 @@
 import pytest
 
-from mulberryhub.base.clock import Clock
+from mulberryhub.base.clock import Clock, ManualClock
 from mulberryhub.base.counters import Counters
 from mulberryhub.base.errors import ApiError, ErrorCode
 from mulberryhub.base.green import sleep, spawn
-from mulberryhub.external.log import LogClient
+from mulberryhub.external.log import LogClient, LogUnavailable
+from mulberryhub.peers.client import PeerUnavailable
+from mulberryhub.replica.changes import build_inventory_change
 from mulberryhub.replica.config import ConfigReplica
-from tests.support.inventories import document
+from mulberryhub.replica.freshness import MAX_CHECK_GAP_MS
+from mulberryhub.replica.messages import (
+    SNAPSHOT_METHOD,
+    SnapshotAnswer,
+    encode_snapshot,
+)
+from mulberryhub.replica.state import ConfigState
+from tests.support.inventories import document, small_inventory
 from tests.support.waiting import wait_for
 
 
@@ -118,3 +127,35 @@
     offset = thread.wait()
     wait_for(lambda: ahead.offset == offset)
     assert rate(ahead) == rate(behind) == 1
+
+
+class UnavailableLog:
+    """A log that answers nothing."""
+
+    def read(self, *arguments, **options):
+        raise LogUnavailable("outage")
+
+
+def call_peer_with_snapshot(address, method, *arguments):
+    """Answer as a peer that has an inventory, but only requests for its state."""
+    if method != SNAPSHOT_METHOD:
+        raise PeerUnavailable(address, method, "connection")
+    state = ConfigState()
+    state.apply(0, build_inventory_change(state, -1, "ana", small_inventory()))
+    return SnapshotAnswer(encode_snapshot(state.to_snapshot()), [])
+
+
+def test_router_that_is_slow_to_start_needs_no_second_answer_of_a_peer():
+    clock = ManualClock()
+    replica = ConfigReplica(
+        UnavailableLog(),
+        clock,
+        Counters(),
+        call=call_peer_with_snapshot,
+        peer_addresses=lambda: ["vm2"],
+    )
+    clock.advance(MAX_CHECK_GAP_MS + 1)
+    replica.start()
+    wait_for(lambda: replica.is_known)
+    assert replica.current() is not None
+    replica.stop()
