Log how long a router's process was paused

A pause of the process was only counted (`config.paused`), so a refusal or a slow answer could not be set against the time and length of a pause. The line is written where the pause is found. test_length_of_a_pause_is_logged failed before.

--- a/libs/replica/src/mulberryhub/replica/freshness.py
+++ b/libs/replica/src/mulberryhub/replica/freshness.py
@@ -1,9 +1,13 @@
 """Detects process pauses, after which the configuration must be confirmed again."""
 
+from mulberryhub.base.logs import module_logger
+
 MAX_CHECK_GAP_MS = 1_500
 CONFIRMATION_TIMEOUT_MS = 3_000
 CHECK_INTERVAL_MS = 200
 
+log = module_logger(__name__)
+
 
 class Freshness:
     """Tracks whether the state was confirmed since the last pause of the process.
@@ -32,8 +36,10 @@
         process, so call this about every CHECK_INTERVAL_MS.
         """
         now = self._clock.now()
-        if now - self._last_check > MAX_CHECK_GAP_MS:
+        pause = now - self._last_check
+        if pause > MAX_CHECK_GAP_MS:
             self._counters.add("config.paused")
+            log.warning("paused for {} ms; must be confirmed", pause)
             self._unconfirmed_since = now
         self._last_check = now
         if (
--- a/tests/replica/test_freshness.py
+++ b/tests/replica/test_freshness.py
@@ -1,3 +1,5 @@
+from loguru import logger
+
 from mulberryhub.base.clock import ManualClock
 from mulberryhub.base.counters import Counters
 from mulberryhub.replica.freshness import (
@@ -37,3 +39,14 @@
     check_repeatedly(clock, freshness, CONFIRMATION_TIMEOUT_MS + CHECK_INTERVAL_MS)
     assert freshness.check()
     assert counters.by_name["config.unconfirmed"] == 1
+
+
+def test_length_of_a_pause_is_logged():
+    lines = []
+    sink = logger.add(lines.append, format="{message}")
+    clock = ManualClock()
+    freshness = Freshness(clock, Counters())
+    clock.advance(MAX_CHECK_GAP_MS + 1)
+    freshness.check()
+    logger.remove(sink)
+    assert lines == [f"paused for {MAX_CHECK_GAP_MS + 1} ms; must be confirmed\n"]
