Split the tries on one engine and the choice of engines off the attempts of a completion

`gateway/attempts.py` had 404 lines and three jobs. `engine_tries` opens or resumes a stream on one engine with several tries; `engine_candidates` yields the engines on which the request may run and paces retries; what is left (325 lines) records the attempts and recovers broken streams.

--- a/libs/gateway/src/mulberryhub/gateway/attempts.py
+++ b/libs/gateway/src/mulberryhub/gateway/attempts.py
@@ -1,28 +1,28 @@
 """Attempts to serve a completion: opens, resumes and fails over engine streams."""
 
+from functools import partial
+
 from mulberryhub.base.errors import ApiError, ErrorCode, ExecutionState
-from mulberryhub.base.green import sleep, spawn_n
+from mulberryhub.base.green import spawn_n
+from mulberryhub.gateway.engine_candidates import EngineCandidates
+from mulberryhub.gateway.engine_tries import (
+    open_stream,
+    resume_or_failure,
+    resume_stream,
+)
 from mulberryhub.gateway.failover import StreamBreaks
 from mulberryhub.gateway.suspect_runs import SuspectRuns
-from mulberryhub.upstream.budget import backoff_ms
 from mulberryhub.upstream.errors import (
     ConnectFailed,
     EngineErrorResponse,
     EngineFailure,
     EngineTimeout,
-    ResponseMismatch,
-    StreamInterrupted,
     StreamNotFound,
 )
 from mulberryhub.upstream.messages import StreamEnd, Token
 
 FAILURE_RETRY_AFTER_MS = 1_000
 BAD_REQUEST_STATUSES = frozenset({400, 413, 422})
-MAX_TRIES_PER_ENGINE = 3
-LEASE_TIMEOUT_MS = 60_000
-
-# Connection failures after which the engine may still be working on the request.
-CONNECTION_FAILURES = (ResponseMismatch, EngineTimeout, StreamInterrupted)
 
 
 class EngineAttempts:
@@ -52,9 +52,9 @@
         "_attempt_started_at",
         "_has_received_items",
         "_breaks",
-        "_retry_count",
         "_has_reached_engine",
         "_suspect_runs",
+        "_candidates",
     )
 
     def __init__(self, dependencies, decision, engine_request):
@@ -74,11 +74,13 @@
         self._attempt_started_at = self._request_started_at
         self._has_received_items = False
         self._breaks = StreamBreaks()
-        self._retry_count = 0
         self._has_reached_engine = False
         self._suspect_runs = SuspectRuns(
             dependencies.suspects, engine_request.request_id, decision.request.chain
         )
+        self._candidates = EngineCandidates(
+            dependencies, self._suspect_runs, self._execution_state
+        )
 
     def open(self):
         """Open a stream on the first engine that accepts the call.
@@ -94,7 +96,7 @@
         All of its text is read again, because it is needed if another engine has to
         continue the stream. Raise EngineFailure if the engine no longer has it.
         """
-        upstream = self._find_upstream(upstream_id)
+        upstream = self._candidates.find(upstream_id)
         if upstream is None:
             raise StreamNotFound("the engine has left")
         self.incarnation = incarnation
@@ -151,8 +153,8 @@
 
         `failure` is the one after which it is tried, or None.
         """
-        for upstream in self._permitted_upstreams(list(self._upstreams(upstream_ids))):
-            if not self._wait_for_retry():
+        for upstream in self._candidates.permitted(upstream_ids, self.token_count):
+            if self.was_sent and not self._candidates.wait_for_retry():
                 break
             self._start_attempt(upstream.id)
             try:
@@ -163,46 +165,6 @@
                 self._handle_open_failure(upstream, error)
         raise self._no_engine_error(failure)
 
-    def _upstreams(self, upstream_ids):
-        """Yield the upstreams that are still in the inventory, healthy ones first."""
-        for id_ in self._dependencies.health.avoided_last(upstream_ids):
-            upstream = self._find_upstream(id_)
-            if upstream is not None:
-                yield upstream
-
-    def _find_upstream(self, upstream_id):
-        """Return the upstream from the inventory in force, or None."""
-        try:
-            view = self._dependencies.confirmed_view()
-        except ApiError as error:
-            error.execution_state = self._execution_state()
-            raise
-        return view.upstreams_by_id.get(upstream_id)
-
-    def _permitted_upstreams(self, upstreams):
-        """Yield each upstream when the request may run on it.
-
-        A suspect waits for a lease on each, for LEASE_TIMEOUT_MS in total. Raise
-        ApiError if the request is quarantined.
-        """
-        deadline = self._dependencies.clock.now() + LEASE_TIMEOUT_MS
-        while upstreams:
-            for upstream in list(upstreams):
-                self._reject_if_quarantined()
-                if self._suspect_runs.acquire_permission(upstream.id, self.token_count):
-                    upstreams.remove(upstream)
-                    yield upstream
-            if self._dependencies.clock.now() > deadline:
-                return
-            if upstreams:
-                self._dependencies.suspects.wait_for_retry()
-
-    def _reject_if_quarantined(self):
-        """Raise ApiError if the request, or a prefix of it, crashes engines."""
-        if self._suspect_runs.is_quarantined():
-            message = "the request crashes engines"
-            raise ApiError(ErrorCode.QUARANTINED, message, self._execution_state())
-
     def _record_crash(self, failure):
         """Record a crash if the engine is gone or restarted after it got the request.
 
@@ -214,53 +176,24 @@
         if is_gone and self._has_reached_engine:
             self._suspect_runs.record_crash(f"{self.upstream_id}/{self.incarnation}")
 
-    def _wait_for_retry(self):
-        """Wait before a retry; return False if the retry budget is exhausted.
-
-        An attempt is not a retry while the call has not reached any engine.
-        """
-        if not self.was_sent:
-            return True
-        if not self._dependencies.retry_budget.try_spend():
-            self._dependencies.counters.add("refusal.retry_budget")
-            return False
-        sleep(backoff_ms(self._retry_count) / 1000)
-        self._retry_count += 1
-        return True
-
     def _open_on(self, upstream):
-        """Open a stream on one engine; every retry uses a new connection."""
-        send = self._dependencies.engine_client.open
-        for tries_left in reversed(range(MAX_TRIES_PER_ENGINE)):
-            try:
-                self._set_opened_stream(send(upstream, self._engine_request))
-                return
-            except CONNECTION_FAILURES as failure:
-                self.was_sent = True
-                self._has_reached_engine = True
-                if not tries_left or self._is_unresponsive(failure, tries_left):
-                    raise
-                self._count_retry(failure)
-            send = self._resume_or_open
-
-    @staticmethod
-    def _is_unresponsive(failure, tries_left):
-        """Return whether the engine was silent on a new connection as well."""
-        return isinstance(failure, EngineTimeout) and (
-            tries_left < MAX_TRIES_PER_ENGINE - 1
+        """Open a stream on one engine, with several tries."""
+        stream = open_stream(
+            self._dependencies.engine_client,
+            upstream,
+            self._engine_request,
+            self._record_sent,
+            self._count_retry,
         )
+        self._set_opened_stream(stream)
 
-    def _resume_or_open(self, upstream, engine_request):
-        """Resume the stream if the engine has it, otherwise send the call again."""
-        try:
-            return self._dependencies.engine_client.resume(upstream, engine_request)
-        except StreamNotFound:
-            return self._dependencies.engine_client.open(upstream, engine_request)
+    def _record_sent(self):
+        self.was_sent = True
+        self._has_reached_engine = True
 
     def _set_opened_stream(self, stream):
-        self.was_sent = True
+        self._record_sent()
         self.was_opened = True
-        self._has_reached_engine = True
         self._stream = stream
         self.incarnation = stream.incarnation
         self._dependencies.engine_monitor.record_incarnation(
@@ -320,27 +253,14 @@
         self._check_first_token_deadline()
         self._engine_request.delivered_tokens = self.token_count
         self._engine_request.delivered_text = "".join(self._texts)
-        upstream = self._find_upstream(self.upstream_id)
+        upstream = self._candidates.find(self.upstream_id)
         if upstream is not None and self._should_resume(failure):
-            failure = self._resume_or_failure(upstream)
+            resume = partial(self._resume_on, upstream)
+            failure = resume_or_failure(resume, self._count_retry)
             if failure is None:
                 return
         self._fail_over(upstream, failure)
 
-    def _resume_or_failure(self, upstream):
-        """Resume on a new connection; return None, or the failure after all tries."""
-        failure = None
-        for _ in range(MAX_TRIES_PER_ENGINE - 1):
-            try:
-                self._resume_on(upstream)
-                return None
-            except CONNECTION_FAILURES as error:
-                failure = error
-                self._count_retry(error)
-            except EngineFailure as error:
-                return error
-        return failure
-
     def _check_first_token_deadline(self):
         elapsed_ms = self._dependencies.clock.now() - self._request_started_at
         if self.token_count or elapsed_ms < self._engine_request.first_token_timeout:
@@ -364,12 +284,13 @@
         return self._breaks.should_resume(self.token_count)
 
     def _resume_on(self, upstream):
-        stream = self._dependencies.engine_client.resume(upstream, self._engine_request)
-        if stream.incarnation != self.incarnation:
-            stream.close()
-            raise StreamNotFound("the engine has restarted", stream.incarnation)
-        self.was_sent = True
-        self._has_reached_engine = True
+        stream = resume_stream(
+            self._dependencies.engine_client,
+            upstream,
+            self._engine_request,
+            self.incarnation,
+        )
+        self._record_sent()
         self._stream = stream
 
     def _fail_over(self, upstream, failure):
