Give the selection its delay and transfer cost as functions

Cause: the selection read the work in flight itself and held the fixed cost of transfers, so that nothing else that is known of an upstream could count there. Change: ExpectedDelay composes the work in flight with adjustments, none so far, and fixed_transfer_cost holds the former figures. No behaviour changes.

--- a/libs/forward/src/mulberryhub/forward/selection.py
+++ b/libs/forward/src/mulberryhub/forward/selection.py
@@ -13,8 +13,6 @@
 from mulberryhub.forward.stream_versions import accept_all
 from mulberryhub.routing.placement import Placement
 
-REMOTE_COST_MS_PER_KB = 6  # for transfers between data centres
-ANSWER_KB_PER_TOKEN = 0.1  # of the maximum length of an answer
 # Cost of each shared token that is processed again, for which other requests wait too.
 MISS_COST_MS_PER_TOKEN = 0.06
 UNREACHABLE_COST_MS = 10_000  # at an upstream that could not be reached recently
@@ -54,6 +52,8 @@
 class UpstreamSelector:
     """Selects upstreams among those that `fleet_state` lists.
 
+    `expected_delay(upstream, service)` returns the delay in ms that a request is
+    expected to have, `transfer_cost(call, upstream)` the cost in ms of its transfer.
     `availability` tracks the upstreams that announced a pause or their shutdown.
     `connect_health` tracks those that could not be reached, `answer_health` those that
     were reached and cut an answer. `version_time` is the time in ms for which weights
@@ -62,11 +62,11 @@
 
     __slots__ = (
         "_fleet_state",
-        "_loads",
+        "_expected_delay",
+        "_transfer_cost",
         "_connect_health",
         "_answer_health",
         "_availability",
-        "_data_centre",
         "_version_time",
         "_ready_by_service",
         "_revision",
@@ -76,19 +76,19 @@
     def __init__(
         self,
         fleet_state,
-        loads,
+        expected_delay,
+        transfer_cost,
         connect_health,
         answer_health,
         availability,
-        data_centre,
         version_time,
     ):
         self._fleet_state = fleet_state
-        self._loads = loads
+        self._expected_delay = expected_delay
+        self._transfer_cost = transfer_cost
         self._connect_health = connect_health
         self._answer_health = answer_health
         self._availability = availability
-        self._data_centre = data_centre
         self._version_time = version_time
         self._ready_by_service = {}
         self._revision = None
@@ -110,10 +110,10 @@
         if not ready:
             return None
         if call.model is None or not service.models:
-            costs = self._costs(call, ready, [])
+            costs = self._costs(call, service, ready, [])
             upstream = min(ready, key=lambda item: costs[item.id])
-            return Choice(upstream, self._loads.work(upstream.id))
-        return self._choose_engine(call, route, ready)
+            return Choice(upstream, self._expected_delay(upstream, service))
+        return self._choose_engine(call, route, service, ready)
 
     def is_limited(self, service):
         """Return whether an upstream of `service` limits the requests it accepts."""
@@ -132,7 +132,7 @@
         ready = [item for item in self._ready_upstreams(service.name) if accepts(item)]
         return self._availability.time_until_open(ready, flow)
 
-    def _choose_engine(self, call, route, ready):
+    def _choose_engine(self, call, route, service, ready):
         loading = self._fleet_state.loading_ids()
         candidates = [item for item in ready if item.id not in loading] or ready
         model = call.model
@@ -143,7 +143,7 @@
         allowed = [
             item
             for item in candidates
-            if self._may_begin(item, model, versions[item.id], newest)
+            if self._may_begin(item, service, model, versions[item.id], newest)
         ]
         if not allowed:
             return None
@@ -151,18 +151,17 @@
         for version in set(versions.values()):
             # Parts are cached for one version only, so each version has its own order.
             same_version = [item for item in candidates if versions[item.id] == version]
-            costs |= self._costs(
-                call, same_version, self._rank_by_cache(call, same_version)
-            )
+            ranked = self._rank_by_cache(call, same_version)
+            costs |= self._costs(call, service, same_version, ranked)
         for id, version in versions.items():
             if version < newest:
                 costs[id] += OLD_WEIGHTS_COST_SHARE * route.target_latency
         upstream = min(allowed, key=lambda item: costs[item.id])
-        delay = self._loads.work(upstream.id)
+        delay = self._expected_delay(upstream, service)
         version = versions[upstream.id]
         return Choice(upstream, delay, version)
 
-    def _may_begin(self, upstream, model, version, newest):
+    def _may_begin(self, upstream, service, model, version, newest):
         """Return whether a request sent now would begin on weights in time.
 
         `newest` is the newest version in use. Where none newer is in use, weights of
@@ -177,22 +176,19 @@
             if named.time_known_superseded(model, version) >= UNKNOWN_AGE_TIME_MS:
                 return False
             age = named.longest_time_superseded(model, version)
-        return age + self._loads.work(upstream.id) < self._version_time
+        return age + self._expected_delay(upstream, service) < self._version_time
 
-    def _costs(self, call, upstreams, ranked):
+    def _costs(self, call, service, upstreams, ranked):
         """Return the expected cost in ms by the id of each upstream.
 
         `ranked` are the upstreams that hold the shared parts, most likely first.
         """
         rank_by_id = {upstream.id: rank for rank, upstream in enumerate(ranked)}
         shared_tokens = sum(part.tokens for part in call.shared_parts)
-        transfer_kb = len(call.request.body) / 1024
-        transfer_kb += ANSWER_KB_PER_TOKEN * (call.output_tokens or 0)
         costs = {}
         for upstream in upstreams:
-            cost = self._loads.work(upstream.id) + random()
-            if upstream.data_centre != self._data_centre:
-                cost += REMOTE_COST_MS_PER_KB * transfer_kb
+            cost = self._expected_delay(upstream, service) + random()
+            cost += self._transfer_cost(call, upstream)
             cost += (
                 MISS_COST_MS_PER_TOKEN
                 * shared_tokens
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -14,6 +14,7 @@
 from mulberryhub.forward.budget import BudgetRule, RetryBudget
 from mulberryhub.forward.cache_directives import CacheDirectives
 from mulberryhub.forward.demand import Demand
+from mulberryhub.forward.expected_delay import ExpectedDelay
 from mulberryhub.forward.forwarder import Forwarder
 from mulberryhub.forward.quarantine import Quarantine
 from mulberryhub.forward.rate_limits import UpstreamRateLimits
@@ -21,6 +22,7 @@
 from mulberryhub.forward.remaining_time import RemainingTime
 from mulberryhub.forward.selection import UpstreamSelector
 from mulberryhub.forward.stream_versions import StreamVersions
+from mulberryhub.forward.transfer_cost import fixed_transfer_cost
 from mulberryhub.http.body_memory import BodyMemory
 from mulberryhub.http.pool import ConnectionPool
 from mulberryhub.http.server import HttpServer
@@ -105,11 +107,11 @@
     )
     selector = UpstreamSelector(
         fleet_state,
-        loads,
+        ExpectedDelay(loads.work).of,
+        fixed_transfer_cost(settings.data_centre),
         connect_health,
         answer_health,
         availability,
-        settings.data_centre,
         settings.bounds.version_time - VERSION_TIME_MARGIN_MS,
     )
     retry_budget = _build_retry_budget(settings, fleet_state, clock)
--- a/tests/forward/attempt_fixture.py
+++ b/tests/forward/attempt_fixture.py
@@ -10,6 +10,7 @@
 from mulberryhub.forward.budget import BudgetRule, RetryBudget
 from mulberryhub.forward.cache_directives import CacheDirectives
 from mulberryhub.forward.call import AnswerFacts, Dialect
+from mulberryhub.forward.expected_delay import ExpectedDelay
 from mulberryhub.forward.job import Job
 from mulberryhub.forward.loads import Loads
 from mulberryhub.forward.quarantine import Quarantine
@@ -17,6 +18,7 @@
 from mulberryhub.forward.remaining_time import RemainingTime
 from mulberryhub.forward.selection import UpstreamSelector
 from mulberryhub.forward.stream_versions import StreamVersions
+from mulberryhub.forward.transfer_cost import fixed_transfer_cost
 from mulberryhub.http.messages import (
     ConnectionFailed,
     Headers,
@@ -145,11 +147,11 @@
             dialect,
             UpstreamSelector(
                 fleet_state,
-                loads,
+                ExpectedDelay(loads.work).of,
+                fixed_transfer_cost("a"),
                 connect_health,
                 answer_health,
                 availability,
-                "a",
                 11_000,
             ),
             self,
--- a/tests/forward/test_heavy_load.py
+++ b/tests/forward/test_heavy_load.py
@@ -16,8 +16,10 @@
 from mulberryhub.fleet.records import Usage
 from mulberryhub.fleet.state import FleetState
 from mulberryhub.forward.availability import UpstreamAvailability
+from mulberryhub.forward.expected_delay import ExpectedDelay
 from mulberryhub.forward.loads import Loads
 from mulberryhub.forward.selection import UpstreamSelector
+from mulberryhub.forward.transfer_cost import fixed_transfer_cost
 from mulberryhub.forward.work import estimate_work
 from mulberryhub.upstream.health import UpstreamHealth
 from tests.forward.fakes import (
@@ -81,7 +83,8 @@
         self.loads = Loads(lambda: self.others, clock)
         self.selector = UpstreamSelector(
             fleet_state,
-            self.loads,
+            ExpectedDelay(self.loads.work).of,
+            fixed_transfer_cost(data_centre),
             UpstreamHealth(clock, Counters()),
             UpstreamHealth(clock, Counters()),
             UpstreamAvailability(
@@ -91,7 +94,6 @@
                 clock,
                 Counters(),
             ),
-            data_centre,
             10_000,
         )
 
--- a/tests/forward/test_selection.py
+++ b/tests/forward/test_selection.py
@@ -6,8 +6,10 @@
 from mulberryhub.fleet.rollout import Rollout
 from mulberryhub.fleet.state import FleetState, Topic
 from mulberryhub.forward.availability import UpstreamAvailability
+from mulberryhub.forward.expected_delay import ExpectedDelay
 from mulberryhub.forward.loads import Loads
 from mulberryhub.forward.selection import UNKNOWN_AGE_TIME_MS, UpstreamSelector
+from mulberryhub.forward.transfer_cost import fixed_transfer_cost
 from mulberryhub.forward.work import estimate_work
 from mulberryhub.upstream.health import UpstreamHealth
 from tests.forward.fakes import (
@@ -40,11 +42,11 @@
         )
         self.selector = UpstreamSelector(
             self.fleet_state,
-            self.loads,
+            ExpectedDelay(self.loads.work).of,
+            fixed_transfer_cost(data_centre),
             self.connect_health,
             self.answer_health,
             self.availability,
-            data_centre,
             VERSION_TIME_MS,
         )
         for upstream in upstreams:
