Decide by work in flight when requests leave their data centre

A transfer cost a fixed 6 ms per KB and shared parts had one order of upstreams in all data centres, so about two thirds of all requests left their data centre at even load. Where the configuration has a KV cache store at home, the home upstreams now come first, and a slowly moving share of each service's requests leaves while the delay at home exceeds the one elsewhere by more than the transfer. Parts that the store does not hold go to one upstream of all data centres.

--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -322,7 +322,8 @@
     engine time in ms that clients request per s. `followers_by_coordinator` is the
     number of the routers that ask a coordinator for permits. `max_uptime` is the ms for
     which the longest running of the routers has run, `min_uptime` that of the latest
-    started.
+    started. `routers_by_data_centre` is the number of routers of each other data centre
+    that are included; earlier builds do not tell.
     """
 
     admitted: Admitted = Admitted()
@@ -334,6 +335,7 @@
     max_uptime: int = msgspec.field(default=0, name="uptime")
     min_uptime: int = msgspec.field(default=MAX_UPTIME_MS, name="youngest")
     followers_by_coordinator: dict[str, int] = {}
+    routers_by_data_centre: dict[str, int] = msgspec.field(default={}, name="heard")
 
     def add(self, other):
         """Add the usage of other routers, except for `admitted`."""
@@ -371,4 +373,5 @@
     "bound_by_upstream",
     "demand_by_service",
     "followers_by_coordinator",
+    "routers_by_data_centre",
 )
--- a/libs/fleet/src/mulberryhub/fleet/usage.py
+++ b/libs/fleet/src/mulberryhub/fleet/usage.py
@@ -204,10 +204,24 @@
         if self._published_remote is not None and self._is_published_lately():
             total.add(self._published_remote.usage)
             return total
-        for reported in self._recent(self._remote_by_data_centre.values()):
-            total.add(reported.usage)
+        for data_centre, reported in self._remote_by_data_centre.items():
+            if self._is_recent(reported):
+                total.add(reported.usage)
+                total.routers_by_data_centre[data_centre] = reported.usage.routers
         return total
 
+    def heard_data_centres(self, max_age):
+        """Return the other data centres whose usage is known from `max_age` ms ago.
+
+        A sum that a publisher sent includes reports of up to MAX_REPORT_AGE_MS.
+        """
+        if self._published_remote is not None and self._is_published_lately():
+            age = self._clock.now() - self._published_remote.updated_at
+            if age + MAX_REPORT_AGE_MS > max_age:
+                return frozenset()
+        counts = self.remote().routers_by_data_centre
+        return frozenset(name for name, count in counts.items() if count)
+
     def remote_admitted(self, slots=None):
         """Return the Admitted of other data centres, the newest `slots` or all."""
         if self._is_amended(self._remote_amended_at):
--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -42,7 +42,11 @@
 
 
 class AttemptRunner:
-    """Selects upstreams for a job and returns the exchange to relay."""
+    """Selects upstreams for a job and returns the exchange to relay.
+
+    `record_connected(data_centre, duration)` is called with the ms in which a
+    connection was opened.
+    """
 
     __slots__ = (
         "_dialect",
@@ -62,6 +66,7 @@
         "_cache_directives",
         "_clock",
         "_counters",
+        "_record_connected",
     )
 
     def __init__(
@@ -82,6 +87,7 @@
         cache_directives,
         clock,
         counters,
+        record_connected=lambda data_centre, duration: None,
     ):
         self._dialect = dialect
         self._selector = selector
@@ -100,6 +106,7 @@
         self._cache_directives = cache_directives
         self._clock = clock
         self._counters = counters
+        self._record_connected = record_connected
 
     def run(self, job):
         """Return an Exchange whose answer is to be relayed, or raise Refusal."""
@@ -155,6 +162,7 @@
             job.tried_ids | excluded_ids,
             job.flow,
             self._stream_versions.filter_for(job),
+            job.workspace,
         )
 
     def _choose(self, job):
@@ -206,6 +214,7 @@
         is_bound = not (job.is_repeatable and job.runs + 1 < job.route.max_attempts)
         work = estimate_work(call, job.service, choice.upstream, is_bound)
         exchange = Exchange(attempt, request, work, self._pool, self._loads)
+        opened_at = self._clock.now()
         try:
             exchange.open(job.is_repeatable)
         except ConnectionFailed as error:
@@ -213,6 +222,9 @@
                 self._quarantine.record_connect_refused(choice.upstream)
             self._record_failed(job, choice.upstream, "connect", error)
             return None
+        if not exchange.is_reused:
+            duration = self._clock.now() - opened_at
+            self._record_connected(choice.upstream.data_centre, duration)
         return exchange
 
     def _has_usable_answer(self, job, exchange):
--- a/libs/forward/src/mulberryhub/forward/cache_directives.py
+++ b/libs/forward/src/mulberryhub/forward/cache_directives.py
@@ -50,6 +50,13 @@
             self._remember_save(key)
             attempt.save_to = store.cache_address
 
+    def holds_parts(self, call, workspace, version):
+        """Return whether the store is known to hold the shared parts of `call`."""
+        if not call.shared_parts or not self._cache_index.is_reachable():
+            return False
+        salt = cache_salt(call.model, version, self._find_scope(workspace))
+        return self._cache_index.holds(salt, call.shared_parts[-1].id)
+
     def _is_save_due(self, key):
         saved_at = self._saved_at_by_key.get(key)
         return (
--- a/libs/forward/src/mulberryhub/forward/routes.py
+++ b/libs/forward/src/mulberryhub/forward/routes.py
@@ -21,6 +21,7 @@
         "_shared_scope",
         "_routes_by_host",
         "_cache_services",
+        "_cache_data_centres",
         "_mean_rate",
     )
 
@@ -45,6 +46,9 @@
         self._cache_services = [
             item for item in configuration.services if item.cache_address
         ]
+        self._cache_data_centres = {
+            item.cache_data_centre for item in self._cache_services
+        }
 
     def route(self, host, path):
         """Return the route of `host` with the longest prefix of `path`, or None."""
@@ -92,6 +96,10 @@
                 return service
         return self._cache_services[0] if self._cache_services else None
 
+    def has_cache_service(self, data_centre):
+        """Return whether `data_centre` has a KV cache store of its own."""
+        return data_centre in self._cache_data_centres
+
 
 def choose_service(route):
     """Return the service name of a random target of `route`, by weight."""
--- a/libs/forward/src/mulberryhub/forward/selection.py
+++ b/libs/forward/src/mulberryhub/forward/selection.py
@@ -3,24 +3,22 @@
 With many long prompts that share parts, the cache of one engine holds only a few of
 the parts. Requests with the same shared parts therefore go to the same upstream from
 all data centres, unless it is much busier than the next one or the transfer costs
-more. Upstreams with the newest weights are preferred while they have capacity.
+more. Where the router's data centre has a KV cache store, its own upstreams come first.
+Upstreams with the newest weights are preferred while they have capacity.
 """
 
 from math import inf
 from random import random
 
 from mulberryhub.fleet.records import UpstreamState
+from mulberryhub.forward.part_places import PartPlaces
 from mulberryhub.forward.stream_versions import accept_all
-from mulberryhub.routing.placement import Placement
 
-# Cost of each shared token that is processed again, for which other requests wait too.
-MISS_COST_MS_PER_TOKEN = 0.06
 UNREACHABLE_COST_MS = 10_000  # at an upstream that could not be reached recently
 # Cost at an upstream that cut an answer recently, which is less than a long queue.
 CUT_ANSWER_COST_MS = 1_200
 OLD_WEIGHTS_COST_SHARE = 0.2  # of the latency target, if newer weights are in use
 UNKNOWN_AGE_TIME_MS = 2_000  # of use of weights that were replaced an unknown time ago
-MAX_RANKED_UPSTREAMS = 3  # that cache the shared parts of the same prompt
 
 
 class Choice:
@@ -40,15 +38,6 @@
         self.holder = holder
 
 
-class Candidate:
-    """The id of an upstream, as Placement expects it."""
-
-    __slots__ = ("id",)
-
-    def __init__(self, id):
-        self.id = id
-
-
 class UpstreamSelector:
     """Selects upstreams among those that `fleet_state` lists.
 
@@ -57,7 +46,9 @@
     `availability` tracks the upstreams that announced a pause or their shutdown.
     `connect_health` tracks those that could not be reached, `answer_health` those that
     were reached and cut an answer. `version_time` is the time in ms for which weights
-    may be used after newer ones were announced.
+    may be used after newer ones were announced. `locality` decides on the data centre,
+    none of which is preferred if it is None; `holds_parts(call, workspace, version)`
+    returns whether the KV cache store at home holds the shared parts.
     """
 
     __slots__ = (
@@ -70,7 +61,8 @@
         "_version_time",
         "_ready_by_service",
         "_revision",
-        "_placements_by_ids",
+        "_locality",
+        "_part_places",
     )
 
     def __init__(
@@ -82,6 +74,8 @@
         answer_health,
         availability,
         version_time,
+        locality=None,
+        holds_parts=lambda call, workspace, version: False,
     ):
         self._fleet_state = fleet_state
         self._expected_delay = expected_delay
@@ -92,13 +86,23 @@
         self._version_time = version_time
         self._ready_by_service = {}
         self._revision = None
-        self._placements_by_ids = {}
+        self._locality = locality
+        self._part_places = PartPlaces(holds_parts)
 
-    def choose(self, call, route, service, tried_ids, flow, accepts=accept_all):
+    def choose(
+        self,
+        call,
+        route,
+        service,
+        tried_ids,
+        flow,
+        accepts=accept_all,
+        workspace=None,
+    ):
         """Return a Choice among upstreams not in `tried_ids`, or None.
 
-        `flow` is the Flow of the request; `accepts(upstream)` returns whether an
-        upstream may serve it.
+        `flow` is the Flow of the request, `workspace` the Workspace that sent it;
+        `accepts(upstream)` returns whether an upstream may serve it.
         """
         ready = [
             item
@@ -109,11 +113,15 @@
         ]
         if not ready:
             return None
+        is_first = not tried_ids
         if call.model is None or not service.models:
-            costs = self._costs(call, service, ready, [])
+            region = self._region(call, route, service, ready, is_first)
+            if region is not None:
+                ready = [i for i in ready if i.data_centre == region.data_centre]
+            costs = self._costs(call, service, ready, {item.id: 0 for item in ready})
             upstream = min(ready, key=lambda item: costs[item.id])
             return Choice(upstream, self._expected_delay(upstream, service))
-        return self._choose_engine(call, route, service, ready)
+        return self._choose_engine(call, route, service, ready, workspace, is_first)
 
     def is_limited(self, service):
         """Return whether an upstream of `service` limits the requests it accepts."""
@@ -132,7 +140,7 @@
         ready = [item for item in self._ready_upstreams(service.name) if accepts(item)]
         return self._availability.time_until_open(ready, flow)
 
-    def _choose_engine(self, call, route, service, ready):
+    def _choose_engine(self, call, route, service, ready, workspace, is_first):
         loading = self._fleet_state.loading_ids()
         candidates = [item for item in ready if item.id not in loading] or ready
         model = call.model
@@ -147,16 +155,21 @@
         ]
         if not allowed:
             return None
+        region = self._region(call, route, service, allowed, is_first)
         costs = {}
         for version in set(versions.values()):
             # Parts are cached for one version only, so each version has its own order.
             same_version = [item for item in candidates if versions[item.id] == version]
-            ranked = self._rank_by_cache(call, same_version)
-            costs |= self._costs(call, service, same_version, ranked)
+            miss_costs = self._part_places.miss_costs(
+                call, workspace, version, same_version, region
+            )
+            costs |= self._costs(call, service, same_version, miss_costs)
         for id, version in versions.items():
-            if version < newest:
+            if version < newest and id in costs:
                 costs[id] += OLD_WEIGHTS_COST_SHARE * route.target_latency
-        upstream = min(allowed, key=lambda item: costs[item.id])
+        upstream = min(allowed, key=lambda item: costs.get(item.id, inf))
+        if region is not None:
+            self._locality.record_choice(region, upstream)
         delay = self._expected_delay(upstream, service)
         version = versions[upstream.id]
         return Choice(upstream, delay, version)
@@ -178,51 +191,42 @@
             age = named.longest_time_superseded(model, version)
         return age + self._expected_delay(upstream, service) < self._version_time
 
-    def _costs(self, call, service, upstreams, ranked):
-        """Return the expected cost in ms by the id of each upstream.
-
-        `ranked` are the upstreams that hold the shared parts, most likely first.
+    def _region(self, call, route, service, upstreams, is_first):
+        """Return the Region of a request that `upstreams` may serve, or None."""
+        if self._locality is None:
+            return None
+        return self._locality.region(
+            call,
+            route,
+            service,
+            upstreams,
+            lambda upstream: self._delay(upstream, service),
+            lambda upstream: not self._connect_health.is_avoided(upstream.id),
+            is_first,
+        )
+
+    def _costs(self, call, service, upstreams, miss_costs):
+        """Return the expected cost in ms by the id of each upstream in `miss_costs`.
+
+        `miss_costs` are the costs of shared parts that are not cached there.
         """
-        rank_by_id = {upstream.id: rank for rank, upstream in enumerate(ranked)}
-        shared_tokens = sum(part.tokens for part in call.shared_parts)
-        costs = {}
-        for upstream in upstreams:
-            cost = self._expected_delay(upstream, service) + random()
-            cost += self._transfer_cost(call, upstream)
-            cost += (
-                MISS_COST_MS_PER_TOKEN
-                * shared_tokens
-                * rank_by_id.get(upstream.id, MAX_RANKED_UPSTREAMS)
-            )
-            if self._connect_health.is_avoided(upstream.id):
-                cost += UNREACHABLE_COST_MS
-            if self._answer_health.is_avoided(upstream.id):
-                cost += CUT_ANSWER_COST_MS
-            costs[upstream.id] = cost
-        return costs
-
-    def _rank_by_cache(self, call, upstreams):
-        """Return the upstreams where the prompt's shared parts are cached, best first.
+        return {
+            upstream.id: self._delay(upstream, service)
+            + random()
+            + self._transfer_cost(call, upstream)
+            + miss_costs[upstream.id]
+            for upstream in upstreams
+            if upstream.id in miss_costs
+        }
 
-        The order is the same at all routers.
-        """
-        shared = call.shared_parts
-        if not shared:
-            return []
-        placement = self._placement(upstreams)
-        order = placement.rank(shared[-1].id.encode(), MAX_RANKED_UPSTREAMS)
-        by_id = {upstream.id: upstream for upstream in upstreams}
-        return [by_id[candidate.id] for candidate in order]
-
-    def _placement(self, upstreams):
-        ids = tuple(item.id for item in upstreams)
-        placement = self._placements_by_ids.get(ids)
-        if placement is None:
-            if len(self._placements_by_ids) > 64:
-                self._placements_by_ids.clear()
-            placement = Placement([Candidate(id) for id in ids])
-            self._placements_by_ids[ids] = placement
-        return placement
+    def _delay(self, upstream, service):
+        """Return the expected delay in ms, and the cost of recent failures."""
+        delay = self._expected_delay(upstream, service)
+        if self._connect_health.is_avoided(upstream.id):
+            delay += UNREACHABLE_COST_MS
+        if self._answer_health.is_avoided(upstream.id):
+            delay += CUT_ANSWER_COST_MS
+        return delay
 
     def _ready_upstreams(self, service_name):
         if self._revision != self._fleet_state.revision:
--- a/libs/node/src/mulberryhub/node/metrics.py
+++ b/libs/node/src/mulberryhub/node/metrics.py
@@ -47,13 +47,19 @@
         """Add the gauge `name` with one value per topic.
 
         The functions in `reader_by_topic` are called for the values at each scrape.
+        Return the function `(topic, reader)` that adds further ones.
         """
         gauge = Gauge(
             f"mulberryhub_{name}", help_text, ["topic"], registry=self.registry
         )
-        for topic, reader in reader_by_topic.items():
+
+        def add_reader(topic, reader):
             gauge.labels(topic).set_function(reader)
 
+        for topic, reader in reader_by_topic.items():
+            add_reader(topic, reader)
+        return add_reader
+
     def timing(self, name, duration):
         """Record a duration in ms in the histogram."""
         self._histogram.labels(name).observe(duration)
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -22,7 +22,6 @@
 from mulberryhub.forward.remaining_time import RemainingTime
 from mulberryhub.forward.selection import UpstreamSelector
 from mulberryhub.forward.stream_versions import StreamVersions
-from mulberryhub.forward.transfer_cost import fixed_transfer_cost
 from mulberryhub.http.body_memory import BodyMemory
 from mulberryhub.http.pool import ConnectionPool
 from mulberryhub.http.server import HttpServer
@@ -32,6 +31,7 @@
     build_usage,
 )
 from mulberryhub.node.gauges import add_gauges
+from mulberryhub.node.locality import build_locality
 from mulberryhub.node.metrics import metrics_server
 from mulberryhub.node.naming_times import NamingTimesSaver
 from mulberryhub.node.readiness import readiness_server
@@ -105,14 +105,19 @@
         clock,
         counters,
     )
+    locality_parts = build_locality(
+        settings, lambda: parts.forwarder.view(), usage_table, clock, counters
+    )
     selector = UpstreamSelector(
         fleet_state,
         ExpectedDelay(loads.work).of,
-        fixed_transfer_cost(settings.data_centre),
+        locality_parts.transfer_cost,
         connect_health,
         answer_health,
         availability,
         settings.bounds.version_time - VERSION_TIME_MARGIN_MS,
+        locality_parts.locality,
+        lambda *args: cache_directives.holds_parts(*args),
     )
     retry_budget = _build_retry_budget(settings, fleet_state, clock)
 
@@ -157,6 +162,7 @@
         cache_directives,
         clock,
         counters,
+        locality_parts.round_trips.record,
     )
     relay = Relay(attempt_runner, ports.dialect.event_header, clock)
     parts.forwarder = Forwarder(
--- a/libs/node/src/mulberryhub/node/settings.py
+++ b/libs/node/src/mulberryhub/node/settings.py
@@ -35,7 +35,8 @@
     `seeds` are peer addresses of some routers, which may be out of date. Metrics are
     not served if `metrics_address` is empty. `strength` measures the CPU and network
     capacity; members of higher strength are preferred as leaders. `memory_limit` is
-    that of the process in bytes, 0 if it has none.
+    that of the process in bytes, 0 if it has none. `link_mbps` is the speed of the VM's
+    network link in Mbit/s.
     """
 
     name: str
@@ -48,6 +49,7 @@
     seeds: list[str] = []
     strength: int = 0
     memory_limit: int = 0
+    link_mbps: float = 1_000
     bounds: OperatorLimits = OperatorLimits()
 
     def findings(self):
