Weigh copies of parts in each data centre against a transfer

Ranking all parts at home makes a copy in each data centre, so fewer different parts are cached. A part that the store at home does not hold is placed at the first upstream of all data centres if its caches, by their KV memory and what the store holds, are likely enough to have it.

--- a/libs/fleet/src/mulberryhub/fleet/cache_index.py
+++ b/libs/fleet/src/mulberryhub/fleet/cache_index.py
@@ -15,12 +15,13 @@
     no order, so starts are ordered by when a router first read of them, and those of
     which that is unknown by their epochs. The wall clock of a router may be wrong, so
     an earlier start may count until the present one is read of again. `clear_count` is
-    how often the index was cleared.
+    how often the index was cleared, `token_count` the length of all parts in it.
     """
 
     __slots__ = (
         "epoch",
         "clear_count",
+        "token_count",
         "_seen_at",
         "_clock",
         "_parts_by_key",
@@ -30,6 +31,7 @@
     def __init__(self, clock):
         self.epoch = None
         self.clear_count = 0
+        self.token_count = 0
         self._seen_at = 0
         self._clock = clock
         self._parts_by_key = OrderedDict()
@@ -44,10 +46,12 @@
         known = self._parts_by_key.get(key)
         if known is not None and known.number >= part.number:
             return False
+        self.token_count += part.tokens - (0 if known is None else known.tokens)
         self._parts_by_key[key] = part
         self._parts_by_key.move_to_end(key)
         if len(self._parts_by_key) > MAX_PART_COUNT:
-            self._parts_by_key.popitem(last=False)
+            _, dropped = self._parts_by_key.popitem(last=False)
+            self.token_count -= dropped.tokens
         return True
 
     def start_of(self, records):
@@ -64,6 +68,7 @@
             return
         if epoch != self.epoch:
             self._parts_by_key.clear()
+            self.token_count = 0
             self.clear_count += 1
         self._seen_at, self.epoch = seen_at, epoch
 
--- a/libs/forward/src/mulberryhub/forward/part_places.py
+++ b/libs/forward/src/mulberryhub/forward/part_places.py
@@ -3,10 +3,12 @@
 Upstreams cache few of the parts, so requests with the same shared parts go to the same
 few upstreams, which are ranked by hashing. Where the router's data centre has a KV
 cache store, its own upstreams are ranked, as they fetch the parts that the store holds
-at little cost. That makes a copy in each data centre. A part that the store does not
-hold is therefore expected at the first of the upstreams of all data centres.
+at little cost. That makes a copy in each data centre, and the more copies, the fewer
+different parts are cached. So a part that the store does not hold is placed at the
+first upstream of all data centres, its holder, if that pays.
 """
 
+from mulberryhub.forward.outbound_shares import MARGIN_MS
 from mulberryhub.routing.placement import Placement
 
 # Cost of each shared token that is processed again, for which other requests wait too.
@@ -14,11 +16,13 @@
 # Cost of shared parts that are fetched from the store in the data centre. A fetch takes
 # some ms, and the copy takes room from parts that the store does not hold.
 FETCH_COST_MS = 20
-# Cost of each rank. Other routers' requests are known up to 250 ms late, so that the
-# upstream that seems least busy is chosen by all; ranks spread the requests.
-RANK_COST_MS = 80
+# Cost of each rank. The upstream that seems least busy is chosen by all routers until
+# they learn of each other's requests, half of the 250 ms between reports on average.
+# Ranks spread the requests, unless upstreams differ by more than that.
+RANK_COST_MS = 125
 MAX_RANKED_UPSTREAMS = 3  # that cache the shared parts of the same prompt
 MAX_PLACEMENTS = 64
+CACHE_MEMORY_SHARE = 0.75  # of an upstream's KV memory, which running requests share
 
 
 class Candidate:
@@ -30,20 +34,33 @@
         self.id = id
 
 
+class StoredParts:
+    """What the KV cache store in the router's data centre holds.
+
+    `holds(call, workspace, version)` returns whether it holds the shared parts of a
+    call, `token_count()` the length of all parts in it.
+    """
+
+    __slots__ = ("holds", "token_count")
+
+    def __init__(self, holds, token_count):
+        self.holds = holds
+        self.token_count = token_count
+
+
 class PartPlaces:
     """Ranks the upstreams that most likely cache the shared parts of a prompt.
 
-    `holds_parts(call, workspace, version)` returns whether the KV cache store in the
-    router's data centre holds them.
+    `store` is the StoredParts of the KV cache store in the router's data centre.
     """
 
-    __slots__ = ("_holds_parts", "_placements_by_ids")
+    __slots__ = ("_store", "_placements_by_ids")
 
-    def __init__(self, holds_parts):
-        self._holds_parts = holds_parts
+    def __init__(self, store):
+        self._store = store
         self._placements_by_ids = {}
 
-    def miss_costs(self, call, workspace, version, upstreams, region=None):
+    def miss_costs(self, call, service, workspace, version, upstreams, region=None):
         """Return the expected cost in ms by the id of each upstream that may be used.
 
         `upstreams` are those with the weights `version`; without a Region, any of them.
@@ -55,17 +72,16 @@
             return _costs(upstreams, ranked_ids, lambda rank: price * rank)
         local = [item for item in upstreams if item.data_centre == region.data_centre]
         ranked_ids = self.rank(call, local)
-        costs, first_rank = {}, 0
+        cached, costs = self._cached_share(service, local), {}
         if region.is_home and ranked_ids:
-            if self._holds_parts(call, workspace, version):
+            if self._store.holds(call, workspace, version):
                 price = min(price, FETCH_COST_MS)
             else:
-                holder = self._holder(call, upstreams, region)
-                if holder.data_centre != region.data_centre:
-                    costs = {holder.id: _ranked_cost(price, 0)}
-                    first_rank = 1
+                # What home upstreams cache was saved to the store, which has more room.
+                cached = 0
+                costs = self._holder_cost(call, service, upstreams, region, price)
         return costs | _costs(
-            local, ranked_ids, lambda rank: _ranked_cost(price, rank, first_rank)
+            local, ranked_ids, lambda rank: _ranked_cost(price, rank, cached)
         )
 
     def rank(self, call, upstreams):
@@ -80,12 +96,24 @@
         order = placement.rank(shared[-1].id.encode(), MAX_RANKED_UPSTREAMS)
         return [candidate.id for candidate in order]
 
-    def _holder(self, call, upstreams, region):
-        """Return the upstream that most likely caches parts that no store holds."""
+    def _holder_cost(self, call, service, upstreams, region, price):
+        """Return the cost by the id of the holder, empty if it is at home."""
         names = {region.data_centre, *region.holder_data_centres}
         usable = [item for item in upstreams if item.data_centre in names]
         first_id = self.rank(call, usable)[0]
-        return next(item for item in usable if item.id == first_id)
+        holder = next(item for item in usable if item.id == first_id)
+        if holder.data_centre == region.data_centre:
+            return {}
+        cached = self._cached_share(service, usable)
+        return {holder.id: _ranked_cost(price, 0, cached) + MARGIN_MS}
+
+    def _cached_share(self, service, upstreams):
+        """Return the share of the parts that `upstreams` cache without any copies.
+
+        What the store holds stands for the parts in use, of which it is a part only.
+        """
+        capacity = CACHE_MEMORY_SHARE * service.kv_capacity * len(upstreams)
+        return min(1, capacity / max(1, self._store.token_count()))
 
     def _placement(self, upstreams):
         ids = tuple(item.id for item in upstreams)
@@ -98,17 +126,14 @@
         return placement
 
 
-def _miss_share(rank):
-    """Return the share of shared tokens that are expected not to be cached."""
-    return min(1, (rank + 1) / (MAX_RANKED_UPSTREAMS + 1))
-
-
-def _ranked_cost(price, rank, first_rank=0):
+def _ranked_cost(price, rank, cached):
     """Return the cost in ms at a `rank` if all parts together cost `price` to obtain.
 
-    The upstreams that most likely cache the parts begin at `first_rank`.
+    They are cached at the first rank with the probability `cached`, and at others with
+    less.
     """
-    return price * _miss_share(first_rank + rank) + RANK_COST_MS * rank
+    hit_share = cached * (1 - rank / MAX_RANKED_UPSTREAMS)
+    return price * (1 - hit_share) + RANK_COST_MS * rank
 
 
 def _costs(upstreams, ranked_ids, cost_of_rank):
--- a/libs/forward/src/mulberryhub/forward/selection.py
+++ b/libs/forward/src/mulberryhub/forward/selection.py
@@ -47,8 +47,8 @@
     `connect_health` tracks those that could not be reached, `answer_health` those that
     were reached and cut an answer. `version_time` is the time in ms for which weights
     may be used after newer ones were announced. `locality` decides on the data centre,
-    none of which is preferred if it is None; `holds_parts(call, workspace, version)`
-    returns whether the KV cache store at home holds the shared parts.
+    none of which is preferred if it is None; `stored_parts` is the StoredParts of the
+    KV cache store there, None without a `locality`.
     """
 
     __slots__ = (
@@ -75,7 +75,7 @@
         availability,
         version_time,
         locality=None,
-        holds_parts=lambda call, workspace, version: False,
+        stored_parts=None,
     ):
         self._fleet_state = fleet_state
         self._expected_delay = expected_delay
@@ -87,7 +87,7 @@
         self._ready_by_service = {}
         self._revision = None
         self._locality = locality
-        self._part_places = PartPlaces(holds_parts)
+        self._part_places = PartPlaces(stored_parts)
 
     def choose(
         self,
@@ -161,7 +161,7 @@
             # Parts are cached for one version only, so each version has its own order.
             same_version = [item for item in candidates if versions[item.id] == version]
             miss_costs = self._part_places.miss_costs(
-                call, workspace, version, same_version, region
+                call, service, workspace, version, same_version, region
             )
             costs |= self._costs(call, service, same_version, miss_costs)
         for id, version in versions.items():
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -16,6 +16,7 @@
 from mulberryhub.forward.demand import Demand
 from mulberryhub.forward.expected_delay import ExpectedDelay
 from mulberryhub.forward.forwarder import Forwarder
+from mulberryhub.forward.part_places import StoredParts
 from mulberryhub.forward.quarantine import Quarantine
 from mulberryhub.forward.rate_limits import UpstreamRateLimits
 from mulberryhub.forward.relay import Relay
@@ -117,7 +118,10 @@
         availability,
         settings.bounds.version_time - VERSION_TIME_MARGIN_MS,
         locality_parts.locality,
-        lambda *args: cache_directives.holds_parts(*args),
+        StoredParts(
+            lambda *args: cache_directives.holds_parts(*args),
+            lambda: fleet_state.cache_index.token_count,
+        ),
     )
     retry_budget = _build_retry_budget(settings, fleet_state, clock)
 
--- a/tests/forward/attempt_fixture.py
+++ b/tests/forward/attempt_fixture.py
@@ -122,6 +122,7 @@
         self.clock = ManualClock(now=1_000)
         self.outcomes = list(outcomes)
         self.sent = []
+        self.connected = []
         self.is_shutting_down = False
         self.pause = None
         self.work_while_connecting = []
@@ -175,6 +176,7 @@
             ),
             self.clock,
             Counters(),
+            lambda *args: self.connected.append(args),
         )
         call = make_call(arrived_at=1_000)
         route = make_route(kind, **route_values)
--- a/tests/forward/locality_simulation.py
+++ b/tests/forward/locality_simulation.py
@@ -15,6 +15,7 @@
 from mulberryhub.forward.expected_delay import ExpectedDelay
 from mulberryhub.forward.loads import Loads
 from mulberryhub.forward.locality import Locality
+from mulberryhub.forward.part_places import StoredParts
 from mulberryhub.forward.selection import UpstreamSelector
 from mulberryhub.forward.transfer_cost import measured_transfer_cost
 from mulberryhub.forward.work import Work
@@ -32,6 +33,7 @@
 RUN_MS = 20  # in which an upstream of speed 1 processes a request
 REPORT_PERIOD_MS = 250
 WORK = Work(RUN_MS, 0, False)
+SHARED_TOKENS = 6_000  # of a prompt
 BODY = b"x" * 9_000
 TARGET_MS = 315
 
@@ -70,8 +72,9 @@
             availability,
             10_000,
             self.locality,
-            lambda call, workspace, version: (
-                call.shared_parts[-1].id in simulation.held
+            StoredParts(
+                lambda call, *args: call.shared_parts[-1].id in simulation.held,
+                lambda: SHARED_TOKENS * len(simulation.held),
             ),
         )
 
@@ -131,7 +134,7 @@
 
     def _send(self, router):
         part = self.random.choice(self.parts)
-        call = make_call((("top", 2_000), (part, 4_000), ("own", 1_800)), BODY)
+        call = make_call(((part, SHARED_TOKENS), ("own", 1_800)), BODY)
         route = make_route(target_latency=TARGET_MS)
         choice = router.selector.choose(call, route, make_service(), set(), FLOW)
         id, now = choice.upstream.id, self.clock.now()
--- a/tests/forward/test_attempts.py
+++ b/tests/forward/test_attempts.py
@@ -74,6 +74,13 @@
     assert fixture.runs() == runs
 
 
+def test_time_of_opening_a_connection_is_recorded_if_it_succeeds():
+    """Guards against round-trip times that are never measured."""
+    fixture = Fixture([UNREACHABLE, OK], RequestKind.NON_IDEMPOTENT)
+    assert fixture.run() == 200
+    assert fixture.connected == [("a", 0)]
+
+
 def test_request_without_time_left_is_not_sent():
     fixture = Fixture([OK], RequestKind.IDEMPOTENT)
     fixture.clock.advance(3_995)
--- a/tests/forward/test_cache_directives.py
+++ b/tests/forward/test_cache_directives.py
@@ -50,6 +50,16 @@
     assert attempt.fetch_from == attempt.save_to == STORE.cache_address
 
 
+def test_held_parts_are_those_of_the_version_in_a_store_that_can_be_reached():
+    """Guards against requests kept at home for parts that are processed again there."""
+    for is_reachable in (True, False):
+        fixture = Fixture(is_reachable)
+        fixture.add_kept("top", "key")
+        holds_parts = fixture.cache_directives.holds_parts
+        assert holds_parts(make_call(), None, 1) is is_reachable
+        assert not holds_parts(make_call(), None, 2)
+
+
 def test_save_is_repeated_only_after_the_retry_interval():
     fixture = Fixture()
     assert fixture.prepare().save_to is not None
--- a/tests/forward/test_routes.py
+++ b/tests/forward/test_routes.py
@@ -54,6 +54,7 @@
     view = ConfigurationView(make_configuration(services=services))
     assert view.cache_service("a").name == "near"
     assert view.cache_service("c").name == "far"
+    assert view.has_cache_service("a") and not view.has_cache_service("c")
 
 
 def test_targets_share_requests_by_weight():
