Spread requests without shared parts over the upstreams at home

They have no order of upstreams, so all routers chose the same upstream until reports arrived. With home first, each of them chooses among three random upstreams by rank. Without a store at home nothing changes.

--- a/libs/forward/src/mulberryhub/forward/part_places.py
+++ b/libs/forward/src/mulberryhub/forward/part_places.py
@@ -8,6 +8,8 @@
 first upstream of all data centres, its holder, if that pays.
 """
 
+from random import sample
+
 from mulberryhub.forward.outbound_shares import MARGIN_MS
 from mulberryhub.routing.placement import Placement
 
@@ -71,6 +73,8 @@
             ranked_ids = self.rank(call, upstreams)
             return _costs(upstreams, ranked_ids, lambda rank: price * rank)
         local = [item for item in upstreams if item.data_centre == region.data_centre]
+        if not call.shared_parts:
+            return spread_costs(local)
         ranked_ids = self.rank(call, local)
         cached, costs = self._cached_share(service, local), {}
         if region.is_home and ranked_ids:
@@ -126,6 +130,13 @@
         return placement
 
 
+def spread_costs(upstreams):
+    """Return costs by id that let each request choose among a few random upstreams."""
+    count = min(MAX_RANKED_UPSTREAMS, len(upstreams))
+    ranked_ids = [upstream.id for upstream in sample(upstreams, count)]
+    return _costs(upstreams, ranked_ids, lambda rank: _ranked_cost(0, rank, 0))
+
+
 def _ranked_cost(price, rank, cached):
     """Return the cost in ms at a `rank` if all parts together cost `price` to obtain.
 
--- a/libs/forward/src/mulberryhub/forward/selection.py
+++ b/libs/forward/src/mulberryhub/forward/selection.py
@@ -11,7 +11,7 @@
 from random import random
 
 from mulberryhub.fleet.records import UpstreamState
-from mulberryhub.forward.part_places import PartPlaces
+from mulberryhub.forward.part_places import PartPlaces, spread_costs
 from mulberryhub.forward.stream_versions import accept_all
 
 UNREACHABLE_COST_MS = 10_000  # at an upstream that could not be reached recently
@@ -115,12 +115,7 @@
             return None
         is_first = not tried_ids
         if call.model is None or not service.models:
-            region = self._region(call, route, service, ready, is_first)
-            if region is not None:
-                ready = [i for i in ready if i.data_centre == region.data_centre]
-            costs = self._costs(call, service, ready, {item.id: 0 for item in ready})
-            upstream = min(ready, key=lambda item: costs[item.id])
-            return Choice(upstream, self._expected_delay(upstream, service))
+            return self._choose_plain(call, route, service, ready, is_first)
         return self._choose_engine(call, route, service, ready, workspace, is_first)
 
     def is_limited(self, service):
@@ -140,6 +135,17 @@
         ready = [item for item in self._ready_upstreams(service.name) if accepts(item)]
         return self._availability.time_until_open(ready, flow)
 
+    def _choose_plain(self, call, route, service, ready, is_first):
+        region = self._region(call, route, service, ready, is_first)
+        if region is None:
+            spread = {item.id: 0 for item in ready}
+        else:
+            ready = [i for i in ready if i.data_centre == region.data_centre]
+            spread = spread_costs(ready)
+        costs = self._costs(call, service, ready, spread)
+        upstream = min(ready, key=lambda item: costs[item.id])
+        return Choice(upstream, self._expected_delay(upstream, service))
+
     def _choose_engine(self, call, route, service, ready, workspace, is_first):
         loading = self._fleet_state.loading_ids()
         candidates = [item for item in ready if item.id not in loading] or ready
--- a/tests/forward/locality_simulation.py
+++ b/tests/forward/locality_simulation.py
@@ -97,7 +97,8 @@
         self.random, self.load = random, load
         self.clock = ManualClock()
         self.fleet_state = FleetState(self.clock)
-        self.has_store = True
+        self.has_store = self.has_shared_parts = True
+        self.service = make_service()
         self.parts = [f"p{number}" for number in range(400)]
         self.held = set(self.parts)
         self.placed = []
@@ -134,9 +135,10 @@
 
     def _send(self, router):
         part = self.random.choice(self.parts)
-        call = make_call(((part, SHARED_TOKENS), ("own", 1_800)), BODY)
+        shared = ((part, SHARED_TOKENS),) if self.has_shared_parts else ()
+        call = make_call((*shared, ("own", 1_800)), BODY)
         route = make_route(target_latency=TARGET_MS)
-        choice = router.selector.choose(call, route, make_service(), set(), FLOW)
+        choice = router.selector.choose(call, route, self.service, set(), FLOW)
         id, now = choice.upstream.id, self.clock.now()
         router.loads.record_sent(id, WORK)
         run_time = RUN_MS / self.speed_by_id[id]
--- a/tests/forward/test_locality.py
+++ b/tests/forward/test_locality.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from tests.forward.fakes import make_service
 from tests.forward.locality_simulation import Simulation, late_share
 
 SEEDS = (1, 2, 3)
@@ -35,6 +36,17 @@
         assert late_share(simulation.sent(source)) < 0.02
 
 
+@pytest.mark.parametrize("models", [["m"], []], ids=["model", "no_model"])
+def test_requests_without_shared_parts_are_spread(models):
+    """Guards against routers that choose the same upstream until reports arrive."""
+    simulation = simulate(1, lambda name, now: 0.8, 0)
+    simulation.has_shared_parts = False
+    simulation.service = make_service(models=models)
+    simulation.run(10_000)
+    assert late_share(simulation.placed) < 0.02
+    assert share_out(simulation, "a") < 0.02
+
+
 @pytest.mark.parametrize("random_seed", SEEDS)
 def test_only_the_excess_leaves_and_comes_back(random_seed):
     """Guards against shares that overshoot, oscillate or outlast the excess."""
