Learn the speed of each upstream and place requests by it

Cause: upstreams of one service differ in speed, while the expected delay counts work in flight as if all were equally fast. Slow ones receive as many requests as fast ones and answer them late. Change: UpstreamSpeeds compares the pauses between events and the time to the first event of each response with those usual at the service, shares the sums with the other routers in Usage, and divides the expected delay by the speed. A prompt costs more where it takes longer to process, and slow upstreams are the home of fewer shared parts. Differences below a third change nothing.

--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -320,9 +320,11 @@
     ms that requests in flight cause at an upstream, and `bound_by_upstream` the number
     of requests that cannot continue at any other upstream. `demand_by_service` is the
     engine time in ms that clients request per s. `followers_by_coordinator` is the
-    number of the routers that ask a coordinator for permits. `max_uptime` is the ms for
-    which the longest running of the routers has run, `min_uptime` that of the latest
-    started.
+    number of the routers that ask a coordinator for permits.
+    `slowness_by_incarnation` is the weighted sum of what responses tell of the speed of
+    upstreams, and `speed_weight_by_incarnation` its weight; keys and units are those of
+    `forward.speed_sharing`. `max_uptime` is the ms for which the longest running of the
+    routers has run, `min_uptime` that of the latest started.
     """
 
     admitted: Admitted = Admitted()
@@ -334,6 +336,8 @@
     max_uptime: int = msgspec.field(default=0, name="uptime")
     min_uptime: int = msgspec.field(default=MAX_UPTIME_MS, name="youngest")
     followers_by_coordinator: dict[str, int] = {}
+    speed_weight_by_incarnation: dict[int, int] = {}
+    slowness_by_incarnation: dict[int, int] = {}
 
     def add(self, other):
         """Add the usage of other routers, except for `admitted`."""
@@ -371,4 +375,6 @@
     "bound_by_upstream",
     "demand_by_service",
     "followers_by_coordinator",
+    "speed_weight_by_incarnation",
+    "slowness_by_incarnation",
 )
--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -60,6 +60,7 @@
         "_budget",
         "_fleet_state",
         "_cache_directives",
+        "_speeds",
         "_clock",
         "_counters",
     )
@@ -80,6 +81,7 @@
         budget,
         fleet_state,
         cache_directives,
+        speeds,
         clock,
         counters,
     ):
@@ -98,6 +100,7 @@
         self._budget = budget
         self._fleet_state = fleet_state
         self._cache_directives = cache_directives
+        self._speeds = speeds
         self._clock = clock
         self._counters = counters
 
@@ -122,6 +125,7 @@
         self._stream_versions.record_first_event(
             job, exchange.attempt.upstream, exchange.connected_at
         )
+        self._speeds.record_first_event(job, exchange.attempt)
 
     def record_broken_answer(self, job, exchange, error):
         """Record that an answer broke off.
@@ -146,6 +150,7 @@
             self._answer_health.record_success(upstream_id, is_complete=True)
             self._quarantine.record_served(job)
             self._remaining_time.record_completed(job)
+            self._speeds.record_completed(job, exchange.attempt)
 
     def _place(self, job, excluded_ids=frozenset()):
         return self._selector.choose(
--- a/libs/forward/src/mulberryhub/forward/call.py
+++ b/libs/forward/src/mulberryhub/forward/call.py
@@ -1,5 +1,7 @@
 """Protocol-independent form of requests and answers, and the adapter interface."""
 
+from mulberryhub.forward.event_times import EventTimes
+
 
 class PromptPart:
     """A part of a prompt: its id and its length in tokens."""
@@ -72,6 +74,7 @@
     `sent_at` is the time of sending (ms on the router's clock). `suspects` are the
     RunSuspects of the request as known at that time, None if nothing was suspected.
     `answered_at` is the time at which the body of the answer began, None before that.
+    `event_times` are the EventTimes of a stream.
     """
 
     __slots__ = (
@@ -88,6 +91,7 @@
         "sent_at",
         "suspects",
         "answered_at",
+        "event_times",
     )
 
     def __init__(self, upstream, workspace, priority):
@@ -104,6 +108,7 @@
         self.sent_at = 0
         self.suspects = None
         self.answered_at = None
+        self.event_times = EventTimes()
 
 
 class AnswerFacts:
--- a/libs/forward/src/mulberryhub/forward/relay.py
+++ b/libs/forward/src/mulberryhub/forward/relay.py
@@ -116,10 +116,11 @@
         )
         has_events = False
         for events in self._read_events(job, exchange, decoder):
+            exchange.attempt.event_times.record(events[-1].id, self._clock.now())
             if not has_events:
                 self._attempt_runner.record_first_event(job, exchange)
             has_events = True
-            connection.write(b"".join(event.data for event in events))
+            self._write_events(exchange, connection, events)
             job.record_events(events, exchange.attempt.upstream)
         if decoder.is_inside_event:
             self._raise_inside_event(exchange.head)
@@ -128,6 +129,11 @@
         exchange.finish()
         return connection.finish_response()
 
+    def _write_events(self, exchange, connection, events):
+        began_at = self._clock.now()
+        connection.write(b"".join(event.data for event in events))
+        exchange.attempt.event_times.record_blocked(self._clock.now() - began_at)
+
     def _read_events(self, job, exchange, decoder):
         """Yield the events that each read completes, until the end of the stream."""
         reservation = self._incomplete_events.new_reservation()
--- a/libs/forward/src/mulberryhub/forward/selection.py
+++ b/libs/forward/src/mulberryhub/forward/selection.py
@@ -10,6 +10,7 @@
 from random import random
 
 from mulberryhub.fleet.records import UpstreamState
+from mulberryhub.forward.speed_costs import no_processing_cost, rank_by_placement
 from mulberryhub.forward.stream_versions import accept_all
 from mulberryhub.routing.placement import Placement
 
@@ -54,6 +55,10 @@
 
     `expected_delay(upstream, service)` returns the delay in ms that a request is
     expected to have, `transfer_cost(call, upstream)` the cost in ms of its transfer.
+    `processing_cost(call, service)` returns the function that returns the cost in ms of
+    its processing at an upstream, beside that at an upstream of the usual speed.
+    `rank_homes(placement, digest, count, service)` returns the `count` best candidates
+    of a Placement to cache the parts with `digest`.
     `availability` tracks the upstreams that announced a pause or their shutdown.
     `connect_health` tracks those that could not be reached, `answer_health` those that
     were reached and cut an answer. `version_time` is the time in ms for which weights
@@ -68,6 +73,8 @@
         "_answer_health",
         "_availability",
         "_version_time",
+        "_processing_cost",
+        "_rank_homes",
         "_ready_by_service",
         "_revision",
         "_placements_by_ids",
@@ -82,6 +89,8 @@
         answer_health,
         availability,
         version_time,
+        processing_cost=no_processing_cost,
+        rank_homes=rank_by_placement,
     ):
         self._fleet_state = fleet_state
         self._expected_delay = expected_delay
@@ -90,6 +99,8 @@
         self._answer_health = answer_health
         self._availability = availability
         self._version_time = version_time
+        self._processing_cost = processing_cost
+        self._rank_homes = rank_homes
         self._ready_by_service = {}
         self._revision = None
         self._placements_by_ids = {}
@@ -151,7 +162,7 @@
         for version in set(versions.values()):
             # Parts are cached for one version only, so each version has its own order.
             same_version = [item for item in candidates if versions[item.id] == version]
-            ranked = self._rank_by_cache(call, same_version)
+            ranked = self._rank_by_cache(call, service, same_version)
             costs |= self._costs(call, service, same_version, ranked)
         for id, version in versions.items():
             if version < newest:
@@ -185,9 +196,11 @@
         """
         rank_by_id = {upstream.id: rank for rank, upstream in enumerate(ranked)}
         shared_tokens = sum(part.tokens for part in call.shared_parts)
+        processing_cost = self._processing_cost(call, service)
         costs = {}
         for upstream in upstreams:
             cost = self._expected_delay(upstream, service) + random()
+            cost += processing_cost(upstream)
             cost += self._transfer_cost(call, upstream)
             cost += (
                 MISS_COST_MS_PER_TOKEN
@@ -201,16 +214,17 @@
             costs[upstream.id] = cost
         return costs
 
-    def _rank_by_cache(self, call, upstreams):
+    def _rank_by_cache(self, call, service, upstreams):
         """Return the upstreams where the prompt's shared parts are cached, best first.
 
-        The order is the same at all routers.
+        The order is the same at all routers that know the same speeds.
         """
         shared = call.shared_parts
         if not shared:
             return []
         placement = self._placement(upstreams)
-        order = placement.rank(shared[-1].id.encode(), MAX_RANKED_UPSTREAMS)
+        digest = shared[-1].id.encode()
+        order = self._rank_homes(placement, digest, MAX_RANKED_UPSTREAMS, service)
         by_id = {upstream.id: upstream for upstream in upstreams}
         return [by_id[candidate.id] for candidate in order]
 
--- a/libs/forward/src/mulberryhub/forward/work.py
+++ b/libs/forward/src/mulberryhub/forward/work.py
@@ -25,14 +25,19 @@
         self.is_bound = is_bound
 
 
+def prefill_time(call):
+    """Return the time in ms for which a prompt of known length is processed."""
+    shared_tokens = sum(part.tokens for part in call.shared_parts)
+    own_tokens = max(0, call.prompt_tokens - shared_tokens)
+    return (own_tokens + CACHE_MISS_SHARE * shared_tokens) / PREFILL_TOKENS_PER_MS
+
+
 def estimate_work(call, service, upstream, is_bound):
     """Return the estimated Work of `call` at an upstream of `service`."""
     if not service.models or call.prompt_tokens is None:
         delay = FULL_SLOTS_DELAY_MS / (upstream.slots or DEFAULT_SLOT_COUNT)
         return Work(delay, delay, is_bound)
-    shared_tokens = sum(part.tokens for part in call.shared_parts)
-    own_tokens = max(0, call.prompt_tokens - shared_tokens)
-    prefill = (own_tokens + CACHE_MISS_SHARE * shared_tokens) / PREFILL_TOKENS_PER_MS
+    prefill = prefill_time(call)
     memory_share = 0
     if service.kv_capacity:
         tokens = call.prompt_tokens + call.output_tokens
--- a/libs/node/src/mulberryhub/node/coordination.py
+++ b/libs/node/src/mulberryhub/node/coordination.py
@@ -7,6 +7,7 @@
 from mulberryhub.fleet.usage import UsageTable
 from mulberryhub.forward.loads import Loads
 from mulberryhub.forward.quotas import MAX_NEWS_AGE_MS, Quotas
+from mulberryhub.forward.speeds import UpstreamSpeeds
 from mulberryhub.forward.workspace_usage import QuotaRule
 from mulberryhub.permits.allocator import PermitAllocator
 from mulberryhub.permits.client import CoordinatorClient
@@ -69,6 +70,7 @@
         return min(1, parts.coordinator_share.followers() / heard)
 
     def measure_usage():
+        speed_weights, slowness = parts.speeds.shared_sums()
         return Usage(
             quotas.admitted(),
             quotas.demand_rates(),
@@ -78,12 +80,15 @@
             max_uptime=quotas.uptime(),
             min_uptime=quotas.uptime(),
             followers_by_coordinator={parts.source_selector.coordinator().name: 1},
+            speed_weight_by_incarnation=speed_weights,
+            slowness_by_incarnation=slowness,
         )
 
     bounds = settings.bounds
     usage_table = UsageTable(
         measure_usage, settings.data_centre, bounds.quota_window, clock
     )
+    parts.speeds = UpstreamSpeeds(fleet_state, usage_table.others, clock)
     parts.router_counts = RouterCounts(
         usage_table.others, lambda: len(fleet_state.members_by_name), clock
     )
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -107,12 +107,14 @@
     )
     selector = UpstreamSelector(
         fleet_state,
-        ExpectedDelay(loads.work).of,
+        ExpectedDelay(loads.work, (parts.speeds.adjust_delay,)).of,
         fixed_transfer_cost(settings.data_centre),
         connect_health,
         answer_health,
         availability,
         settings.bounds.version_time - VERSION_TIME_MARGIN_MS,
+        parts.speeds.processing_cost,
+        parts.speeds.rank_homes,
     )
     retry_budget = _build_retry_budget(settings, fleet_state, clock)
 
@@ -155,6 +157,7 @@
         retry_budget,
         fleet_state,
         cache_directives,
+        parts.speeds,
         clock,
         counters,
     )
--- a/libs/node/src/mulberryhub/node/router.py
+++ b/libs/node/src/mulberryhub/node/router.py
@@ -169,6 +169,7 @@
         "source_selector",
         "coordinator_share",
         "router_counts",
+        "speeds",
         "demand_estimate",
         "coordinate",
         "followers",
--- a/tests/forward/attempt_fixture.py
+++ b/tests/forward/attempt_fixture.py
@@ -17,6 +17,7 @@
 from mulberryhub.forward.refusal import Refusal
 from mulberryhub.forward.remaining_time import RemainingTime
 from mulberryhub.forward.selection import UpstreamSelector
+from mulberryhub.forward.speeds import UpstreamSpeeds
 from mulberryhub.forward.stream_versions import StreamVersions
 from mulberryhub.forward.transfer_cost import fixed_transfer_cost
 from mulberryhub.http.messages import (
@@ -173,6 +174,7 @@
                 fleet_state.cache_index,
                 self.clock,
             ),
+            UpstreamSpeeds(fleet_state, Usage, self.clock),
             self.clock,
             Counters(),
         )
--- a/tests/forward/test_heavy_load.py
+++ b/tests/forward/test_heavy_load.py
@@ -121,11 +121,12 @@
         self._due = []
         self._sequence = count()
 
-    def run(self, random):
+    def run(self, random, requests_per_s=REQUESTS_PER_S, duration=DURATION_MS):
         """Send requests at random times and exchange load reports periodically."""
-        at = next_report = 0
-        while at < DURATION_MS:
-            at += random.expovariate(REQUESTS_PER_S / 1_000)
+        at = next_report = self.clock.now()
+        end = at + duration
+        while at < end:
+            at += random.expovariate(requests_per_s / 1_000)
             while next_report <= at:
                 self._advance(next_report)
                 self._exchange_reports()
--- a/tests/forward/test_relay.py
+++ b/tests/forward/test_relay.py
@@ -111,6 +111,22 @@
     assert len(attempt_runner.completed_jobs) == 1
 
 
+def test_event_times_leave_out_pauses_of_the_client():
+    """Guards against upstreams that count as slow as their clients read slowly."""
+    clock = ManualClock()
+
+    class SlowClient(FakeClient):
+        def write(self, data):
+            clock.advance(300)
+
+    events = [b"id: %d\ndata: x\n\n" % id for id in range(20)]
+    for client, pause in ((FakeClient(), 10), (SlowClient(), None)):
+        exchange = FakeExchange(events, clock, pause=10)
+        job = Job(make_call(), make_route(), make_service(), None, clock.now() + 60_000)
+        Relay(FakeAttemptRunner([exchange]), None, clock).run(job, client)
+        assert exchange.attempt.event_times.pause_per_token() == pause
+
+
 def test_buffered_answers_share_one_limit():
     clock = ManualClock()
     attempt_runner = FakeAttemptRunner([FakeExchange([PIECE, PIECE], clock)])
