--- a/libs/forward/src/mulberryhub/forward/speeds.py
+++ b/libs/forward/src/mulberryhub/forward/speeds.py
@@ -205,5 +205,22 @@
             fastest = self._fastest_by_service.get(service, USUAL_SLOWNESS)
             self._fastest_by_service[service] = min(fastest, slowness)
         for id in before.keys() ^ after.keys():
-            slowness = after.get(id, USUAL_SLOWNESS)
-            log.info("upstream speed", upstream=id, speed=round(1 / slowness, 2))
+            self._log_change(upstreams_by_id.get(id), after.get(id, USUAL_SLOWNESS))
+
+    def _log_change(self, upstream, slowness):
+        """Log that an upstream, None if it is gone, got or lost a speed of its own."""
+        if upstream is not None:
+            log.info(
+                "upstream speed changed",
+                upstream=upstream.id,
+                started=upstream.started,
+                service=upstream.service,
+                speed=round(1 / slowness, 2),
+                own_weight=_weight_of(self._own_sums_by_id, upstream.id),
+                others_weight=_weight_of(self._shared_sums.by_id, upstream.id),
+            )
+
+
+def _weight_of(sums_by_id, id):
+    """Return the weight of the responses to routers, as logged."""
+    return round(sums_by_id[id].weight, 1) if id in sums_by_id else 0
--- a/libs/node/src/mulberryhub/node/gauges.py
+++ b/libs/node/src/mulberryhub/node/gauges.py
@@ -42,6 +42,30 @@
     )
 
 
+def add_speed_gauges(counters, speeds):
+    """Add gauges of the upstreams that differ from the usual speed, and of speeds."""
+
+    def read_speeds():
+        return speeds.speeds_by_id().values()
+
+    counters.add_gauge(
+        "upstreams_by_speed",
+        "Upstreams that are slower or faster than usual by a third or more",
+        {
+            "slow": lambda: sum(speed < 1 for speed in read_speeds()),
+            "fast": lambda: sum(speed > 1 for speed in read_speeds()),
+        },
+    )
+    counters.add_gauge(
+        "upstream_speed",
+        "Lowest and highest speed of an upstream, 1 being that usual at its service",
+        {
+            "lowest": lambda: min(read_speeds(), default=1),
+            "highest": lambda: max(read_speeds(), default=1),
+        },
+    )
+
+
 def _age_reader(fleet_state, topic):
     def read_age():
         age = fleet_state.age(topic)
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -31,7 +31,7 @@
     build_coordinator_client,
     build_usage,
 )
-from mulberryhub.node.gauges import add_gauges
+from mulberryhub.node.gauges import add_gauges, add_speed_gauges
 from mulberryhub.node.metrics import metrics_server
 from mulberryhub.node.naming_times import NamingTimesSaver
 from mulberryhub.node.readiness import readiness_server
@@ -199,6 +199,7 @@
     add_gauges(
         counters, fleet_state, parts.followers, parts.removals, parts.coordinator_share
     )
+    add_speed_gauges(counters, parts.speeds)
     parts.metrics_server = None
     if settings.metrics_address:
         parts.metrics_server = metrics_server(settings.metrics_address, counters, clock)
