Keep full sums of speeds until their next turn

Cause: in fleets of more than 64 upstreams, a router with a wrong wall clock reports an upstream out of turn, and its sum alone replaced that of all routers after 2 s.

--- a/libs/forward/src/mulberryhub/forward/speed_sharing.py
+++ b/libs/forward/src/mulberryhub/forward/speed_sharing.py
@@ -66,20 +66,17 @@
             if units > 0:
                 total = usage.slowness_by_incarnation.get(key, 0)
                 item = _decode(upstream.started, key, units, total, renewed_at)
-                self._take(id, item)
+                self._take(id, item, now)
 
-    def _take(self, id, item):
+    def _take(self, id, item, now):
         """Replace what is known by `item`, which decays once it should be renewed.
 
-        While the parts change, a sum lacks some routers. It does not replace one of the
-        same turn with more weight.
+        While the parts change, a sum lacks some routers, and out of turn it only has
+        those whose clock is wrong. It does not replace one with more weight before that
+        should be renewed.
         """
         known = self.by_id.get(id)
-        if (
-            known is None
-            or known.weight <= item.weight
-            or item.updated_at - known.updated_at >= TURN_MS
-        ):
+        if known is None or known.weight <= item.weight or known.updated_at <= now:
             self.by_id[id] = item
 
 
