Compare response times by model, and test speeds learned from first events alone

Cause: answers of a larger model have longer pauses, which would count as a slow upstream where requests for it gather; and no test covered services with short answers. Change: usual times are kept by service, configured model and kind.

--- a/libs/forward/src/mulberryhub/forward/speeds.py
+++ b/libs/forward/src/mulberryhub/forward/speeds.py
@@ -131,15 +131,17 @@
         known = 0
         if estimate is not None and estimate.started == upstream.started:
             known = estimate.log_slowness
-        key = job.service.name, kind
+        # Only models of the configuration, as clients may name any number of others.
+        model = job.call.model if job.call.model in job.service.models else None
+        key = job.service.name, model, kind
         log_slowness = self._usual_times.compare(key, log_time, known)
         if log_slowness is None:
             return
         now = self._clock.now()
         item = self._own_sums_by_id.get(upstream.id)
         if item is None or item.started != upstream.started:
-            key = incarnation_key(upstream.id, upstream.started)
-            item = SlownessSum(upstream.started, key, now)
+            name = incarnation_key(upstream.id, upstream.started)
+            item = SlownessSum(upstream.started, name, now)
             self._own_sums_by_id[upstream.id] = item
         item.add(log_slowness, weight, now)
 
--- a/tests/forward/test_speeds.py
+++ b/tests/forward/test_speeds.py
@@ -5,7 +5,9 @@
 import pytest
 
 from mulberryhub.fleet.records import Usage
+from mulberryhub.forward.event_times import MIN_PAUSE_TOKENS
 from mulberryhub.forward.speeds import UpstreamSpeeds
+from tests.forward import speed_fleet
 from tests.forward.fakes import make_call, make_service
 from tests.forward.speed_fleet import SPEEDS, Fleet, capacity
 from tests.forward.test_heavy_load import LATENCY_TARGET_MS, WARM_UP_MS
@@ -59,6 +61,15 @@
     assert sum(fast) / len(fast) < sum(slow) / len(slow)
 
 
+def test_first_events_alone_tell_speeds(monkeypatch):
+    """Guards against services with short answers whose upstreams count as equal."""
+    monkeypatch.setattr(speed_fleet, "ANSWER_TOKENS", MIN_PAUSE_TOKENS - 1)
+    router = run(0.7).routers[0]
+    for index, speed in enumerate(POOL):
+        learned = estimated(router, f"u{index}")
+        assert (learned < 1, learned > 1) == (speed < 1, speed > 1)
+
+
 def test_similar_upstreams_are_served_as_before():
     """Guards against requests that move because of differences below a third."""
     speeds = (0.88, 1.0, 1.14) * 5
