--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -320,10 +320,13 @@
     ms that requests in flight cause at an upstream, and `bound_by_upstream` the number
     of requests that cannot continue at any other upstream. `demand_by_service` is the
     engine time in ms that clients request per s. `followers_by_coordinator` is the
-    number of the routers that ask a coordinator for permits. `max_uptime` is the ms for
-    which the longest running of the routers has run, `min_uptime` that of the latest
-    started. `routers_by_data_centre` is the number of routers of each other data centre
-    that are included; earlier builds do not tell.
+    number of the routers that ask a coordinator for permits.
+    `slowness_by_incarnation` is the weighted sum of what responses tell of the speed of
+    upstreams, and `speed_weight_by_incarnation` its weight; keys and units are those of
+    `forward.speed_sharing`. `max_uptime` is the ms for which the longest running of the
+    routers has run, `min_uptime` that of the latest started. `routers_by_data_centre`
+    is the number of routers of each other data centre that are included; earlier builds
+    do not tell.
     """
 
     admitted: Admitted = Admitted()
@@ -336,6 +339,8 @@
     min_uptime: int = msgspec.field(default=MAX_UPTIME_MS, name="youngest")
     followers_by_coordinator: dict[str, int] = {}
     routers_by_data_centre: dict[str, int] = msgspec.field(default={}, name="heard")
+    speed_weight_by_incarnation: dict[int, int] = {}
+    slowness_by_incarnation: dict[int, int] = {}
 
     def add(self, other):
         """Add the usage of other routers, except for `admitted`."""
@@ -374,4 +379,6 @@
     "demand_by_service",
     "followers_by_coordinator",
     "routers_by_data_centre",
+    "speed_weight_by_incarnation",
+    "slowness_by_incarnation",
 )
--- a/libs/forward/src/mulberryhub/forward/part_places.py
+++ b/libs/forward/src/mulberryhub/forward/part_places.py
@@ -11,6 +11,7 @@
 from random import sample
 
 from mulberryhub.forward.outbound_shares import MARGIN_MS
+from mulberryhub.forward.speed_costs import rank_by_placement
 from mulberryhub.routing.placement import Placement
 
 # Cost of each shared token that is processed again, for which other requests wait too.
@@ -54,12 +55,15 @@
     """Ranks the upstreams that most likely cache the shared parts of a prompt.
 
     `store` is the StoredParts of the KV cache store in the router's data centre.
+    `rank_homes(placement, digest, count, service)` returns the `count` best candidates
+    of a Placement to cache the parts with `digest`.
     """
 
-    __slots__ = ("_store", "_placements_by_ids")
+    __slots__ = ("_store", "_rank_homes", "_placements_by_ids")
 
-    def __init__(self, store):
+    def __init__(self, store, rank_homes=rank_by_placement):
         self._store = store
+        self._rank_homes = rank_homes
         self._placements_by_ids = {}
 
     def miss_costs(self, call, service, workspace, version, upstreams, region=None):
@@ -70,12 +74,12 @@
         tokens = sum(part.tokens for part in call.shared_parts)
         price = MISS_COST_MS_PER_TOKEN * tokens
         if region is None:
-            ranked_ids = self.rank(call, upstreams)
+            ranked_ids = self.rank(call, service, upstreams)
             return _costs(upstreams, ranked_ids, lambda rank: price * rank)
         local = [item for item in upstreams if item.data_centre == region.data_centre]
         if not call.shared_parts:
             return spread_costs(local)
-        ranked_ids = self.rank(call, local)
+        ranked_ids = self.rank(call, service, local)
         cached, costs = self._cached_share(service, local), {}
         if region.is_home and ranked_ids:
             if self._store.holds(call, workspace, version):
@@ -88,23 +92,27 @@
             local, ranked_ids, lambda rank: _ranked_cost(price, rank, cached)
         )
 
-    def rank(self, call, upstreams):
+    def rank(self, call, service, upstreams):
         """Return the ids of upstreams where the shared parts are cached, best first.
 
-        The order is the same at all routers.
+        The order is the same at all routers that know the same speeds.
         """
         shared = call.shared_parts
         if not shared or not upstreams:
             return []
-        placement = self._placement(upstreams)
-        order = placement.rank(shared[-1].id.encode(), MAX_RANKED_UPSTREAMS)
+        order = self._rank_homes(
+            self._placement(upstreams),
+            shared[-1].id.encode(),
+            MAX_RANKED_UPSTREAMS,
+            service,
+        )
         return [candidate.id for candidate in order]
 
     def _holder_cost(self, call, service, upstreams, region, price):
         """Return the cost by the id of the holder, empty if it is at home."""
         names = {region.data_centre, *region.holder_data_centres}
         usable = [item for item in upstreams if item.data_centre in names]
-        first_id = self.rank(call, usable)[0]
+        first_id = self.rank(call, service, usable)[0]
         holder = next(item for item in usable if item.id == first_id)
         if holder.data_centre == region.data_centre:
             return {}
--- a/libs/forward/src/mulberryhub/forward/selection.py
+++ b/libs/forward/src/mulberryhub/forward/selection.py
@@ -12,6 +12,7 @@
 
 from mulberryhub.fleet.records import UpstreamState
 from mulberryhub.forward.part_places import PartPlaces, spread_costs
+from mulberryhub.forward.speed_costs import no_processing_cost, rank_by_placement
 from mulberryhub.forward.stream_versions import accept_all
 
 UNREACHABLE_COST_MS = 10_000  # at an upstream that could not be reached recently
@@ -43,6 +44,10 @@
 
     `expected_delay(upstream, service)` returns the delay in ms that a request is
     expected to have, `transfer_cost(call, upstream)` the cost in ms of its transfer.
+    `processing_cost(call, service)` returns the function that returns the cost in ms of
+    its processing at an upstream, beside that at an upstream of the usual speed.
+    `rank_homes(placement, digest, count, service)` returns the `count` best candidates
+    of a Placement to cache the parts with `digest`.
     `availability` tracks the upstreams that announced a pause or their shutdown.
     `connect_health` tracks those that could not be reached, `answer_health` those that
     were reached and cut an answer. `version_time` is the time in ms for which weights
@@ -59,6 +64,7 @@
         "_answer_health",
         "_availability",
         "_version_time",
+        "_processing_cost",
         "_ready_by_service",
         "_revision",
         "_locality",
@@ -76,6 +82,8 @@
         version_time,
         locality=None,
         stored_parts=None,
+        processing_cost=no_processing_cost,
+        rank_homes=rank_by_placement,
     ):
         self._fleet_state = fleet_state
         self._expected_delay = expected_delay
@@ -84,10 +92,11 @@
         self._answer_health = answer_health
         self._availability = availability
         self._version_time = version_time
+        self._processing_cost = processing_cost
         self._ready_by_service = {}
         self._revision = None
         self._locality = locality
-        self._part_places = PartPlaces(stored_parts)
+        self._part_places = PartPlaces(stored_parts, rank_homes)
 
     def choose(
         self,
@@ -216,9 +225,11 @@
 
         `miss_costs` are the costs of shared parts that are not cached there.
         """
+        processing_cost = self._processing_cost(call, service)
         return {
             upstream.id: self._delay(upstream, service)
             + random()
+            + processing_cost(upstream)
             + self._transfer_cost(call, upstream)
             + miss_costs[upstream.id]
             for upstream in upstreams
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -31,7 +31,7 @@
     build_coordinator_client,
     build_usage,
 )
-from mulberryhub.node.gauges import add_gauges
+from mulberryhub.node.gauges import add_gauges, add_speed_gauges
 from mulberryhub.node.locality import build_locality
 from mulberryhub.node.metrics import metrics_server
 from mulberryhub.node.naming_times import NamingTimesSaver
@@ -111,7 +111,7 @@
     )
     selector = UpstreamSelector(
         fleet_state,
-        ExpectedDelay(loads.work).of,
+        ExpectedDelay(loads.work, (parts.speeds.adjust_delay,)).of,
         locality_parts.transfer_cost,
         connect_health,
         answer_health,
@@ -122,6 +122,8 @@
             lambda *args: cache_directives.holds_parts(*args),
             lambda: fleet_state.cache_index.token_count,
         ),
+        processing_cost=parts.speeds.processing_cost,
+        rank_homes=parts.speeds.rank_homes,
     )
     retry_budget = _build_retry_budget(settings, fleet_state, clock)
 
@@ -164,6 +166,7 @@
         retry_budget,
         fleet_state,
         cache_directives,
+        parts.speeds,
         clock,
         counters,
         locality_parts.round_trips.record,
@@ -206,6 +209,7 @@
     add_gauges(
         counters, fleet_state, parts.followers, parts.removals, parts.coordinator_share
     )
+    add_speed_gauges(counters, parts.speeds)
     parts.metrics_server = None
     if settings.metrics_address:
         parts.metrics_server = metrics_server(settings.metrics_address, counters, clock)
