--- a/libs/fleet/src/mulberryhub/fleet/usage.py
+++ b/libs/fleet/src/mulberryhub/fleet/usage.py
@@ -219,8 +219,10 @@
             age = self._clock.now() - self._published_remote.updated_at
             if age + MAX_REPORT_AGE_MS > max_age:
                 return frozenset()
-        counts = self.remote().routers_by_data_centre
-        return frozenset(name for name, count in counts.items() if count)
+            counts = self._published_remote.usage.routers_by_data_centre
+            return frozenset(name for name, count in counts.items() if count)
+        remote = self._remote_by_data_centre.items()
+        return frozenset(name for name, item in remote if self._is_recent(item))
 
     def remote_admitted(self, slots=None):
         """Return the Admitted of other data centres, the newest `slots` or all."""
