Admit requests to upstreams with slots by room, wait and lateness

Upstreams that run few requests at once and queue some more were sent to beyond their queue, as the expected delay counted 4 ms for a running answer whatever the slots. Answers then began after their latency targets, and goodput did not recover when demand fell.

Routers now sum the requests in flight by upstream in Usage, for services with configured slots. The wait for a slot is an adjustment of the expected delay; full upstreams are not tried, and a 503 counts as the state of its upstream until the slots can have worked its queue off. While answers are late at busy upstreams, each router limits the requests/s that it admits, less urgent ones first, with a Retry-After that grows with the excess.

--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -322,7 +322,8 @@
     engine time in ms that clients request per s. `followers_by_coordinator` is the
     number of the routers that ask a coordinator for permits. `max_uptime` is the ms for
     which the longest running of the routers has run, `min_uptime` that of the latest
-    started.
+    started. `requests_by_upstream` is the number of requests in flight at an upstream
+    with configured slots, `urgent_by_upstream` that of the most urgent among them.
     """
 
     admitted: Admitted = Admitted()
@@ -334,6 +335,8 @@
     max_uptime: int = msgspec.field(default=0, name="uptime")
     min_uptime: int = msgspec.field(default=MAX_UPTIME_MS, name="youngest")
     followers_by_coordinator: dict[str, int] = {}
+    requests_by_upstream: dict[str, int] = {}
+    urgent_by_upstream: dict[str, int] = {}
 
     def add(self, other):
         """Add the usage of other routers, except for `admitted`."""
@@ -371,4 +374,6 @@
     "bound_by_upstream",
     "demand_by_service",
     "followers_by_coordinator",
+    "requests_by_upstream",
+    "urgent_by_upstream",
 )
--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -11,7 +11,7 @@
 from mulberryhub.fleet.records import Removal
 from mulberryhub.fleet.state import Topic
 from mulberryhub.forward.call import Attempt
-from mulberryhub.forward.delay import event_timeout, is_too_late
+from mulberryhub.forward.delay import event_timeout
 from mulberryhub.forward.exchange import Exchange
 from mulberryhub.forward.refusal import NOT_RUN_STATUSES, Reason, Refusal
 from mulberryhub.forward.refusals import Refusals
@@ -60,6 +60,7 @@
         "_budget",
         "_fleet_state",
         "_cache_directives",
+        "_admission",
         "_clock",
         "_counters",
     )
@@ -80,12 +81,13 @@
         budget,
         fleet_state,
         cache_directives,
+        admission,
         clock,
         counters,
     ):
         self._dialect = dialect
         self._selector = selector
-        self._refusals = Refusals(selector, stream_versions)
+        self._refusals = Refusals(selector, stream_versions, admission)
         self._pool = pool
         self._loads = loads
         self._connect_health = connect_health
@@ -98,12 +100,15 @@
         self._budget = budget
         self._fleet_state = fleet_state
         self._cache_directives = cache_directives
+        self._admission = admission
         self._clock = clock
         self._counters = counters
 
     def run(self, job):
         """Return an Exchange whose answer is to be relayed, or raise Refusal."""
         connect_failures = 0
+        if not job.sends:
+            self._admission.record_arrival(job)
         while True:
             choice = self._choose(job)
             exchange = self._open(job, choice)
@@ -146,6 +151,7 @@
             self._answer_health.record_success(upstream_id, is_complete=True)
             self._quarantine.record_served(job)
             self._remaining_time.record_completed(job)
+            self._admission.record_completed(job, exchange)
 
     def _place(self, job, excluded_ids=frozenset()):
         return self._selector.choose(
@@ -154,7 +160,7 @@
             job.service,
             job.tried_ids | excluded_ids,
             job.flow,
-            self._stream_versions.filter_for(job),
+            self._admission.filter_for(job, self._stream_versions.filter_for(job)),
         )
 
     def _choose(self, job):
@@ -176,9 +182,13 @@
             choice = self._place(job, denied_ids)
             if choice is None:
                 raise self._refusals.no_upstream(job)
-            if is_too_late(job, choice.delay):
+            self._admission.set_delay(job, choice)
+            if self._admission.is_too_late(job, choice):
                 self._counters.add("refusal.delay")
                 raise self._refusals.too_late(job, choice.delay)
+            if not self._admission.admits(job, choice):
+                self._counters.add("refusal.overload")
+                raise self._refusals.overloaded(job, choice)
             if self._rate_limits.try_take(choice.upstream, job.flow, deadline):
                 return choice
             denied_ids.add(choice.upstream.id)
@@ -201,10 +211,13 @@
         if choice.version is not None:
             self._cache_directives.prepare(attempt, call, choice.version)
         self._quarantine.record_sent(job, attempt)
+        self._admission.record_sent(job)
         self._log_sent(job, attempt, choice)
         request = self._dialect.attempt_request(call, attempt)
         is_bound = not (job.is_repeatable and job.runs + 1 < job.route.max_attempts)
-        work = estimate_work(call, job.service, choice.upstream, is_bound)
+        work = estimate_work(
+            call, job.service, choice.upstream, is_bound, not job.priority
+        )
         exchange = Exchange(attempt, request, work, self._pool, self._loads)
         try:
             exchange.open(job.is_repeatable)
@@ -301,6 +314,8 @@
             return False
         self._connect_health.record_success(upstream.id)
         self._answer_health.record_success(upstream.id)
+        if status in SUCCESS_STATUSES:
+            self._admission.record_answer(job, exchange.attempt)
         return True
 
     def _can_retry_server_error(self, job):
@@ -329,6 +344,7 @@
         facts = exchange.facts
         upstream = exchange.attempt.upstream
         exchange.cancel()
+        self._admission.record_not_run(job, exchange)
         if facts.version is not None and job.call.model is not None:
             self._fleet_state.record_version(upstream.id, job.call.model, facts.version)
         if (
@@ -344,6 +360,8 @@
         """Record that the answer of an attempt broke off or never began."""
         if isinstance(error, ResponseTruncated):
             self._quarantine.record_cut_answer(job, attempt)
+        if isinstance(error, ResponseTimeout):
+            self._admission.record_late(job, attempt)
         self._record_failed(job, attempt.upstream, cause, error)
 
     def _record_failed(self, job, upstream, cause, detail):
--- a/libs/forward/src/mulberryhub/forward/delay.py
+++ b/libs/forward/src/mulberryhub/forward/delay.py
@@ -26,7 +26,12 @@
     """
     if not job.is_stream or job.is_answer_started:
         return False
+    return delay > max_delay(job)
+
+
+def max_delay(job):
+    """Return the longest delay in ms at which `job` is sent."""
     timeout = event_timeout(job.route)
     if job.priority:
-        return delay > min(MAX_OTHER_DELAY_TARGETS * job.route.target_latency, timeout)
-    return delay > MAX_URGENT_DELAY_SHARE * timeout
+        return min(MAX_OTHER_DELAY_TARGETS * job.route.target_latency, timeout)
+    return MAX_URGENT_DELAY_SHARE * timeout
--- a/libs/forward/src/mulberryhub/forward/loads.py
+++ b/libs/forward/src/mulberryhub/forward/loads.py
@@ -11,18 +11,29 @@
 
     `work` is the delay in ms that they cause other requests, `running` their number.
     `bound` counts those that no other upstream can continue, `waiting` those whose
-    answer has not begun.
+    answer has not begun, `in_slots` those that occupy a configured slot or wait for one
+    and `urgent` those among them with the highest priority.
     `silent_since` is the time (ms) since which requests wait and no answer began, or
     None if no request waits.
     """
 
-    __slots__ = ("work", "running", "bound", "waiting", "silent_since")
+    __slots__ = (
+        "work",
+        "running",
+        "bound",
+        "waiting",
+        "in_slots",
+        "urgent",
+        "silent_since",
+    )
 
     def __init__(self):
         self.work = 0
         self.running = 0
         self.bound = 0
         self.waiting = 0
+        self.in_slots = 0
+        self.urgent = 0
         self.silent_since = None
 
 
@@ -49,6 +60,8 @@
         load.work += work.before_answer
         load.running += 1
         load.bound += work.is_bound
+        load.in_slots += work.has_slot
+        load.urgent += work.has_slot and work.is_urgent
         load.waiting += 1
         if load.silent_since is None:
             load.silent_since = self._clock.now()
@@ -66,6 +79,8 @@
         load.work -= work.while_answering if had_answer else work.before_answer
         load.running -= 1
         load.bound -= work.is_bound
+        load.in_slots -= work.has_slot
+        load.urgent -= work.has_slot and work.is_urgent
         load.waiting -= not had_answer
         if not load.waiting:
             load.silent_since = None
@@ -80,6 +95,31 @@
         """Return the number of bound requests from this router, by upstream."""
         return {id: load.bound for id, load in self._loads_by_id.items() if load.bound}
 
+    def local_requests_by_upstream(self):
+        """Return the number of requests from this router at upstreams with slots."""
+        loads = self._loads_by_id.items()
+        return {id: load.in_slots for id, load in loads if load.in_slots}
+
+    def local_urgent_by_upstream(self):
+        """Return the number of the most urgent ones of these requests."""
+        return {
+            id: load.urgent for id, load in self._loads_by_id.items() if load.urgent
+        }
+
+    def request_count(self, id):
+        """Return the number of requests of all routers at an upstream with slots."""
+        self._refresh()
+        load = self._loads_by_id.get(id)
+        own = 0 if load is None else load.in_slots
+        return own + self._others.requests_by_upstream.get(id, 0)
+
+    def urgent_count(self, id):
+        """Return the number of the most urgent ones of these requests."""
+        self._refresh()
+        load = self._loads_by_id.get(id)
+        own = 0 if load is None else load.urgent
+        return own + self._others.urgent_by_upstream.get(id, 0)
+
     def work(self, id):
         """Return the work in flight at an upstream from all routers in ms."""
         self._refresh()
--- a/libs/forward/src/mulberryhub/forward/refusals.py
+++ b/libs/forward/src/mulberryhub/forward/refusals.py
@@ -2,12 +2,14 @@
 
 from random import uniform
 
+from mulberryhub.forward.delay import max_delay
 from mulberryhub.forward.refusal import Reason, Refusal
 from mulberryhub.forward.stream_versions import accept_all, final_refusal
 
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 400
 MIN_BUSY_RETRY_AFTER_MS = 200
+MIN_RETRIED_SHARE = 0.2  # admitted, for which the retry time grows no further
 
 
 class Refusals:
@@ -16,11 +18,12 @@
     They state that a request has not run only if that is true.
     """
 
-    __slots__ = ("_selector", "_stream_versions")
+    __slots__ = ("_selector", "_stream_versions", "_admission")
 
-    def __init__(self, selector, stream_versions):
+    def __init__(self, selector, stream_versions, admission):
         self._selector = selector
         self._stream_versions = stream_versions
+        self._admission = admission
 
     def no_upstream(self, job):
         """Return the Refusal of a job for which there is no upstream."""
@@ -30,6 +33,11 @@
         is_bound = job.stream_version is not None
         if is_bound and not self._selector.has_ready(job.service, accepts):
             return final_refusal(Reason.STREAM_VERSION_GONE)
+        has_room = self._admission.filter_for(job, accepts)
+        is_ready = self._selector.has_ready(job.service, accepts)
+        if is_ready and not self._selector.has_ready(job.service, has_room):
+            retry_after = self._admission.time_until_room(job)
+            return Refusal(Reason.UPSTREAMS_FULL, _spread(retry_after))
         reason = Reason.NO_UPSTREAM
         if self._selector.is_limited(job.service):
             reason = Reason.UPSTREAMS_LIMITED
@@ -39,11 +47,21 @@
         """Return the Refusal of a job whose answer would be too late."""
         if job.runs:
             return self.final(job)
+        if job.service.slots:
+            return Refusal(Reason.UPSTREAMS_FULL, _spread(delay - max_delay(job)))
         retry_after = uniform(
             MIN_BUSY_RETRY_AFTER_MS, max(MIN_BUSY_RETRY_AFTER_MS, delay)
         )
         return Refusal(Reason.UPSTREAMS_FULL, retry_after)
 
+    def overloaded(self, job, choice):
+        """Return the Refusal of a job that exceeds what its service can serve."""
+        if job.runs:
+            return self.final(job)
+        share = self._admission.admitted_share(job, choice)
+        excess = MIN_BUSY_RETRY_AFTER_MS / max(share, MIN_RETRIED_SHARE)
+        return Refusal(Reason.UPSTREAMS_FULL, _spread(excess))
+
     def final(self, job):
         """Return the Refusal that ends a job after attempts."""
         if job.runs:
@@ -71,5 +89,14 @@
         return is_ready and not self._selector.has_ready(job.service, accepts)
 
 
+def _spread(excess):
+    """Return a Retry-After in ms after an excess of `excess` ms is worked off.
+
+    Clients that come back are spread over as long again, so that they do not make the
+    same excess at once.
+    """
+    return max(MIN_BUSY_RETRY_AFTER_MS, excess) * uniform(1, 2)
+
+
 def _is_upstream_failure(job):
     return job.failure_reason in (Reason.UPSTREAM_FAILED, Reason.UPSTREAM_SILENT)
--- a/libs/forward/src/mulberryhub/forward/work.py
+++ b/libs/forward/src/mulberryhub/forward/work.py
@@ -14,29 +14,51 @@
     """The delay in ms that a request causes for others at its upstream.
 
     `before_answer` applies until its answer begins, `while_answering` from then on.
-    `is_bound` is set if no other upstream can continue the request.
+    `is_bound` is set if no other upstream can continue the request, `has_slot` if it
+    occupies one of the configured slots, and `is_urgent` at the highest priority.
     """
 
-    __slots__ = ("before_answer", "while_answering", "is_bound")
+    __slots__ = (
+        "before_answer",
+        "while_answering",
+        "is_bound",
+        "has_slot",
+        "is_urgent",
+    )
 
-    def __init__(self, before_answer, while_answering, is_bound):
+    def __init__(
+        self,
+        before_answer,
+        while_answering,
+        is_bound,
+        has_slot=False,
+        is_urgent=False,
+    ):
         self.before_answer = before_answer
         self.while_answering = while_answering
         self.is_bound = is_bound
+        self.has_slot = has_slot
+        self.is_urgent = is_urgent
 
 
-def estimate_work(call, service, upstream, is_bound):
+def prefill_time(call):
+    """Return the usual time in ms in which an engine processes the prompt of `call`."""
+    shared_tokens = sum(part.tokens for part in call.shared_parts)
+    own_tokens = max(0, (call.prompt_tokens or 0) - shared_tokens)
+    return (own_tokens + CACHE_MISS_SHARE * shared_tokens) / PREFILL_TOKENS_PER_MS
+
+
+def estimate_work(call, service, upstream, is_bound, is_urgent=False):
     """Return the estimated Work of `call` at an upstream of `service`."""
+    has_slot = bool(service.slots)
     if not service.models or call.prompt_tokens is None:
         delay = FULL_SLOTS_DELAY_MS / (upstream.slots or DEFAULT_SLOT_COUNT)
-        return Work(delay, delay, is_bound)
-    shared_tokens = sum(part.tokens for part in call.shared_parts)
-    own_tokens = max(0, call.prompt_tokens - shared_tokens)
-    prefill = (own_tokens + CACHE_MISS_SHARE * shared_tokens) / PREFILL_TOKENS_PER_MS
+        return Work(delay, delay, is_bound, has_slot, is_urgent)
+    prefill = prefill_time(call)
     memory_share = 0
     if service.kv_capacity:
         tokens = call.prompt_tokens + call.output_tokens
         memory_share = tokens / service.kv_capacity
     before_answer = ANSWERING_DELAY_MS + FULL_MEMORY_WAITING_DELAY_MS * memory_share
     while_answering = ANSWERING_DELAY_MS + FULL_MEMORY_ANSWERING_DELAY_MS * memory_share
-    return Work(prefill + before_answer, while_answering, is_bound)
+    return Work(prefill + before_answer, while_answering, is_bound, has_slot, is_urgent)
--- a/libs/node/src/mulberryhub/node/coordination.py
+++ b/libs/node/src/mulberryhub/node/coordination.py
@@ -78,6 +78,8 @@
             max_uptime=quotas.uptime(),
             min_uptime=quotas.uptime(),
             followers_by_coordinator={parts.source_selector.coordinator().name: 1},
+            requests_by_upstream=loads.local_requests_by_upstream(),
+            urgent_by_upstream=loads.local_urgent_by_upstream(),
         )
 
     bounds = settings.bounds
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -9,6 +9,7 @@
 from mulberryhub.fleet.state import FleetState, Topic
 from mulberryhub.fleet.stream_origins import StreamOrigins
 from mulberryhub.fleet.subscription import Subscription
+from mulberryhub.forward.admission import Admission
 from mulberryhub.forward.attempts import AttemptRunner
 from mulberryhub.forward.availability import UpstreamAvailability
 from mulberryhub.forward.budget import BudgetRule, RetryBudget
@@ -20,7 +21,9 @@
 from mulberryhub.forward.rate_limits import UpstreamRateLimits
 from mulberryhub.forward.relay import Relay
 from mulberryhub.forward.remaining_time import RemainingTime
+from mulberryhub.forward.room import Room
 from mulberryhub.forward.selection import UpstreamSelector
+from mulberryhub.forward.slot_times import SlotTimes
 from mulberryhub.forward.stream_versions import StreamVersions
 from mulberryhub.forward.transfer_cost import fixed_transfer_cost
 from mulberryhub.http.body_memory import BodyMemory
@@ -105,9 +108,16 @@
         clock,
         counters,
     )
+    slot_times = SlotTimes()
+    room = Room(loads, slot_times, clock)
+
+    def hears_others():
+        return len(fleet_state.members_by_name) <= 1 or usage_table.others() is not None
+
+    admission = Admission(room, slot_times, hears_others, clock, counters)
     selector = UpstreamSelector(
         fleet_state,
-        ExpectedDelay(loads.work).of,
+        ExpectedDelay(loads.work, (room.adjust,)).of,
         fixed_transfer_cost(settings.data_centre),
         connect_health,
         answer_health,
@@ -155,6 +165,7 @@
         retry_budget,
         fleet_state,
         cache_directives,
+        admission,
         clock,
         counters,
     )
--- a/tests/forward/attempt_fixture.py
+++ b/tests/forward/attempt_fixture.py
@@ -28,6 +28,7 @@
 )
 from mulberryhub.upstream.health import UpstreamHealth
 from tests.forward.fakes import (
+    make_admission,
     make_call,
     make_rate_limits,
     make_route,
@@ -143,11 +144,12 @@
         self.origins = RememberedOrigins(set(software_versions))
         fleet_state.mark_read_up_to(Topic.UPSTREAMS, 1, self.clock.now())
         self.stream_versions = StreamVersions(self.origins, fleet_state, self.clock)
+        room, admission = make_admission(loads, self.clock, Counters())
         self.attempt_runner = AttemptRunner(
             dialect,
             UpstreamSelector(
                 fleet_state,
-                ExpectedDelay(loads.work).of,
+                ExpectedDelay(loads.work, (room.adjust,)).of,
                 fixed_transfer_cost("a"),
                 connect_health,
                 answer_health,
@@ -173,6 +175,7 @@
                 fleet_state.cache_index,
                 self.clock,
             ),
+            admission,
             self.clock,
             Counters(),
         )
--- a/tests/forward/fakes.py
+++ b/tests/forward/fakes.py
@@ -10,8 +10,11 @@
     UpstreamState,
     Workspace,
 )
+from mulberryhub.forward.admission import Admission
 from mulberryhub.forward.call import Call, PromptPart
 from mulberryhub.forward.rate_limits import UpstreamRateLimits
+from mulberryhub.forward.room import Room
+from mulberryhub.forward.slot_times import SlotTimes
 from mulberryhub.http.messages import Headers, Request
 from mulberryhub.permits.allocator import PermitAllocator
 from mulberryhub.permits.stock import Flow, PermitStock
@@ -86,5 +89,12 @@
     return UpstreamRateLimits(fleet_state, stock, Counters())
 
 
+def make_admission(loads, clock, counters, hears_others=lambda: True):
+    """Return the Room and the Admission of a router."""
+    slot_times = SlotTimes()
+    room = Room(loads, slot_times, clock)
+    return room, Admission(room, slot_times, hears_others, clock, counters)
+
+
 def no_counters():
     return Counters()
