Spread requests over filling upstreams and log limits on admission

Routers that saw the same counts all chose the upstream with the shortest wait until the next report. While more than half of an upstream's slots are used, a random part of up to one report interval is added to its delay. Less urgent requests are not sent to busy upstreams while a limit is in force, limits rise faster after 1.5 s without a late answer, and a limit that begins or ends is logged and counted.

--- a/libs/forward/src/mulberryhub/forward/admission.py
+++ b/libs/forward/src/mulberryhub/forward/admission.py
@@ -76,9 +76,13 @@
         """Return the share of requests like `job` to send to an upstream like this."""
         if not job.service.slots:
             return 1
-        if not job.priority and not self._is_busy(choice.upstream, job):
+        rate = self._rate(job)
+        is_busy = self._is_busy(choice.upstream, job)
+        if not job.priority and not is_busy:
             return 1
-        return self._rate(job).admitted_share(job.priority, self._clock.now())
+        if job.priority and is_busy and rate.limit is not None and self._hears_others():
+            return 0
+        return rate.admitted_share(job.priority, self._clock.now())
 
     def admits(self, job, choice):
         """Return whether `job` is sent, by a random draw while answers are late."""
@@ -99,17 +103,15 @@
         if not job.service.slots:
             return
         now = self._clock.now()
-        if now - attempt.sent_at <= job.route.target_latency:
-            self._rate(job).record_in_time(now)
-        else:
+        if now - attempt.sent_at > job.route.target_latency:
             self.record_late(job, attempt)
+        elif self._rate(job).record_in_time(now):
+            log.info("requests are no longer limited", service=job.service.name)
 
     def record_late(self, job, attempt):
         """Record that an answer began late, or not in the time to wait for it."""
         if job.service.slots and self._is_busy(attempt.upstream, job):
-            self._rate(job).record_late(
-                attempt.sent_at, self._clock.now(), self._slot_times.mean(job.service)
-            )
+            self._lower_limit(job, attempt)
 
     def record_not_run(self, job, exchange):
         """Record the state that an upstream shows which did not run `job`."""
@@ -123,10 +125,7 @@
         if is_full and slot_count(upstream, job.service):
             self._room.record_full(upstream)
             self._counters.add("upstream.full")
-            sent_at = exchange.attempt.sent_at
-            self._rate(job).record_late(
-                sent_at, self._clock.now(), self._slot_times.mean(job.service)
-            )
+            self._lower_limit(job, exchange.attempt)
 
     def record_completed(self, job, exchange):
         """Record that the answer of `exchange` was complete."""
@@ -134,6 +133,20 @@
             duration = self._slot_time(job, exchange.attempt)
             self._slot_times.record(job.service, duration)
 
+    def _lower_limit(self, job, attempt):
+        rate = self._rate(job)
+        was_limited = rate.limit is not None
+        run_time = self._slot_times.mean(job.service)
+        rate.record_late(attempt.sent_at, self._clock.now(), run_time)
+        if not was_limited and rate.limit is not None:
+            self._counters.add("overload.limited")
+            log.warning(
+                "answers are late, requests are limited",
+                service=job.service.name,
+                limit_per_s=round(rate.limit),
+                hears_others=self._hears_others(),
+            )
+
     def _is_busy(self, upstream, job):
         """Return whether requests at an upstream may delay each other beyond a target.
 
--- a/libs/forward/src/mulberryhub/forward/admission_rates.py
+++ b/libs/forward/src/mulberryhub/forward/admission_rates.py
@@ -10,6 +10,8 @@
 RATE_TIME_MS = 1_000  # over which rates are measured
 LATE_FACTOR = 0.8
 IN_TIME_FACTOR = 1.01
+CALM_TIME_MS = 1_500  # without a late answer, after which the limit rises faster
+CALM_FACTOR = 1.05
 UNLIMITED_FACTOR = 2  # of the arrivals, from which on there is no limit
 MAX_LESS_URGENT_SHARE = 0.05  # admitted, while more urgent requests are rejected
 MIN_LIMIT_PER_S = 1  # whose answers tell when the overload ends
@@ -99,11 +101,15 @@
         self.limit = max(floor, limit * LATE_FACTOR)
 
     def record_in_time(self, now):
-        """Raise the limit after an answer that began in time."""
-        if self.limit is not None:
-            self.limit *= IN_TIME_FACTOR
-            if self.limit > UNLIMITED_FACTOR * self._arrivals.per_s(now):
-                self.limit = None
+        """Raise the limit after an answer in time; return whether it is lifted."""
+        if self.limit is None:
+            return False
+        is_calm = now - self._lowered_at > CALM_TIME_MS
+        self.limit *= CALM_FACTOR if is_calm else IN_TIME_FACTOR
+        if self.limit <= UNLIMITED_FACTOR * self._arrivals.per_s(now):
+            return False
+        self.limit = None
+        return True
 
     def admitted_share(self, priority, now):
         """Return the share of the requests of `priority` that is within the limit.
--- a/libs/forward/src/mulberryhub/forward/room.py
+++ b/libs/forward/src/mulberryhub/forward/room.py
@@ -5,12 +5,12 @@
 long after clients have given up.
 """
 
-from mulberryhub.base.logs import module_logger
+from random import uniform
 
+SPREAD_USE = 0.5  # of the slots, beyond which requests are spread
+REPORT_TIME_MS = 250  # in which other routers may send without being counted
 QUEUE_PLACES_PER_SLOT = 3  # that an upstream has for requests that wait
 
-log = module_logger(__name__)
-
 
 class FullAnswer:
     """An answer of the incarnation `started`, at `at` (ms), that it was full."""
@@ -44,8 +44,18 @@
         self._full_answers_by_id[upstream.id] = FullAnswer(upstream.started, now)
 
     def adjust(self, upstream, service, delay):
-        """Return the delay in ms at an upstream, at least the wait for a slot there."""
-        return max(delay, self.wait(upstream, service))
+        """Return the delay in ms at an upstream, at least the wait for a slot there.
+
+        While its slots fill, a random part is added, as routers that see the same state
+        would all choose the same upstream until they hear of each other's requests.
+        """
+        slots = slot_count(upstream, service)
+        if not slots:
+            return delay
+        used = self._requests(upstream, service, slots) / slots
+        spread = min(1, max(0, used - SPREAD_USE) / (1 - SPREAD_USE))
+        wait = self.wait(upstream, service)
+        return max(delay, wait) + spread * uniform(0, REPORT_TIME_MS)
 
     def wait(self, upstream, service):
         """Return the wait in ms for a slot, 0 while one is free."""
@@ -57,7 +67,7 @@
 
     def work_delay(self, upstream, service):
         """Return the delay in ms by all requests at an upstream, urgent or not."""
-        return self.adjust(upstream, service, self._loads.work(upstream.id))
+        return max(self._loads.work(upstream.id), self.wait(upstream, service))
 
     def urgent_wait(self, upstream, service):
         """Return the wait in ms for a slot behind the most urgent requests alone."""
