--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -326,7 +326,8 @@
     `forward.speed_sharing`. `max_uptime` is the ms for which the longest running of the
     routers has run, `min_uptime` that of the latest started. `routers_by_data_centre`
     is the number of routers of each other data centre that are included; earlier builds
-    do not tell.
+    do not tell. `requests_by_upstream` is the number of requests in flight at an
+    upstream with configured slots, `urgent_by_upstream` that of the most urgent ones.
     """
 
     admitted: Admitted = Admitted()
@@ -341,6 +342,8 @@
     routers_by_data_centre: dict[str, int] = msgspec.field(default={}, name="heard")
     speed_weight_by_incarnation: dict[int, int] = {}
     slowness_by_incarnation: dict[int, int] = {}
+    requests_by_upstream: dict[str, int] = {}
+    urgent_by_upstream: dict[str, int] = {}
 
     def add(self, other):
         """Add the usage of other routers, except for `admitted`."""
@@ -381,4 +384,6 @@
     "routers_by_data_centre",
     "speed_weight_by_incarnation",
     "slowness_by_incarnation",
+    "requests_by_upstream",
+    "urgent_by_upstream",
 )
--- a/libs/node/src/mulberryhub/node/coordination.py
+++ b/libs/node/src/mulberryhub/node/coordination.py
@@ -82,6 +82,8 @@
             followers_by_coordinator={parts.source_selector.coordinator().name: 1},
             speed_weight_by_incarnation=speed_weights,
             slowness_by_incarnation=slowness,
+            requests_by_upstream=loads.local_requests_by_upstream(),
+            urgent_by_upstream=loads.local_urgent_by_upstream(),
         )
 
     bounds = settings.bounds
