--- a/tests/forward/router_fixture.py
+++ b/tests/forward/router_fixture.py
@@ -12,6 +12,7 @@
 from mulberryhub.forward.quarantine import Quarantine
 from mulberryhub.forward.remaining_time import RemainingTime
 from mulberryhub.forward.selection import UpstreamSelector
+from mulberryhub.forward.speeds import UpstreamSpeeds
 from mulberryhub.forward.stream_versions import StreamVersions
 from mulberryhub.forward.transfer_cost import fixed_transfer_cost
 from mulberryhub.upstream.health import UpstreamHealth
@@ -67,6 +68,7 @@
         RetryBudget(BudgetRule(10_000, 0.2, 100), lambda: 1, clock),
         fleet_state,
         CacheDirectives(lambda _: "", lambda: None, fleet_state.cache_index, clock),
+        UpstreamSpeeds(fleet_state, read_others, clock),
         admission,
         clock,
         counters,
