Describe room at upstreams, and never limit requests that ran before

A request whose first run failed could be rejected by the limit, and its client got 502 though another run was allowed. Whether other routers are heard is now read from the age of their news, as summing their usage for each request costs time with many upstreams.

--- a/libs/forward/src/mulberryhub/forward/admission.py
+++ b/libs/forward/src/mulberryhub/forward/admission.py
@@ -85,7 +85,13 @@
         return rate.admitted_share(job.priority, self._clock.now())
 
     def admits(self, job, choice):
-        """Return whether `job` is sent, by a random draw while answers are late."""
+        """Return whether `job` is sent, by a random draw while answers are late.
+
+        Requests that ran before are sent, as their clients cannot be told that they did
+        not run.
+        """
+        if job.runs or job.is_answer_started:
+            return True
         share = self.admitted_share(job, choice)
         return share >= 1 or random() < share
 
--- a/libs/forward/src/mulberryhub/forward/room.py
+++ b/libs/forward/src/mulberryhub/forward/room.py
@@ -52,9 +52,12 @@
         slots = slot_count(upstream, service)
         if not slots:
             return delay
-        used = self._requests(upstream, service, slots) / slots
-        spread = min(1, max(0, used - SPREAD_USE) / (1 - SPREAD_USE))
-        wait = self.wait(upstream, service)
+        requests = self._requests(upstream, service, slots)
+        used = requests / slots
+        if used <= SPREAD_USE:
+            return delay
+        spread = min(1, (used - SPREAD_USE) / (1 - SPREAD_USE))
+        wait = self._time_to_free(requests + 1 - slots, service, slots)
         return max(delay, wait) + spread * uniform(0, REPORT_TIME_MS)
 
     def wait(self, upstream, service):
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -9,6 +9,7 @@
 from mulberryhub.fleet.state import FleetState, Topic
 from mulberryhub.fleet.stream_origins import StreamOrigins
 from mulberryhub.fleet.subscription import Subscription
+from mulberryhub.fleet.usage import MAX_PUBLICATION_AGE_MS
 from mulberryhub.forward.admission import Admission
 from mulberryhub.forward.attempts import AttemptRunner
 from mulberryhub.forward.availability import UpstreamAvailability
@@ -112,7 +113,8 @@
     room = Room(loads, slot_times, clock)
 
     def hears_others():
-        return len(fleet_state.members_by_name) <= 1 or usage_table.others() is not None
+        is_alone = len(fleet_state.members_by_name) <= 1
+        return is_alone or usage_table.news_age() <= MAX_PUBLICATION_AGE_MS
 
     admission = Admission(room, slot_times, hears_others, clock, counters)
     selector = UpstreamSelector(
