Limit urgent requests also at upstreams that are not busy

With urgent requests only, those let pass at upstreams that did not look busy made these full before the next report, and the limit fell to 1/s without effect. Urgent requests are still limited only once hardly any less urgent one is admitted.

--- a/libs/forward/src/mulberryhub/forward/admission.py
+++ b/libs/forward/src/mulberryhub/forward/admission.py
@@ -78,8 +78,6 @@
             return 1
         rate = self._rate(job)
         is_busy = self._is_busy(choice.upstream, job)
-        if not job.priority and not is_busy:
-            return 1
         if job.priority and is_busy and rate.limit is not None and self._hears_others():
             return 0
         return rate.admitted_share(job.priority, self._clock.now())
--- a/tests/forward/overload_model.py
+++ b/tests/forward/overload_model.py
@@ -179,7 +179,8 @@
 class OverloadedFleet:
     """Counts, by second and route name, the requests offered and those in time."""
 
-    def __init__(self):
+    def __init__(self, long_rate=LONG_RATE, short_rate=SHORT_RATE):
+        self.rates = ((LONG, long_rate), (SHORT, short_rate))
         self.time = VirtualTime()
         self.service = make_service(slots=SLOTS, kv_capacity=0)
         self.upstreams = [
@@ -209,7 +210,7 @@
         """Offer `load` times the capacity for `duration` ms."""
         self.load = load
         end = self.time.clock.now() + duration
-        for route, rate in ((LONG, LONG_RATE), (SHORT, SHORT_RATE)):
+        for route, rate in self.rates:
             interval = 1_000 / (rate * load * UPSTREAM_COUNT)
             self.time.after(
                 expovariate(1 / interval), self.arrive, route, interval, end
--- a/tests/forward/test_overload.py
+++ b/tests/forward/test_overload.py
@@ -16,9 +16,9 @@
 MIN_URGENT_SHARE = 0.75  # in time at twice the capacity, as a mean with the rise
 
 
-def run_phases(random_seed, has_outage=False):
+def run_phases(random_seed, has_outage=False, **rates):
     seed(random_seed)
-    fleet = OverloadedFleet()
+    fleet = OverloadedFleet(**rates)
     for load in LOADS:
         if has_outage and load == 2:
             fleet.run(load, 1_000)
@@ -52,3 +52,12 @@
     for begin in (8, 16):
         urgent = in_time_share(fleets, begin, begin + PHASE_S, ("short",))
         assert urgent >= MIN_URGENT_SHARE
+
+
+def test_urgent_requests_alone_do_not_make_each_other_late():
+    """Guards against a limit that never applies to the most urgent requests."""
+    for random_seed in SEEDS:
+        fleet = run_phases(random_seed, long_rate=0.001, short_rate=40)
+        goodput = [fleet.goodput(begin, begin + PHASE_S) for begin in (4, 8, 12, 16)]
+        assert min(goodput[1:]) >= 0.5 * goodput[0]
+        assert in_time_share([fleet], 24 + RECOVERY_S, 28) >= 0.9
