--- a/libs/forward/src/mulberryhub/forward/admission.py
+++ b/libs/forward/src/mulberryhub/forward/admission.py
@@ -78,14 +78,18 @@
             return 1
         rate = self._rate(job)
         is_busy = self._is_busy(choice.upstream, job)
-        if not job.priority and not is_busy:
-            return 1
         if job.priority and is_busy and rate.limit is not None and self._hears_others():
             return 0
         return rate.admitted_share(job.priority, self._clock.now())
 
     def admits(self, job, choice):
-        """Return whether `job` is sent, by a random draw while answers are late."""
+        """Return whether `job` is sent, by a random draw while answers are late.
+
+        Requests that ran before are sent, as their clients cannot be told that they did
+        not run.
+        """
+        if job.runs or job.is_answer_started:
+            return True
         share = self.admitted_share(job, choice)
         return share >= 1 or random() < share
 
