Compare only upstreams that can be reached when requests leave

With most upstreams at home lost, the lower quartile was one of them, so that all requests left although the others at home were idle. The test fails before and passes now. The end of a share is logged also if its data centre has no upstream left.

--- a/libs/forward/src/mulberryhub/forward/locality.py
+++ b/libs/forward/src/mulberryhub/forward/locality.py
@@ -88,8 +88,9 @@
         """
         if not self._has_store():
             return None
-        home, elsewhere = self._split(upstreams)
-        if not any(is_reachable(upstream) for upstream in home):
+        reachable = [upstream for upstream in upstreams if is_reachable(upstream)]
+        home, elsewhere = self._split(reachable)
+        if not home:
             if elsewhere:
                 self._counters.add("locality.no_home_upstream")
             return None
@@ -130,6 +131,7 @@
         home_delay = _best([delay(upstream) for upstream in home])
         shares.update(self._clock.now(), home_delay, costs, route.target_latency)
         names = {upstream.data_centre for upstream in elsewhere}
+        names.update(name for key, name in self._logged_by_key if key == service.name)
         self._log_shares(service.name, shares, names, home_delay, costs)
 
     def _log_shares(self, service_name, shares, names, home_delay, costs):
--- a/tests/node/test_locality.py
+++ b/tests/node/test_locality.py
@@ -17,7 +17,12 @@
 )
 
 SETTINGS = RouterSettings("r", "a", "h:1", "h:2", "h:3", "h:4", link_mbps=100)
-UPSTREAMS = [make_upstream("u0", 1), make_upstream("u1", 2, data_centre="b")]
+UPSTREAMS = [
+    make_upstream("u0", 1),
+    make_upstream("u1", 2, data_centre="b"),
+    *(make_upstream(f"lost{number}", number) for number in range(3, 9)),
+]
+HOME_IDS = [upstream.id for upstream in UPSTREAMS if upstream.data_centre == "a"]
 
 
 class Fixture:
@@ -31,14 +36,14 @@
             SETTINGS, lambda: view, self.usage_table, self.clock, self.counters
         )
 
-    def region(self, delays):
+    def region(self, delays, unreachable_ids=()):
         return self.parts.locality.region(
             make_call(),
             make_route(),
             make_service(),
             UPSTREAMS,
             lambda upstream: delays[upstream.id],
-            lambda upstream: True,
+            lambda upstream: upstream.id not in unreachable_ids,
             is_first=True,
         )
 
@@ -49,7 +54,20 @@
     fixture = Fixture(store_data_centre)
     transfer_cost = fixture.parts.transfer_cost(make_call(), UPSTREAMS[1])
     assert transfer_cost == pytest.approx(cost, abs=0.1)
-    assert (fixture.region({"u0": 0, "u1": 0}) is None) == (store_data_centre == "b")
+    region = fixture.region(dict.fromkeys([*HOME_IDS, "u1"], 0))
+    assert (region is None) == (store_data_centre == "b")
+
+
+def test_upstreams_that_cannot_be_reached_do_not_count():
+    """Guards against an idle upstream at home that gets nothing beside lost ones."""
+    fixture = Fixture("a")
+    delays = dict.fromkeys([upstream.id for upstream in UPSTREAMS], 10_000)
+    lost_ids = delays.keys() - {"u0", "u1"}
+    for _ in range(8):
+        fixture.usage_table.record_remote("b", Usage(routers=1), {})
+        assert fixture.region({**delays, "u0": 0, "u1": 0}, lost_ids).is_home
+        fixture.clock.advance(300)
+    assert fixture.region(delays, {"u0", *lost_ids}) is None
 
 
 def test_share_is_shown_by_service_and_data_centre():
@@ -59,7 +77,7 @@
         for _ in range(8):
             if is_heard:
                 fixture.usage_table.record_remote("b", Usage(routers=1), {})
-            fixture.region({"u0": 900, "u1": 0})
+            fixture.region(dict.fromkeys(HOME_IDS, 900) | {"u1": 0})
             fixture.clock.advance(300)
         text = generate_latest(fixture.counters.registry).decode()
         gauge = 'mulberryhub_remote_share{topic="llm/b"}'
