Warn of attempts on streams that are not resumed

A route's attempts have no effect on streams without the resume flag, as their requests run once like those that are not idempotent; the check only named the latter.

Measured: the new case warns; the tests of the check, names and imports pass.

--- a/libs/fleet/src/mulberryhub/fleet/configuration_check.py
+++ b/libs/fleet/src/mulberryhub/fleet/configuration_check.py
@@ -100,8 +100,11 @@
             findings.warning(f"{path}.{field}", "is above the timeout of the route")
     if route.max_attempts < 1:
         findings.warning(f"{path}.max_attempts", "has the same effect as 1")
-    if route.max_attempts > 1 and route.kind is RequestKind.NON_IDEMPOTENT:
-        message = "has no effect: requests that are not idempotent run once"
+    is_resumed = route.kind is RequestKind.STREAMING and route.is_resumable
+    if route.max_attempts > 1 and not (
+        route.kind is RequestKind.IDEMPOTENT or is_resumed
+    ):
+        message = "has no effect: neither idempotent nor a stream that is resumed"
         findings.warning(f"{path}.max_attempts", message)
     if route.is_resumable and route.kind is not RequestKind.STREAMING:
         message = "has no effect: the route is not a streaming one"
--- a/tests/fleet/test_configuration_check.py
+++ b/tests/fleet/test_configuration_check.py
@@ -42,6 +42,8 @@
 def test_sound_configuration_has_no_findings():
     """Guards against findings that operators would learn to ignore."""
     assert find(SOUND) == []
+    stream = {"kind": RequestKind.STREAMING, "is_resumable": True}
+    assert find(with_route(max_attempts=2, **stream)) == []
 
 
 @pytest.mark.parametrize(
@@ -90,6 +92,10 @@
             with_route(kind=RequestKind.NON_IDEMPOTENT, max_attempts=2),
             "routes[0].max_attempts",
         ),
+        (
+            with_route(kind=RequestKind.STREAMING, max_attempts=2),
+            "routes[0].max_attempts",
+        ),
         (with_route(max_attempts=0), "routes[0].max_attempts"),
         (with_service(), "services[1]"),
         (with_workspace(keys=[]), "workspaces[0].keys"),
