Read release orders, exchange the state of releases, and store both

A service could not be moved to another software version: routers ignored the operator's records rollout/SERVICE. The outcomes of releases are a sum in Usage, which no longer sends what has its default, so that nothing is sent for services without an order. The bounds have their settings.

--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -20,6 +20,7 @@
     encode,
 )
 from mulberryhub.fleet.records import Configuration, Member, Upstream
+from mulberryhub.fleet.release_records import ReleaseOrder
 from mulberryhub.fleet.state import UNKNOWN_POSITION, Topic
 from mulberryhub.fleet.transit import TransitBound
 from mulberryhub.fleet.usage import PUBLISHED_SLOT_COUNT
@@ -32,7 +33,11 @@
 REMOTE_USAGE_INTERVAL_MS = 250  # between usage updates to other data centres
 BATCH_DELAY_MS = 10  # during which changes are collected into one update
 SUBSCRIBER_TIMEOUT_MS = 1_000  # without reports, after which it is disconnected
-TOPIC_BY_TYPE = {Upstream: Topic.UPSTREAMS, Member: Topic.MEMBERS}
+TOPIC_BY_TYPE = {
+    Upstream: Topic.UPSTREAMS,
+    Member: Topic.MEMBERS,
+    ReleaseOrder: Topic.OPERATOR,
+}
 
 log = module_logger(__name__)
 
--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -15,6 +15,7 @@
 )
 from mulberryhub.fleet.admissions import Admitted
 from mulberryhub.fleet.incarnations import UNKNOWN_OFFSET
+from mulberryhub.fleet.release_records import ReleaseOrder, ReleaseState
 
 
 class RequestKind(StrEnum):
@@ -303,16 +304,24 @@
     at: Number
 
 
-Observation = Departure | RateLimit | Suspect  # facts that routers observe themselves
+# What routers observe or decide themselves.
+Observation = Departure | RateLimit | Suspect | ReleaseState
 Record = (
-    Configuration | Weights | Upstream | Removal | Member | CachedPart | Observation
+    Configuration
+    | Weights
+    | Upstream
+    | Removal
+    | Member
+    | CachedPart
+    | ReleaseOrder
+    | Observation
 )
 
 
 MAX_UPTIME_MS = 2**53  # larger than any uptime
 
 
-class Usage(msgspec.Struct):
+class Usage(msgspec.Struct, omit_defaults=True):
     """The recent usage of one or more routers: tokens admitted and work in flight.
 
     `admitted` is what was admitted in the quota window, in the unit of each workspace.
@@ -322,7 +331,8 @@
     engine time in ms that clients request per s. `followers_by_coordinator` is the
     number of the routers that ask a coordinator for permits. `max_uptime` is the ms for
     which the longest running of the routers has run, `min_uptime` that of the latest
-    started.
+    started. `release_counts` are the outcomes of requests during releases; it is empty,
+    and not sent, while no release is running.
     """
 
     admitted: Admitted = Admitted()
@@ -334,6 +344,7 @@
     max_uptime: int = msgspec.field(default=0, name="uptime")
     min_uptime: int = msgspec.field(default=MAX_UPTIME_MS, name="youngest")
     followers_by_coordinator: dict[str, int] = {}
+    release_counts: dict[str, int] = {}
 
     def add(self, other):
         """Add the usage of other routers, except for `admitted`."""
@@ -371,4 +382,5 @@
     "bound_by_upstream",
     "demand_by_service",
     "followers_by_coordinator",
+    "release_counts",
 )
--- a/libs/fleet/src/mulberryhub/fleet/state.py
+++ b/libs/fleet/src/mulberryhub/fleet/state.py
@@ -32,6 +32,8 @@
     Verdict,
     Weights,
 )
+from mulberryhub.fleet.release_records import ReleaseOrder, ReleaseState
+from mulberryhub.fleet.releases import Releases
 from mulberryhub.fleet.rollout import Rollout
 from mulberryhub.fleet.running_versions import RunningVersions
 from mulberryhub.fleet.seen_software import SeenSoftware
@@ -78,6 +80,7 @@
         "suspects",
         "rate_limits",
         "seen_software",
+        "releases",
         "position_by_topic",
         "as_of_by_topic",
         "regained_at_by_topic",
@@ -108,6 +111,7 @@
         self.suspects = Suspects(clock)
         self.rate_limits = RateLimits(clock)
         self.seen_software = SeenSoftware(clock)
+        self.releases = Releases(clock)
         self.position_by_topic = dict.fromkeys(Topic, UNKNOWN_POSITION)
         self.as_of_by_topic = dict.fromkeys(Topic, UNKNOWN_POSITION)
         self.regained_at_by_topic = dict.fromkeys(Topic, UNKNOWN_POSITION)
@@ -342,6 +346,16 @@
         if self.cache_index.apply(part):
             self._record_change(f"kept/{part.salt}/{part.id}", part)
 
+    def apply_release_order(self, order):
+        """Apply an order of a release, or its withdrawal, if it is newer."""
+        if self.releases.apply_order(order):
+            self._record_and_notify(f"release-order/{order.service}", order)
+
+    def apply_release_state(self, state):
+        """Apply the state of a release if it is newer."""
+        if self.releases.apply_state(state):
+            self._record_and_notify(f"release/{state.service}", state)
+
     def apply_rollout(self, rollout):
         """Apply the progress of a weights rollout if it is newer."""
         if rollout.order <= self.rollout.order:
@@ -432,4 +446,6 @@
     CachedPart: FleetState.apply_cached_part,
     Suspect: FleetState.apply_suspect,
     Verdict: FleetState.apply_verdict,
+    ReleaseOrder: FleetState.apply_release_order,
+    ReleaseState: FleetState.apply_release_state,
 }
--- a/libs/node/src/mulberryhub/node/ports.py
+++ b/libs/node/src/mulberryhub/node/ports.py
@@ -13,7 +13,10 @@
 
     `log` has the interface of `external.log.LogClient` and is used for leases.
     `software_marks` are described in `fleet.software_marks`, and `stream_records` in
-    `fleet.origin_log`.
+    `fleet.origin_log`. `release_store` has `read()`, which returns a ReleaseListing,
+    and `save(saved, end)` and `put_status(record, end)`, which return the end after a
+    write; all may raise StoreUnavailable. `ordered_service(key)` returns the service
+    whose release the operator's record of this key orders, or None.
     `dialect` is a Dialect, which translates requests and answers. `read_report` and
     `send_order` call upstreams that serve models, with the parameters `(upstream)` and
     `(upstream, order)`. `read_cache_events(address, since)` and
@@ -26,6 +29,8 @@
         "log",
         "software_marks",
         "stream_records",
+        "release_store",
+        "ordered_service",
         "read_operator",
         "read_upstream",
         "read_member",
@@ -43,6 +48,8 @@
         log,
         software_marks,
         stream_records,
+        release_store,
+        ordered_service,
         read_operator,
         read_upstream,
         read_member,
@@ -57,6 +64,8 @@
         self.log = log
         self.software_marks = software_marks
         self.stream_records = stream_records
+        self.release_store = release_store
+        self.ordered_service = ordered_service
         self.read_operator = read_operator
         self.read_upstream = read_upstream
         self.read_member = read_member
--- a/libs/node/src/mulberryhub/node/settings.py
+++ b/libs/node/src/mulberryhub/node/settings.py
@@ -15,7 +15,9 @@
     `lease_time` must pass between orders that two routers send to upstreams.
     `version_time` is how long weights may be used after newer ones were announced. For
     the `retry_` fields see `forward.budget.BudgetRule`, for the `quota_` fields
-    `forward.quotas.QuotaRule`.
+    `forward.quotas.QuotaRule`. A bad version receives at most `expose_share` of the
+    requests during its release plus `expose_slack`, and none `rollback_time` after its
+    50th bad response.
     """
 
     stop_time: int = 8_000
@@ -27,6 +29,9 @@
     quota_window: int = 8_000
     quota_overage: float = 0.1
     quota_slack: float = 0
+    expose_share: float = 0.1
+    expose_slack: float = 50
+    rollback_time: int = 5_000
 
 
 class RouterSettings(msgspec.Struct, frozen=True):
--- a/libs/node/src/mulberryhub/node/topics.py
+++ b/libs/node/src/mulberryhub/node/topics.py
@@ -1,6 +1,7 @@
 """Defines how a router reads each topic of the platform's store."""
 
 from mulberryhub.fleet.follower import TopicPlan
+from mulberryhub.fleet.release_records import ReleaseOrder
 from mulberryhub.fleet.state import Topic
 
 OPERATOR_LONG_POLL_MS = 700  # for the operator's records
@@ -34,10 +35,17 @@
     def remove_unlisted(listing):
         removals.remove_unlisted([entry.key for entry in listing.entries], listing.end)
 
+    def withdraw_unlisted(listing):
+        """Withdraw the orders whose records were removed while they were not read."""
+        listed = {ports.ordered_service(entry.key) for entry in listing.entries}
+        for order in fleet_state.releases.missing_orders(listed, listing.end):
+            fleet_state.apply(ReleaseOrder(order.service, "", 0, listing.end))
+
     return [
         TopicPlan(
             Topic.OPERATOR,
             applier(ports.read_operator, fleet_state.apply),
+            on_listing=withdraw_unlisted,
             wait=OPERATOR_LONG_POLL_MS,
             pause=0,
             on_failure=fleet_state.record_unreadable,
