Send a share of the requests to the target of a release

Requests went to any version that was ready. During a release, a random share drawn by each router now goes to the target, the rest and retries after a failure at the target to other versions; after it, only the version in force serves. Attempts record outcomes by route and version. The fixture of attempts passes the two new parts, and records which versions were used.

--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -15,6 +15,7 @@
 from mulberryhub.forward.exchange import Exchange
 from mulberryhub.forward.refusal import NOT_RUN_STATUSES, Reason, Refusal
 from mulberryhub.forward.refusals import Refusals
+from mulberryhub.forward.stream_versions import accept_both
 from mulberryhub.forward.work import estimate_work
 from mulberryhub.http.messages import (
     SUCCESS_STATUSES,
@@ -60,6 +61,8 @@
         "_budget",
         "_fleet_state",
         "_cache_directives",
+        "_release_filter",
+        "_release_outcomes",
         "_clock",
         "_counters",
     )
@@ -80,6 +83,8 @@
         budget,
         fleet_state,
         cache_directives,
+        release_filter,
+        release_outcomes,
         clock,
         counters,
     ):
@@ -98,6 +103,8 @@
         self._budget = budget
         self._fleet_state = fleet_state
         self._cache_directives = cache_directives
+        self._release_filter = release_filter
+        self._release_outcomes = release_outcomes
         self._clock = clock
         self._counters = counters
 
@@ -119,6 +126,7 @@
 
     def record_first_event(self, job, exchange):
         """Record that the first event of an answer arrived, before it is relayed."""
+        self._release_outcomes.record_first_byte(job, exchange.attempt)
         self._stream_versions.record_first_event(
             job, exchange.attempt.upstream, exchange.connected_at
         )
@@ -141,6 +149,7 @@
 
         Only a successful answer that states its end shows that the upstream is sound.
         """
+        self._release_outcomes.record_served(job, exchange.attempt)
         if job.status in SUCCESS_STATUSES and exchange.head.is_framed:
             upstream_id = exchange.attempt.upstream.id
             self._answer_health.record_success(upstream_id, is_complete=True)
@@ -148,14 +157,18 @@
             self._remaining_time.record_completed(job)
 
     def _place(self, job, excluded_ids=frozenset()):
-        return self._selector.choose(
-            job.call,
-            job.route,
-            job.service,
-            job.tried_ids | excluded_ids,
-            job.flow,
-            self._stream_versions.filter_for(job),
-        )
+        may_continue = self._stream_versions.filter_for(job)
+        choice = None
+        for accepts in self._release_filter.filters_for(job):
+            choice = choice or self._selector.choose(
+                job.call,
+                job.route,
+                job.service,
+                job.tried_ids | excluded_ids,
+                job.flow,
+                accept_both(may_continue, accepts),
+            )
+        return choice
 
     def _choose(self, job):
         """Return the Choice to send the request to, or raise Refusal."""
@@ -201,6 +214,7 @@
         if choice.version is not None:
             self._cache_directives.prepare(attempt, call, choice.version)
         self._quarantine.record_sent(job, attempt)
+        self._release_outcomes.record_sent(job, attempt)
         self._log_sent(job, attempt, choice)
         request = self._dialect.attempt_request(call, attempt)
         is_bound = not (job.is_repeatable and job.runs + 1 < job.route.max_attempts)
@@ -211,7 +225,7 @@
         except ConnectionFailed as error:
             if isinstance(error, ConnectionRefused):
                 self._quarantine.record_connect_refused(choice.upstream)
-            self._record_failed(job, choice.upstream, "connect", error)
+            self._record_failed(job, attempt, "connect", error)
             return None
         return exchange
 
@@ -292,13 +306,16 @@
             return False
         if status in SUCCESS_STATUSES and not facts.is_sealed:
             exchange.cancel()
-            self._record_failed(job, upstream, "unsealed", status)
+            self._record_failed(job, exchange.attempt, "unsealed", status)
             return False
         if status >= MIN_SERVER_ERROR_STATUS and self._can_retry_server_error(job):
             exchange.cancel()
             job.failure_reason = Reason.UPSTREAM_FAILED
+            self._release_outcomes.record_failed(job, exchange.attempt, None)
             self._record_attempt_failure(job, upstream, "server_error", status)
             return False
+        if not (job.is_stream and status in SUCCESS_STATUSES):
+            self._release_outcomes.record_first_byte(job, exchange.attempt)
         self._connect_health.record_success(upstream.id)
         self._answer_health.record_success(upstream.id)
         return True
@@ -344,9 +361,11 @@
         """Record that the answer of an attempt broke off or never began."""
         if isinstance(error, ResponseTruncated):
             self._quarantine.record_cut_answer(job, attempt)
-        self._record_failed(job, attempt.upstream, cause, error)
+        self._record_failed(job, attempt, cause, error)
 
-    def _record_failed(self, job, upstream, cause, detail):
+    def _record_failed(self, job, attempt, cause, detail):
+        upstream = attempt.upstream
+        self._release_outcomes.record_failed(job, attempt, detail)
         is_timeout = isinstance(detail, ResponseTimeout)
         if is_timeout or cause == "connect":
             self._connect_health.record_failure(upstream.id)
@@ -364,6 +383,7 @@
 
     def _record_attempt_failure(self, job, upstream, cause, detail):
         job.tried_ids.add(upstream.id)
+        self._release_filter.record_failure(job, upstream)
         self._counters.add(f"attempt.{cause}")
         log.info(
             "attempt failed",
--- a/libs/forward/src/mulberryhub/forward/call.py
+++ b/libs/forward/src/mulberryhub/forward/call.py
@@ -88,6 +88,8 @@
         "sent_at",
         "suspects",
         "answered_at",
+        "_event_at",
+        "_longest_pause",
     )
 
     def __init__(self, upstream, workspace, priority):
@@ -104,6 +106,23 @@
         self.sent_at = 0
         self.suspects = None
         self.answered_at = None
+        self._event_at = None
+        self._longest_pause = None
+
+    def record_event(self, now):
+        """Record that an event of the answer arrived at `now` (ms)."""
+        if self._event_at is not None:
+            self._longest_pause = max(self._longest_pause or 0, now - self._event_at)
+        self._event_at = now
+
+    def longest_pause(self, now=None):
+        """Return the longest pause between two events in ms, None without two events.
+
+        If `now` (ms) is given, the answer broke off then, and so did a pause.
+        """
+        if now is None or self._event_at is None:
+            return self._longest_pause
+        return max(self._longest_pause or 0, now - self._event_at)
 
 
 class AnswerFacts:
--- a/libs/forward/src/mulberryhub/forward/job.py
+++ b/libs/forward/src/mulberryhub/forward/job.py
@@ -19,6 +19,9 @@
     are None before the first.
     `stream_version` is the StreamVersion at which a stream must go on, or None, and
     `stream_origin` the StreamSource that began it, if its version is not yet certain.
+    `release_draw` is the random number that selects the job for the target of a
+    release, None before it is drawn, and `has_failed_at_target` is set once it failed
+    there.
     `quota_weight` is the workspace's quota relative to the mean of all workspaces.
     `is_answer_started` is set once the answer has begun, with `status`, and
     `first_byte_ms` after the request arrived.
@@ -40,6 +43,8 @@
         "last_event_upstream_id",
         "stream_version",
         "stream_origin",
+        "release_draw",
+        "has_failed_at_target",
         "is_answer_started",
         "status",
         "first_byte_ms",
@@ -64,6 +69,8 @@
         self.last_event_upstream_id = None
         self.stream_version = None
         self.stream_origin = None
+        self.release_draw = None
+        self.has_failed_at_target = False
         self.is_answer_started = False
         self.status = None
         self.first_byte_ms = None
--- a/libs/forward/src/mulberryhub/forward/relay.py
+++ b/libs/forward/src/mulberryhub/forward/relay.py
@@ -119,6 +119,7 @@
             if not has_events:
                 self._attempt_runner.record_first_event(job, exchange)
             has_events = True
+            exchange.attempt.record_event(self._clock.now())
             connection.write(b"".join(event.data for event in events))
             job.record_events(events, exchange.attempt.upstream)
         if decoder.is_inside_event:
--- a/libs/forward/src/mulberryhub/forward/stream_versions.py
+++ b/libs/forward/src/mulberryhub/forward/stream_versions.py
@@ -188,3 +188,10 @@
 def accept_all(upstream):
     """Return that any upstream may serve a job."""
     return True
+
+
+def accept_both(first, second):
+    """Return a filter that accepts what both filters accept."""
+    if second is accept_all:
+        return first
+    return lambda upstream: first(upstream) and second(upstream)
--- a/tests/forward/attempt_fixture.py
+++ b/tests/forward/attempt_fixture.py
@@ -15,6 +15,8 @@
 from mulberryhub.forward.loads import Loads
 from mulberryhub.forward.quarantine import Quarantine
 from mulberryhub.forward.refusal import Refusal
+from mulberryhub.forward.release_filter import ReleaseFilter
+from mulberryhub.forward.release_outcomes import ReleaseOutcomes
 from mulberryhub.forward.remaining_time import RemainingTime
 from mulberryhub.forward.selection import UpstreamSelector
 from mulberryhub.forward.stream_versions import StreamVersions
@@ -26,6 +28,7 @@
     ResponseHead,
     ResponseTimeout,
 )
+from mulberryhub.releases.outcomes import OutcomeRecorder
 from mulberryhub.upstream.health import UpstreamHealth
 from tests.forward.fakes import (
     make_call,
@@ -125,8 +128,12 @@
         self.is_shutting_down = False
         self.pause = None
         self.work_while_connecting = []
+        self.software_versions = software_versions
+        self.versions_used = []
+        self.draw = 0
+        self.exchange = None
         self.remaining_time = RemainingTime(self.clock)
-        fleet_state = FleetState(self.clock)
+        self.fleet_state = fleet_state = FleetState(self.clock)
         for index, version in enumerate(software_versions):
             fleet_state.apply(
                 make_upstream(f"u{index}", index + 1, software_version=version)
@@ -143,6 +150,10 @@
         self.origins = RememberedOrigins(set(software_versions))
         fleet_state.mark_read_up_to(Topic.UPSTREAMS, 1, self.clock.now())
         self.stream_versions = StreamVersions(self.origins, fleet_state, self.clock)
+        self.release_filter = ReleaseFilter(fleet_state, lambda: self.draw)
+        self.release_outcomes = ReleaseOutcomes(
+            OutcomeRecorder(), fleet_state.releases, self.clock, Counters()
+        )
         self.attempt_runner = AttemptRunner(
             dialect,
             UpstreamSelector(
@@ -173,6 +184,8 @@
                 fleet_state.cache_index,
                 self.clock,
             ),
+            self.release_filter,
+            self.release_outcomes,
             self.clock,
             Counters(),
         )
@@ -203,6 +216,7 @@
     def open(self, address, timeout):
         index = int(address.split(":")[0].rpartition(".")[2]) - 1
         self.work_while_connecting.append(self.loads.work(f"u{index}"))
+        self.versions_used.append(self.software_versions[index])
         outcome = self.outcomes.pop(0) if self.outcomes else OK
         if outcome == UNREACHABLE:
             raise ConnectionFailed("unreachable")
@@ -218,6 +232,7 @@
         except Refusal as refusal:
             return refusal.reason.status
         exchange.cancel()
+        self.exchange = exchange
         return exchange.head.status
 
     def start_next_job(self):
