Decide releases from evidence by route and window

The recorder's counts are read, compared window by window, and the share of the target follows the bound on exposure.

--- a/libs/releases/src/mulberryhub/releases/decision.py
+++ b/libs/releases/src/mulberryhub/releases/decision.py
@@ -4,6 +4,22 @@
 
 import msgspec
 
+from mulberryhub.releases.evidence import strongest_evidence
+from mulberryhub.releases.exposure import TURN_MS, Exposure, plan_exposure
+from mulberryhub.releases.windows import Windows
+
+# Evidence as -ln of the probability that it is an accident. While a release is running
+# it is looked at up to a hundred times, in up to a hundred ways.
+CERTAIN_STRENGTH = 11.0
+DEADLINE_STRENGTH = 7.0
+DOUBT_STRENGTH = 4.0  # observed for as long as possible
+ENOUGH_OUTCOMES = 60  # a version that fails a tenth fails some of them
+# Before the deadline, for the write to the store and, in the first case, for another
+# decider to take over.
+MAX_MARGIN_MS, MARGIN_PART = 3_000, 0.2
+MAX_LATE_MARGIN_MS, LATE_MARGIN_PART = 800, 0.1
+FIRST_OUTCOMES_MS = 1_000  # in which a new decider has heard all routers
+
 
 class State(StrEnum):
     """The state of a release; the last two are final."""
@@ -29,15 +45,17 @@
 class Decision(msgspec.Struct, frozen=True):
     """The state of a release, and the share of requests that the target receives.
 
-    The target's requests go to `upstreams` of its upstreams only, the same at each
-    router, so that these are observed under the load of a completed release. `reason`
-    is text for the log.
+    The target's requests go to `upstreams` of its ready upstreams, the same ones at
+    each router, so that these are observed under the load of a completed release. It is
+    0 if the target receives none. Which ones is given by `turn`, see
+    `observed_upstreams`. `reason` is text for the log.
     """
 
     state: State
     share: float
     upstreams: int
     reason: str
+    turn: int = 0
 
 
 class Progress:
@@ -49,13 +67,44 @@
     that continues the release begins with them.
     """
 
-    __slots__ = ("target_upstreams", "old_upstreams", "exposed", "received")
+    __slots__ = (
+        "target_upstreams",
+        "old_upstreams",
+        "exposure",
+        "windows",
+        "evidence",
+        "_first_age",
+    )
 
     def __init__(self, exposed=0, received=0):
         self.target_upstreams = 0
         self.old_upstreams = 0
-        self.exposed = exposed
-        self.received = received
+        self.exposure = Exposure(exposed, received)
+        self.windows = Windows()
+        self.evidence = None
+        self._first_age = None
+
+    @property
+    def exposed(self):
+        """Return the number of requests that the target has received."""
+        return self.exposure.exposed
+
+    @property
+    def received(self):
+        """Return the number of requests that the service has received."""
+        return self.exposure.received
+
+    def observe(self, age, outcomes):
+        """Add the outcomes of all routers that are known `age` ms after the order."""
+        if self._first_age is None:
+            self._first_age = age
+        self.windows.add(age, outcomes)
+        self.exposure.observe(age, outcomes)
+        self.evidence = strongest_evidence(self.windows)
+
+    def has_heard_all(self, age):
+        """Return whether this decider has had the time to hear all routers."""
+        return age - self._first_age >= FIRST_OUTCOMES_MS
 
 
 def decide(order, age, bounds, outcomes, progress):
@@ -64,4 +113,47 @@
     `order` has the `target` and the `duration` in ms, `outcomes` are those of all
     routers and may be 1 s old. Call it every 100 to 500 ms, and in order of age.
     """
-    raise NotImplementedError
+    progress.observe(age, outcomes)
+    evidence = progress.evidence
+    if evidence.strength >= CERTAIN_STRENGTH:
+        return Decision(State.ROLLED_BACK, 0.0, 0, evidence.text)
+    end, reason = _end(order, outcomes, progress)
+    if age >= end and progress.has_heard_all(age):
+        return _final_decision(evidence, outcomes, progress)
+    plan = plan_exposure(age, end, bounds, progress.exposure, progress.target_upstreams)
+    progress.exposure.record_share(age, plan.share)
+    turn = int(age // TURN_MS)
+    return Decision(State.RUNNING, plan.share, plan.upstreams, reason, turn)
+
+
+def _end(order, outcomes, progress):
+    """Return the age in ms at which the release ends, and what is waited for.
+
+    A version may turn bad late, so a good one is observed for most of the time, and one
+    with few outcomes or in doubt until just before the deadline.
+    """
+    late_end = order.duration - min(
+        MAX_LATE_MARGIN_MS, LATE_MARGIN_PART * order.duration
+    )
+    if not progress.target_upstreams:
+        return late_end, "the target has no ready upstream"
+    if progress.evidence.strength >= DOUBT_STRENGTH:
+        return late_end, f"in doubt: {progress.evidence.text}"
+    if outcomes.target_ended < ENOUGH_OUTCOMES:
+        return late_end, f"{outcomes.target_ended} outcomes of the target"
+    end = order.duration - min(MAX_MARGIN_MS, MARGIN_PART * order.duration)
+    return end, f"{outcomes.target_ended} outcomes, {progress.evidence.text}"
+
+
+def _final_decision(evidence, outcomes, progress):
+    """Return the Decision at the end of the time."""
+    if not progress.target_upstreams:
+        return Decision(
+            State.ROLLED_BACK, 0.0, 0, "the target has no ready upstream at the end"
+        )
+    if evidence.strength >= DEADLINE_STRENGTH:
+        return Decision(State.ROLLED_BACK, 0.0, 0, f"at the end: {evidence.text}")
+    reason = f"{outcomes.target_ended} outcomes, {evidence.text}"
+    if evidence.strength:
+        reason = f"{outcomes.target_ended} outcomes, not significant: {evidence.text}"
+    return Decision(State.COMPLETED, 1.0, progress.target_upstreams, reason)
--- /dev/null
+++ b/libs/releases/src/mulberryhub/releases/exposure.py
@@ -0,0 +1,136 @@
+"""How many requests the target of a release receives while it is observed."""
+
+from math import ceil, sqrt
+
+import msgspec
+
+OUTCOME_LAG_MS = 1_500  # from a decision until its effect is in the sums over routers
+RATE_PERIOD_MS = 2_000  # over which the request rate is measured
+SPENDING_MS = 2_000  # over which free exposure is used up; longer than the lag
+TRIAL_MS = 1_500  # least duration of a trial at full load; its effect is seen after 1 s
+RATE_GROWTH = 1.3  # by which the rate may exceed the last one that is known
+NOISE_DEVIATIONS = 2.5  # of the requests drawn at random that are not yet known
+EARLY_SLACK = 0.4  # of the slack that may be used at once; a version may turn bad later
+MAX_SHARE = 0.5  # the old version must serve as many, for comparison
+RESTING_PART = 0.4  # of the permitted share, to save requests for trials at full load
+# Upstreams differ in speed, so that all of them are observed in turn.
+TURN_MS = 2_000
+OVERLOAD = 0.2  # of an upstream's usual load, by which a trial may exceed it
+
+
+class Exposure:
+    """The requests that the target and the service received, and the share over time.
+
+    Addresses the bound on the exposure at each moment: outcomes are known late, so the
+    requests that earlier decisions sent to the target count before they are reported.
+    """
+
+    __slots__ = ("exposed", "received", "is_trial", "_sums", "_shares", "_levels")
+
+    def __init__(self, exposed, received):
+        self.exposed = exposed
+        self.received = received
+        self.is_trial = False
+        self._sums = 0, 0
+        self._shares = []  # (age, share) of each decision, oldest first
+        self._levels = []  # (age, received), oldest first
+
+    def observe(self, age, outcomes):
+        """Add what has become known; sums that fall are of routers that ended."""
+        sums = outcomes.exposed, outcomes.received
+        self.exposed += max(0, sums[0] - self._sums[0])
+        self.received += max(0, sums[1] - self._sums[1])
+        self._sums = sums
+        self._levels.append((age, self.received))
+        while len(self._levels) > 2 and self._levels[1][0] <= age - RATE_PERIOD_MS:
+            del self._levels[0]
+
+    def rate(self):
+        """Return the requests per ms that the service receives, 0 if unknown."""
+        (first_age, first), (last_age, last) = self._levels[0], self._levels[-1]
+        return (last - first) / (last_age - first_age) if last_age > first_age else 0
+
+    def record_share(self, age, share):
+        """Record the share of a decision."""
+        self._shares.append((age, share))
+        while len(self._shares) > 2 and self._shares[1][0] <= age - OUTCOME_LAG_MS:
+            del self._shares[0]
+
+    def unreported(self, age, expose_share):
+        """Return the ms for which shares above the bound count that are not reported.
+
+        Weighted by how far they are above: at or below the bound, requests that are not
+        known add to it at least as much as they use.
+        """
+        begin, weighted = age - OUTCOME_LAG_MS, 0.0
+        ends = [at for at, _ in self._shares[1:]] + [age]
+        for (at, share), end in zip(self._shares, ends):
+            weighted += max(0, end - max(at, begin)) * max(0, share - expose_share)
+        return weighted
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """The share of requests and the number of upstreams of the target to send to."""
+
+    share: float
+    upstreams: int
+
+
+def plan_exposure(age, observing_time, bounds, exposure, upstream_count):
+    """Return the Plan `age` ms after the order of a release.
+
+    `observing_time` is the age in ms at which the release is to be decided. Addresses
+    versions that are bad only under load or only later: requests go to so few upstreams
+    that each has its usual load. If the permitted share is less than the usual load of
+    one upstream, the target is sent less of it, and then the usual load of one upstream
+    for TRIAL_MS or longer.
+    """
+    if not upstream_count:
+        return Plan(0.0, 0)
+    rate = exposure.rate()
+    free = _free_requests(age, observing_time, bounds, exposure, rate)
+    limit = bounds.expose_share
+    if not rate:
+        share = limit / 2 if free > 0 else 0.0
+    elif limit * upstream_count >= 1 or free <= 0:
+        exposure.is_trial = False
+        share = limit + free / (rate * SPENDING_MS)
+    else:
+        share = _share_of_small_target(free, rate, limit, exposure, upstream_count)
+    share = min(MAX_SHARE, max(0.0, share))
+    return Plan(share, max(1, ceil(share * upstream_count - OVERLOAD)))
+
+
+def _share_of_small_target(free, rate, limit, exposure, upstream_count):
+    """Return the share of a target whose trials need more than the permitted share."""
+    trial_share = min(MAX_SHARE, 1 / upstream_count)
+    cost = (trial_share - limit) * rate * TRIAL_MS
+    exposure.is_trial = exposure.is_trial or free >= cost
+    return trial_share if exposure.is_trial else limit * RESTING_PART
+
+
+def _free_requests(age, observing_time, bounds, exposure, rate):
+    """Return how many requests the target may receive beyond the permitted share."""
+    share, slack = bounds.expose_share, bounds.expose_slack
+    part = EARLY_SLACK + (1 - EARLY_SLACK) * min(1.0, age / observing_time)
+    used = exposure.exposed - share * exposure.received
+    unreported = exposure.unreported(age, share) * rate * RATE_GROWTH
+    noise = NOISE_DEVIATIONS * sqrt(share * rate * OUTCOME_LAG_MS)
+    return (
+        slack * part
+        - used
+        - unreported
+        - min(noise, slack / 2 + share * exposure.received)
+    )
+
+
+def observed_upstreams(ids, count, turn):
+    """Return `count` of the target's upstreams, other ones in each turn.
+
+    All routers choose the same ones if they know the same upstreams.
+    """
+    ordered = sorted(ids)
+    if count >= len(ordered):
+        return ordered
+    first = turn * count
+    return [ordered[(first + i) % len(ordered)] for i in range(count)]
--- a/libs/releases/src/mulberryhub/releases/histogram.py
+++ b/libs/releases/src/mulberryhub/releases/histogram.py
@@ -1,9 +1,9 @@
 """Buckets of durations that are the same at all routers, so that counts can be added.
 
-Each bucket reaches BUCKET_RATIO times as far as the one before. A comparison may allow
-a version to be slower by a number of buckets.
+Positions are in buckets and may be fractions: 1 more is BUCKET_RATIO times as long.
 """
 
+from itertools import accumulate
 from math import ceil, log
 
 BUCKET_RATIO = 1.5
@@ -22,3 +22,18 @@
 def lower_limit(bucket):
     """Return the ms above which durations are in this bucket or a later one."""
     return 0 if bucket == 0 else round(FIRST_LIMIT_MS * BUCKET_RATIO ** (bucket - 1))
+
+
+def counts_from(histogram):
+    """Return for each bucket the number of durations in it and in later ones."""
+    return list(accumulate(reversed(histogram)))[::-1]
+
+
+def median_position(histogram):
+    """Return the position of the median of a histogram that is not empty."""
+    rest = sum(histogram) / 2
+    for bucket, count in enumerate(histogram):
+        if count >= rest:
+            return bucket + rest / count
+        rest -= count
+    raise ValueError("the histogram is empty")
--- a/libs/releases/src/mulberryhub/releases/outcomes.py
+++ b/libs/releases/src/mulberryhub/releases/outcomes.py
@@ -13,6 +13,15 @@
 PAUSE = "p"
 
 
+FIELD_BY_MEASURE = {
+    SENT: "sent",
+    RETRIED: "retried",
+    "o": "served",
+    "f": "failed",
+    "l": "lost",
+}
+
+
 class Result(StrEnum):
     """How a request at an upstream ended; the values are parts of the keys of counts.
 
@@ -48,7 +57,7 @@
         self._release_by_service = {}
         self._counts_by_service = {}
 
-    def reset(self, service, release):
+    def reset(self, service, release=0):
         """Count the outcomes of `service` from zero, unless it is the same release.
 
         `release` is the offset of the order in the store. It is part of the keys, so
@@ -88,11 +97,11 @@
 
     def counts(self):
         """Return all counts by key; it is empty while no release is running."""
-        return {
-            f"{quote(service, safe='')}/{self._release_by_service[service]}/{key}": count
-            for service, counts in self._counts_by_service.items()
-            for key, count in counts.items()
-        }
+        totals = {}
+        for service, counts in self._counts_by_service.items():
+            prefix = f"{quote(service, safe='')}/{self._release_by_service[service]}"
+            totals |= {f"{prefix}/{key}": count for key, count in counts.items()}
+        return totals
 
     def _add(self, service, route, version, measure):
         counts = self._counts_by_service.get(service)
@@ -103,9 +112,10 @@
 
 
 class Tally:
-    """The outcomes of one version on the routes of one group.
+    """The outcomes of one version on the routes of one group; sums and differences.
 
-    `sent` includes `retried`. `first_bytes` and `pauses` are counts by bucket.
+    `sent` does not include `retried`, the retries of requests that were sent elsewhere.
+    `first_bytes` and `pauses` are histograms.
     """
 
     __slots__ = ("sent", "retried", "served", "failed", "lost", "first_bytes", "pauses")
@@ -119,6 +129,51 @@
         self.first_bytes = [0] * BUCKET_COUNT
         self.pauses = [0] * BUCKET_COUNT
 
+    @property
+    def ended(self):
+        """Return the number of requests that ended."""
+        return self.served + self.failed + self.lost
+
+    def count(self, measure, count):
+        """Add `count` under the measure of a key; raise ValueError if it is unknown."""
+        if measure in FIELD_BY_MEASURE:
+            field = FIELD_BY_MEASURE[measure]
+            setattr(self, field, getattr(self, field) + count)
+            return
+        histogram, bucket = self._histogram(measure[:1]), int(measure[1:])
+        if not 0 <= bucket < BUCKET_COUNT:
+            raise ValueError(f"no bucket {bucket}")
+        histogram[bucket] += count
+
+    def add(self, other, sign=1):
+        """Add the outcomes of another tally, or subtract them if `sign` is -1.
+
+        No count falls below zero: a router that ended takes its counts with it.
+        """
+        for field in FIELD_BY_MEASURE.values():
+            total = getattr(self, field) + sign * getattr(other, field)
+            setattr(self, field, max(0, total))
+        self.first_bytes = _sum(self.first_bytes, other.first_bytes, sign)
+        self.pauses = _sum(self.pauses, other.pauses, sign)
+
+    def minus(self, other):
+        """Return the outcomes since those of `other`."""
+        rest = Tally()
+        rest.add(self)
+        rest.add(other, -1)
+        return rest
+
+    def _histogram(self, letter):
+        if letter == FIRST_BYTE:
+            return self.first_bytes
+        if letter == PAUSE:
+            return self.pauses
+        raise ValueError(f"unknown measure {letter!r}")
+
+
+def _sum(counts, others, sign):
+    return [max(0, a + sign * b) for a, b in zip(counts, others)]
+
 
 class Outcomes:
     """The outcomes of one release: the target's, and those of all other versions.
@@ -133,6 +188,52 @@
         self.old_by_group = {}
 
     @classmethod
-    def from_counts(cls, counts, service, target, release):
-        """Read the sum of the counts of all routers; odd keys count for nothing."""
-        raise NotImplementedError
+    def from_counts(cls, counts, service, target, release=0):
+        """Read the sum of the counts of all routers; skip keys that are invalid."""
+        outcomes = cls()
+        prefix = f"{quote(service, safe='')}/{release}/"
+        target_name = quote(target, safe="")
+        for key, count in counts.items():
+            if key.startswith(prefix):
+                try:
+                    outcomes._read(key[len(prefix) :], int(count), target_name)
+                except ValueError:
+                    continue
+        return outcomes
+
+    @property
+    def groups(self):
+        """Return the numbers of the route groups that have outcomes."""
+        return self.target_by_group.keys() | self.old_by_group.keys()
+
+    def target(self, group):
+        """Return the tally of the target on a route group."""
+        return self.target_by_group.get(group) or Tally()
+
+    def old(self, group):
+        """Return the tally of all other versions on a route group."""
+        return self.old_by_group.get(group) or Tally()
+
+    @property
+    def exposed(self):
+        """Return the number of requests that the target has received."""
+        return sum(t.sent + t.retried for t in self.target_by_group.values())
+
+    @property
+    def received(self):
+        """Return the number of requests of the service, each counted once."""
+        tallies = [*self.target_by_group.values(), *self.old_by_group.values()]
+        return sum(tally.sent for tally in tallies)
+
+    @property
+    def target_ended(self):
+        """Return the number of requests that ended at the target."""
+        return sum(tally.ended for tally in self.target_by_group.values())
+
+    def _read(self, key, count, target_name):
+        version, group, measure = key.split("/")
+        number = int(group, 16)
+        if not 0 <= number < ROUTE_GROUPS:
+            raise ValueError(f"no route group {number}")
+        by_group = self.target_by_group if version == target_name else self.old_by_group
+        by_group.setdefault(number, Tally()).count(measure, count)
--- /dev/null
+++ b/libs/releases/src/mulberryhub/releases/windows.py
@@ -0,0 +1,73 @@
+"""Outcomes by the time in which they became known."""
+
+from mulberryhub.releases.outcomes import Outcomes
+
+WINDOW_MS = 500  # a crash or stall of one upstream falls into one or two windows
+MAX_WINDOWS = 64  # of the decider's memory and time; longer releases merge old windows
+
+
+class Windows:
+    """The outcomes of a release in successive windows, oldest first.
+
+    Addresses changes that affect both versions in the same way, such as a rise in load:
+    the versions are compared window by window, so it does not matter that the target's
+    share was larger in some of them.
+    """
+
+    __slots__ = ("items", "_began", "_closed", "_latest")
+
+    def __init__(self):
+        self.items = []  # the last one is still open
+        self._began = None  # age in ms at which the open window began
+        self._closed = Outcomes()  # the outcomes until then
+        self._latest = Outcomes()
+
+    def add(self, age, outcomes):
+        """Add the outcomes of the release so far, known at `age` ms."""
+        if self._began is None or age - self._began >= WINDOW_MS:
+            self._began = age
+            self._closed = self._latest
+            self.items.append(Outcomes())
+            if len(self.items) > MAX_WINDOWS:
+                _merge_pairs(self.items)
+        self.items[-1] = outcomes_since(outcomes, self._closed)
+        self._latest = outcomes
+
+    def total(self):
+        """Return the sum of all windows."""
+        total = Outcomes()
+        for item in self.items:
+            add_outcomes(total, item)
+        return total
+
+
+def outcomes_since(outcomes, earlier):
+    """Return the outcomes that `earlier` does not include."""
+    rest = Outcomes()
+    for group in outcomes.groups:
+        rest.target_by_group[group] = outcomes.target(group).minus(
+            earlier.target(group)
+        )
+        rest.old_by_group[group] = outcomes.old(group).minus(earlier.old(group))
+    return rest
+
+
+def add_outcomes(total, item):
+    """Add the outcomes of `item` to `total`."""
+    for group in item.groups:
+        for by_group, tally in (
+            (total.target_by_group, item.target(group)),
+            (total.old_by_group, item.old(group)),
+        ):
+            if group not in by_group:
+                by_group[group] = tally.minus(type(tally)())
+            else:
+                by_group[group].add(tally)
+
+
+def _merge_pairs(items):
+    """Merge the older half of the windows two by two."""
+    half = len(items) // 4 * 2
+    for earlier, later in zip(items[0:half:2], items[1:half:2]):
+        add_outcomes(earlier, later)
+    del items[1:half:2]
