Decide releases at one router, under a lease, and show them

The orders of releases had no effect. The router that holds the lease 'releases', taken only while an order is pending, now decides from the outcomes of all routers, saves the stage in keyed.releases, writes each change of the status once and publishes the state. The next holder goes on from the store. /releases at the metrics address shows state and evidence.

--- a/libs/fleet/src/mulberryhub/fleet/release_records.py
+++ b/libs/fleet/src/mulberryhub/fleet/release_records.py
@@ -58,9 +58,9 @@
     the time in ms since the order, after which it ends at `duration`. `order_offset` is
     that of the order, and `release` that of the first one, which a repeated order does
     not replace while the release is running. The target's requests go to `upstreams` of
-    its upstreams. No request goes to `excluded_versions`. `initial_versions` were in
-    service when the order was first seen. `written_era` is the era of the store that
-    has the status, -1 for none.
+    its upstreams, which `turn` selects. No request goes to `excluded_versions`.
+    `initial_versions` were in service when the order was first seen. `written_era` is
+    the era of the store that has the status, -1 for none.
     """
 
     service: Text
@@ -74,6 +74,7 @@
     duration: Count = 0
     age: Count = 0
     upstreams: Count = 0
+    turn: Count = 0
     excluded_versions: list[Text | None] = []
     initial_versions: list[Text | None] = []
     written_era: Number = -1
--- a/libs/fleet/src/mulberryhub/fleet/releases.py
+++ b/libs/fleet/src/mulberryhub/fleet/releases.py
@@ -29,18 +29,19 @@
 
     `share` is the fraction of the requests that goes to `target`; all others go to
     other versions, except for the `excluded` ones. Those of the
-    target go to the first `upstreams` of its upstreams, 0 for all. With `is_lenient`,
-    they go to the target where no other version is ready. `target` is None if no
+    target go to `upstreams` of its upstreams, which `turn` selects. With `is_lenient`,
+    requests go to the target where no other version is ready. `target` is None if no
     release is running.
     """
 
-    __slots__ = ("target", "share", "excluded", "upstreams", "is_lenient")
+    __slots__ = ("target", "share", "excluded", "upstreams", "turn", "is_lenient")
 
-    def __init__(self, target, share, excluded, upstreams=0, is_lenient=False):
+    def __init__(self, target, share, excluded, upstreams=0, turn=0, is_lenient=False):
         self.target = target
         self.share = share
         self.excluded = excluded
         self.upstreams = upstreams
+        self.turn = turn
         self.is_lenient = is_lenient
 
 
@@ -142,10 +143,13 @@
         state = self.state(service)
         return state is None or needs_release(order, state)
 
+    def states(self):
+        """Return the newest ReleaseStates of all services."""
+        return [known.state for known in self._known_by_service.values()]
+
     def running_states(self):
         """Return the ReleaseStates of all releases that are running."""
-        known = self._known_by_service.values()
-        return [item.state for item in known if item.state.is_running]
+        return [state for state in self.states() if state.is_running]
 
     def version_rule(self, service):
         """Return the VersionRule of a service, or None if it never had an order."""
@@ -171,7 +175,7 @@
         excluded = frozenset(state.excluded_versions) - {order.target}
         if state.is_running and state.target != order.target:
             excluded |= {state.target}
-        return VersionRule(order.target, share, excluded, state.upstreams)
+        return VersionRule(order.target, share, excluded, state.upstreams, state.turn)
 
 
 def needs_release(order, state):
--- a/libs/fleet/src/mulberryhub/fleet/saved_releases.py
+++ b/libs/fleet/src/mulberryhub/fleet/saved_releases.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from mulberryhub.base.ranges import Amount, Count, Name, Number, Text
+from mulberryhub.base.ranges import Count, Name, Number, Text
 from mulberryhub.fleet.release_records import ReleaseStatus
 
 
@@ -21,8 +21,6 @@
     state: ReleaseStatus
     seen_at: Number
     duration: Count
-    share: Amount = 0
-    upstreams: Count = 0
     excluded_versions: list[Text | None] = []
     initial_versions: list[Text | None] = []
     exposed: Count = 0
--- a/libs/forward/src/mulberryhub/forward/release_filter.py
+++ b/libs/forward/src/mulberryhub/forward/release_filter.py
@@ -6,9 +6,9 @@
 
 from random import random
 
-from mulberryhub.base.digest import rendezvous_score
 from mulberryhub.fleet.records import UpstreamState
 from mulberryhub.forward.stream_versions import accept_all
+from mulberryhub.releases.exposure import observed_upstreams
 
 ANY_VERSION = (accept_all,)
 
@@ -62,10 +62,7 @@
             job.has_failed_at_target = True
 
     def _exposed_ids(self, service, rule):
-        """Return the ids of the upstreams that receive the target's requests.
-
-        All routers order them alike.
-        """
+        """Return the ids of the upstreams that receive the target's requests."""
         if self._revision != self._fleet_state.revision:
             self._revision = self._fleet_state.revision
             self._exposed_ids_by_service = {}
@@ -79,8 +76,7 @@
                 and upstream.state is UpstreamState.READY
                 and not self._fleet_state.is_shutting_down(upstream)
             ]
-            ready.sort(key=lambda id: rendezvous_score(b"release", id.encode()))
-            ids = frozenset(ready[: rule.upstreams or None])
+            ids = frozenset(observed_upstreams(ready, rule.upstreams, rule.turn))
             self._exposed_ids_by_service[service] = ids
         return ids
 
--- a/libs/node/src/mulberryhub/node/coordination.py
+++ b/libs/node/src/mulberryhub/node/coordination.py
@@ -28,7 +28,7 @@
     name = parts.local_member.name
 
     def count_followers():
-        return _known_usage(usage_table).followers_by_coordinator.get(name, 0)
+        return known_usage(usage_table).followers_by_coordinator.get(name, 0)
 
     def count_routers():
         return len(parts.fleet_state.members_by_name)
@@ -47,7 +47,7 @@
     return coordinate
 
 
-def build_usage(parts, settings, demand, coordinator_client, clock):
+def build_usage(parts, settings, demand, release_outcomes, coordinator_client, clock):
     """Return the UsageTable, Quotas and Loads, which depend on each other."""
     fleet_state = parts.fleet_state
     name = parts.local_member.name
@@ -78,6 +78,7 @@
             max_uptime=quotas.uptime(),
             min_uptime=quotas.uptime(),
             followers_by_coordinator={parts.source_selector.coordinator().name: 1},
+            release_counts=release_outcomes.counts(),
         )
 
     bounds = settings.bounds
@@ -87,7 +88,7 @@
     parts.router_counts = RouterCounts(
         usage_table.others, lambda: len(fleet_state.members_by_name), clock
     )
-    parts.demand_estimate = DemandEstimate(lambda: _known_usage(usage_table), clock)
+    parts.demand_estimate = DemandEstimate(lambda: known_usage(usage_table), clock)
     quota_rule = QuotaRule(
         bounds.quota_window, bounds.quota_overage, bounds.quota_slack
     )
@@ -105,7 +106,7 @@
     return usage_table, quotas, loads
 
 
-def _known_usage(usage_table):
+def known_usage(usage_table):
     """Return the Usage of this router and of those that it hears."""
     usage = usage_table.own()
     others = usage_table.others()
--- a/libs/node/src/mulberryhub/node/metrics.py
+++ b/libs/node/src/mulberryhub/node/metrics.py
@@ -1,5 +1,6 @@
 """Exposes counters, gauges and histograms of durations to Prometheus."""
 
+import msgspec
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -13,6 +14,7 @@
 from mulberryhub.node.readiness import MONITORING_LIMITS, STATUS_NOT_FOUND, STATUS_OK
 
 METRICS_PATH = b"/metrics"
+RELEASES_PATH = b"/releases"
 DURATION_BUCKETS_MS = (5, 10, 20, 50, 100, 200, 350, 500, 1_000, 2_000, 5_000, 12_000)
 
 
@@ -59,15 +61,23 @@
         self._histogram.labels(name).observe(duration)
 
 
-def metrics_server(address, counters, clock):
-    """Return a server that exposes `counters` in the Prometheus text format."""
+def metrics_server(address, counters, read_releases, clock):
+    """Return a server that exposes `counters` in the Prometheus text format.
+
+    It also serves the JSON document that `read_releases()` returns.
+    """
 
     def handle(request, connection):
-        if request.path != METRICS_PATH:
+        if request.path == METRICS_PATH:
+            body = generate_latest(counters.registry)
+            content_type = b"text/plain; version=0.0.4"
+        elif request.path == RELEASES_PATH:
+            body = msgspec.json.encode(read_releases())
+            content_type = b"application/json"
+        else:
             connection.start_response(STATUS_NOT_FOUND, Headers(), 0)
             return connection.finish_response()
-        body = generate_latest(counters.registry)
-        headers = Headers.from_pairs([(b"Content-Type", b"text/plain; version=0.0.4")])
+        headers = Headers.from_pairs([(b"Content-Type", content_type)])
         connection.start_response(STATUS_OK, headers, len(body))
         connection.write(body)
         return connection.finish_response()
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -19,6 +19,7 @@
 from mulberryhub.forward.quarantine import Quarantine
 from mulberryhub.forward.rate_limits import UpstreamRateLimits
 from mulberryhub.forward.relay import Relay
+from mulberryhub.forward.release_filter import ReleaseFilter
 from mulberryhub.forward.remaining_time import RemainingTime
 from mulberryhub.forward.selection import UpstreamSelector
 from mulberryhub.forward.stream_versions import StreamVersions
@@ -35,6 +36,11 @@
 from mulberryhub.node.metrics import metrics_server
 from mulberryhub.node.naming_times import NamingTimesSaver
 from mulberryhub.node.readiness import readiness_server
+from mulberryhub.node.release_parts import (
+    build_release_controller,
+    build_release_outcomes,
+    release_reader,
+)
 from mulberryhub.node.request_limits import body_memory_capacity, request_limits
 from mulberryhub.node.router import Router, RouterParts
 from mulberryhub.node.source_selection import build_source_selector
@@ -71,8 +77,9 @@
     parts.connection_pool = ConnectionPool(clock)
     demand = Demand(clock)
     coordinator_client = build_coordinator_client(parts, clock)
+    release_outcomes = build_release_outcomes(fleet_state, counters, clock)
     usage_table, quotas, loads = build_usage(
-        parts, settings, demand, coordinator_client, clock
+        parts, settings, demand, release_outcomes, coordinator_client, clock
     )
 
     _add_followers(parts, settings, ports, fleet_state, usage_table, counters, clock)
@@ -155,6 +162,8 @@
         retry_budget,
         fleet_state,
         cache_directives,
+        ReleaseFilter(fleet_state),
+        release_outcomes,
         clock,
         counters,
     )
@@ -184,6 +193,9 @@
     parts.rollout_manager = _build_rollout_manager(
         settings, ports, fleet_state, rate_limits, loads, pool_builder, counters, clock
     )
+    parts.release_controller = build_release_controller(
+        settings, ports, fleet_state, usage_table, counters, clock
+    )
     parts.naming_times_saver = NamingTimesSaver(
         ports.store,
         fleet_state.named_weights,
@@ -198,7 +210,12 @@
     )
     parts.metrics_server = None
     if settings.metrics_address:
-        parts.metrics_server = metrics_server(settings.metrics_address, counters, clock)
+        parts.metrics_server = metrics_server(
+            settings.metrics_address,
+            counters,
+            release_reader(fleet_state, usage_table),
+            clock,
+        )
     return router
 
 
--- a/libs/node/src/mulberryhub/node/router.py
+++ b/libs/node/src/mulberryhub/node/router.py
@@ -62,6 +62,7 @@
         parts.cache_watcher.start()
         parts.rollout_manager.start()
         parts.naming_times_saver.start()
+        parts.release_controller.start()
         log.info("started", router=self._settings.name)
 
     def stop(self):
@@ -176,6 +177,7 @@
         "stream_origins",
         "rollout_manager",
         "naming_times_saver",
+        "release_controller",
         "cache_watcher",
         "forwarder",
         "remaining_time",
--- a/tests/forward/test_release_filter.py
+++ b/tests/forward/test_release_filter.py
@@ -12,13 +12,17 @@
 ORDER = ReleaseOrder("llm", NEW, 12_000, 7)
 
 
-def make_fixture(state, share=0.1, outcomes=(), versions=(OLD, NEW), **more):
+def make_fixture(
+    state, share=0.1, outcomes=(), versions=(OLD, NEW), upstreams=9, **more
+):
     """Return a Fixture with an order whose release is in `state`, None if unknown."""
     fixture = Fixture(outcomes, RequestKind.IDEMPOTENT, versions, max_attempts=2)
     fixture.fleet_state.apply(ORDER)
     if state is not None:
         fixture.fleet_state.apply(
-            ReleaseState("llm", NEW, 7, state, share, 1, 1, release=7, **more)
+            ReleaseState(
+                "llm", NEW, 7, state, share, 1, 1, 7, upstreams=upstreams, **more
+            )
         )
     return fixture
 
