Compare versions only from moments at which their outcomes are alike

After a trial the target's outcomes are mostly slow ones, as fast ones are known earlier: a good version was rolled back in 1 of 4 runs of the simulated release (500 requests/s, 30 s, 3 upstreams).

--- a/libs/releases/src/mulberryhub/releases/decision.py
+++ b/libs/releases/src/mulberryhub/releases/decision.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from mulberryhub.releases.evidence import strongest_evidence
+from mulberryhub.releases.evidence import Evidence, strongest_evidence
 from mulberryhub.releases.exposure import TURN_MS, Exposure, plan_exposure
 from mulberryhub.releases.windows import Windows
 
@@ -81,7 +81,7 @@
         self.old_upstreams = 0
         self.exposure = Exposure(exposed, received)
         self.windows = Windows()
-        self.evidence = None
+        self.evidence = Evidence()
         self._first_age = None
 
     @property
@@ -98,9 +98,10 @@
         """Add the outcomes of all routers that are known `age` ms after the order."""
         if self._first_age is None:
             self._first_age = age
-        self.windows.add(age, outcomes)
         self.exposure.observe(age, outcomes)
-        self.evidence = strongest_evidence(self.windows)
+        if self.windows.is_due(age):
+            self.windows.close(age, outcomes, self.exposure.take_fair_start())
+            self.evidence = strongest_evidence(self.windows)
 
     def has_heard_all(self, age):
         """Return whether this decider has had the time to hear all routers."""
--- a/libs/releases/src/mulberryhub/releases/evidence.py
+++ b/libs/releases/src/mulberryhub/releases/evidence.py
@@ -1,6 +1,6 @@
 """Evidence that a new version is worse than the old one over the same period."""
 
-from math import log1p
+from math import log, log1p
 
 import msgspec
 
@@ -20,6 +20,7 @@
 # Windows that a stall, and two crashes, of single upstreams may account for.
 EXCLUDED_WINDOWS = 1
 EXCLUDED_CRASH_WINDOWS = 4
+ACCIDENT_STRENGTH = 5.0  # at most, of what these windows add to the rest
 
 
 class Evidence(msgspec.Struct, frozen=True):
@@ -37,17 +38,48 @@
 class Comparison:
     """What the target and the old version had of one measure in one window."""
 
-    __slots__ = ("total", "excess", "variance")
+    __slots__ = ("total", "hits", "all_hits", "expected", "variance")
 
-    def __init__(self, hits, total, old_hits, old_total):
+    def __init__(self, hits=0, total=0, old_hits=0, old_total=0):
+        self.total = total if old_total else 0
+        self.hits = self.all_hits = self.expected = self.variance = 0.0
         everyone = total + old_total
-        self.total = total
-        self.excess = self.variance = 0.0
         if total and old_total:
-            rate = (hits + old_hits) / everyone
-            self.excess = hits - total * rate
-            spread = total * old_total / everyone
-            self.variance = spread * rate * (1 - rate) * everyone / (everyone - 1)
+            self.hits, self.all_hits = hits, hits + old_hits
+            self.expected = self.all_hits * total / everyone
+            rate = self.all_hits / everyone
+            spread = total * old_total / (everyone - 1)
+            self.variance = spread * rate * (1 - rate)
+
+    @property
+    def excess(self):
+        """Return the number of bad responses beyond the expected ones."""
+        return self.hits - self.expected
+
+    def add(self, other, sign=1):
+        """Add another comparison, or subtract it if `sign` is -1."""
+        self.total += sign * other.total
+        self.hits += sign * other.hits
+        self.all_hits += sign * other.all_hits
+        self.expected += sign * other.expected
+        self.variance += sign * other.variance
+
+    def strength(self):
+        """Return a bound of -ln P(as many by accident), 0 if there are too few.
+
+        Both bounds hold if each bad response is as likely to be one of the target as
+        any other response: Hoeffding's is tighter for rare ones, Bennett's for others.
+        """
+        excess, hits, expected = self.excess, self.hits, self.expected
+        if excess < max(MIN_EXCESS, MIN_EXCESS_SHARE * self.total):
+            return 0.0
+        ratio = excess / max(self.variance, 1e-6)
+        bennett = self.variance * ((1 + ratio) * log1p(ratio) - ratio)
+        old_hits = max(self.all_hits - hits, 1e-9)
+        hoeffding = hits * log(hits / expected) + old_hits * log(
+            old_hits / (self.all_hits - expected)
+        )
+        return max(bennett, hoeffding)
 
 
 def strongest_evidence(windows):
@@ -67,7 +99,7 @@
     best = Evidence()
     for way, comparisons in comparisons_by_way.items():
         rows = comparisons if way[0] == ALL_ROUTES else [comparisons]
-        found = _scan(way, rows)
+        found = _scan(way, rows, windows.fair_starts)
         if found.strength > best.strength:
             best = found
     return best
@@ -119,33 +151,44 @@
     return Comparison(target[bucket], target[0], old_hits, old[0])
 
 
-def _scan(way, rows):
+def _scan(way, rows, fair_starts):
     """Return the strongest Evidence of one way over the last windows, however many.
 
     `rows` are the comparisons by window, one row for each group. The windows with most
-    excess are left out: these may be the accident of a single upstream.
+    excess may be the accident of a single upstream, so the rest must be evidence, too.
     """
     group, field, bucket = way
     excluded = EXCLUDED_CRASH_WINDOWS if field == "lost" else EXCLUDED_WINDOWS
-    best, recent = (0.0, 0.0), []
-    excess = variance = total = 0.0
-    for column in zip(*(reversed(row) for row in rows)):
-        window = sum(c.excess for c in column), sum(c.variance for c in column)
-        excess, variance = excess + window[0], variance + window[1]
-        total += sum(c.total for c in column)
-        recent = sorted([*recent, window], reverse=True)[:excluded]
-        rest = excess - sum(e for e, _ in recent), variance - sum(v for _, v in recent)
-        if rest[0] >= max(MIN_EXCESS, MIN_EXCESS_SHARE * total):
-            best = max(best, (_strength(*rest), excess))
-    if not best[0]:
+    best, best_excess = 0.0, 0.0
+    since, worst = Comparison(), []
+    for index in reversed(range(len(fair_starts))):
+        column = [row[index] for row in rows]
+        window = Comparison()
+        for comparison in column:
+            window.add(comparison)
+        since.add(window)
+        worst = sorted([*worst, window], key=_excess, reverse=True)[:excluded]
+        strength = since.strength() if fair_starts[index] else 0.0
+        if strength > best:
+            strength = min(strength, _strength_without(since, worst))
+        if strength > best:
+            best, best_excess = strength, since.excess
+    if not best:
         return Evidence()
-    return Evidence(*best, _describe(group, field, bucket, best[1]))
+    return Evidence(best, best_excess, _describe(group, field, bucket, best_excess))
 
 
-def _strength(excess, variance):
-    """Return Bennett's bound of -ln P(an excess as large by accident)."""
-    ratio = excess / max(variance, 1e-6)
-    return variance * ((1 + ratio) * log1p(ratio) - ratio)
+def _excess(comparison):
+    return comparison.excess
+
+
+def _strength_without(since, worst):
+    """Return the strength that the rest without the worst windows permits."""
+    rest = Comparison()
+    rest.add(since)
+    for window in worst:
+        rest.add(window, -1)
+    return rest.strength() + ACCIDENT_STRENGTH if rest.excess > 0 else 0.0
 
 
 def _describe(group, field, bucket, excess):
--- a/libs/releases/src/mulberryhub/releases/exposure.py
+++ b/libs/releases/src/mulberryhub/releases/exposure.py
@@ -6,10 +6,13 @@
 
 OUTCOME_LAG_MS = 1_500  # from a decision until its effect is in the sums over routers
 RATE_PERIOD_MS = 2_000  # over which the request rate is measured
-SPENDING_MS = 2_000  # over which free exposure is used up; longer than the lag
-TRIAL_MS = 1_500  # least duration of a trial at full load; its effect is seen after 1 s
+MIN_RATE_PERIOD_MS = 900  # less is too inaccurate, and routers begin at different times
+SETTLING_MS = 4_000  # in which nearly all responses end and are known
+SETTLED_RATIO = 2.5  # between shares that count as alike
+SPENDING_MS = 3_000  # over which free exposure is used up; longer than the lag
+TRIAL_MS = 1_000  # least duration of a trial at full load; queues have built up then
 RATE_GROWTH = 1.3  # by which the rate may exceed the last one that is known
-NOISE_DEVIATIONS = 2.5  # of the requests drawn at random that are not yet known
+NOISE_DEVIATIONS = 2  # of the requests drawn at random that are not yet known
 EARLY_SLACK = 0.4  # of the slack that may be used at once; a version may turn bad later
 MAX_SHARE = 0.5  # the old version must serve as many, for comparison
 RESTING_PART = 0.4  # of the permitted share, to save requests for trials at full load
@@ -25,12 +28,23 @@
     requests that earlier decisions sent to the target count before they are reported.
     """
 
-    __slots__ = ("exposed", "received", "is_trial", "_sums", "_shares", "_levels")
+    __slots__ = (
+        "exposed",
+        "received",
+        "is_trial",
+        "_trial_began",
+        "_was_settled",
+        "_sums",
+        "_shares",
+        "_levels",
+    )
 
     def __init__(self, exposed, received):
         self.exposed = exposed
         self.received = received
         self.is_trial = False
+        self._trial_began = False  # since the last `take_fair_start`
+        self._was_settled = False
         self._sums = 0, 0
         self._shares = []  # (age, share) of each decision, oldest first
         self._levels = []  # (age, received), oldest first
@@ -41,21 +55,41 @@
         self.exposed += max(0, sums[0] - self._sums[0])
         self.received += max(0, sums[1] - self._sums[1])
         self._sums = sums
-        self._levels.append((age, self.received))
+        if self.received:
+            self._levels.append((age, self.received))
         while len(self._levels) > 2 and self._levels[1][0] <= age - RATE_PERIOD_MS:
             del self._levels[0]
 
     def rate(self):
         """Return the requests per ms that the service receives, 0 if unknown."""
+        if not self._levels:
+            return 0.0
         (first_age, first), (last_age, last) = self._levels[0], self._levels[-1]
-        return (last - first) / (last_age - first_age) if last_age > first_age else 0
+        duration = last_age - first_age
+        return (last - first) / duration if duration >= MIN_RATE_PERIOD_MS else 0.0
+
+    def take_fair_start(self):
+        """Return whether a comparison may begin where the last call was.
+
+        It may after shares that were alike for so long that most outcomes are known,
+        and before a trial: until then, the target has few requests.
+        """
+        is_fair = self._was_settled or self._trial_began
+        shares = [share for _, share in self._shares]
+        self._was_settled = bool(shares) and max(shares) <= SETTLED_RATIO * min(shares)
+        self._trial_began = False
+        return is_fair
 
     def record_share(self, age, share):
         """Record the share of a decision."""
         self._shares.append((age, share))
-        while len(self._shares) > 2 and self._shares[1][0] <= age - OUTCOME_LAG_MS:
+        while len(self._shares) > 2 and self._shares[1][0] <= age - SETTLING_MS:
             del self._shares[0]
 
+    def begin_trial(self):
+        """Record that the target receives the usual load of an upstream from now on."""
+        self.is_trial = self._trial_began = True
+
     def unreported(self, age, expose_share):
         """Return the ms for which shares above the bound count that are not reported.
 
@@ -105,14 +139,16 @@
     """Return the share of a target whose trials need more than the permitted share."""
     trial_share = min(MAX_SHARE, 1 / upstream_count)
     cost = (trial_share - limit) * rate * TRIAL_MS
-    exposure.is_trial = exposure.is_trial or free >= cost
+    if not exposure.is_trial and free >= cost:
+        exposure.begin_trial()
     return trial_share if exposure.is_trial else limit * RESTING_PART
 
 
 def _free_requests(age, observing_time, bounds, exposure, rate):
     """Return how many requests the target may receive beyond the permitted share."""
     share, slack = bounds.expose_share, bounds.expose_slack
-    part = EARLY_SLACK + (1 - EARLY_SLACK) * min(1.0, age / observing_time)
+    spending_time = max(1, observing_time - OUTCOME_LAG_MS)
+    part = EARLY_SLACK + (1 - EARLY_SLACK) * min(1.0, age / spending_time)
     used = exposure.exposed - share * exposure.received
     unreported = exposure.unreported(age, share) * rate * RATE_GROWTH
     noise = NOISE_DEVIATIONS * sqrt(share * rate * OUTCOME_LAG_MS)
--- a/libs/releases/src/mulberryhub/releases/windows.py
+++ b/libs/releases/src/mulberryhub/releases/windows.py
@@ -11,27 +11,32 @@
 
     Addresses changes that affect both versions in the same way, such as a rise in load:
     the versions are compared window by window, so it does not matter that the target's
-    share was larger in some of them.
+    share was larger in some of them. `items` are the Outcomes of the closed windows.
+    `fair_starts` has, for each, whether a comparison may begin there: slow responses
+    are known later than fast ones, so after a fall of its share most outcomes of the
+    target are slow ones.
     """
 
-    __slots__ = ("items", "_began", "_closed", "_latest")
+    __slots__ = ("items", "fair_starts", "_began", "_closed")
 
     def __init__(self):
-        self.items = []  # the last one is still open
+        self.items = []
+        self.fair_starts = []
         self._began = None  # age in ms at which the open window began
         self._closed = Outcomes()  # the outcomes until then
-        self._latest = Outcomes()
-
-    def add(self, age, outcomes):
-        """Add the outcomes of the release so far, known at `age` ms."""
-        if self._began is None or age - self._began >= WINDOW_MS:
-            self._began = age
-            self._closed = self._latest
-            self.items.append(Outcomes())
-            if len(self.items) > MAX_WINDOWS:
-                _merge_pairs(self.items)
-        self.items[-1] = outcomes_since(outcomes, self._closed)
-        self._latest = outcomes
+
+    def is_due(self, age):
+        """Return whether a window is to be closed at `age` ms."""
+        return self._began is None or age - self._began >= WINDOW_MS
+
+    def close(self, age, outcomes, is_fair_start):
+        """Close the open window at `age` ms with the outcomes that are known then."""
+        self._began = age
+        self.items.append(outcomes_since(outcomes, self._closed))
+        self.fair_starts.append(is_fair_start or not self.fair_starts)
+        self._closed = outcomes
+        if len(self.items) > MAX_WINDOWS:
+            _merge_pairs(self.items, self.fair_starts)
 
     def total(self):
         """Return the sum of all windows."""
@@ -65,9 +70,9 @@
                 by_group[group].add(tally)
 
 
-def _merge_pairs(items):
+def _merge_pairs(items, fair_starts):
     """Merge the older half of the windows two by two."""
     half = len(items) // 4 * 2
     for earlier, later in zip(items[0:half:2], items[1:half:2]):
         add_outcomes(earlier, later)
-    del items[1:half:2]
+    del items[1:half:2], fair_starts[1:half:2]
