Compare durations as multiples of the usual one of a route

Routes of different durations could not be compared together, so weak slowness was found late. Multiples from 2.2 on count.

--- a/libs/releases/src/mulberryhub/releases/evidence.py
+++ b/libs/releases/src/mulberryhub/releases/evidence.py
@@ -6,8 +6,8 @@
 
 from mulberryhub.releases.histogram import (
     BUCKET_COUNT,
+    BUCKET_RATIO,
     counts_from,
-    lower_limit,
     median_position,
 )
 
@@ -16,7 +16,8 @@
 MIN_EXCESS_SHARE = 0.05  # of the target's responses; less is no bad version to a caller
 # Upstreams of one version differ in speed by up to this many buckets from their mean,
 # and a new upstream has an empty cache.
-MAX_SHIFT = 1.0
+MAX_SHIFT = 0.7
+SLOW_FACTORS = range(2, 7)  # buckets above the usual duration of a route: 2.2 to 11 x
 # Windows that a stall, and two crashes, of single upstreams may account for.
 EXCLUDED_WINDOWS = 1
 EXCLUDED_CRASH_WINDOWS = 4
@@ -122,10 +123,11 @@
 
 
 def _slow_comparisons(field, pairs, total, group):
-    """Yield the comparisons of durations beyond each limit.
+    """Yield the comparisons of durations beyond some multiples of the usual one.
 
-    The old version's durations count as longer by the factor between the medians, up
-    to MAX_SHIFT, so that slower machines and empty caches are no evidence.
+    Multiples let routes of different durations be compared together. The old version's
+    durations count as longer by the factor between the medians, up to MAX_SHIFT, so
+    that slower machines and empty caches are no evidence.
     """
     all_target = getattr(total.target(group), field)
     all_old = getattr(total.old(group), field)
@@ -137,13 +139,10 @@
         (counts_from(getattr(target, field)), counts_from(getattr(old, field)))
         for target, old in pairs
     ]
-    total_counts = counts_from(all_target)
-    for bucket in range(1, BUCKET_COUNT):
-        if total_counts[bucket]:
-            yield (
-                (field, bucket),
-                [_compare_from(bucket, shift, *pair) for pair in counts],
-            )
+    usual = round(median_position(all_old))
+    for factor in SLOW_FACTORS:
+        bucket = min(usual + factor, BUCKET_COUNT - 1)
+        yield (field, factor), [_compare_from(bucket, shift, *pair) for pair in counts]
 
 
 def _compare_from(bucket, shift, target, old):
@@ -157,7 +156,7 @@
     `rows` are the comparisons by window, one row for each group. The windows with most
     excess may be the accident of a single upstream, so the rest must be evidence, too.
     """
-    group, field, bucket = way
+    group, field, factor = way
     excluded = EXCLUDED_CRASH_WINDOWS if field == "lost" else EXCLUDED_WINDOWS
     best, best_excess = 0.0, 0.0
     since, worst = Comparison(), []
@@ -175,7 +174,7 @@
             best, best_excess = strength, since.excess
     if not best:
         return Evidence()
-    return Evidence(best, best_excess, _describe(group, field, bucket, best_excess))
+    return Evidence(best, best_excess, _describe(group, field, factor, best_excess))
 
 
 def _excess(comparison):
@@ -191,12 +190,13 @@
     return rest.strength() + ACCIDENT_STRENGTH if rest.excess > 0 else 0.0
 
 
-def _describe(group, field, bucket, excess):
+def _describe(group, field, factor, excess):
     routes = "all routes" if group == ALL_ROUTES else f"routes of group {group}"
+    usual = f"{BUCKET_RATIO**factor:.1f} times"
     what = {
         "failed": "failed responses",
         "lost": "lost connections",
-        "first_bytes": f"first bytes after {lower_limit(bucket)} ms",
-        "pauses": f"pauses over {lower_limit(bucket)} ms",
+        "first_bytes": f"first bytes after {usual} the usual time",
+        "pauses": f"pauses over {usual} the usual ones",
     }[field]
     return f"{excess:.0f} more {what} than expected on {routes}"
--- a/libs/releases/src/mulberryhub/releases/exposure.py
+++ b/libs/releases/src/mulberryhub/releases/exposure.py
@@ -11,6 +11,7 @@
 SETTLED_RATIO = 2.5  # between shares that count as alike
 SPENDING_MS = 3_000  # over which free exposure is used up; longer than the lag
 TRIAL_MS = 1_000  # least duration of a trial at full load; queues have built up then
+UNKNOWN_RATE_PART = 0.8  # of the permitted share, while the rate is not known
 RATE_GROWTH = 1.3  # by which the rate may exceed the last one that is known
 NOISE_DEVIATIONS = 2  # of the requests drawn at random that are not yet known
 EARLY_SLACK = 0.4  # of the slack that may be used at once; a version may turn bad later
@@ -125,7 +126,7 @@
     free = _free_requests(age, observing_time, bounds, exposure, rate)
     limit = bounds.expose_share
     if not rate:
-        share = limit / 2 if free > 0 else 0.0
+        share = limit * UNKNOWN_RATE_PART if free > 0 else 0.0
     elif limit * upstream_count >= 1 or free <= 0:
         exposure.is_trial = False
         share = limit + free / (rate * SPENDING_MS)
--- a/libs/releases/src/mulberryhub/releases/histogram.py
+++ b/libs/releases/src/mulberryhub/releases/histogram.py
@@ -19,11 +19,6 @@
     return min(steps, BUCKET_COUNT - 1)
 
 
-def lower_limit(bucket):
-    """Return the ms above which durations are in this bucket or a later one."""
-    return 0 if bucket == 0 else round(FIRST_LIMIT_MS * BUCKET_RATIO ** (bucket - 1))
-
-
 def counts_from(histogram):
     """Return for each bucket the number of durations in it and in later ones."""
     return list(accumulate(reversed(histogram)))[::-1]
