--- a/libs/releases/src/mulberryhub/releases/controller.py
+++ b/libs/releases/src/mulberryhub/releases/controller.py
@@ -11,7 +11,7 @@
 from mulberryhub.releases.outcomes import Outcomes
 from mulberryhub.releases.release import begin_release, continue_release, goes_on
 from mulberryhub.releases.release_sources import newest_release, order_ages
-from mulberryhub.releases.takeover import pending_orders
+from mulberryhub.releases.takeover import pending_orders, store_era
 
 STEP_INTERVAL_MS = 100
 DECISION_INTERVAL_MS = 250  # outcomes are reported as often
@@ -175,13 +175,14 @@
     def _save_due(self, release):
         """Write what has changed; raise StoreUnavailable."""
         now = self._clock.now()
-        if release.written_era >= 0:
+        era = store_era(self._fleet_state)
+        if release.written_era >= max(0, era):
             if not (
                 release.is_running and _is_due(release.saved_at, now, SAVE_INTERVAL_MS)
             ):
                 return
             release.note_requests()
-        if not self._ledger.is_read:
+        if not self._ledger.is_read or self._ledger.era < era:
             self._ledger.read()
         if not self._lease.is_held:
             return
--- a/libs/releases/src/mulberryhub/releases/release.py
+++ b/libs/releases/src/mulberryhub/releases/release.py
@@ -8,7 +8,7 @@
 from mulberryhub.releases.decision import Progress
 
 WITHDRAWN = "the order was withdrawn"
-RETURNED = "the target was in service before the order that this one replaces"
+RETURNED = "the target alone was in service before the order that this one replaces"
 
 
 class Release:
@@ -95,7 +95,7 @@
 
     def record_written(self, era, now):
         """Record that the store has `saved` and its status as of `now` (ms)."""
-        self.revised = self.revised or self.written_era < 0
+        self.revised = self.revised or self.written_era != era
         self.is_end_known = not self.is_running
         self.written_era = era
         self.saved_at = now
@@ -196,10 +196,11 @@
 
 
 def _is_return(order, before):
+    """Return whether an order goes back to the only version that was in service."""
     return (
         before is not None
         and before.state is ReleaseStatus.RUNNING
-        and order.target in before.initial_versions
+        and before.initial_versions == [order.target]
     )
 
 
--- a/libs/releases/src/mulberryhub/releases/takeover.py
+++ b/libs/releases/src/mulberryhub/releases/takeover.py
@@ -109,7 +109,7 @@
     if configuration is None or not orders:
         return []
     services = {service.name for service in configuration.services}
-    era = era_of(fleet_state.position_by_topic[Topic.OPERATOR])
+    era = store_era(fleet_state)
     return [
         order
         for order in orders.values()
@@ -118,6 +118,11 @@
     ]
 
 
+def store_era(fleet_state):
+    """Return the era of the store, as far as it is known, -1 if it is not."""
+    return era_of(fleet_state.position_by_topic[Topic.OPERATOR])
+
+
 def _is_pending(order, state, era):
     if state is None:
         return not order.is_withdrawn
