--- a/libs/cli/src/mulberryhub/cli/__main__.py
+++ b/libs/cli/src/mulberryhub/cli/__main__.py
@@ -11,6 +11,7 @@
 from mulberryhub.cli.failures import CallFailed
 from mulberryhub.cli.key import add, withdraw
 from mulberryhub.cli.output import report_failure
+from mulberryhub.cli.release import release
 from mulberryhub.cli.show import show
 from mulberryhub.cli.status import status
 from mulberryhub.cli.why import why
@@ -23,6 +24,7 @@
     "explain": explain,
     "drain": drain,
     "why": why,
+    "release": release,
     "key": {"add": add, "withdraw": withdraw},
 }
 
