Count requests of a trial that are not yet reported against the exposure

The target received up to 7 requests more than the bound in trials of 3 upstreams at 70 and 200 requests/s. A trial now ends before its next step could exceed the bound, and the noise of its own share counts.

--- a/libs/releases/src/mulberryhub/releases/exposure.py
+++ b/libs/releases/src/mulberryhub/releases/exposure.py
@@ -5,6 +5,7 @@
 import msgspec
 
 OUTCOME_LAG_MS = 1_500  # from a decision until its effect is in the sums over routers
+STEP_MS = 500  # between decisions, at most
 RATE_PERIOD_MS = 2_000  # over which the request rate is measured
 MIN_RATE_PERIOD_MS = 900  # less is too inaccurate, and routers begin at different times
 SETTLING_MS = 4_000  # in which nearly all responses end and are known
@@ -12,9 +13,9 @@
 SPENDING_MS = 3_000  # over which free exposure is used up; longer than the lag
 TRIAL_MS = 1_000  # least duration of a trial at full load; queues have built up then
 UNKNOWN_RATE_PART = 0.8  # of the permitted share, while the rate is not known
-RATE_GROWTH = 1.3  # by which the rate may exceed the last one that is known
-NOISE_DEVIATIONS = 2  # of the requests drawn at random that are not yet known
-EARLY_SLACK = 0.4  # of the slack that may be used at once; a version may turn bad later
+RATE_GROWTH = 1.1  # by which the rate may exceed the last one that is known
+NOISE_DEVIATIONS = 1.5  # of the requests drawn at random that are not yet known
+EARLY_SLACK = 0.3  # of the slack that may be used at once; a version may turn bad later
 MAX_SHARE = 0.5  # the old version must serve as many, for comparison
 RESTING_PART = 0.4  # of the permitted share, to save requests for trials at full load
 # Upstreams differ in speed, so that all of them are observed in turn.
@@ -91,6 +92,10 @@
         """Record that the target receives the usual load of an upstream from now on."""
         self.is_trial = self._trial_began = True
 
+    def recent_share(self):
+        """Return the last share, 0 before the first."""
+        return self._shares[-1][1] if self._shares else 0.0
+
     def unreported(self, age, expose_share):
         """Return the ms for which shares above the bound count that are not reported.
 
@@ -140,7 +145,9 @@
     """Return the share of a target whose trials need more than the permitted share."""
     trial_share = min(MAX_SHARE, 1 / upstream_count)
     cost = (trial_share - limit) * rate * TRIAL_MS
-    if not exposure.is_trial and free >= cost:
+    if exposure.is_trial:
+        exposure.is_trial = free >= cost * STEP_MS / TRIAL_MS
+    elif free >= cost:
         exposure.begin_trial()
     return trial_share if exposure.is_trial else limit * RESTING_PART
 
@@ -152,7 +159,8 @@
     part = EARLY_SLACK + (1 - EARLY_SLACK) * min(1.0, age / spending_time)
     used = exposure.exposed - share * exposure.received
     unreported = exposure.unreported(age, share) * rate * RATE_GROWTH
-    noise = NOISE_DEVIATIONS * sqrt(share * rate * OUTCOME_LAG_MS)
+    drawn = max(share, exposure.recent_share()) * rate * OUTCOME_LAG_MS
+    noise = NOISE_DEVIATIONS * sqrt(drawn)
     return (
         slack * part
         - used
