Send the outcomes of releases in shorter form, and less often

With 16 routes, the outcomes had 17 KB in each report and update, of which a router receives four a second. Reports have them every 400 ms and updates every 600 ms; in between the last ones hold.

--- a/libs/fleet/src/mulberryhub/fleet/publisher.py
+++ b/libs/fleet/src/mulberryhub/fleet/publisher.py
@@ -31,6 +31,8 @@
 MIN_HEARTBEAT_MS = 100  # with few subscribers
 HEARTBEAT_MS_PER_SUBSCRIBER = 12  # limits the total rate of messages
 REMOTE_USAGE_INTERVAL_MS = 250  # between usage updates to other data centres
+# Between updates with the outcomes of releases, which only a decider reads.
+RELEASE_COUNTS_INTERVAL_MS = 600
 BATCH_DELAY_MS = 10  # during which changes are collected into one update
 SUBSCRIBER_TIMEOUT_MS = 1_000  # without reports, after which it is disconnected
 TOPIC_BY_TYPE = {
@@ -99,6 +101,7 @@
         "_subscriber_count",
         "_summed_usage",
         "_summed_at",
+        "_counts_sent_at",
         "_broadcast",
         "_tick_event",
     )
@@ -124,6 +127,7 @@
         self._subscriber_count = 0
         self._summed_usage = None
         self._summed_at = None
+        self._counts_sent_at = None
         self._broadcast = Broadcast(None, Progress(), b"")
         self._tick_event = Event()
 
@@ -222,11 +226,23 @@
             self._summed_at = now
             self._summed_usage = self._usage_table.sum_local(PUBLISHED_SLOT_COUNT)
             self._add_usage(update, self._summed_usage, PUBLISHED_SLOT_COUNT)
+            self._limit_release_counts(update)
         after = self._add_rollout_and_ids(before, update)
         self._broadcast = Broadcast(before, after, encode(update))
         tick_event, self._tick_event = self._tick_event, Event()
         tick_event.send()
 
+    def _limit_release_counts(self, update):
+        """Leave out the outcomes of releases if subscribers have recent ones."""
+        now, sent_at = self._clock.now(), self._counts_sent_at
+        if sent_at is None or now - sent_at >= RELEASE_COUNTS_INTERVAL_MS:
+            self._counts_sent_at = now
+            return
+        update.use = msgspec.structs.replace(update.use, release_counts={})
+        update.remote_use = msgspec.structs.replace(
+            update.remote_use, release_counts={}
+        )
+
     def _publish(self, subscriber):
         self._subscriber_count += 1
         try:
--- a/libs/fleet/src/mulberryhub/fleet/reporter.py
+++ b/libs/fleet/src/mulberryhub/fleet/reporter.py
@@ -9,6 +9,7 @@
 REPORT_INTERVAL_MS = 250  # between reports without a notable change
 MIN_REPORT_INTERVAL_MS = 100  # between reports while work in flight changes
 WORK_CHANGE_THRESHOLD_MS = 40  # change of work in flight that is reported early
+RELEASE_COUNTS_INTERVAL_MS = 400  # between reports with the outcomes of releases
 MAX_UNACKED_REPORT_COUNT = 100  # kept until the publisher acknowledges them
 
 
@@ -56,6 +57,8 @@
         "_last_sent",
         "_acked_number",
         "_sent_by_number",
+        "_sent_counts",
+        "_counts_sent_at",
     )
 
     def __init__(self, member, local_member, fleet_state, usage_table, clock):
@@ -68,6 +71,8 @@
         self._last_sent = None
         self._acked_number = None
         self._sent_by_number = {}
+        self._sent_counts = {}
+        self._counts_sent_at = None
 
     def record_ack(self, number):
         """Record which report the next update includes, and drop older ones."""
@@ -111,6 +116,7 @@
         number = 0 if last_sent is None else last_sent.number + 1
         report = Report(number, usage)
         self._add_usage(report, usage)
+        self._add_release_counts(report, usage)
         weights_revision = self._add_weights(report)
         rollout = self._fleet_state.rollout
         revision = self._fleet_state.revision
@@ -140,6 +146,20 @@
         if self._member.data_centre == self._local_member.data_centre:
             report.unshared = self._usage_table.take_unshared()
 
+    def _add_release_counts(self, report, usage):
+        """Leave out the outcomes of releases if the publisher has recent ones.
+
+        It keeps them, so `usage` gets those that it has.
+        """
+        now = self._clock.now()
+        sent_at = self._counts_sent_at
+        if sent_at is None or now - sent_at >= RELEASE_COUNTS_INTERVAL_MS:
+            self._counts_sent_at = now
+            self._sent_counts = usage.release_counts
+        else:
+            usage.release_counts = self._sent_counts
+            report.use = msgspec.structs.replace(report.use, release_counts={})
+
     def _add_weights(self, report):
         """Add the named weights if they are due; return the revision that was sent.
 
--- a/libs/fleet/src/mulberryhub/fleet/usage.py
+++ b/libs/fleet/src/mulberryhub/fleet/usage.py
@@ -2,6 +2,8 @@
 
 from math import ceil
 
+from msgspec import structs
+
 from mulberryhub.fleet.admissions import (
     SLOT_MS,
     AdmissionHistory,
@@ -14,6 +16,7 @@
 
 MAX_REPORT_AGE_MS = 1_000  # of a router's last report that is included
 MAX_PUBLICATION_AGE_MS = 2_000  # of the sums that a publisher sent
+MAX_COUNTS_AGE_MS = 1_500  # of release counts, which are not in each message
 MAX_SUM_AGE_MS = 250  # of a sum, after which it is made again on demand
 # The newest slots, in each report and update as they may still change. So they are in
 # the next sums, whenever a router was heard last.
@@ -25,28 +28,60 @@
 
 
 class ReportedUsage:
-    """A usage report, the ms at which it was received, and its number."""
+    """A usage report, the ms at which it was received, and its number.
+
+    `counted_at` is when a report had the outcomes of releases, which are not in each.
+    """
 
-    __slots__ = ("usage", "updated_at", "number")
+    __slots__ = ("usage", "updated_at", "number", "counted_at")
 
     def __init__(self, usage, updated_at, number=None):
         self.usage = usage
         self.updated_at = updated_at
         self.number = number
+        self.counted_at = updated_at
+
+    def keep_release_counts(self, before):
+        """Take the outcomes of releases from the report `before`, if this has none."""
+        if _keeps_counts(self, before):
+            self.usage.release_counts = before.usage.release_counts
+            self.counted_at = before.counted_at
+
+
+def _keeps_counts(item, before):
+    """Return whether the release counts of `before` hold, as `item` has none."""
+    if before is None or item.usage.release_counts:
+        return False
+    return item.updated_at - before.counted_at <= MAX_COUNTS_AGE_MS
 
 
 class DataCentreUsage:
     """The total usage of a data centre, with this router's own part in it.
 
-    `updated_at` is the ms at which it was received or summed.
+    `updated_at` is the ms at which it was received or summed, and `counted_at` that of
+    its outcomes of releases.
     """
 
-    __slots__ = ("usage", "own_part", "updated_at")
+    __slots__ = ("usage", "own_part", "updated_at", "counted_at")
 
     def __init__(self, usage, own_part, updated_at):
         self.usage = usage
         self.own_part = own_part
         self.updated_at = updated_at
+        self.counted_at = updated_at
+
+    def keep_release_counts(self, before):
+        """Take the outcomes of releases from the usage `before`, if this has none.
+
+        Both parts are of the same time, as otherwise the difference would fall.
+        """
+        if not _keeps_counts(self, before):
+            return
+        self.usage.release_counts = before.usage.release_counts
+        if self.own_part is not None and before.own_part is not None:
+            counts = before.own_part.release_counts
+            self.own_part = structs.replace(self.own_part, release_counts=counts)
+        self.counted_at = before.counted_at
 
     def without_own(self):
         """Return the usage of the other routers of the data centre."""
@@ -106,7 +141,9 @@
         `unshared` its own of the time in which it heard no other router.
         """
         self._contact.record_news()
-        self._reported_by_name[name] = ReportedUsage(usage, self._clock.now(), number)
+        reported = ReportedUsage(usage, self._clock.now(), number)
+        reported.keep_release_counts(self._reported_by_name.get(name))
+        self._reported_by_name[name] = reported
         self._merge_admitted(admitted_by_data_centre)
         self._add_unshared(unshared)
         self._add_unshared(self.take_unshared())
@@ -175,12 +212,16 @@
         `own_part` is this router's own part of it.
         """
         self._contact.record_news()
-        self._published = DataCentreUsage(usage, own_part, self._clock.now())
+        published = DataCentreUsage(usage, own_part, self._clock.now())
+        published.keep_release_counts(self._published)
+        self._published = published
         self._history(self.data_centre).merge(usage.admitted)
 
     def record_remote_total(self, usage, admitted_by_data_centre):
         """Record the total usage of other data centres, and what each admitted."""
-        self._published_remote = ReportedUsage(usage, self._clock.now())
+        reported = ReportedUsage(usage, self._clock.now())
+        reported.keep_release_counts(self._published_remote)
+        self._published_remote = reported
         self._merge_admitted(admitted_by_data_centre)
 
     def record_remote(self, data_centre, usage, admitted_by_data_centre):
--- a/libs/forward/src/mulberryhub/forward/release_outcomes.py
+++ b/libs/forward/src/mulberryhub/forward/release_outcomes.py
@@ -7,9 +7,11 @@
     ResponseTimeout,
     ResponseTruncated,
 )
+from mulberryhub.releases.compact_counts import compact_counts
 from mulberryhub.releases.outcomes import Result
 
 MIN_SERVER_ERROR_STATUS = 500
+COUNTS_INTERVAL_MS = 100  # usage is measured more often than counts are needed
 
 
 class ReleaseOutcomes:
@@ -18,7 +20,15 @@
     Nothing is recorded for services without a running release.
     """
 
-    __slots__ = ("_recorder", "_releases", "_clock", "_counters", "_services")
+    __slots__ = (
+        "_recorder",
+        "_releases",
+        "_clock",
+        "_counters",
+        "_services",
+        "_counts",
+        "_counted_at",
+    )
 
     def __init__(self, recorder, releases, clock, counters):
         self._recorder = recorder
@@ -26,16 +36,24 @@
         self._clock = clock
         self._counters = counters
         self._services = set()  # whose outcomes are being recorded
+        self._counts = {}
+        self._counted_at = None
 
     def counts(self):
-        """Return the counts of the running releases, empty without one."""
-        running = {state.service: state for state in self._releases.running_states()}
-        for service in self._services - running.keys():
+        """Return the compact counts of the running releases, empty without one."""
+        states = self._releases.running_states()
+        for service in self._services - {state.service for state in states}:
             self._recorder.stop(service)
-        for service, state in running.items():
-            self._recorder.reset(service, state.release)
-        self._services = set(running)
-        return self._recorder.counts() if running else {}
+        for state in states:
+            self._recorder.reset(state.service, state.release)
+        self._services = {state.service for state in states}
+        if not states:
+            return {}
+        now = self._clock.now()
+        if self._counted_at is None or now - self._counted_at >= COUNTS_INTERVAL_MS:
+            self._counted_at = now
+            self._counts = compact_counts(self._recorder.counts(), states)
+        return dict(self._counts)
 
     def record_sent(self, job, attempt):
         """Record that an attempt of `job` is about to be sent."""
--- a/libs/releases/src/mulberryhub/releases/controller.py
+++ b/libs/releases/src/mulberryhub/releases/controller.py
@@ -6,9 +6,9 @@
 from mulberryhub.fleet.records import UpstreamState
 from mulberryhub.fleet.release_records import ReleaseStatus
 from mulberryhub.fleet.store import StoreUnavailable
+from mulberryhub.releases.compact_counts import read_outcomes
 from mulberryhub.releases.decision import decide
 from mulberryhub.releases.ledger import ReleaseLedger
-from mulberryhub.releases.outcomes import Outcomes
 from mulberryhub.releases.release import begin_release, continue_release, goes_on
 from mulberryhub.releases.release_sources import newest_release, order_ages
 from mulberryhub.releases.takeover import pending_orders, store_era
@@ -138,9 +138,7 @@
 
     def _decide(self, release):
         saved = release.saved
-        outcomes = Outcomes.from_counts(
-            self._read_counts(), saved.service, saved.target, saved.release
-        )
+        outcomes = read_outcomes(self._read_counts(), saved)
         if release.progress is None:
             release.begin_progress(outcomes)
         progress = release.progress
--- a/tests/fleet/test_releases.py
+++ b/tests/fleet/test_releases.py
@@ -6,6 +6,7 @@
 from mulberryhub.fleet.release_records import ReleaseOrder, ReleaseState, ReleaseStatus
 from mulberryhub.fleet.releases import Releases
 from mulberryhub.fleet.store import position_of
+from mulberryhub.fleet.usage import MAX_COUNTS_AGE_MS, UsageTable
 
 ORDER = ReleaseOrder("s", "v2", 12_000, position_of(1, 7))
 
@@ -54,3 +55,19 @@
     assert b"release" not in encode(Report(1, Usage(release_counts={})))
     usage = Usage(release_counts={"k": 1})
     assert decode(encode(Report(1, usage))[4:]).use.release_counts == {"k": 1}
+
+
+def test_release_counts_hold_between_the_messages_that_have_them():
+    """Sums over routers fall and rise again with each message, as if routers ended."""
+    clock = ManualClock()
+    own = Usage(release_counts={"k": 2})
+    table = UsageTable(lambda: own, "a", 8_000, clock)
+    table.record_report("r2", Usage(release_counts={"k": 5}), {})
+    table.record_report("r2", Usage(), {})
+    assert table.others().release_counts == {"k": 5}
+    table.record_local(Usage(release_counts={"k": 9}, routers=2), own)
+    table.record_local(Usage(routers=2), Usage(release_counts={"k": 4}))
+    assert table.others().release_counts == {"k": 7}
+    clock.advance(MAX_COUNTS_AGE_MS + 1)
+    table.record_local(Usage(routers=2), Usage())
+    assert table.others().release_counts == {}
--- a/tests/forward/test_release_filter.py
+++ b/tests/forward/test_release_filter.py
@@ -3,13 +3,16 @@
 from mulberryhub.fleet.records import RequestKind
 from mulberryhub.fleet.release_records import ReleaseOrder, ReleaseState, ReleaseStatus
 from mulberryhub.fleet.releases import MAX_STATE_AGE_MS
+from mulberryhub.forward.release_outcomes import COUNTS_INTERVAL_MS
 from mulberryhub.forward.stream_versions import StreamVersion
+from mulberryhub.releases.compact_counts import read_outcomes
 from tests.forward.attempt_fixture import BROKEN, FAILED, OK, Fixture
 from tests.forward.fakes import make_upstream
 
 OLD, NEW = "v1", "v2"
 RUNNING, COMPLETED, ROLLED_BACK = ReleaseStatus
 ORDER = ReleaseOrder("llm", NEW, 12_000, 7)
+STATE = ReleaseState("llm", NEW, 7, RUNNING, 0.1, 1, 1, release=7)
 
 
 def make_fixture(
@@ -129,15 +132,9 @@
     status, _ = run(fixture)
     fixture.job.status = status
     fixture.attempt_runner.record_completed(fixture.job, fixture.exchange)
-    counts = {
-        (version, measure): count
-        for key, count in fixture.release_outcomes.counts().items()
-        for _, _, version, _, measure in [key.split("/")]
-    }
-    assert counts == {
-        (NEW, "s"): 1,
-        (NEW, "f"): 1,
-        (OLD, "r"): 1,
-        (OLD, "t0"): 1,
-        (OLD, "o"): 1,
-    }
+    fixture.clock.advance(COUNTS_INTERVAL_MS)
+    outcomes = read_outcomes(fixture.release_outcomes.counts(), STATE)
+    ((target, old),) = [(outcomes.target(g), outcomes.old(g)) for g in outcomes.groups]
+    assert (target.sent, target.retried, target.ended, target.failed) == (1, 0, 1, 1)
+    assert (old.sent, old.retried, old.ended, old.served) == (0, 1, 1, 1)
+    assert (sum(target.first_bytes), sum(old.first_bytes)) == (0, 1)
