--- a/libs/releases/src/mulberryhub/releases/decision.py
+++ b/libs/releases/src/mulberryhub/releases/decision.py
@@ -10,8 +10,8 @@
 
 # Evidence as -ln of the probability that it is an accident. While a release is running
 # it is looked at up to a hundred times, in up to a hundred ways.
-CERTAIN_STRENGTH = 9.0
-DEADLINE_STRENGTH = 7.0
+CERTAIN_STRENGTH = 10.0
+DEADLINE_STRENGTH = 8.0
 DOUBT_STRENGTH = 4.0  # observed for as long as possible
 ENOUGH_OUTCOMES = 60  # a version that fails a tenth fails some of them
 # Before the deadline, for the write to the store and, in the first case, for another
--- a/libs/releases/src/mulberryhub/releases/exposure.py
+++ b/libs/releases/src/mulberryhub/releases/exposure.py
@@ -17,6 +17,7 @@
 NOISE_DEVIATIONS = 1.5  # of the requests drawn at random that are not yet known
 EARLY_SLACK = 0.3  # of the slack that may be used at once; a version may turn bad later
 MAX_SHARE = 0.5  # the old version must serve as many, for comparison
+LATE_SLACK = 0.9  # the rest is for routers whose reports are later than usual
 RESTING_PART = 0.4  # of the permitted share, to save requests for trials at full load
 # Upstreams differ in speed, so that all of them are observed in turn.
 TURN_MS = 2_000
@@ -34,7 +35,6 @@
         "exposed",
         "received",
         "is_trial",
-        "_trial_began",
         "_was_settled",
         "_sums",
         "_shares",
@@ -45,8 +45,7 @@
         self.exposed = exposed
         self.received = received
         self.is_trial = False
-        self._trial_began = False  # since the last `take_fair_start`
-        self._was_settled = False
+        self._was_settled = False  # at the last `take_fair_start`
         self._sums = 0, 0
         self._shares = []  # (age, share) of each decision, oldest first
         self._levels = []  # (age, received), oldest first
@@ -73,13 +72,11 @@
     def take_fair_start(self):
         """Return whether a comparison may begin where the last call was.
 
-        It may after shares that were alike for so long that most outcomes are known,
-        and before a trial: until then, the target has few requests.
+        It may after shares that were alike for so long that most outcomes are known.
         """
-        is_fair = self._was_settled or self._trial_began
+        is_fair = self._was_settled
         shares = [share for _, share in self._shares]
         self._was_settled = bool(shares) and max(shares) <= SETTLED_RATIO * min(shares)
-        self._trial_began = False
         return is_fair
 
     def record_share(self, age, share):
@@ -88,10 +85,6 @@
         while len(self._shares) > 2 and self._shares[1][0] <= age - SETTLING_MS:
             del self._shares[0]
 
-    def begin_trial(self):
-        """Record that the target receives the usual load of an upstream from now on."""
-        self.is_trial = self._trial_began = True
-
     def recent_share(self):
         """Return the last share, 0 before the first."""
         return self._shares[-1][1] if self._shares else 0.0
@@ -148,7 +141,7 @@
     if exposure.is_trial:
         exposure.is_trial = free >= cost * STEP_MS / TRIAL_MS
     elif free >= cost:
-        exposure.begin_trial()
+        exposure.is_trial = True
     return trial_share if exposure.is_trial else limit * RESTING_PART
 
 
@@ -156,7 +149,7 @@
     """Return how many requests the target may receive beyond the permitted share."""
     share, slack = bounds.expose_share, bounds.expose_slack
     spending_time = max(1, observing_time - OUTCOME_LAG_MS)
-    part = EARLY_SLACK + (1 - EARLY_SLACK) * min(1.0, age / spending_time)
+    part = EARLY_SLACK + (LATE_SLACK - EARLY_SLACK) * min(1.0, age / spending_time)
     used = exposure.exposed - share * exposure.received
     unreported = exposure.unreported(age, share) * rate * RATE_GROWTH
     drawn = max(share, exposure.recent_share()) * rate * OUTCOME_LAG_MS
