Log orders for unknown services, and list the log lines of releases

An order for a service that the configuration does not have was ignored without a word. tests/adapter/test_names.py now checks the new library too.

--- a/libs/releases/src/mulberryhub/releases/controller.py
+++ b/libs/releases/src/mulberryhub/releases/controller.py
@@ -3,7 +3,6 @@
 from mulberryhub.base.green import sleep
 from mulberryhub.base.logs import module_logger
 from mulberryhub.base.tasks import spawn_service
-from mulberryhub.fleet.records import UpstreamState
 from mulberryhub.fleet.release_records import ReleaseStatus
 from mulberryhub.fleet.store import StoreUnavailable
 from mulberryhub.releases.compact_counts import read_outcomes
@@ -11,7 +10,8 @@
 from mulberryhub.releases.ledger import ReleaseLedger
 from mulberryhub.releases.release import begin_release, continue_release, goes_on
 from mulberryhub.releases.release_sources import newest_release, order_ages
-from mulberryhub.releases.takeover import pending_orders, store_era
+from mulberryhub.releases.takeover import pending_orders, store_era, unknown_orders
+from mulberryhub.releases.upstream_versions import other_versions, ready_versions
 
 STEP_INTERVAL_MS = 100
 DECISION_INTERVAL_MS = 250  # outcomes are reported as often
@@ -43,6 +43,7 @@
         "_releases_by_service",
         "_revision",
         "_retry_at",
+        "_unknown_offsets",
     )
 
     def __init__(
@@ -59,6 +60,7 @@
         self._releases_by_service = {}
         self._revision = 0
         self._retry_at = 0
+        self._unknown_offsets = set()  # of orders that were logged
 
     def start(self):
         """Start a background task that runs until the process ends."""
@@ -66,6 +68,7 @@
 
     def step(self):
         """Hold the lease while an order is pending, and advance its release."""
+        self._log_unknown_services()
         orders = pending_orders(self._fleet_state)
         if not self._takeover.hold_lease(orders):
             self._ledger.forget()
@@ -82,6 +85,17 @@
             sleep(STEP_INTERVAL_MS / 1000)
             self.step()
 
+    def _log_unknown_services(self):
+        for order in unknown_orders(self._fleet_state):
+            if order.offset not in self._unknown_offsets:
+                self._unknown_offsets.add(order.offset)
+                log.warning(
+                    "release of an unknown service",
+                    service=order.service,
+                    target=order.target,
+                    offset=order.offset,
+                )
+
     def _advance(self, order):
         """Decide, publish and save the release of an order; raise StoreUnavailable."""
         release = self._release_for(order)
@@ -133,7 +147,7 @@
             return release
         if order.is_withdrawn:
             return None
-        versions = self._other_versions(order.service, order.target)
+        versions = other_versions(self._fleet_state, order.service, order.target)
         return begin_release(order, before, versions, now, wall, order_age)
 
     def _decide(self, release):
@@ -142,13 +156,15 @@
         if release.progress is None:
             release.begin_progress(outcomes)
         progress = release.progress
-        progress.target_upstreams = self._ready_count(saved, is_target=True)
-        progress.old_upstreams = self._ready_count(saved, is_target=False)
+        ready = ready_versions(self._fleet_state, saved.service)
+        old = set(ready) - {saved.target, *saved.excluded_versions}
+        progress.target_upstreams = ready.count(saved.target)
+        progress.old_upstreams = sum(version in old for version in ready)
         age = self._clock.now() - release.seen_at
         decision = decide(saved, age, self._bounds, outcomes, progress)
         before, release.decision = release.decision, decision
         if decision.state != ReleaseStatus.RUNNING:
-            versions = self._other_versions(saved.service, saved.target)
+            versions = other_versions(self._fleet_state, saved.service, saved.target)
             release.end(ReleaseStatus(decision.state), decision.reason, versions)
             self._log_step(release)
         elif before is None or _is_step(before, decision):
@@ -197,30 +213,6 @@
             )
         release.record_written(self._ledger.era, now)
 
-    def _ready_count(self, saved, is_target):
-        return sum(
-            (upstream.software_version == saved.target) == is_target
-            and upstream.software_version not in saved.excluded_versions
-            for upstream in self._ready_upstreams(saved.service)
-        )
-
-    def _ready_upstreams(self, service):
-        return [
-            upstream
-            for upstream in self._fleet_state.upstreams_by_id.values()
-            if upstream.service == service
-            and upstream.state is UpstreamState.READY
-            and not self._fleet_state.is_shutting_down(upstream)
-        ]
-
-    def _other_versions(self, service, target):
-        """Return the versions of a service's upstreams beside the target."""
-        return {
-            upstream.software_version
-            for upstream in self._fleet_state.upstreams_by_id.values()
-            if upstream.service == service and upstream.software_version != target
-        }
-
     def _log_step(self, release):
         saved, decision = release.saved, release.decision
         progress = release.progress
--- a/libs/releases/src/mulberryhub/releases/takeover.py
+++ b/libs/releases/src/mulberryhub/releases/takeover.py
@@ -104,11 +104,10 @@
 
     Orders for services that the configuration does not have are not.
     """
-    configuration = fleet_state.configuration
     orders = fleet_state.releases.orders_by_service
-    if configuration is None or not orders:
+    if not orders or fleet_state.configuration is None:
         return []
-    services = {service.name for service in configuration.services}
+    services = _service_names(fleet_state)
     era = store_era(fleet_state)
     return [
         order
@@ -118,6 +117,23 @@
     ]
 
 
+def unknown_orders(fleet_state):
+    """Return the orders for services that the configuration does not have."""
+    orders = fleet_state.releases.orders_by_service
+    if not orders or fleet_state.configuration is None:
+        return []
+    services = _service_names(fleet_state)
+    return [
+        order
+        for order in orders.values()
+        if order.service not in services and not order.is_withdrawn
+    ]
+
+
+def _service_names(fleet_state):
+    return {service.name for service in fleet_state.configuration.services}
+
+
 def store_era(fleet_state):
     """Return the era of the store, as far as it is known, -1 if it is not."""
     return era_of(fleet_state.position_by_topic[Topic.OPERATOR])
--- a/tests/adapter/test_names.py
+++ b/tests/adapter/test_names.py
@@ -8,7 +8,7 @@
 
 ROOT = Path(__file__).parents[2]
 ADAPTER_FOLDER = "platform/src"
-LOGGING_LIBRARIES = ("fleet", "forward", "http", "weights", "node")
+LOGGING_LIBRARIES = ("fleet", "forward", "http", "releases", "weights", "node")
 PLATFORM_NAMES = re.compile(
     r"x-mulberryhub-(attempt|deadline|model|token|prompt|tenant|expect|cache|kv|hold)|"
     r"x-mulberryhub-(request-priority|response|not-executed|instance|weight)|"
--- a/tests/releases/test_controller.py
+++ b/tests/releases/test_controller.py
@@ -1,5 +1,6 @@
 import pytest
 
+from mulberryhub.fleet.release_records import ReleaseOrder
 from tests.releases.release_fleet import DURATION_MS, NEW, OLD, SERVICE, ReleaseFleet
 
 BAD = 0.5
@@ -18,6 +19,17 @@
     assert {fleet.state_at(router) for router in fleet.routers} == {None}
 
 
+def test_order_for_an_unknown_service_does_nothing(fleet):
+    """An order for a service without a configuration stops a router."""
+    order = ReleaseOrder("other", NEW, DURATION_MS, 1)
+    for router in fleet.routers:
+        router.state.apply(order)
+    fleet.run(3_000)
+    assert fleet.store.calls == 0
+    fleet.order()
+    fleet.run_until("completed")
+
+
 def test_good_version_is_completed(fleet):
     """A good version is rolled back, late, or its status is written twice."""
     fleet.order()
