Release a service in each run of the soak

The soak did not cover releases. Each run now releases a service whose workers get no faults, while routers, the store and its links do, and fails unless it is completed and the old version receives nothing 3 s later. The drawn plans are the same as before.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -14,6 +14,7 @@
 from mulberryhub.adapter_standins.documents import (
     MODEL,
     make_config,
+    route,
     tenant,
     token_limit,
 )
@@ -33,6 +34,10 @@
 QUOTA_SLACK_TOKENS = 4_320
 UNLIMITED_WORKSPACE = "t1"
 LIMITED_WORKSPACE = "t2"
+RELEASED_SERVICE = "app"
+RELEASED_ROUTE = route(
+    RELEASED_SERVICE, "/a/", "idempotent", RELEASED_SERVICE, maxAttempts=2
+)
 PERMANENT_KEYS = {  # never withdrawn
     UNLIMITED_WORKSPACE: "key-kept",
     LIMITED_WORKSPACE: "key-limited",
@@ -62,6 +67,7 @@
         self.weights_version = 1
         self.configuration_version = 1
         self.spare_keys = ["key-spare-1"]
+        self.orders = []  # pairs of key and document
         self._deregistered_ids = []
         self._processes = ProcessGroup()
         self.store = self._processes.start("mulberryhub.adapter_standins.store")
@@ -98,13 +104,17 @@
         }
         if service == "llm":
             entry |= {"model": MODEL, "version": self.weights_version}
-        process = self._start_in_thread(
+        process = self.start_worker_process(address, entry)
+        self.workers.append(Worker(id, service, link, process, address))
+
+    def start_worker_process(self, address, entry):
+        """Start a worker with the settings `entry`, and return its Process."""
+        return self._start_in_thread(
             "mulberryhub.adapter_standins.worker",
             address,
             self.store.address,
             msgspec.json.encode(entry).decode(),
         )
-        self.workers.append(Worker(id, service, link, process, address))
 
     def _start_in_thread(self, *arguments):
         """Start a process from a native thread.
@@ -144,9 +154,15 @@
         """Write what the operator wrote, and removals, to a store that lost them."""
         self._write_configuration()
         self._write_weights_version()
+        self.write_orders()
         for id in self._deregistered_ids:
             self.store.request("POST", f"/worker/{id}", body=b"")
 
+    def write_orders(self):
+        """Write the operator's orders of releases."""
+        for key, document in self.orders:
+            self.write_operator_record(key, document)
+
     def publish_configuration(self):
         """Write a new configuration version with the permanent and the spare keys."""
         self.configuration_version += 3
@@ -163,9 +179,10 @@
                 **token_limit(LIMITED_RATE_TOKENS_PER_S),
             ),
         ]
-        self.write_operator_record(
-            "config", make_config(self.configuration_version, tenants=tenants)
-        )
+        configuration = make_config(self.configuration_version, tenants=tenants)
+        configuration["routes"].append(RELEASED_ROUTE)
+        configuration["services"].append({"name": RELEASED_SERVICE})
+        self.write_operator_record("config", configuration)
 
     def publish_weights_version(self):
         """Write the next version number of the model's weights."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,6 +11,7 @@
 from soak.links import LinkFault
 from soak.options import Options
 from soak.plan import StepKind, make_plan
+from soak.releases import SoakRelease
 from soak.timeline import Span, Timeline, WorkerLimit
 
 STARTUP_S = 0.15  # A router that starts has no signal handlers for about this time.
@@ -279,10 +280,13 @@
         ]
         for client in clients:
             client.start()
+        release = SoakRelease(fleet, PERMANENT_KEYS[UNLIMITED_WORKSPACE])
+        release.order()
         _execute_plan(runner, make_plan(options.seed, options.seconds), options.seconds)
         runner.timeline.end_limits(now_ms())
         fleet.clear_faults()
         runner.violations += _check_recovery(fleet, clients[0])
+        runner.violations += release.check()
         for client in clients:
             client.running = False
         observations = Observations(requests, fleet.read_executions(), runner.timeline)
