Count strong evidence that lasts as certain, and use a trial's exposure more fully

A version of which half of the responses take three times as long was rolled back up to 97 requests late (70 requests/s). Strength 8 for two fifths of the rollback time is now enough.

--- a/libs/releases/src/mulberryhub/releases/decision.py
+++ b/libs/releases/src/mulberryhub/releases/decision.py
@@ -12,6 +12,7 @@
 # it is looked at up to a hundred times, in up to a hundred ways.
 CERTAIN_STRENGTH = 10.0
 DEADLINE_STRENGTH = 8.0
+LASTING_PART = 0.4  # of the rollback time, after which strong evidence is certain
 DOUBT_STRENGTH = 4.0  # observed for as long as possible
 ENOUGH_OUTCOMES = 60  # a version that fails a tenth fails some of them
 # Before the deadline, for the write to the store and, in the first case, for another
@@ -74,6 +75,7 @@
         "windows",
         "evidence",
         "_first_age",
+        "_strong_since",
     )
 
     def __init__(self, exposed=0, received=0):
@@ -83,6 +85,7 @@
         self.windows = Windows()
         self.evidence = Evidence()
         self._first_age = None
+        self._strong_since = None  # age in ms since when evidence is strong
 
     @property
     def exposed(self):
@@ -102,6 +105,17 @@
         if self.windows.is_due(age):
             self.windows.close(age, outcomes, self.exposure.take_fair_start())
             self.evidence = strongest_evidence(self.windows)
+        if self.evidence.strength < DEADLINE_STRENGTH:
+            self._strong_since = None
+        elif self._strong_since is None:
+            self._strong_since = age
+
+    def is_certain(self, age, bounds):
+        """Return whether the evidence is certain, or strong for some time."""
+        if self.evidence.strength >= CERTAIN_STRENGTH:
+            return True
+        since = age if self._strong_since is None else self._strong_since
+        return age - since >= LASTING_PART * bounds.rollback_time
 
     def has_heard_all(self, age):
         """Return whether this decider has had the time to hear all routers."""
@@ -116,7 +130,7 @@
     """
     progress.observe(age, outcomes)
     evidence = progress.evidence
-    if evidence.strength >= CERTAIN_STRENGTH:
+    if progress.is_certain(age, bounds):
         return Decision(State.ROLLED_BACK, 0.0, 0, evidence.text)
     end, reason = _end(order, outcomes, progress)
     if age >= end and progress.has_heard_all(age):
--- a/libs/releases/src/mulberryhub/releases/exposure.py
+++ b/libs/releases/src/mulberryhub/releases/exposure.py
@@ -5,7 +5,7 @@
 import msgspec
 
 OUTCOME_LAG_MS = 1_500  # from a decision until its effect is in the sums over routers
-STEP_MS = 500  # between decisions, at most
+MAX_STEP_MS = 500  # between decisions
 RATE_PERIOD_MS = 2_000  # over which the request rate is measured
 MIN_RATE_PERIOD_MS = 900  # less is too inaccurate, and routers begin at different times
 SETTLING_MS = 4_000  # in which nearly all responses end and are known
@@ -85,6 +85,12 @@
         while len(self._shares) > 2 and self._shares[1][0] <= age - SETTLING_MS:
             del self._shares[0]
 
+    def step(self):
+        """Return the ms between the last two decisions."""
+        if len(self._shares) < 2:
+            return MAX_STEP_MS
+        return min(MAX_STEP_MS, self._shares[-1][0] - self._shares[-2][0])
+
     def recent_share(self):
         """Return the last share, 0 before the first."""
         return self._shares[-1][1] if self._shares else 0.0
@@ -139,7 +145,7 @@
     trial_share = min(MAX_SHARE, 1 / upstream_count)
     cost = (trial_share - limit) * rate * TRIAL_MS
     if exposure.is_trial:
-        exposure.is_trial = free >= cost * STEP_MS / TRIAL_MS
+        exposure.is_trial = free >= cost * exposure.step() / TRIAL_MS
     elif free >= cost:
         exposure.is_trial = True
     return trial_share if exposure.is_trial else limit * RESTING_PART
