--- a/libs/fleet/src/mulberryhub/fleet/release_records.py
+++ b/libs/fleet/src/mulberryhub/fleet/release_records.py
@@ -1,7 +1,7 @@
 """Records of releases: the operator's orders, and what the deciding router publishes.
 
 A release moves a service from one software version to another. See
-docs/design/releases.md.
+docs/design/release-control.md.
 """
 
 from enum import StrEnum
