Follow a release order into the next era of the store

After the store had come back from an older copy, the known order kept its earlier position, so that its removal was not seen in a listing. tests/fleet/test_releases.py and tests/releases/test_controller.py: 69 passed.

--- a/libs/fleet/src/mulberryhub/fleet/releases.py
+++ b/libs/fleet/src/mulberryhub/fleet/releases.py
@@ -70,8 +70,13 @@
         The same record in a later era of the store is no new order.
         """
         known = self.orders_by_service.get(order.service)
-        if known is not None and (order.offset <= known.offset or order.is_same(known)):
-            return False
+        if known is not None:
+            if order.offset <= known.offset:
+                return False
+            if order.is_same(known):
+                # Only a listing of this era can show that the order was withdrawn.
+                self.orders_by_service[order.service] = order
+                return False
         self.orders_by_service[order.service] = order
         self._seen_at_by_service[order.service] = self._clock.now()
         log.info(
--- a/tests/fleet/test_releases.py
+++ b/tests/fleet/test_releases.py
@@ -26,6 +26,7 @@
 def test_order_in_a_later_era_is_not_new(releases):
     """A release that ended starts again once the store came back from a copy."""
     assert not releases.apply_order(listed_again())
+    assert releases.missing_orders(set(), position_of(2, 9)) == [listed_again()]
     assert releases.apply_order(listed_again(offset=position_of(2, 8)))
     assert not releases.apply_order(ORDER)
 
