Limit the exposure while routers are missing in the sums

In one run of the test with processes, a bad version received 390 of 2,163 requests, where 266 are permitted, after a router was killed that sums for others. Its followers were missing in the sums for a while, so the exposure seemed smaller than it was.

--- a/libs/node/src/mulberryhub/node/release_parts.py
+++ b/libs/node/src/mulberryhub/node/release_parts.py
@@ -7,6 +7,7 @@
 from mulberryhub.releases.decision import ReleaseBounds
 from mulberryhub.releases.outcomes import OutcomeRecorder
 from mulberryhub.releases.report import report_releases
+from mulberryhub.releases.sums import RouterSums
 from mulberryhub.releases.takeover import ReleaseTakeover
 
 LEASE_NAME = "releases"
@@ -31,6 +32,12 @@
             return True
         return usage_table.news_age() <= MAX_SILENCE_MS
 
+    def read_sums():
+        usage = known_usage(usage_table)
+        has_others = len(fleet_state.members_by_name) > 1
+        news_age = usage_table.news_age() if has_others else 0
+        return RouterSums(usage.release_counts, usage.routers, news_age)
+
     lease = Lease(
         ports.log,
         clock,
@@ -46,7 +53,7 @@
         lease,
         ReleaseTakeover(settings.name, fleet_state, lease, is_connected, clock),
         ports.release_store,
-        lambda: known_usage(usage_table).release_counts,
+        read_sums,
         ReleaseBounds(bounds.expose_share, bounds.expose_slack, bounds.rollback_time),
         clock,
         counters,
--- a/libs/releases/src/mulberryhub/releases/controller.py
+++ b/libs/releases/src/mulberryhub/releases/controller.py
@@ -1,5 +1,7 @@
 """Decides releases while this router holds the lease, and publishes their state."""
 
+from msgspec import structs
+
 from mulberryhub.base.green import sleep
 from mulberryhub.base.logs import module_logger
 from mulberryhub.base.tasks import spawn_service
@@ -10,6 +12,8 @@
 from mulberryhub.releases.ledger import ReleaseLedger
 from mulberryhub.releases.release import begin_release, continue_release, goes_on
 from mulberryhub.releases.release_sources import newest_release, order_ages
+from mulberryhub.releases.step_log import log_step
+from mulberryhub.releases.sums import Coverage
 from mulberryhub.releases.takeover import pending_orders, store_era, unknown_orders
 from mulberryhub.releases.upstream_versions import other_versions, ready_versions
 
@@ -27,8 +31,7 @@
     """Runs the releases that operators order, if this router is to decide.
 
     `takeover` is a ReleaseTakeover, `store` the `release_store` of PlatformPorts.
-    `read_counts()` returns the release counts of all routers, summed by key. `bounds`
-    are ReleaseBounds.
+    `read_sums()` returns the RouterSums of all routers. `bounds` are ReleaseBounds.
     """
 
     __slots__ = (
@@ -36,7 +39,8 @@
         "_lease",
         "_takeover",
         "_ledger",
-        "_read_counts",
+        "_read_sums",
+        "_coverage",
         "_bounds",
         "_clock",
         "_counters",
@@ -47,13 +51,14 @@
     )
 
     def __init__(
-        self, fleet_state, lease, takeover, store, read_counts, bounds, clock, counters
+        self, fleet_state, lease, takeover, store, read_sums, bounds, clock, counters
     ):
         self._fleet_state = fleet_state
         self._lease = lease
         self._takeover = takeover
         self._ledger = ReleaseLedger(store)
-        self._read_counts = read_counts
+        self._read_sums = read_sums
+        self._coverage = Coverage(clock)
         self._bounds = bounds
         self._clock = clock
         self._counters = counters
@@ -73,6 +78,7 @@
         if not self._takeover.hold_lease(orders):
             self._ledger.forget()
             self._releases_by_service.clear()
+            self._coverage.forget()
             return
         for order in orders:
             try:
@@ -124,7 +130,7 @@
         release = self._begin(order)
         if release is not None:
             self._releases_by_service[order.service] = release
-            self._log_step(release)
+            log_step(release, self._clock.now())
         return release
 
     def _begin(self, order):
@@ -152,7 +158,9 @@
 
     def _decide(self, release):
         saved = release.saved
-        outcomes = read_outcomes(self._read_counts(), saved)
+        sums = self._read_sums()
+        self._coverage.record(sums)
+        outcomes = read_outcomes(sums.counts, saved)
         if release.progress is None:
             release.begin_progress(outcomes)
         progress = release.progress
@@ -161,15 +169,24 @@
         progress.target_upstreams = ready.count(saved.target)
         progress.old_upstreams = sum(version in old for version in ready)
         age = self._clock.now() - release.seen_at
-        decision = decide(saved, age, self._bounds, outcomes, progress)
+        decision = self._limit_share(
+            decide(saved, age, self._bounds, outcomes, progress)
+        )
         before, release.decision = release.decision, decision
         if decision.state != ReleaseStatus.RUNNING:
             versions = other_versions(self._fleet_state, saved.service, saved.target)
             release.end(ReleaseStatus(decision.state), decision.reason, versions)
-            self._log_step(release)
+            log_step(release, self._clock.now())
         elif before is None or _is_step(before, decision):
             release.set_reason(decision.reason)
-            self._log_step(release)
+            log_step(release, self._clock.now())
+
+    def _limit_share(self, decision):
+        """Return a Decision that keeps the bound without sums of all routers."""
+        share = min(decision.share, self._bounds.expose_share)
+        if self._coverage.is_settled or decision.state != ReleaseStatus.RUNNING:
+            return decision
+        return structs.replace(decision, share=share)
 
     def _publish_due(self, release):
         """Publish the state if it has changed or others wait for it.
@@ -213,23 +230,6 @@
             )
         release.record_written(self._ledger.era, now)
 
-    def _log_step(self, release):
-        saved, decision = release.saved, release.decision
-        progress = release.progress
-        log.info(
-            "release step",
-            service=saved.service,
-            target=saved.target,
-            state=saved.state,
-            reason=saved.reason,
-            share=None if decision is None else decision.share,
-            upstreams=None if decision is None else decision.upstreams,
-            age_ms=self._clock.now() - release.seen_at,
-            duration_ms=saved.duration,
-            exposed=None if progress is None else progress.exposed,
-            received=None if progress is None else progress.received,
-        )
-
     def _note_unavailable(self, order, error):
         self._ledger.forget()
         self._retry_at = self._clock.now() + STORE_RETRY_DELAY_MS
--- a/tests/releases/release_fleet.py
+++ b/tests/releases/release_fleet.py
@@ -14,6 +14,7 @@
 from mulberryhub.releases.controller import ReleaseController
 from mulberryhub.releases.decision import ReleaseBounds
 from mulberryhub.releases.outcomes import OutcomeRecorder, Result
+from mulberryhub.releases.sums import RouterSums
 from mulberryhub.releases.takeover import ReleaseTakeover
 from tests.forward.fakes import make_configuration, make_service, make_upstream
 from tests.support.reverting_log import RevertingLog
@@ -80,6 +81,7 @@
     def __init__(self, name, fleet):
         self.name = name
         self.is_up = True
+        self.reports = True
         self.recorder = OutcomeRecorder()
         self.state = state = FleetState(fleet.clock)
         state.apply(make_configuration(services=[make_service(name=SERVICE)]))
@@ -95,7 +97,7 @@
             lease,
             takeover,
             fleet.store,
-            fleet.counts,
+            fleet.sums,
             BOUNDS,
             fleet.clock,
             Counters(),
@@ -122,6 +124,7 @@
         self.bad_share = bad_share
         self.random = Random(seed)
         self.target_times, self.bad_times, self.received = [], [], 0
+        self.requests_per_step = REQUESTS_PER_STEP
         self.order_offset = 0
         self.routers = []
         self.restart_all()
@@ -156,12 +159,14 @@
     def decider(self):
         return next((router for router in self.up() if router.lease.is_held), None)
 
-    def counts(self):
+    def sums(self):
+        """Return the sums, in which routers are missing that do not report."""
+        reporting = [router for router in self.up() if router.reports]
         totals = {}
-        for router in self.up():
+        for router in reporting:
             for key, count in router.counts().items():
                 totals[key] = totals.get(key, 0) + count
-        return totals
+        return RouterSums(totals, len(reporting), 0)
 
     def run(self, duration):
         for _ in range(duration // STEP_MS):
@@ -192,7 +197,7 @@
 
     def _send_requests(self, router):
         rule = router.state.releases.version_rule(SERVICE)
-        for _ in range(REQUESTS_PER_STEP):
+        for _ in range(self.requests_per_step):
             self.received += 1
             is_target = rule is not None and self.random.random() < rule.share
             is_target &= bool(rule and rule.upstreams)
@@ -207,10 +212,13 @@
             if is_bad:
                 self.bad_times.append(self.clock.now())
 
-    def assert_bounds_kept(self, stretch=0):
-        """Fail if a bad target received more than the bounds permit."""
+    def assert_exposure_kept(self):
         permitted = BOUNDS.expose_share * self.received + BOUNDS.expose_slack
         assert len(self.target_times) <= permitted
+
+    def assert_bounds_kept(self, stretch=0):
+        """Fail if a bad target received more than the bounds permit."""
+        self.assert_exposure_kept()
         if len(self.bad_times) >= 50:
             last = self.bad_times[49] + BOUNDS.rollback_time + stretch
             assert self.target_times[-1] <= last
--- a/tests/releases/test_controller.py
+++ b/tests/releases/test_controller.py
@@ -190,3 +190,19 @@
     fleet.run(6_000)
     assert fleet.store.statuses == ["running", "rolled_back"]
     assert {fleet.state_at(router) for router in fleet.routers} == {"rolled_back"}
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_exposure_is_bounded_while_routers_are_missing_in_the_sums(seed):
+    """The exposure grows unseen while routers look for another one that sums."""
+    for failed_after in range(2_000, 9_000, 500):
+        fleet = ReleaseFleet(bad_share=0.1, seed=seed)
+        fleet.requests_per_step = 5  # so few that trials at full load need much of all
+        fleet.order()
+        fleet.run(failed_after)
+        for router in fleet.routers:
+            router.reports = router is fleet.decider()
+        for _ in range(30):
+            fleet.run(100)
+            if fleet.state_at(fleet.routers[0]) == "running":
+                fleet.assert_exposure_kept()
