Count the exposure in the test with processes from the order on

The workers of the target failed from their start, and what they served before the order counted as exposure. Workers now fail from the order on, and runs are counted from then on.

--- a/tests/adapter/test_releases.py
+++ b/tests/adapter/test_releases.py
@@ -24,6 +24,7 @@
 REQUESTS_PER_S = 200
 CLIENT_COUNT = 8
 ERROR_SHARE = 0.4
+ORDER_KNOWN_S = 0.3  # until all routers know of an order
 EXPOSE_SHARE, EXPOSE_SLACK = 0.1, 50
 
 
@@ -37,17 +38,21 @@
         for version, ids in self._ids.items():
             for id in ids:
                 platform.start_worker(id, name, "a", software=version)
-        for id in self._ids[NEW]:
-            platform.workers_by_id[id].set_faults(error_share=error_share)
+        self._error_share = error_share  # of the target, from the order on
         self.statuses = []
         self._is_over = Event()
         self._numbers = count()
         self._pool = ThreadPoolExecutor(CLIENT_COUNT)
 
     def order(self, target=NEW):
+        for id in self._ids[NEW]:
+            worker = self._platform.workers_by_id[id]
+            worker.set_faults(error_share=self._error_share)
         document = {"service": self.name, "target": target, "durationS": DURATION_S}
         self._platform.write(f"rollout/{self.name}", document)
         self.ordered_at = time.monotonic()
+        time.sleep(ORDER_KNOWN_S)
+        self._runs_before = {version: self.runs(version) for version in (OLD, NEW)}
 
     def status(self):
         """Return all states that were written as the status, the oldest first."""
@@ -94,7 +99,9 @@
 
     def assert_share_kept(self):
         """Fail if the target received too much; a good one may once it is completed."""
-        exposed, received = self.runs(NEW), self.runs(OLD) + self.runs(NEW)
+        before = self._runs_before  # any version serves until the order is known
+        exposed = self.runs(NEW) - before[NEW]
+        received = exposed + self.runs(OLD) - before[OLD]
         assert exposed <= EXPOSE_SHARE * received + EXPOSE_SLACK
 
 
