Compare failures by the responses that have begun

Errors come at once and the ends of streams late, so after the start of a trial most ended requests of the target were errors. Where 40% of the requests failed with both versions and streams lasted 12 pauses, 19 of 90 simulated good versions were rolled back, and none with this change.

--- a/libs/releases/src/mulberryhub/releases/evidence.py
+++ b/libs/releases/src/mulberryhub/releases/evidence.py
@@ -48,7 +48,7 @@
         if total and old_total:
             self.hits, self.all_hits = hits, hits + old_hits
             self.expected = self.all_hits * total / everyone
-            rate = self.all_hits / everyone
+            rate = min(1.0, self.all_hits / everyone)
             spread = total * old_total / (everyone - 1)
             self.variance = spread * rate * (1 - rate)
 
@@ -117,9 +117,13 @@
 
 
 def _compare_field(field, target, old):
-    return Comparison(
-        getattr(target, field), target.ended, getattr(old, field), old.ended
-    )
+    hits, old_hits = getattr(target, field), getattr(old, field)
+    return Comparison(hits, _begun(target), old_hits, _begun(old))
+
+
+def _begun(tally):
+    """Return the number of responses begun, as errors come long before streams end."""
+    return max(sum(tally.first_bytes), tally.failed + tally.lost)
 
 
 def _slow_comparisons(field, pairs, total, group):
--- a/tests/releases/simulated_release.py
+++ b/tests/releases/simulated_release.py
@@ -23,6 +23,7 @@
         self.crashes = options.get("crashes", {})  # age by (version, number)
         self.speeds = options.get("speeds", (1,))
         self.spread = options.get("spread", 0.6)
+        self.stream = options.get("stream", 3)  # in longest pauses
         self.lag = options.get("lag", 700)
         self.bounds = options.get("bounds", ReleaseBounds())
         self.order = SimpleNamespace(target="v2", duration=duration)
@@ -102,9 +103,11 @@
             for _ in range(2)
         ]  # fmt: skip
         crash = self.crashes.get(upstream, float("inf"))
-        end = at + times[0] + times[1] * 3
-        self.in_flight[upstream] = [*ends, end]
         failed = (is_bad and factor == 1) or random.random() < failure_rate
+        if failed:
+            times = [20, None]  # an error comes at once, a stream takes a while
+        end = at + times[0] + (times[1] or 0) * self.stream
+        self.in_flight[upstream] = [*ends, end]
         if is_bad:
             self.bad_ends.append(end)
         self.show("record_sent", at, route, version)
