--- a/libs/releases/src/mulberryhub/releases/decision.py
+++ b/libs/releases/src/mulberryhub/releases/decision.py
@@ -103,7 +103,8 @@
             self._first_age = age
         self.exposure.observe(age, outcomes)
         if self.windows.is_due(age):
-            self.windows.close(age, outcomes, self.exposure.take_fair_start())
+            settled = self.exposure.settled_time(age)
+            self.windows.close(age, outcomes, settled)
             self.evidence = strongest_evidence(self.windows)
         if self.evidence.strength < DEADLINE_STRENGTH:
             self._strong_since = None
--- a/libs/releases/src/mulberryhub/releases/evidence.py
+++ b/libs/releases/src/mulberryhub/releases/evidence.py
@@ -24,6 +24,12 @@
 ACCIDENT_STRENGTH = 5.0  # at most, of what these windows add to the rest
 
 
+# For how long the share must have been alike where a comparison begins: nearly all
+# responses begin, and streams end, and are known within this time.
+SETTLING_MS = 3_000
+STREAM_SETTLING_MS = 8_000
+
+
 class Evidence(msgspec.Struct, frozen=True):
     """How improbable the target's outcomes are if it is as good as the old version.
 
@@ -100,7 +106,7 @@
     best = Evidence()
     for way, comparisons in comparisons_by_way.items():
         rows = comparisons if way[0] == ALL_ROUTES else [comparisons]
-        found = _scan(way, rows, windows.fair_starts)
+        found = _scan(way, rows, windows.settled_times)
         if found.strength > best.strength:
             best = found
     return best
@@ -154,7 +160,7 @@
     return Comparison(target[bucket], target[0], old_hits, old[0])
 
 
-def _scan(way, rows, fair_starts):
+def _scan(way, rows, settled_times):
     """Return the strongest Evidence of one way over the last windows, however many.
 
     `rows` are the comparisons by window, one row for each group. The windows with most
@@ -162,16 +168,19 @@
     """
     group, field, factor = way
     excluded = EXCLUDED_CRASH_WINDOWS if field == "lost" else EXCLUDED_WINDOWS
+    needed = STREAM_SETTLING_MS if field == "pauses" else SETTLING_MS
     best, best_excess = 0.0, 0.0
     since, worst = Comparison(), []
-    for index in reversed(range(len(fair_starts))):
+    for index in reversed(range(len(settled_times))):
         column = [row[index] for row in rows]
         window = Comparison()
         for comparison in column:
             window.add(comparison)
         since.add(window)
         worst = sorted([*worst, window], key=_excess, reverse=True)[:excluded]
-        strength = since.strength() if fair_starts[index] else 0.0
+        if settled_times[index] < needed:
+            continue
+        strength = since.strength()
         if strength > best:
             strength = min(strength, _strength_without(since, worst))
         if strength > best:
--- a/libs/releases/src/mulberryhub/releases/exposure.py
+++ b/libs/releases/src/mulberryhub/releases/exposure.py
@@ -1,6 +1,6 @@
 """How many requests the target of a release receives while it is observed."""
 
-from math import ceil, sqrt
+from math import ceil, inf, sqrt
 
 import msgspec
 
@@ -8,8 +8,8 @@
 MAX_STEP_MS = 500  # between decisions
 RATE_PERIOD_MS = 2_000  # over which the request rate is measured
 MIN_RATE_PERIOD_MS = 900  # less is too inaccurate, and routers begin at different times
-SETTLING_MS = 4_000  # in which nearly all responses end and are known
-SETTLED_RATIO = 2.5  # between shares that count as alike
+HISTORY_MS = 10_000  # of shares; longer than any comparison needs them settled
+ALIKE_RATIO = 2.5  # between shares that count as alike
 SPENDING_MS = 3_000  # over which free exposure is used up; longer than the lag
 TRIAL_MS = 1_000  # least duration of a trial at full load; queues have built up then
 UNKNOWN_RATE_PART = 0.8  # of the permitted share, while the rate is not known
@@ -35,7 +35,6 @@
         "exposed",
         "received",
         "is_trial",
-        "_was_settled",
         "_sums",
         "_shares",
         "_levels",
@@ -45,7 +44,6 @@
         self.exposed = exposed
         self.received = received
         self.is_trial = False
-        self._was_settled = False  # at the last `take_fair_start`
         self._sums = 0, 0
         self._shares = []  # (age, share) of each decision, oldest first
         self._levels = []  # (age, received), oldest first
@@ -69,20 +67,20 @@
         duration = last_age - first_age
         return (last - first) / duration if duration >= MIN_RATE_PERIOD_MS else 0.0
 
-    def take_fair_start(self):
-        """Return whether a comparison may begin where the last call was.
-
-        It may after shares that were alike for so long that most outcomes are known.
-        """
-        is_fair = self._was_settled
-        shares = [share for _, share in self._shares]
-        self._was_settled = bool(shares) and max(shares) <= SETTLED_RATIO * min(shares)
-        return is_fair
+    def settled_time(self, age):
+        """Return for how many of the last ms shares have been alike."""
+        settled, least, most = 0, inf, 0.0
+        for at, share in reversed(self._shares):
+            least, most = min(least, share), max(most, share)
+            if most > ALIKE_RATIO * least:
+                break
+            settled = age - at
+        return settled
 
     def record_share(self, age, share):
         """Record the share of a decision."""
         self._shares.append((age, share))
-        while len(self._shares) > 2 and self._shares[1][0] <= age - SETTLING_MS:
+        while len(self._shares) > 2 and self._shares[1][0] <= age - HISTORY_MS:
             del self._shares[0]
 
     def step(self):
--- a/libs/releases/src/mulberryhub/releases/windows.py
+++ b/libs/releases/src/mulberryhub/releases/windows.py
@@ -1,5 +1,7 @@
 """Outcomes by the time in which they became known."""
 
+from math import inf
+
 from mulberryhub.releases.outcomes import Outcomes
 
 WINDOW_MS = 500  # a crash or stall of one upstream falls into one or two windows
@@ -12,16 +14,17 @@
     Addresses changes that affect both versions in the same way, such as a rise in load:
     the versions are compared window by window, so it does not matter that the target's
     share was larger in some of them. `items` are the Outcomes of the closed windows.
-    `fair_starts` has, for each, whether a comparison may begin there: slow responses
-    are known later than fast ones, so after a fall of its share most outcomes of the
-    target are slow ones.
+    `settled_times` has, for each, the ms for which the share had been alike when it
+    began, as a comparison may begin only where it was: slow responses are known later
+    than fast ones, so after a fall of its share most outcomes of the target are slow.
     """
 
-    __slots__ = ("items", "fair_starts", "_began", "_closed")
+    __slots__ = ("items", "settled_times", "_settled", "_began", "_closed")
 
     def __init__(self):
         self.items = []
-        self.fair_starts = []
+        self.settled_times = []
+        self._settled = inf  # that of the open window
         self._began = None  # age in ms at which the open window began
         self._closed = Outcomes()  # the outcomes until then
 
@@ -29,14 +32,18 @@
         """Return whether a window is to be closed at `age` ms."""
         return self._began is None or age - self._began >= WINDOW_MS
 
-    def close(self, age, outcomes, is_fair_start):
-        """Close the open window at `age` ms with the outcomes that are known then."""
+    def close(self, age, outcomes, settled):
+        """Close the open window at `age` ms with the outcomes that are known then.
+
+        `settled` is the ms for which the share has been alike.
+        """
         self._began = age
         self.items.append(outcomes_since(outcomes, self._closed))
-        self.fair_starts.append(is_fair_start or not self.fair_starts)
+        self.settled_times.append(self._settled)
+        self._settled = settled
         self._closed = outcomes
         if len(self.items) > MAX_WINDOWS:
-            _merge_pairs(self.items, self.fair_starts)
+            _merge_pairs(self.items, self.settled_times)
 
     def total(self):
         """Return the sum of all windows."""
@@ -70,9 +77,9 @@
                 by_group[group].add(tally)
 
 
-def _merge_pairs(items, fair_starts):
+def _merge_pairs(items, settled_times):
     """Merge the older half of the windows two by two."""
     half = len(items) // 4 * 2
     for earlier, later in zip(items[0:half:2], items[1:half:2]):
         add_outcomes(earlier, later)
-    del items[1:half:2], fair_starts[1:half:2]
+    del items[1:half:2], settled_times[1:half:2]
--- a/tests/releases/test_decision.py
+++ b/tests/releases/test_decision.py
@@ -85,6 +85,13 @@
     assert [run.reason for run in runs if run.state != State.COMPLETED] == []
 
 
+@pytest.mark.parametrize("fault", [both_bad_late, both_slow_late])
+def test_long_streams_are_no_evidence(fault):
+    """Guards against errors, which come before streams end, looking too many."""
+    runs = run_all(fault, (200, 12_000, 3), stream=12)
+    assert [run.reason for run in runs if run.state != State.COMPLETED] == []
+
+
 def test_exposure_holds_with_late_reports():
     """Guards against trials that go on because their requests are not yet known."""
     for size in [(70, 8_000, 3), (200, 12_000, 3), *SIZES]:
