--- a/libs/releases/src/mulberryhub/releases/outcomes.py
+++ b/libs/releases/src/mulberryhub/releases/outcomes.py
@@ -1,12 +1,13 @@
 """Counts the outcomes of requests by route and version while a release is running."""
 
+from base64 import b64encode
 from enum import StrEnum
-from urllib.parse import quote
 from zlib import crc32
 
 from mulberryhub.releases.histogram import BUCKET_COUNT, bucket_of
 
-ROUTE_GROUPS = 16  # bounds the counts, however many routes a service has
+# Bounds the counts, however many routes a service has; one hexadecimal digit of a key.
+ROUTE_GROUPS = 16
 SENT = "s"
 RETRIED = "r"
 FIRST_BYTE = "t"
@@ -44,6 +45,11 @@
     return crc32(route.encode()) % ROUTE_GROUPS
 
 
+def release_tag(service, release):
+    """Return the start of the keys of a release; short, as each report has all keys."""
+    return b64encode(crc32(f"{release}/{service}".encode()).to_bytes(4)[:3]).decode()
+
+
 class OutcomeRecorder:
     """The outcomes of this router's own requests in each running release.
 
@@ -99,15 +105,14 @@
         """Return all counts by key; it is empty while no release is running."""
         totals = {}
         for service, counts in self._counts_by_service.items():
-            prefix = f"{quote(service, safe='')}/{self._release_by_service[service]}"
-            totals |= {f"{prefix}/{key}": count for key, count in counts.items()}
+            tag = release_tag(service, self._release_by_service[service])
+            totals |= {tag + key: count for key, count in counts.items()}
         return totals
 
     def _add(self, service, route, version, measure):
         counts = self._counts_by_service.get(service)
         if counts is not None:
-            name = quote(version or "", safe="")
-            key = f"{name}/{route_group(route):x}/{measure}"
+            key = f"{route_group(route):x}{measure}/{version or ''}"
             counts[key] = counts.get(key, 0) + 1
 
 
@@ -191,12 +196,11 @@
     def from_counts(cls, counts, service, target, release=0):
         """Read the sum of the counts of all routers; skip keys that are invalid."""
         outcomes = cls()
-        prefix = f"{quote(service, safe='')}/{release}/"
-        target_name = quote(target, safe="")
+        tag = release_tag(service, release)
         for key, count in counts.items():
-            if key.startswith(prefix):
+            if key.startswith(tag):
                 try:
-                    outcomes._read(key[len(prefix) :], int(count), target_name)
+                    outcomes._read(key.removeprefix(tag), int(count), target)
                 except ValueError:
                     continue
         return outcomes
@@ -231,9 +235,9 @@
         return sum(tally.ended for tally in self.target_by_group.values())
 
     def _read(self, key, count, target_name):
-        version, group, measure = key.split("/")
-        number = int(group, 16)
-        if not 0 <= number < ROUTE_GROUPS:
-            raise ValueError(f"no route group {number}")
+        measure, separator, version = key[1:].partition("/")
+        if not separator:
+            raise ValueError("no version")
+        number = int(key[0], ROUTE_GROUPS)
         by_group = self.target_by_group if version == target_name else self.old_by_group
         by_group.setdefault(number, Tally()).count(measure, count)
--- a/tests/releases/test_outcomes.py
+++ b/tests/releases/test_outcomes.py
@@ -4,6 +4,7 @@
     OutcomeRecorder,
     Outcomes,
     Result,
+    release_tag,
     route_group,
 )
 
@@ -35,9 +36,11 @@
 def test_other_releases_and_odd_keys_count_for_nothing():
     """Guards against outcomes of an earlier order, and against failing decoders."""
     counts = recorder_with("v2").counts()
-    odd = {"llm%2Fa/7/v2/0": 1, "llm%2Fa/7/v2/zz/f": 1, "llm%2Fa/7/v2/1/t99": 1}
+    tag = release_tag("llm/a", 7)
+    odd = dict.fromkeys([tag, f"{tag}0s", f"{tag}zs/v2", f"{tag}1t99/v2"], 1)
     assert Outcomes.from_counts(counts, "llm/a", "v2", 8).received == 0
-    assert Outcomes.from_counts(odd, "llm/a", "v2", 7).exposed == 0
+    outcomes = Outcomes.from_counts(odd, "llm/a", "v2", 7)
+    assert (outcomes.exposed, outcomes.received) == (0, 0)
 
 
 def test_counts_are_bounded_and_empty_without_release():
