--- a/libs/releases/src/mulberryhub/releases/decision.py
+++ b/libs/releases/src/mulberryhub/releases/decision.py
@@ -8,8 +8,8 @@
 from mulberryhub.releases.exposure import TURN_MS, Exposure, plan_exposure
 from mulberryhub.releases.windows import Windows
 
-# Evidence as -ln of the probability that it is an accident. While a release is running
-# it is looked at up to a hundred times, in up to a hundred ways.
+# Evidence as -ln of the probability that it is an accident. A running release is looked
+# at up to 60 times, in some ways and on some routes each, and a good version must pass.
 CERTAIN_STRENGTH = 10.0
 DEADLINE_STRENGTH = 8.0
 LASTING_PART = 0.4  # of the rollback time, after which strong evidence is certain
--- a/libs/releases/src/mulberryhub/releases/exposure.py
+++ b/libs/releases/src/mulberryhub/releases/exposure.py
@@ -167,13 +167,10 @@
     used = exposure.exposed - share * exposure.received
     unreported = exposure.unreported(age, share) * rate * RATE_GROWTH
     drawn = max(share, exposure.recent_share()) * rate * OUTCOME_LAG_MS
-    noise = NOISE_DEVIATIONS * sqrt(drawn)
-    return (
-        slack * part
-        - used
-        - unreported
-        - min(noise, slack / 2 + share * exposure.received)
-    )
+    # Few requests so far can not have had more noise than this.
+    most_noise = slack / 2 + share * exposure.received
+    noise = min(most_noise, NOISE_DEVIATIONS * sqrt(drawn))
+    return slack * part - used - unreported - noise
 
 
 def observed_upstreams(ids, count, turn):
