--- a/libs/releases/src/mulberryhub/releases/decision.py
+++ b/libs/releases/src/mulberryhub/releases/decision.py
@@ -5,7 +5,12 @@
 import msgspec
 
 from mulberryhub.releases.evidence import Evidence, strongest_evidence
-from mulberryhub.releases.exposure import TURN_MS, Exposure, plan_exposure
+from mulberryhub.releases.exposure import (
+    TURN_MS,
+    Exposure,
+    plan_exposure,
+    time_of_turns,
+)
 from mulberryhub.releases.windows import Windows
 
 # Evidence as -ln of the probability that it is an accident. A running release is looked
@@ -97,7 +102,7 @@
         """Return the number of requests that the service has received."""
         return self.exposure.received
 
-    def observe(self, age, outcomes):
+    def observe(self, age, bounds, outcomes):
         """Add the outcomes of all routers that are known `age` ms after the order."""
         if self._first_age is None:
             self._first_age = age
@@ -105,7 +110,8 @@
         if self.windows.is_due(age):
             settled = self.exposure.settled_time(age)
             self.windows.close(age, outcomes, settled)
-            self.evidence = strongest_evidence(self.windows)
+            slow_time = time_of_turns(bounds, self.target_upstreams)
+            self.evidence = strongest_evidence(self.windows, slow_time)
         if self.evidence.strength < DEADLINE_STRENGTH:
             self._strong_since = None
         elif self._strong_since is None:
@@ -129,7 +135,7 @@
     `order` has the `target` and the `duration` in ms, `outcomes` are those of all
     routers and may be 1 s old. Call it every 100 to 500 ms, and in order of age.
     """
-    progress.observe(age, outcomes)
+    progress.observe(age, bounds, outcomes)
     evidence = progress.evidence
     if progress.is_certain(age, bounds):
         return Decision(State.ROLLED_BACK, 0.0, 0, evidence.text)
--- a/libs/releases/src/mulberryhub/releases/evidence.py
+++ b/libs/releases/src/mulberryhub/releases/evidence.py
@@ -1,6 +1,6 @@
 """Evidence that a new version is worse than the old one over the same period."""
 
-from math import log, log1p
+from math import ceil, log, log1p
 
 import msgspec
 
@@ -10,6 +10,7 @@
     counts_from,
     median_position,
 )
+from mulberryhub.releases.windows import WINDOW_MS
 
 ALL_ROUTES = -1
 MIN_EXCESS = 5  # bad responses more than expected; fewer may be an accident
@@ -89,12 +90,13 @@
         return max(bennett, hoeffding)
 
 
-def strongest_evidence(windows):
+def strongest_evidence(windows, slow_time=0):
     """Return the strongest Evidence against the target, on any route and in any way.
 
     `windows` are Windows. Addresses versions that fail or are slow from the start, only
     later, or on one route: each way is looked for on each route and on all routes
-    together, over all windows and over those since each earlier moment.
+    together, over all windows and over those since each earlier moment, which for slow
+    responses is at least `slow_time` ms ago.
     """
     comparisons_by_way = {}
     total = windows.total()
@@ -106,7 +108,8 @@
     best = Evidence()
     for way, comparisons in comparisons_by_way.items():
         rows = comparisons if way[0] == ALL_ROUTES else [comparisons]
-        found = _scan(way, rows, windows.settled_times)
+        starts = _fair_starts(way[1], windows.settled_times, slow_time)
+        found = _scan(way, rows, starts)
         if found.strength > best.strength:
             best = found
     return best
@@ -160,7 +163,18 @@
     return Comparison(target[bucket], target[0], old_hits, old[0])
 
 
-def _scan(way, rows, settled_times):
+def _fair_starts(field, settled_times, slow_time):
+    """Return for each window whether a comparison of this field may begin there."""
+    needed = STREAM_SETTLING_MS if field == "pauses" else SETTLING_MS
+    is_slow = field in ("first_bytes", "pauses")
+    last = len(settled_times) - (ceil(slow_time / WINDOW_MS) if is_slow else 0)
+    return [
+        index == 0 or (settled >= needed and index <= last)
+        for index, settled in enumerate(settled_times)
+    ]
+
+
+def _scan(way, rows, fair_starts):
     """Return the strongest Evidence of one way over the last windows, however many.
 
     `rows` are the comparisons by window, one row for each group. The windows with most
@@ -168,17 +182,16 @@
     """
     group, field, factor = way
     excluded = EXCLUDED_CRASH_WINDOWS if field == "lost" else EXCLUDED_WINDOWS
-    needed = STREAM_SETTLING_MS if field == "pauses" else SETTLING_MS
     best, best_excess = 0.0, 0.0
     since, worst = Comparison(), []
-    for index in reversed(range(len(settled_times))):
+    for index in reversed(range(len(fair_starts))):
         column = [row[index] for row in rows]
         window = Comparison()
         for comparison in column:
             window.add(comparison)
         since.add(window)
         worst = sorted([*worst, window], key=_excess, reverse=True)[:excluded]
-        if settled_times[index] < needed:
+        if not fair_starts[index]:
             continue
         strength = since.strength()
         if strength > best:
--- a/libs/releases/src/mulberryhub/releases/exposure.py
+++ b/libs/releases/src/mulberryhub/releases/exposure.py
@@ -21,6 +21,7 @@
 RESTING_PART = 0.4  # of the permitted share, to save requests for trials at full load
 # Upstreams differ in speed, so that all of them are observed in turn.
 TURN_MS = 2_000
+MAX_TURNS = 3  # more would take most of a release
 OVERLOAD = 0.2  # of an upstream's usual load, by which a trial may exceed it
 
 
@@ -173,6 +174,16 @@
     return slack * part - used - unreported - noise
 
 
+def time_of_turns(bounds, upstream_count):
+    """Return the ms in which enough of a target's upstreams have been observed.
+
+    Where one is observed at a time, it may be a slow machine.
+    """
+    if bounds.expose_share * upstream_count >= 1:
+        return 0
+    return TURN_MS * min(MAX_TURNS, upstream_count)
+
+
 def observed_upstreams(ids, count, turn):
     """Return `count` of the target's upstreams, other ones in each turn.
 
