--- a/libs/releases/src/mulberryhub/releases/decision.py
+++ b/libs/releases/src/mulberryhub/releases/decision.py
@@ -5,11 +5,16 @@
 import msgspec
 
 from mulberryhub.releases.evidence import Evidence, strongest_evidence
-from mulberryhub.releases.exposure import TURN_MS, Exposure, plan_exposure
+from mulberryhub.releases.exposure import (
+    TURN_MS,
+    Exposure,
+    plan_exposure,
+    time_of_turns,
+)
 from mulberryhub.releases.windows import Windows
 
-# Evidence as -ln of the probability that it is an accident. While a release is running
-# it is looked at up to a hundred times, in up to a hundred ways.
+# Evidence as -ln of the probability that it is an accident. A running release is looked
+# at up to 60 times, in some ways and on some routes each, and a good version must pass.
 CERTAIN_STRENGTH = 10.0
 DEADLINE_STRENGTH = 8.0
 LASTING_PART = 0.4  # of the rollback time, after which strong evidence is certain
@@ -97,14 +102,16 @@
         """Return the number of requests that the service has received."""
         return self.exposure.received
 
-    def observe(self, age, outcomes):
+    def observe(self, age, bounds, outcomes):
         """Add the outcomes of all routers that are known `age` ms after the order."""
         if self._first_age is None:
             self._first_age = age
-        self.exposure.observe(age, outcomes)
+        self.exposure.observe(age, outcomes, self.has_heard_all(age))
         if self.windows.is_due(age):
-            self.windows.close(age, outcomes, self.exposure.take_fair_start())
-            self.evidence = strongest_evidence(self.windows)
+            settled = self.exposure.settled_time(age)
+            self.windows.close(age, outcomes, settled)
+            slow_time = time_of_turns(bounds, self.target_upstreams)
+            self.evidence = strongest_evidence(self.windows, slow_time)
         if self.evidence.strength < DEADLINE_STRENGTH:
             self._strong_since = None
         elif self._strong_since is None:
@@ -128,7 +135,7 @@
     `order` has the `target` and the `duration` in ms, `outcomes` are those of all
     routers and may be 1 s old. Call it every 100 to 500 ms, and in order of age.
     """
-    progress.observe(age, outcomes)
+    progress.observe(age, bounds, outcomes)
     evidence = progress.evidence
     if progress.is_certain(age, bounds):
         return Decision(State.ROLLED_BACK, 0.0, 0, evidence.text)
--- a/libs/releases/src/mulberryhub/releases/evidence.py
+++ b/libs/releases/src/mulberryhub/releases/evidence.py
@@ -1,6 +1,6 @@
 """Evidence that a new version is worse than the old one over the same period."""
 
-from math import log, log1p
+from math import ceil, log, log1p
 
 import msgspec
 
@@ -10,6 +10,7 @@
     counts_from,
     median_position,
 )
+from mulberryhub.releases.windows import WINDOW_MS
 
 ALL_ROUTES = -1
 MIN_EXCESS = 5  # bad responses more than expected; fewer may be an accident
@@ -24,6 +25,12 @@
 ACCIDENT_STRENGTH = 5.0  # at most, of what these windows add to the rest
 
 
+# For how long the share must have been alike where a comparison begins: nearly all
+# responses begin, and streams end, and are known within this time.
+SETTLING_MS = 3_000
+STREAM_SETTLING_MS = 8_000
+
+
 class Evidence(msgspec.Struct, frozen=True):
     """How improbable the target's outcomes are if it is as good as the old version.
 
@@ -48,7 +55,7 @@
         if total and old_total:
             self.hits, self.all_hits = hits, hits + old_hits
             self.expected = self.all_hits * total / everyone
-            rate = self.all_hits / everyone
+            rate = min(1.0, self.all_hits / everyone)
             spread = total * old_total / (everyone - 1)
             self.variance = spread * rate * (1 - rate)
 
@@ -83,12 +90,13 @@
         return max(bennett, hoeffding)
 
 
-def strongest_evidence(windows):
+def strongest_evidence(windows, slow_time=0):
     """Return the strongest Evidence against the target, on any route and in any way.
 
     `windows` are Windows. Addresses versions that fail or are slow from the start, only
     later, or on one route: each way is looked for on each route and on all routes
-    together, over all windows and over those since each earlier moment.
+    together, over all windows and over those since each earlier moment, which for slow
+    responses is at least `slow_time` ms ago.
     """
     comparisons_by_way = {}
     total = windows.total()
@@ -100,7 +108,8 @@
     best = Evidence()
     for way, comparisons in comparisons_by_way.items():
         rows = comparisons if way[0] == ALL_ROUTES else [comparisons]
-        found = _scan(way, rows, windows.fair_starts)
+        starts = _fair_starts(way[1], windows.settled_times, slow_time)
+        found = _scan(way, rows, starts)
         if found.strength > best.strength:
             best = found
     return best
@@ -117,9 +126,13 @@
 
 
 def _compare_field(field, target, old):
-    return Comparison(
-        getattr(target, field), target.ended, getattr(old, field), old.ended
-    )
+    hits, old_hits = getattr(target, field), getattr(old, field)
+    return Comparison(hits, _begun(target), old_hits, _begun(old))
+
+
+def _begun(tally):
+    """Return the number of responses begun, as errors come long before streams end."""
+    return max(sum(tally.first_bytes), tally.failed + tally.lost)
 
 
 def _slow_comparisons(field, pairs, total, group):
@@ -150,6 +163,17 @@
     return Comparison(target[bucket], target[0], old_hits, old[0])
 
 
+def _fair_starts(field, settled_times, slow_time):
+    """Return for each window whether a comparison of this field may begin there."""
+    needed = STREAM_SETTLING_MS if field == "pauses" else SETTLING_MS
+    is_slow = field in ("first_bytes", "pauses")
+    last = len(settled_times) - (ceil(slow_time / WINDOW_MS) if is_slow else 0)
+    return [
+        index == 0 or (settled >= needed and index <= last)
+        for index, settled in enumerate(settled_times)
+    ]
+
+
 def _scan(way, rows, fair_starts):
     """Return the strongest Evidence of one way over the last windows, however many.
 
@@ -167,7 +191,9 @@
             window.add(comparison)
         since.add(window)
         worst = sorted([*worst, window], key=_excess, reverse=True)[:excluded]
-        strength = since.strength() if fair_starts[index] else 0.0
+        if not fair_starts[index]:
+            continue
+        strength = since.strength()
         if strength > best:
             strength = min(strength, _strength_without(since, worst))
         if strength > best:
--- a/libs/releases/src/mulberryhub/releases/exposure.py
+++ b/libs/releases/src/mulberryhub/releases/exposure.py
@@ -1,6 +1,6 @@
 """How many requests the target of a release receives while it is observed."""
 
-from math import ceil, sqrt
+from math import ceil, inf, sqrt
 
 import msgspec
 
@@ -8,8 +8,8 @@
 MAX_STEP_MS = 500  # between decisions
 RATE_PERIOD_MS = 2_000  # over which the request rate is measured
 MIN_RATE_PERIOD_MS = 900  # less is too inaccurate, and routers begin at different times
-SETTLING_MS = 4_000  # in which nearly all responses end and are known
-SETTLED_RATIO = 2.5  # between shares that count as alike
+HISTORY_MS = 10_000  # of shares; longer than any comparison needs them settled
+ALIKE_RATIO = 2.5  # between shares that count as alike
 SPENDING_MS = 3_000  # over which free exposure is used up; longer than the lag
 TRIAL_MS = 1_000  # least duration of a trial at full load; queues have built up then
 UNKNOWN_RATE_PART = 0.8  # of the permitted share, while the rate is not known
@@ -21,6 +21,7 @@
 RESTING_PART = 0.4  # of the permitted share, to save requests for trials at full load
 # Upstreams differ in speed, so that all of them are observed in turn.
 TURN_MS = 2_000
+MAX_TURNS = 3  # more would take most of a release
 OVERLOAD = 0.2  # of an upstream's usual load, by which a trial may exceed it
 
 
@@ -35,7 +36,6 @@
         "exposed",
         "received",
         "is_trial",
-        "_was_settled",
         "_sums",
         "_shares",
         "_levels",
@@ -45,16 +45,23 @@
         self.exposed = exposed
         self.received = received
         self.is_trial = False
-        self._was_settled = False  # at the last `take_fair_start`
         self._sums = 0, 0
         self._shares = []  # (age, share) of each decision, oldest first
         self._levels = []  # (age, received), oldest first
 
-    def observe(self, age, outcomes):
-        """Add what has become known; sums that fall are of routers that ended."""
+    def observe(self, age, outcomes, has_heard_all):
+        """Add what has become known; sums that fall are of routers that ended.
+
+        Until all routers have been heard, the sums grow by what the saved numbers
+        include already.
+        """
         sums = outcomes.exposed, outcomes.received
-        self.exposed += max(0, sums[0] - self._sums[0])
-        self.received += max(0, sums[1] - self._sums[1])
+        if has_heard_all:
+            self.exposed += max(0, sums[0] - self._sums[0])
+            self.received += max(0, sums[1] - self._sums[1])
+        else:
+            self.exposed = max(self.exposed, sums[0])
+            self.received = max(self.received, sums[1])
         self._sums = sums
         if self.received:
             self._levels.append((age, self.received))
@@ -69,20 +76,20 @@
         duration = last_age - first_age
         return (last - first) / duration if duration >= MIN_RATE_PERIOD_MS else 0.0
 
-    def take_fair_start(self):
-        """Return whether a comparison may begin where the last call was.
-
-        It may after shares that were alike for so long that most outcomes are known.
-        """
-        is_fair = self._was_settled
-        shares = [share for _, share in self._shares]
-        self._was_settled = bool(shares) and max(shares) <= SETTLED_RATIO * min(shares)
-        return is_fair
+    def settled_time(self, age):
+        """Return for how many of the last ms shares have been alike."""
+        settled, least, most = 0, inf, 0.0
+        for at, share in reversed(self._shares):
+            least, most = min(least, share), max(most, share)
+            if most > ALIKE_RATIO * least:
+                break
+            settled = age - at
+        return settled
 
     def record_share(self, age, share):
         """Record the share of a decision."""
         self._shares.append((age, share))
-        while len(self._shares) > 2 and self._shares[1][0] <= age - SETTLING_MS:
+        while len(self._shares) > 2 and self._shares[1][0] <= age - HISTORY_MS:
             del self._shares[0]
 
     def step(self):
@@ -137,6 +144,8 @@
     else:
         share = _share_of_small_target(free, rate, limit, exposure, upstream_count)
     share = min(MAX_SHARE, max(0.0, share))
+    if not share:
+        return Plan(0.0, 0)
     return Plan(share, max(1, ceil(share * upstream_count - OVERLOAD)))
 
 
@@ -159,13 +168,20 @@
     used = exposure.exposed - share * exposure.received
     unreported = exposure.unreported(age, share) * rate * RATE_GROWTH
     drawn = max(share, exposure.recent_share()) * rate * OUTCOME_LAG_MS
-    noise = NOISE_DEVIATIONS * sqrt(drawn)
-    return (
-        slack * part
-        - used
-        - unreported
-        - min(noise, slack / 2 + share * exposure.received)
-    )
+    # Few requests so far can not have had more noise than this.
+    most_noise = slack / 2 + share * exposure.received
+    noise = min(most_noise, NOISE_DEVIATIONS * sqrt(drawn))
+    return slack * part - used - unreported - noise
+
+
+def time_of_turns(bounds, upstream_count):
+    """Return the ms in which enough of a target's upstreams have been observed.
+
+    Where one is observed at a time, it may be a slow machine.
+    """
+    if bounds.expose_share * upstream_count >= 1:
+        return 0
+    return TURN_MS * min(MAX_TURNS, upstream_count)
 
 
 def observed_upstreams(ids, count, turn):
