Use the short keys of the recorder, and its own takeover of exposure

The decision now shortens the keys of its counts and takes saved numbers over without counting them twice, so that the same in the controller's part is removed.

--- a/libs/forward/src/mulberryhub/forward/release_outcomes.py
+++ b/libs/forward/src/mulberryhub/forward/release_outcomes.py
@@ -7,7 +7,6 @@
     ResponseTimeout,
     ResponseTruncated,
 )
-from mulberryhub.releases.compact_counts import compact_counts
 from mulberryhub.releases.outcomes import Result
 
 MIN_SERVER_ERROR_STATUS = 500
@@ -40,7 +39,7 @@
         self._counted_at = None
 
     def counts(self):
-        """Return the compact counts of the running releases, empty without one."""
+        """Return the counts of the running releases, empty without one."""
         states = self._releases.running_states()
         for service in self._services - {state.service for state in states}:
             self._recorder.stop(service)
@@ -52,7 +51,7 @@
         now = self._clock.now()
         if self._counted_at is None or now - self._counted_at >= COUNTS_INTERVAL_MS:
             self._counted_at = now
-            self._counts = compact_counts(self._recorder.counts(), states)
+            self._counts = self._recorder.counts()
         return dict(self._counts)
 
     def record_sent(self, job, attempt):
--- a/libs/releases/src/mulberryhub/releases/controller.py
+++ b/libs/releases/src/mulberryhub/releases/controller.py
@@ -7,9 +7,9 @@
 from mulberryhub.base.tasks import spawn_service
 from mulberryhub.fleet.release_records import ReleaseStatus
 from mulberryhub.fleet.store import StoreUnavailable
-from mulberryhub.releases.compact_counts import read_outcomes
 from mulberryhub.releases.decision import decide
 from mulberryhub.releases.ledger import ReleaseLedger
+from mulberryhub.releases.outcomes import Outcomes
 from mulberryhub.releases.release import begin_release, continue_release, goes_on
 from mulberryhub.releases.release_sources import newest_release, order_ages
 from mulberryhub.releases.step_log import log_step
@@ -160,9 +160,11 @@
         saved = release.saved
         sums = self._read_sums()
         self._coverage.record(sums)
-        outcomes = read_outcomes(sums.counts, saved)
+        outcomes = Outcomes.from_counts(
+            sums.counts, saved.service, saved.target, saved.release
+        )
         if release.progress is None:
-            release.begin_progress(outcomes)
+            release.begin_progress()
         progress = release.progress
         ready = ready_versions(self._fleet_state, saved.service)
         old = set(ready) - {saved.target, *saved.excluded_versions}
--- a/libs/releases/src/mulberryhub/releases/release.py
+++ b/libs/releases/src/mulberryhub/releases/release.py
@@ -57,12 +57,9 @@
             order.is_withdrawn or self.saved.target == order.target
         )
 
-    def begin_progress(self, outcomes):
-        """Go on from the saved numbers of requests; `outcomes` may include them."""
-        self.progress = Progress(
-            max(0, self.saved.exposed - outcomes.exposed),
-            max(0, self.saved.received - outcomes.received),
-        )
+    def begin_progress(self):
+        """Go on from the saved numbers of requests."""
+        self.progress = Progress(self.saved.exposed, self.saved.received)
 
     def replace(self, **values):
         """Replace fields of `saved`, which then are to be written."""
--- a/libs/releases/src/mulberryhub/releases/report.py
+++ b/libs/releases/src/mulberryhub/releases/report.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from mulberryhub.releases.compact_counts import read_outcomes
+from mulberryhub.releases.outcomes import Outcomes
 
 
 class VersionReport(msgspec.Struct):
@@ -56,7 +56,7 @@
     state = releases.state(service)
     if state is None:
         return ReleaseReport(service, target, target, "unknown")
-    outcomes = read_outcomes(counts, state)
+    outcomes = Outcomes.from_counts(counts, service, state.target, state.release)
     report = ReleaseReport(
         service,
         target,
--- a/tests/forward/test_release_filter.py
+++ b/tests/forward/test_release_filter.py
@@ -5,7 +5,7 @@
 from mulberryhub.fleet.releases import MAX_STATE_AGE_MS
 from mulberryhub.forward.release_outcomes import COUNTS_INTERVAL_MS
 from mulberryhub.forward.stream_versions import StreamVersion
-from mulberryhub.releases.compact_counts import read_outcomes
+from mulberryhub.releases.outcomes import Outcomes
 from tests.forward.attempt_fixture import BROKEN, FAILED, OK, Fixture
 from tests.forward.fakes import make_upstream
 
@@ -133,7 +133,8 @@
     fixture.job.status = status
     fixture.attempt_runner.record_completed(fixture.job, fixture.exchange)
     fixture.clock.advance(COUNTS_INTERVAL_MS)
-    outcomes = read_outcomes(fixture.release_outcomes.counts(), STATE)
+    counts = fixture.release_outcomes.counts()
+    outcomes = Outcomes.from_counts(counts, STATE.service, NEW, STATE.release)
     ((target, old),) = [(outcomes.target(g), outcomes.old(g)) for g in outcomes.groups]
     assert (target.sent, target.retried, target.ended, target.failed) == (1, 0, 1, 1)
     assert (old.sent, old.retried, old.ended, old.served) == (0, 1, 1, 1)
--- a/tests/releases/release_fleet.py
+++ b/tests/releases/release_fleet.py
@@ -10,7 +10,6 @@
 from mulberryhub.fleet.state import FleetState, Topic
 from mulberryhub.fleet.store import StoreUnavailable, position_of
 from mulberryhub.orders.lease import Lease
-from mulberryhub.releases.compact_counts import compact_counts
 from mulberryhub.releases.controller import ReleaseController
 from mulberryhub.releases.decision import ReleaseBounds
 from mulberryhub.releases.outcomes import OutcomeRecorder, Result
@@ -106,8 +105,7 @@
     def counts(self):
         for state in self.state.releases.running_states():
             self.recorder.reset(SERVICE, state.release)
-        states = self.state.releases.running_states()
-        return compact_counts(self.recorder.counts(), states)
+        return self.recorder.counts()
 
 
 class ReleaseFleet:
