--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -15,6 +15,7 @@
 )
 from mulberryhub.fleet.admissions import Admitted
 from mulberryhub.fleet.incarnations import UNKNOWN_OFFSET
+from mulberryhub.fleet.release_records import ReleaseOrder, ReleaseState
 
 
 class RequestKind(StrEnum):
@@ -303,16 +304,24 @@
     at: Number
 
 
-Observation = Departure | RateLimit | Suspect  # facts that routers observe themselves
+# What routers observe or decide themselves.
+Observation = Departure | RateLimit | Suspect | ReleaseState
 Record = (
-    Configuration | Weights | Upstream | Removal | Member | CachedPart | Observation
+    Configuration
+    | Weights
+    | Upstream
+    | Removal
+    | Member
+    | CachedPart
+    | ReleaseOrder
+    | Observation
 )
 
 
 MAX_UPTIME_MS = 2**53  # larger than any uptime
 
 
-class Usage(msgspec.Struct):
+class Usage(msgspec.Struct, omit_defaults=True):
     """The recent usage of one or more routers: tokens admitted and work in flight.
 
     `admitted` is what was admitted in the quota window, in the unit of each workspace.
@@ -328,6 +337,8 @@
     is the number of routers of each other data centre that are included; earlier builds
     do not tell. `requests_by_upstream` is the number of requests in flight at an
     upstream with configured slots, `urgent_by_upstream` that of the most urgent ones.
+    `release_counts` are the outcomes of requests during releases; it is empty, and not
+    sent, while no release is running.
     """
 
     admitted: Admitted = Admitted()
@@ -344,6 +355,7 @@
     slowness_by_incarnation: dict[int, int] = {}
     requests_by_upstream: dict[str, int] = {}
     urgent_by_upstream: dict[str, int] = {}
+    release_counts: dict[str, int] = {}
 
     def add(self, other):
         """Add the usage of other routers, except for `admitted`."""
@@ -386,4 +398,5 @@
     "slowness_by_incarnation",
     "requests_by_upstream",
     "urgent_by_upstream",
+    "release_counts",
 )
--- a/libs/forward/src/mulberryhub/forward/attempts.py
+++ b/libs/forward/src/mulberryhub/forward/attempts.py
@@ -15,6 +15,7 @@
 from mulberryhub.forward.exchange import Exchange
 from mulberryhub.forward.refusal import NOT_RUN_STATUSES, Reason, Refusal
 from mulberryhub.forward.refusals import Refusals
+from mulberryhub.forward.stream_versions import accept_both
 from mulberryhub.forward.work import estimate_work
 from mulberryhub.http.messages import (
     SUCCESS_STATUSES,
@@ -66,6 +67,8 @@
         "_cache_directives",
         "_speeds",
         "_admission",
+        "_release_filter",
+        "_release_outcomes",
         "_clock",
         "_counters",
         "_record_connected",
@@ -89,6 +92,8 @@
         cache_directives,
         speeds,
         admission,
+        release_filter,
+        release_outcomes,
         clock,
         counters,
         record_connected=lambda data_centre, duration: None,
@@ -110,6 +115,8 @@
         self._cache_directives = cache_directives
         self._speeds = speeds
         self._admission = admission
+        self._release_filter = release_filter
+        self._release_outcomes = release_outcomes
         self._clock = clock
         self._counters = counters
         self._record_connected = record_connected
@@ -134,6 +141,7 @@
 
     def record_first_event(self, job, exchange):
         """Record that the first event of an answer arrived, before it is relayed."""
+        self._release_outcomes.record_first_byte(job, exchange.attempt)
         self._stream_versions.record_first_event(
             job, exchange.attempt.upstream, exchange.connected_at
         )
@@ -157,6 +165,7 @@
 
         Only a successful answer that states its end shows that the upstream is sound.
         """
+        self._release_outcomes.record_served(job, exchange.attempt)
         if job.status in SUCCESS_STATUSES and exchange.head.is_framed:
             upstream_id = exchange.attempt.upstream.id
             self._answer_health.record_success(upstream_id, is_complete=True)
@@ -166,15 +175,21 @@
             self._admission.record_completed(job, exchange)
 
     def _place(self, job, excluded_ids=frozenset()):
-        return self._selector.choose(
-            job.call,
-            job.route,
-            job.service,
-            job.tried_ids | excluded_ids,
-            job.flow,
-            self._admission.filter_for(job, self._stream_versions.filter_for(job)),
-            job.workspace,
+        accepts_job = self._admission.filter_for(
+            job, self._stream_versions.filter_for(job)
         )
+        choice = None
+        for accepts in self._release_filter.filters_for(job):
+            choice = choice or self._selector.choose(
+                job.call,
+                job.route,
+                job.service,
+                job.tried_ids | excluded_ids,
+                job.flow,
+                accept_both(accepts_job, accepts),
+                job.workspace,
+            )
+        return choice
 
     def _choose(self, job):
         """Return the Choice to send the request to, or raise Refusal."""
@@ -225,6 +240,7 @@
             self._cache_directives.prepare(attempt, call, choice.version)
         self._quarantine.record_sent(job, attempt)
         self._admission.record_sent(job)
+        self._release_outcomes.record_sent(job, attempt)
         self._log_sent(job, attempt, choice)
         request = self._dialect.attempt_request(call, attempt)
         is_bound = not (job.is_repeatable and job.runs + 1 < job.route.max_attempts)
@@ -238,7 +254,7 @@
         except ConnectionFailed as error:
             if isinstance(error, ConnectionRefused):
                 self._quarantine.record_connect_refused(choice.upstream)
-            self._record_failed(job, choice.upstream, "connect", error)
+            self._record_failed(job, attempt, "connect", error)
             return None
         if not exchange.is_reused:
             duration = self._clock.now() - opened_at
@@ -322,13 +338,16 @@
             return False
         if status in SUCCESS_STATUSES and not facts.is_sealed:
             exchange.cancel()
-            self._record_failed(job, upstream, "unsealed", status)
+            self._record_failed(job, exchange.attempt, "unsealed", status)
             return False
         if status >= MIN_SERVER_ERROR_STATUS and self._can_retry_server_error(job):
             exchange.cancel()
             job.failure_reason = Reason.UPSTREAM_FAILED
+            self._release_outcomes.record_failed(job, exchange.attempt, None)
             self._record_attempt_failure(job, upstream, "server_error", status)
             return False
+        if not (job.is_stream and status in SUCCESS_STATUSES):
+            self._release_outcomes.record_first_byte(job, exchange.attempt)
         self._connect_health.record_success(upstream.id)
         self._answer_health.record_success(upstream.id)
         if status in SUCCESS_STATUSES:
@@ -379,9 +398,11 @@
             self._quarantine.record_cut_answer(job, attempt)
         if isinstance(error, ResponseTimeout):
             self._admission.record_late(job, attempt)
-        self._record_failed(job, attempt.upstream, cause, error)
+        self._record_failed(job, attempt, cause, error)
 
-    def _record_failed(self, job, upstream, cause, detail):
+    def _record_failed(self, job, attempt, cause, detail):
+        upstream = attempt.upstream
+        self._release_outcomes.record_failed(job, attempt, detail)
         is_timeout = isinstance(detail, ResponseTimeout)
         if is_timeout or cause == "connect":
             self._connect_health.record_failure(upstream.id)
@@ -399,6 +420,7 @@
 
     def _record_attempt_failure(self, job, upstream, cause, detail):
         job.tried_ids.add(upstream.id)
+        self._release_filter.record_failure(job, upstream)
         self._counters.add(f"attempt.{cause}")
         log.info(
             "attempt failed",
--- a/libs/forward/src/mulberryhub/forward/relay.py
+++ b/libs/forward/src/mulberryhub/forward/relay.py
@@ -120,6 +120,7 @@
             if not has_events:
                 self._attempt_runner.record_first_event(job, exchange)
             has_events = True
+            exchange.attempt.record_event(self._clock.now())
             self._write_events(exchange, connection, events)
             job.record_events(events, exchange.attempt.upstream)
         if decoder.is_inside_event:
--- a/libs/node/src/mulberryhub/node/coordination.py
+++ b/libs/node/src/mulberryhub/node/coordination.py
@@ -29,7 +29,7 @@
     name = parts.local_member.name
 
     def count_followers():
-        return _known_usage(usage_table).followers_by_coordinator.get(name, 0)
+        return known_usage(usage_table).followers_by_coordinator.get(name, 0)
 
     def count_routers():
         return len(parts.fleet_state.members_by_name)
@@ -48,7 +48,7 @@
     return coordinate
 
 
-def build_usage(parts, settings, demand, coordinator_client, clock):
+def build_usage(parts, settings, demand, release_outcomes, coordinator_client, clock):
     """Return the UsageTable, Quotas and Loads, which depend on each other."""
     fleet_state = parts.fleet_state
     name = parts.local_member.name
@@ -84,6 +84,7 @@
             slowness_by_incarnation=slowness,
             requests_by_upstream=loads.local_requests_by_upstream(),
             urgent_by_upstream=loads.local_urgent_by_upstream(),
+            release_counts=release_outcomes.counts(),
         )
 
     bounds = settings.bounds
@@ -94,7 +95,7 @@
     parts.router_counts = RouterCounts(
         usage_table.others, lambda: len(fleet_state.members_by_name), clock
     )
-    parts.demand_estimate = DemandEstimate(lambda: _known_usage(usage_table), clock)
+    parts.demand_estimate = DemandEstimate(lambda: known_usage(usage_table), clock)
     quota_rule = QuotaRule(
         bounds.quota_window, bounds.quota_overage, bounds.quota_slack
     )
@@ -112,7 +113,7 @@
     return usage_table, quotas, loads
 
 
-def _known_usage(usage_table):
+def known_usage(usage_table):
     """Return the Usage of this router and of those that it hears."""
     usage = usage_table.own()
     others = usage_table.others()
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -22,6 +22,7 @@
 from mulberryhub.forward.quarantine import Quarantine
 from mulberryhub.forward.rate_limits import UpstreamRateLimits
 from mulberryhub.forward.relay import Relay
+from mulberryhub.forward.release_filter import ReleaseFilter
 from mulberryhub.forward.remaining_time import RemainingTime
 from mulberryhub.forward.room import Room
 from mulberryhub.forward.selection import UpstreamSelector
@@ -40,6 +41,11 @@
 from mulberryhub.node.metrics import metrics_server
 from mulberryhub.node.naming_times import NamingTimesSaver
 from mulberryhub.node.readiness import readiness_server
+from mulberryhub.node.release_parts import (
+    build_release_controller,
+    build_release_outcomes,
+    release_reader,
+)
 from mulberryhub.node.request_limits import body_memory_capacity, request_limits
 from mulberryhub.node.router import Router, RouterParts
 from mulberryhub.node.source_selection import build_source_selector
@@ -76,8 +82,9 @@
     parts.connection_pool = ConnectionPool(clock)
     demand = Demand(clock)
     coordinator_client = build_coordinator_client(parts, clock)
+    release_outcomes = build_release_outcomes(fleet_state, counters, clock)
     usage_table, quotas, loads = build_usage(
-        parts, settings, demand, coordinator_client, clock
+        parts, settings, demand, release_outcomes, coordinator_client, clock
     )
 
     _add_followers(parts, settings, ports, fleet_state, usage_table, counters, clock)
@@ -180,6 +187,8 @@
         cache_directives,
         parts.speeds,
         admission,
+        ReleaseFilter(fleet_state),
+        release_outcomes,
         clock,
         counters,
         locality_parts.round_trips.record,
@@ -210,6 +219,9 @@
     parts.rollout_manager = _build_rollout_manager(
         settings, ports, fleet_state, rate_limits, loads, pool_builder, counters, clock
     )
+    parts.release_controller = build_release_controller(
+        settings, ports, fleet_state, usage_table, counters, clock
+    )
     parts.naming_times_saver = NamingTimesSaver(
         ports.store,
         fleet_state.named_weights,
@@ -225,7 +237,12 @@
     add_speed_gauges(counters, parts.speeds)
     parts.metrics_server = None
     if settings.metrics_address:
-        parts.metrics_server = metrics_server(settings.metrics_address, counters, clock)
+        parts.metrics_server = metrics_server(
+            settings.metrics_address,
+            counters,
+            release_reader(fleet_state, usage_table),
+            clock,
+        )
     return router
 
 
--- a/tests/forward/router_fixture.py
+++ b/tests/forward/router_fixture.py
@@ -10,11 +10,14 @@
 from mulberryhub.forward.expected_delay import ExpectedDelay
 from mulberryhub.forward.loads import Loads
 from mulberryhub.forward.quarantine import Quarantine
+from mulberryhub.forward.release_filter import ReleaseFilter
+from mulberryhub.forward.release_outcomes import ReleaseOutcomes
 from mulberryhub.forward.remaining_time import RemainingTime
 from mulberryhub.forward.selection import UpstreamSelector
 from mulberryhub.forward.speeds import UpstreamSpeeds
 from mulberryhub.forward.stream_versions import StreamVersions
 from mulberryhub.forward.transfer_cost import fixed_transfer_cost
+from mulberryhub.releases.outcomes import OutcomeRecorder
 from mulberryhub.upstream.health import UpstreamHealth
 from tests.forward.attempt_fixture import RememberedOrigins
 from tests.forward.fakes import make_admission, make_rate_limits
@@ -53,6 +56,9 @@
         availability,
         11_000,
     )
+    release_outcomes = ReleaseOutcomes(
+        OutcomeRecorder(), fleet_state.releases, clock, counters
+    )
     attempt_runner = AttemptRunner(
         Dialect(None, lambda call, attempt: (call, attempt), read_answer, None),
         selector,
@@ -70,6 +76,8 @@
         CacheDirectives(lambda _: "", lambda: None, fleet_state.cache_index, clock),
         UpstreamSpeeds(fleet_state, read_others, clock),
         admission,
+        ReleaseFilter(fleet_state),
+        release_outcomes,
         clock,
         counters,
     )
