--- a/libs/releases/src/mulberryhub/releases/evidence.py
+++ b/libs/releases/src/mulberryhub/releases/evidence.py
@@ -18,6 +18,7 @@
 # Upstreams of one version differ in speed by up to this many buckets from their mean,
 # and a new upstream has an empty cache.
 MAX_SHIFT = 0.7
+TURNS_SHIFT = 0.4  # at least, where one upstream is observed at a time
 SLOW_FACTORS = range(2, 7)  # buckets above the usual duration of a route: 2.2 to 11 x
 # Windows that a stall, and two crashes, of single upstreams may account for.
 EXCLUDED_WINDOWS = 1
@@ -99,9 +100,12 @@
     responses is at least `slow_time` ms ago.
     """
     comparisons_by_way = {}
+    least_shift = TURNS_SHIFT if slow_time else 0.0
     total = windows.total()
     for group in sorted(total.groups):
-        for way, comparisons in _group_comparisons(windows.items, total, group):
+        for way, comparisons in _group_comparisons(
+            windows.items, total, group, least_shift
+        ):
             comparisons_by_way[group, *way] = comparisons
             together = comparisons_by_way.setdefault((ALL_ROUTES, *way), [])
             together.append(comparisons)
@@ -115,14 +119,14 @@
     return best
 
 
-def _group_comparisons(items, total, group):
+def _group_comparisons(items, total, group, least_shift):
     """Yield each way to be bad, and the Comparison of each window, on one group."""
     pairs = [(item.target(group), item.old(group)) for item in items]
     for field in ("failed", "lost"):
         if getattr(total.target(group), field) >= 1:
             yield (field, 0), [_compare_field(field, *pair) for pair in pairs]
     for field in ("first_bytes", "pauses"):
-        yield from _slow_comparisons(field, pairs, total, group)
+        yield from _slow_comparisons(field, pairs, total, group, least_shift)
 
 
 def _compare_field(field, target, old):
@@ -135,11 +139,11 @@
     return max(sum(tally.first_bytes), tally.failed + tally.lost)
 
 
-def _slow_comparisons(field, pairs, total, group):
+def _slow_comparisons(field, pairs, total, group, least_shift):
     """Yield the comparisons of durations beyond some multiples of the usual one.
 
     Multiples let routes of different durations be compared together. The old version's
-    durations count as longer by the factor between the medians, up to MAX_SHIFT, so
+    durations count as longer by the factor between the medians, within limits, so
     that slower machines and empty caches are no evidence.
     """
     all_target = getattr(total.target(group), field)
@@ -147,7 +151,7 @@
     if not sum(all_target) or not sum(all_old):
         return
     difference = median_position(all_target) - median_position(all_old)
-    shift = min(MAX_SHIFT, max(0.0, difference))
+    shift = min(MAX_SHIFT, max(least_shift, difference))
     counts = [
         (counts_from(getattr(target, field)), counts_from(getattr(old, field)))
         for target, old in pairs
