--- a/libs/forward/src/mulberryhub/forward/room.py
+++ b/libs/forward/src/mulberryhub/forward/room.py
@@ -7,7 +7,7 @@
 
 from random import uniform
 
-LOADED_USE = 0.25  # of the slots, up to which answers are late for other reasons
+LOADED_USE = 0.5  # of the slots, up to which answers are late for other reasons
 SPREAD_USE = 0.5  # of the slots, beyond which requests are spread
 REPORT_TIME_MS = 250  # in which other routers may send without being counted
 MAX_FULL_AGE_MS = 60_000  # far longer than a queue lasts
