Add a case of a quota that is exceeded after a kill of all routers

Cause: what was admitted before the start of all routers is taken as spread evenly over the window, so that the limit fills up again bit by bit although it was used just before.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# A flood of one tenant and a kill of all routers; TROUBLE=0 kills none.
+cd "$(dirname "$0")/../.." || exit 2
+exec timeout 120 python3 review/8/case.py
