Add a case of a crashing request whose count is lost with all routers

Cause: what speaks against a request is in memory until it is condemned, so that a kill of all routers starts its count anew. Added: case 9.

--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# A request that crashes its workers, and kills of all routers; TROUBLE=0 kills none.
+cd "$(dirname "$0")/../.." || exit 2
+exec timeout 120 python3 review/9/case.py
