Add a case of requests to a worker that left during a cut

Cause: a router that hears no other takes its own cut off from the store for an outage, and holds removals back longer than the contact time.

--- a/review/lab.py
+++ b/review/lab.py
@@ -284,11 +284,22 @@
         self.append_fault = None
         self.late_s = 3.0
         self._topics = {}
+        self._server = None
+        self._writers = set()
 
     async def start(self):
-        """Start to listen."""
+        """Start to listen, or again after `cut`."""
         ip, port = self.address.split(":")
-        await serve(ip, int(port), self._handle)
+        self._server = await serve(ip, int(port), self._handle, self._writers)
+
+    def cut(self):
+        """Refuse connections and reset the open ones, until `start` is called.
+
+        Workers and the operator write on, as they have a path of their own.
+        """
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
 
     def topic(self, name):
         """Return a topic, created on first use."""
@@ -403,6 +414,18 @@
         self.is_up = True
         self._beats = asyncio.create_task(self._beat())
 
+    def leave(self):
+        """Leave without a report: the entry is removed, requests are served on."""
+        self._beats.cancel()
+        self.store.put("keyed.servers", self.id, None)
+
+    async def replace(self):
+        """End, and start again as a new incarnation."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        await self.start()
+
     def crash(self, down_s):
         """End like a process that crashes, and start again after `down_s` seconds.
 
@@ -586,10 +609,10 @@
         ip = self.next_ip()
         return ip, free_port(ip)
 
-    async def add_worker(self, id, service, zone, answer, version=0):
-        """Start a worker and return it."""
+    async def add_worker(self, id, service, zone, answer, version=0, kind=Worker):
+        """Start a worker of the class `kind` and return it."""
         ip, port = self.free_place()
-        worker = Worker(id, service, zone, ip, port, self.store, answer, version)
+        worker = kind(id, service, zone, ip, port, self.store, answer, version)
         await worker.start()
         self.workers.append(worker)
         return worker
