Do not cut peers that read slowly

Upstreams that paused reading a long request cost a 502. Cause: TCP_USER_TIMEOUT of 900 ms was set on each connection, to find peers that are gone. Linux counts a closed window in it, however many probes the peer answers. Evidence: a socket pair by itself ends after 1.2 s with the option, and lives without it, with window 0 and unacknowledged 0. Fix: http.peer_watch sets the option only while sent data is unacknowledged, or probes go unanswered, as the kernel reports. It is unset at first, so a router that stands still cuts nobody. Writes to clients get a bound: the deadline of the request, and the idle timeout if nothing at all is read.

--- a/libs/forward/src/mulberryhub/forward/forwarder.py
+++ b/libs/forward/src/mulberryhub/forward/forwarder.py
@@ -71,6 +71,7 @@
         try:
             call = self._dialect.read_call(request)
             job = self._admit(call)
+            connection.limit_writing(job.deadline)
             self._stream_versions.find_origin(job)
             is_reusable = self._relay.run(job, connection)
         except Refusal as refusal:
--- a/libs/http/src/mulberryhub/http/client.py
+++ b/libs/http/src/mulberryhub/http/client.py
@@ -23,7 +23,7 @@
 class HttpClient:
     """Sends requests over a connection pool of its own.
 
-    `user_timeout` is TCP_USER_TIMEOUT in ms.
+    Data that stays unacknowledged for `user_timeout` ms fails its connection.
     """
 
     __slots__ = ("_pool", "_clock")
--- a/libs/http/src/mulberryhub/http/inbound.py
+++ b/libs/http/src/mulberryhub/http/inbound.py
@@ -12,8 +12,10 @@
     HttpError,
     Request,
 )
+from mulberryhub.http.peer_watch import send_all
 from mulberryhub.http.receive_buffer import ReceiveBuffer
 from mulberryhub.http.sockets import (
+    USER_TIMEOUT_MS,
     close,
     has_unread_data,
     reset,
@@ -52,6 +54,7 @@
         "_http",
         "_held_response",
         "_reservation",
+        "_write_deadline",
     )
 
     def __init__(self, sock, read_limits, body_memory, clock):
@@ -66,6 +69,7 @@
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=maxsize)
         self._held_response = None
         self._reservation = body_memory.new_reservation()
+        self._write_deadline = None
         self.receive_buffer.start()
 
     def read_request(self):
@@ -75,6 +79,7 @@
         HttpError if the client closed within a request.
         """
         self._reservation.release()
+        self._write_deadline = None
         head = self._read_head()
         if head is None:
             return None
@@ -86,6 +91,14 @@
         body = self._read_body()
         return Request(head.method, head.target, headers, body, arrived_at)
 
+    def limit_writing(self, deadline):
+        """Let writes of the response fail from `deadline` (clock ms) on.
+
+        Without it, a client may read as slowly as it likes, but must read something
+        within the idle timeout.
+        """
+        self._write_deadline = deadline
+
     def start_response(self, status, headers, length=None):
         """Send the head of the response; without `length` the body is sent chunked.
 
@@ -294,6 +307,16 @@
         data = self._http.send(event)
         if data:
             try:
-                self._sock.sendall(data)
+                send_all(self._sock, data, USER_TIMEOUT_MS, self._time_for_write)
             except OSError as error:
                 raise HttpError(f"cannot write to the client: {error}")
+
+    def _time_for_write(self):
+        """Return the ms for which a write may wait; raise TimeoutError without any."""
+        idle_timeout = self._limits.idle_timeout_ms
+        if self._write_deadline is None:
+            return idle_timeout
+        time_left = self._write_deadline - self._clock.now()
+        if time_left <= 0:
+            raise TimeoutError("the deadline of the request has passed")
+        return min(idle_timeout, time_left)
--- a/libs/http/src/mulberryhub/http/outbound.py
+++ b/libs/http/src/mulberryhub/http/outbound.py
@@ -17,6 +17,7 @@
     ResponseTimeout,
     ResponseTruncated,
 )
+from mulberryhub.http.peer_watch import NO_USER_TIMEOUT, send_all
 from mulberryhub.http.response_heads import find_fault
 from mulberryhub.http.sockets import (
     USER_TIMEOUT_MS,
@@ -45,6 +46,7 @@
         "idle_since",
         "keep_alive_timeout_ms",
         "_sock",
+        "_user_timeout",
         "_http",
         "_send_thread",
         "_clock",
@@ -52,12 +54,13 @@
         "_run_time",
     )
 
-    def __init__(self, address, sock, clock):
+    def __init__(self, address, sock, clock, user_timeout=USER_TIMEOUT_MS):
         self.address = address
         self.opened_at = clock.now()
         self.idle_since = 0
         self.keep_alive_timeout_ms = None
         self._sock = sock
+        self._user_timeout = user_timeout
         self._http = _new_parser()
         self._send_thread = None
         self._clock = clock
@@ -68,10 +71,12 @@
     def open(cls, address, timeout, clock, user_timeout=USER_TIMEOUT_MS):
         """Connect within `timeout` ms or raise ConnectionFailed.
 
-        `user_timeout` is TCP_USER_TIMEOUT in ms.
+        What is sent fails the connection if it stays unacknowledged for `user_timeout`
+        ms; it may stay unread for longer.
         """
         try:
-            return cls(address, connect(address, timeout, user_timeout), clock)
+            sock = connect(address, timeout, NO_USER_TIMEOUT)
+            return cls(address, sock, clock, user_timeout)
         except ConnectionRefusedError as error:
             raise ConnectionRefused(f"{address}: {error_text(error)}") from error
         except OSError as error:
@@ -85,12 +90,11 @@
         """
         parts = self._encode_request(request)
         self._run_time.restart()
-        self._sock.settimeout(timeout / 1000)
         if sum(map(len, parts)) > BACKGROUND_SEND_BYTES:
-            self._send_thread = spawn(self._send_all, parts)
+            self._send_thread = spawn(self._send_parts, parts, timeout)
             return
         try:
-            self._sock.sendall(b"".join(parts))
+            self._send(b"".join(parts), timeout)
         except OSError as error:
             message = f"{self.address}: send: {error_text(error)}"
             raise _connection_error(message, error) from error
@@ -208,10 +212,13 @@
         parts.append(self._http.send(h11.EndOfMessage()))
         return parts
 
-    def _send_all(self, parts):
+    def _send(self, data, timeout):
+        send_all(self._sock, data, self._user_timeout, lambda: timeout)
+
+    def _send_parts(self, parts, timeout):
         try:
             for part in parts:
-                self._sock.sendall(memoryview(part))
+                self._send(part, timeout)
         except OSError:
             return False  # Reading the response fails with the same error.
         return True
--- a/libs/http/src/mulberryhub/http/pool.py
+++ b/libs/http/src/mulberryhub/http/pool.py
@@ -16,7 +16,7 @@
 class ConnectionPool:
     """Idle connections by address, most recently used first.
 
-    `user_timeout` is TCP_USER_TIMEOUT in ms.
+    Data that stays unacknowledged for `user_timeout` ms fails its connection.
     """
 
     __slots__ = ("_clock", "_user_timeout", "_idle_by_address")
--- a/libs/http/src/mulberryhub/http/server.py
+++ b/libs/http/src/mulberryhub/http/server.py
@@ -13,6 +13,7 @@
     HttpError,
     ServerEnding,
 )
+from mulberryhub.http.peer_watch import NO_USER_TIMEOUT
 from mulberryhub.http.sockets import close, open_listener, set_socket_options
 
 log = module_logger(__name__)
@@ -96,7 +97,7 @@
 
     def _serve(self, sock):
         try:
-            set_socket_options(sock)
+            set_socket_options(sock, NO_USER_TIMEOUT)
         except OSError:
             sock.close()  # The client has already disconnected.
             return
--- a/libs/http/src/mulberryhub/http/sockets.py
+++ b/libs/http/src/mulberryhub/http/sockets.py
@@ -6,7 +6,7 @@
 LISTEN_BACKLOG = 1_024  # connections
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBE_COUNT = 2
+KEEPALIVE_PROBE_COUNT = 1  # without an answer by the end of an interval
 USER_TIMEOUT_MS = 900  # unacknowledged data fails the connection after this time
 
 
@@ -44,7 +44,8 @@
     """Disable Nagle's algorithm and let the kernel detect an unreachable peer.
 
     A peer is unreachable if it leaves data unacknowledged for `user_timeout` ms, or
-    fails to answer TCP keepalive probes.
+    fails to answer TCP keepalive probes. The time in which it reads nothing counts too;
+    connections to peers that may read slowly leave this to `peer_watch`.
     """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout)
