Save what speaks against crashing requests before a verdict

Cause: only verdicts were in the store. Counts of crashes were in the memory of the routers, and began anew after each kill of all of them. Evidence: with a restart of all routers after each crash, the request crashed 9 (SIGKILL) and 10 workers (SIGTERM) without a verdict. Fix: the coordinator saves the suspects without a verdict, those with most crashes first, 64 at most: one write for a crash, at most one a second, none without crashes. The write is repeated until the store takes it. Routers merge it at their start like reports.

--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -304,6 +304,14 @@
     at: Number
 
 
+class SavedSuspects(msgspec.Struct, frozen=True):
+    """What spoke against suspects at `at` (wall time in ms), as `router` saved it."""
+
+    router: Text
+    at: Number
+    suspects: list[Suspect]
+
+
 # What routers observe or decide themselves.
 Observation = Departure | RateLimit | Suspect | ReleaseState
 Record = (
--- a/libs/fleet/src/mulberryhub/fleet/state.py
+++ b/libs/fleet/src/mulberryhub/fleet/state.py
@@ -27,6 +27,7 @@
     Observation,
     RateLimit,
     Removal,
+    SavedSuspects,
     Suspect,
     Upstream,
     Verdict,
@@ -307,6 +308,11 @@
         """Apply a stored record of a request that is or was quarantined."""
         self._record_suspect(self.suspects.apply_verdict(verdict))
 
+    def apply_saved_suspects(self, saved):
+        """Apply a stored record of what speaks against requests without a verdict."""
+        for suspect in self.suspects.apply_saved(saved):
+            self._record_suspect(suspect)
+
     def _record_suspect(self, suspect):
         if suspect is not None:
             self._record_and_notify(_suspect_key(suspect.fingerprint), suspect)
@@ -446,6 +452,7 @@
     CachedPart: FleetState.apply_cached_part,
     Suspect: FleetState.apply_suspect,
     Verdict: FleetState.apply_verdict,
+    SavedSuspects: FleetState.apply_saved_suspects,
     ReleaseOrder: FleetState.apply_release_order,
     ReleaseState: FleetState.apply_release_state,
 }
--- a/libs/fleet/src/mulberryhub/fleet/suspects.py
+++ b/libs/fleet/src/mulberryhub/fleet/suspects.py
@@ -15,6 +15,7 @@
 MAX_CRASHED_RUN_COUNT = 16  # kept per suspect
 MAX_CRASH_COUNT = 1_024  # whose time is kept
 SUSPECT_RETENTION_MS = 600_000  # without a new report
+VERDICT_SAVING_MS = 10_000  # by when a verdict has been saved
 QUARANTINE_MS = 600_000  # since the last crash
 RELAPSE_FACTOR = 6  # by which each relapse lengthens the next quarantine
 MAX_QUARANTINE_MS = 172_800_000
@@ -39,10 +40,11 @@
     """Suspects by fingerprint, the least recently changed first.
 
     A quarantine ends some time after the last crash, but its evidence is kept, so that
-    the next crash begins another one at once.
+    the next crash begins another one at once. `revision` grows with each change.
     """
 
     __slots__ = (
+        "revision",
         "_clock",
         "_entries_by_fingerprint",
         "_crashed_at_by_incarnation",
@@ -51,6 +53,7 @@
     )
 
     def __init__(self, clock):
+        self.revision = 0
         self._clock = clock
         self._entries_by_fingerprint = OrderedDict()
         self._crashed_at_by_incarnation = OrderedDict()
@@ -107,6 +110,7 @@
         merged = merge(known, suspect)
         if merged is known:
             return None
+        self.revision += 1
         now = self._clock.now()
         old_entry = self._entries_by_fingerprint.get(suspect.fingerprint)
         is_same_round = known.crashed_runs and merged.round == known.round
@@ -136,6 +140,30 @@
             )
         return merged
 
+    def apply_saved(self, saved):
+        """Merge SavedSuspects unless they are too old; return what is new in them."""
+        if self._clock.wall() - saved.at >= SUSPECT_RETENTION_MS:
+            return []
+        merged = [self.apply(suspect) for suspect in saved.suspects]
+        return [suspect for suspect in merged if suspect is not None]
+
+    def undecided(self, max_count):
+        """Return the Suspects on which no verdict was saved yet, at most `max_count`.
+
+        They are those with most crashed runs. A prompt part with a single one is left
+        out: each crash has many of them.
+        """
+        entries = [
+            entry
+            for entry in self._entries_by_fingerprint.values()
+            if len(entry.suspect.crashed_runs) > (1 if entry.suspect.breadth else 0)
+            and not self._is_decided(entry)
+            and not self._is_expired(entry)
+        ]
+        entries.sort(key=lambda entry: -entry.updated_at)
+        entries.sort(key=lambda entry: -len(entry.suspect.crashed_runs))
+        return [entry.suspect for entry in entries[:max_count]]
+
     def update_verdicts(self):
         """Find again who is to blame, if reports or their age may change that."""
         now = self._clock.now()
@@ -186,6 +214,13 @@
             retention = MAX_QUARANTINE_MS
         return self._clock.now() - entry.updated_at >= retention
 
+    def _is_decided(self, entry):
+        """Return whether a verdict on the suspect must have been saved by now."""
+        return (
+            entry.suspect.fingerprint in self._verdicts.blamed
+            and self._clock.now() - entry.updated_at >= VERDICT_SAVING_MS
+        )
+
     def _is_over(self, fingerprint):
         """Return whether the last crash is too long ago for a quarantine."""
         entry = self._entries_by_fingerprint.get(fingerprint)
--- a/libs/node/src/mulberryhub/node/ports.py
+++ b/libs/node/src/mulberryhub/node/ports.py
@@ -6,7 +6,7 @@
 
     `store` has `read(topic, position, wait)`, a long poll of `wait` ms that returns a
     Batch; `newest(topic)`, which returns a Listing; `put_member(member)`; and
-    `put_record(record)` for a Verdict or NamingTimes. All may raise StoreUnavailable,
+    `put_record(record)` for another record of routers. All may raise StoreUnavailable,
     and `read` also HistoryLost.
     `read_operator(entry)`, `read_upstream(entry)` and `read_member(entry)` return the
     record in an Entry, or None if it has none.
--- a/libs/node/src/mulberryhub/node/root.py
+++ b/libs/node/src/mulberryhub/node/root.py
@@ -49,6 +49,7 @@
 from mulberryhub.node.request_limits import body_memory_capacity, request_limits
 from mulberryhub.node.router import Router, RouterParts
 from mulberryhub.node.source_selection import build_source_selector
+from mulberryhub.node.suspect_saver import SuspectSaver
 from mulberryhub.node.topics import topic_plans
 from mulberryhub.node.verdicts import verdict_saver
 from mulberryhub.orders.lease import Lease
@@ -273,7 +274,12 @@
     save_verdict = verdict_saver(ports.store, clock)
     is_coordinator = _coordination_check(parts)
 
+    parts.suspect_saver = SuspectSaver(
+        settings.name, fleet_state.suspects, ports.store, is_coordinator, clock
+    )
+
     def save_verdicts():
+        parts.suspect_saver.save_again()
         if is_coordinator():
             for suspect in fleet_state.suspects.quarantined():
                 save_verdict(suspect)
--- a/libs/node/src/mulberryhub/node/router.py
+++ b/libs/node/src/mulberryhub/node/router.py
@@ -62,6 +62,7 @@
         parts.cache_watcher.start()
         parts.rollout_manager.start()
         parts.naming_times_saver.start()
+        parts.suspect_saver.start()
         parts.release_controller.start()
         log.info("started", router=self._settings.name)
 
@@ -178,6 +179,7 @@
         "stream_origins",
         "rollout_manager",
         "naming_times_saver",
+        "suspect_saver",
         "release_controller",
         "cache_watcher",
         "forwarder",
--- a/tests/adapter/test_crashing_requests.py
+++ b/tests/adapter/test_crashing_requests.py
@@ -3,6 +3,7 @@
 The routers are processes of their own; the workers are stand-ins.
 """
 
+import signal
 import threading
 import time
 from collections import Counter
@@ -21,6 +22,8 @@
 
 ROUTERS = 3
 PROPAGATION_TIME_S = 3.0  # crashes count if they come this long after the third
+MAX_CRASHES = 5  # sent one after another, before the request is refused
+SAVE_TIME_S = 1.5  # in which a crash is known to all routers and saved
 MAX_LATE_CRASHES = 3  # after that time
 SEND_INTERVAL_S = 0.2  # between two crashing requests
 SEND_DURATION_S = 9.0
@@ -208,6 +211,32 @@
     assert len(service.crashes) == crash_count
 
 
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGTERM])
+def test_crashes_before_restarts_of_all_routers_count(
+    platform, start_service, crashing_body, number
+):
+    # Guards against a request that looks sound again after each kill of all routers.
+    service = start_service("idempotent", workers=6)
+    for restart in range(MAX_CRASHES):
+        router = platform.routers[restart % ROUTERS]
+        send_crashing_request(router, "idempotent", restart, crashing_body)
+        time.sleep(SAVE_TIME_S)
+        for router in platform.routers:
+            router.popen.send_signal(number)
+        for router in platform.routers:
+            router.popen.wait()
+            router.start()
+        for index, router in enumerate(platform.routers):
+            wait_until(router.is_ready)
+            wait_until_served(router, "/idempotent/x", f"anew{restart}-{index}")
+    crash_count = len(service.crashes)
+    assert crash_count <= MAX_CRASHES
+    for router in platform.routers:
+        answer, _ = send_crashing_request(router, "idempotent", 9, crashing_body)
+        assert answer.status == 503
+    assert len(service.crashes) == crash_count
+
+
 def test_new_router_learns_of_quarantine(platform, start_service, crashing_body):
     service = start_service("idempotent")
     send_until_quarantined(platform.routers[0], crashing_body)
