Blame a crashing request however often other upstreams crash

Cause: a suspect had to explain a share of all crashes, and none only from the seventh crash on. Where others crash more often than the request comes, the share can't be reached. Fix: a whole request is blamed after five crashes as it began to run; a run that is completed voids those before. Parts of prompts keep the shares.

--- a/libs/fleet/src/mulberryhub/fleet/blame.py
+++ b/libs/fleet/src/mulberryhub/fleet/blame.py
@@ -7,12 +7,19 @@
 is blamed. This is spectrum-based fault localization with a greedy set cover.
 """
 
+from math import inf
+
 from mulberryhub.fleet.records import QUARANTINE_RUN_COUNT
 
 SETTLE_MS = 250  # until the reports of all routers on one crash have arrived
 CERTAIN_CRASH_COUNT = 5  # crashes after which no further evidence is awaited
+# Of a request, as it began to run, with no run completed in between. Other upstreams
+# may end as often as they like: they rarely do so just then, and five times in a row.
+CERTAIN_EARLY_CRASH_COUNT = 5
+ANSWERING_CRASHES_PER_EARLY_ONE = 2  # that weigh as much, after half a second of answer
 MIN_REQUEST_COUNT = 3  # requests that crashed with a part, as one may be repeated
-# Share of the crashes in its period that a suspect must explain, by their least number.
+# Share of the crashes in its period that another suspect must explain, by their least
+# number.
 MIN_EXPLAINED_SHARES = ((7, 0.0), (5, 0.5), (4, 0.75), (QUARANTINE_RUN_COUNT, 1.0))
 
 
@@ -21,10 +28,17 @@
 
     `crashed_at_by_incarnation` holds the ms at which each crash became known, of those
     that no other blamed suspect explains. `runs` are the pairs of incarnation and
-    request concerned.
+    request concerned. `early_crash_count` is the number of crashes before an answer had
+    been going on for a while.
     """
 
-    __slots__ = ("suspect", "crashed_at_by_incarnation", "runs", "has_repeat")
+    __slots__ = (
+        "suspect",
+        "crashed_at_by_incarnation",
+        "runs",
+        "has_repeat",
+        "early_crash_count",
+    )
 
     def __init__(self, suspect, crashed_at_by_incarnation, explained):
         runs = [run for run in suspect.crashed_runs if run.incarnation not in explained]
@@ -35,6 +49,7 @@
         }
         self.runs = frozenset((run.incarnation, run.request) for run in runs)
         self.has_repeat = any(run.is_repeat for run in runs)
+        self.early_crash_count = sum(not run.was_answering for run in runs)
 
     @property
     def crash_count(self):
@@ -145,8 +160,7 @@
         return False
     if any(_is_better(other, item) for other in evidence if other is not item):
         return False
-    share = item.explained_share(crashed_at_by_incarnation, explained)
-    if share < _min_explained_share(item.crash_count):
+    if not _explains_enough(item, crashed_at_by_incarnation, explained):
         return False
     return item.crash_count >= CERTAIN_CRASH_COUNT or (
         item.is_settled(now)
@@ -155,8 +169,34 @@
     )
 
 
+def _explains_enough(item, crashed_at_by_incarnation, explained):
+    """Return whether other crashes in the same period leave the suspect as the cause.
+
+    How often others end says little on a whole request: what counts is that all its
+    runs ended so, as a completed one voids those before it.
+    """
+    is_request = not item.suspect.breadth
+    if is_request and item.early_crash_count >= CERTAIN_EARLY_CRASH_COUNT:
+        return True
+    share = item.explained_share(crashed_at_by_incarnation, explained)
+    return share >= _min_explained_share(_weighted_crash_count(item))
+
+
+def _weighted_crash_count(item):
+    """Return the number of crashes; those in the middle of an answer weigh less.
+
+    The longer a sound answer takes, the more often its upstream ends meanwhile.
+    """
+    answering_count = item.crash_count - item.early_crash_count
+    return item.early_crash_count + answering_count // ANSWERING_CRASHES_PER_EARLY_ONE
+
+
 def _min_explained_share(crash_count):
-    return next(share for count, share in MIN_EXPLAINED_SHARES if crash_count >= count)
+    """Return the share that a suspect with so many crashes must explain."""
+    for count, share in MIN_EXPLAINED_SHARES:
+        if crash_count >= count:
+            return share
+    return inf
 
 
 def _is_better(other, item):
--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -247,12 +247,14 @@
     `is_repeat` is set if the reporting router had known of another such run for a
     while, so the two upstreams did not end at the same moment. `request` is the
     fingerprint of the request, "" in reports of routers that do not send it.
+    `was_answering` is set if the answer had been going on for a while.
     """
 
     upstream: Text
     started: Count
     is_repeat: bool
     request: Text = ""
+    was_answering: bool = False
 
     @property
     def incarnation(self):
--- a/libs/fleet/src/mulberryhub/fleet/suspects.py
+++ b/libs/fleet/src/mulberryhub/fleet/suspects.py
@@ -278,4 +278,10 @@
 
 
 def _run_order(run):
-    return (not run.is_repeat, run.upstream, run.started, run.request)
+    return (
+        not run.is_repeat,
+        run.upstream,
+        run.started,
+        run.request,
+        run.was_answering,
+    )
--- a/libs/forward/src/mulberryhub/forward/crash_reports.py
+++ b/libs/forward/src/mulberryhub/forward/crash_reports.py
@@ -33,7 +33,9 @@
 
 def _report(upstream, run, item):
     """Return the Suspect of a RunSuspect with the crash of one run."""
-    crashed_run = CrashedRun(upstream.id, upstream.started, item.is_repeat, run.request)
+    crashed_run = CrashedRun(
+        upstream.id, upstream.started, item.is_repeat, run.request, item.was_answering
+    )
     return structs.replace(item.suspect, crashed_runs=[crashed_run])
 
 
--- a/libs/forward/src/mulberryhub/forward/possible_crashes.py
+++ b/libs/forward/src/mulberryhub/forward/possible_crashes.py
@@ -9,14 +9,16 @@
 class RunSuspect:
     """A suspect of a run, as known when the run was sent.
 
-    `is_repeat` is set if it was then known to have crashed an upstream before.
+    `is_repeat` is set if it was then known to have crashed an upstream before, and
+    `was_answering` if its answer had been going on for a while when it was cut.
     """
 
-    __slots__ = ("suspect", "is_repeat")
+    __slots__ = ("suspect", "is_repeat", "was_answering")
 
-    def __init__(self, suspect, is_repeat=False):
+    def __init__(self, suspect, is_repeat=False, was_answering=False):
         self.suspect = suspect
         self.is_repeat = is_repeat
+        self.was_answering = was_answering
 
 
 class CutRun:
--- a/libs/forward/src/mulberryhub/forward/quarantine.py
+++ b/libs/forward/src/mulberryhub/forward/quarantine.py
@@ -142,7 +142,8 @@
         """Return the RunSuspects of an attempt whose answer was cut.
 
         A prompt part crashes upstreams as they begin to answer, so the parts of an
-        answer that had gone on for a while are no suspects.
+        answer that had gone on for a while are no suspects. The request as a whole
+        remains one, by weaker evidence.
         """
         suspects = attempt.suspects
         if suspects is None:
@@ -155,7 +156,8 @@
             answered_at is not None
             and self._clock.now() - answered_at > MAX_ANSWERING_MS
         ):
-            return suspects[:1]
+            request = suspects[0]
+            return [RunSuspect(request.suspect, request.is_repeat, was_answering=True)]
         return suspects
 
     def record_connect_refused(self, upstream):
--- a/tests/fleet/test_blame.py
+++ b/tests/fleet/test_blame.py
@@ -1,5 +1,7 @@
 """Which suspects are blamed for the crashes of upstreams."""
 
+from string import ascii_letters
+
 import pytest
 
 from mulberryhub.fleet.blame import SETTLE_MS, find_verdicts
@@ -10,11 +12,13 @@
 ALL = "abcdefgh"
 
 
-def suspect(fingerprint, crashes, requests=None, breadth=1, is_repeat=True):
+def suspect(
+    fingerprint, crashes, requests=None, breadth=1, is_repeat=True, was_answering=False
+):
     """Return a Suspect with one crashed run for each letter of `crashes`."""
     requests = requests or crashes
     runs = [
-        CrashedRun(upstream, 1, is_repeat, request)
+        CrashedRun(upstream, 1, is_repeat, request, was_answering)
         for upstream, request in zip(crashes, requests)
     ]
     return Suspect(fingerprint, 0, runs, breadth)
@@ -83,6 +87,39 @@
     assert verdicts.blamed == ({"part"} if is_blamed else frozenset())
 
 
+@pytest.mark.parametrize("others", [0, 1, 3, 9])
+@pytest.mark.parametrize("was_answering", [False, True])
+def test_request_is_blamed_after_five_crashes_however_often_others_crash(
+    others, was_answering
+):
+    # Guards against a request that is refused too late while upstreams crash often.
+    letters = ascii_letters[: 5 * (others + 1)]
+    crashes = letters[:: others + 1]
+    request = suspect("r", crashes, "rrrrr", breadth=0, was_answering=was_answering)
+    verdicts = find(request, crashes=letters)
+    is_blamed = not was_answering
+    assert verdicts.blamed == ({"r"} if is_blamed else frozenset())
+
+
+@pytest.mark.parametrize("crash_count, is_blamed", [(3, False), (5, False), (6, True)])
+def test_request_that_was_being_answered_is_blamed_after_more_crashes(
+    crash_count, is_blamed
+):
+    # Guards against long sound answers that upstreams cut as they end by themselves.
+    crashes = ascii_letters[:crash_count]
+    request = suspect("r", crashes, "r" * crash_count, breadth=0, was_answering=True)
+    verdicts = find(request, crashes=crashes)
+    assert verdicts.blamed == ({"r"} if is_blamed else frozenset())
+
+
+def test_two_requests_that_crash_upstreams_in_turn_are_both_blamed():
+    # Guards against a request whose crashes are held against another's.
+    letters = ascii_letters[:40]
+    one = suspect("one", letters[0::8], "rrrrr", breadth=0)
+    two = suspect("two", letters[4::8], "sssss", breadth=0)
+    assert find(one, two, crashes=letters).blamed == {"one", "two"}
+
+
 def test_upstreams_that_ended_together_prove_nothing():
     verdicts = find(suspect("part", "abcdef", is_repeat=False), crashes="abcdef")
     assert verdicts.blamed == frozenset()
--- a/tests/forward/test_quarantine.py
+++ b/tests/forward/test_quarantine.py
@@ -5,6 +5,8 @@
 on virtual time.
 """
 
+from math import ceil
+
 import pytest
 from loguru import logger
 
@@ -268,3 +270,64 @@
     time.run(1_000)
     router.fleet_state.apply(Removal(upstream.id, 10_001))
     assert count_crashes(router, job) == 0
+
+
+CRASH_INTERVAL_MS = 3_500  # between two times at which workers crash by themselves
+STEP_MS = 100
+OTHERS_PER_WORKER = 0.4  # requests sent at each step, unlike all others
+
+
+def run_beside_crashes(simulation, duration, crash_count, send_by_interval):
+    """Crash `crash_count` workers again and again; send what is due at each step.
+
+    `send_by_interval` holds pairs of an interval in ms and a function of a router.
+    Other requests run everywhere, so that all crashes become known.
+    """
+    random = simulation.random
+    others = ceil(len(simulation.workers_by_address) * OTHERS_PER_WORKER)
+    for now in range(0, duration, STEP_MS):
+        for number in range(others):
+            body = SOUND + b" %d %d" % (now, number)
+            simulation.send(random.choice(simulation.routers), body, work=700)
+        if now % CRASH_INTERVAL_MS == 0:
+            alive = [w for w in simulation.workers_by_address.values() if w.is_alive]
+            for worker in random.sample(alive, min(len(alive), crash_count)):
+                simulation.crash_worker(worker)
+        for interval, send in send_by_interval:
+            if now % interval == 0:
+                send(random.choice(simulation.routers))
+        simulation.time.run(STEP_MS)
+
+
+@pytest.mark.parametrize("routers, workers", [(3, 10), (40, 39)])
+@pytest.mark.parametrize("share", [0.2, 0.3])
+@pytest.mark.parametrize("interval", [2_000, 5_000, 9_000])
+def test_bad_request_is_refused_in_time_while_other_workers_crash(
+    time, routers, workers, share, interval
+):
+    # Guards against crashes of others that let a bad request run once more.
+    simulation = Simulation(time, routers, workers, 1, max_attempts=1)
+    bad_by_interval = [(interval, lambda router: simulation.send(router, BAD))]
+    run_beside_crashes(simulation, 12 * interval, int(share * workers), bad_by_interval)
+    assert simulation.refused_without_run
+    assert len(simulation.late_crashes()) <= MAX_LATE_CRASHES
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("work", [700, 3_000])
+def test_sound_requests_that_repeat_while_workers_crash_are_not_refused(
+    time, seed, work
+):
+    # Guards against sound prompts that are blamed as they are long and come again.
+    simulation = Simulation(time, 3, 10, seed, max_attempts=1, max_first_byte=100)
+
+    def sender(number):
+        body = SOUND + b"%d" % number
+        return lambda router: simulation.send(router, body, work=work)
+
+    sound_by_interval = [
+        (interval, sender(number))
+        for number, interval in enumerate((500, 2_000, 4_000, 5_000, 9_000))
+    ]
+    run_beside_crashes(simulation, 300_000, 3, sound_by_interval)
+    assert simulation.refused == []
