Tell an early answer that broke off from a whole one

What callers saw: a worker answers a long request before it has read it, sends a part of a body without a length, and resets or closes the connection; the client got that part as a complete answer (MIXED), on streams as one that ends complete after event 2 (ORDER). Cause: the green thread that sends a long request dropped its error and relied on the reader to get it too. The kernel tells it once, so the reader saw an orderly end. A close with unread bytes may also end in order before its reset. Fix: at the end of a stream, the connection waits for its sender and until the upstream has acknowledged the request or the connection has been reset, as the kernel knows. A socket closed by another green thread is an error, not an end; its test now demands ConnectionAbortedError, as b"" was the same fault.

--- a/libs/http/src/mulberryhub/http/outbound.py
+++ b/libs/http/src/mulberryhub/http/outbound.py
@@ -4,8 +4,9 @@
 
 import h11
 
-from mulberryhub.base.green import spawn
-from mulberryhub.base.logs import error_text
+from mulberryhub.base.connection_state import has_taken_all
+from mulberryhub.base.green import Timeout, spawn
+from mulberryhub.base.logs import error_text, module_logger
 from mulberryhub.base.ranges import parse_count
 from mulberryhub.http.messages import (
     ConnectionFailed,
@@ -32,6 +33,8 @@
 MAX_RESPONSE_HEAD_BYTES = 65_536  # including interim (1xx) responses
 MAX_SKIPPED_BODY_BYTES = 1_048_576  # of a response to another request
 
+log = module_logger(__name__)
+
 
 class OutboundConnection:
     """Client side of a keep-alive connection that carries one request at a time.
@@ -219,8 +222,10 @@
         try:
             for part in parts:
                 self._send(part, timeout)
-        except OSError:
-            return False  # Reading the response fails with the same error.
+        except OSError as error:
+            # The response may seem to end in order, as the error is told only once.
+            log.debug("request not sent", to=self.address, reason=error_text(error))
+            return False
         return True
 
     def _is_request_sent(self):
@@ -272,10 +277,27 @@
         except OSError as error:
             message = f"{self.address}: {error_text(error)}"
             raise _connection_error(message, error) from error
+        if not data:
+            self._check_end(deadline)
         self._received_bytes += len(data)
         self._run_time.end_wait(self._clock.now() - started)
         return data
 
+    def _check_end(self, deadline):
+        """Raise ResponseTruncated if the stream ended before the request was taken.
+
+        An upstream that answers before it has read a long request may reset the
+        connection. The sender may then have got the error, and the reader an orderly
+        end, or the reset may come after that.
+        """
+        with Timeout(max(0, deadline - self._clock.now()) / 1000, False):
+            if self._send_thread is not None:
+                self._send_thread.wait()
+        if not self._is_request_sent() or not has_taken_all(
+            self._sock.fd, deadline, self._clock.now
+        ):
+            raise ResponseTruncated(f"{self.address}: closed within the request")
+
     def _read(self, timeout):
         """Return the next bytes that arrive within `timeout` s.
 
--- a/libs/http/src/mulberryhub/http/peer_watch.py
+++ b/libs/http/src/mulberryhub/http/peer_watch.py
@@ -7,10 +7,9 @@
 reader.
 """
 
-import fcntl
 import struct
-from termios import TIOCOUTQ
 
+from mulberryhub.base.connection_state import unacknowledged_bytes
 from mulberryhub.base.green import sleep, socket
 from mulberryhub.base.logs import error_text, module_logger
 from mulberryhub.base.tasks import spawn_service
@@ -20,7 +19,6 @@
 # Probes of a closed window that were not answered; a peer may leave out one answer, as
 # Linux limits their rate.
 MIN_UNANSWERED_PROBES = 2
-INT = struct.Struct("i")
 # tcp_info of Linux: unanswered probes, segments that are not acknowledged, and the ms
 # since data was last sent and an acknowledgement last received.
 TCP_INFO = struct.Struct("=3xB20xI16xI8xI")
@@ -64,7 +62,7 @@
             self._forget(sock)
             return
         try:
-            is_done = not _queued_bytes(sock)
+            is_done = not unacknowledged_bytes(sock)
             self._set_timed(sock, not is_done and _is_silent(sock), user_timeout)
         except OSError as error:
             log.debug("connection has failed", reason=error_text(error))
@@ -87,11 +85,6 @@
             self._timed_sockets.discard(sock)
 
 
-def _queued_bytes(sock):
-    """Return the number of bytes that the peer has not acknowledged, sent or not."""
-    return INT.unpack(fcntl.ioctl(sock.fd, TIOCOUTQ, bytes(INT.size)))[0]
-
-
 def _is_silent(sock):
     """Return whether the peer leaves what reached it unacknowledged, or is gone."""
     info = sock.fd.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO.size)
--- a/libs/http/src/mulberryhub/http/sockets.py
+++ b/libs/http/src/mulberryhub/http/sockets.py
@@ -58,7 +58,8 @@
 def receive(sock, timeout=None, max_bytes=MAX_READ_BYTES):
     """Return the next bytes, at most `max_bytes`, or b"" at the end of the stream.
 
-    Raise OSError on failure, and TimeoutError without data for `timeout` s. The timeout
+    Raise OSError on failure, also if another green thread closes the socket, and
+    TimeoutError without data for `timeout` s. The timeout
     of `sock` itself is not used, as another green thread may have set it for what it
     sends. A reset raises ConnectionResetError. eventlet's own `recv` would return it as
     the end of the stream, so that a truncated response without a length would look
@@ -76,8 +77,9 @@
                 timeout=timeout,
                 timeout_exc=TimeoutError,
             )
-        except hubs.IOClosed:
-            return b""  # Another green thread closed the socket.
+        except hubs.IOClosed as error:
+            # The peer has not ended the stream.
+            raise ConnectionAbortedError("closed by another green thread") from error
 
 
 def receive_arrived(sock, max_bytes=MAX_READ_BYTES):
--- a/tests/http/test_sockets.py
+++ b/tests/http/test_sockets.py
@@ -5,20 +5,28 @@
 from tests.http.support import connect
 
 
-def test_close_wakes_a_reader_in_another_green_thread():
+def test_close_wakes_a_reader_in_another_green_thread_with_an_error():
+    # Guards against a response that looks complete as its own side closed the socket.
     listener = listen(("127.0.0.1", 0))
     host, port = listener.getsockname()
     sock = connect(f"{host}:{port}")
     sock.settimeout(None)
     received = Event()
-    spawn_n(lambda: received.send(receive(sock)))
+    spawn_n(_send_outcome, received, sock)
     sleep(0.02)
     close(sock)
     with Timeout(1):
-        assert received.wait() == b""
+        assert isinstance(received.wait(), ConnectionAbortedError)
     listener.close()
 
 
+def _send_outcome(received, sock):
+    try:
+        received.send(receive(sock))
+    except OSError as error:
+        received.send(error)
+
+
 def test_second_close_has_no_effect():
     listener = listen(("127.0.0.1", 0))
     close(listener)
