Refuse answers of services with heads that are read in part only

What callers saw: an answer with status 600 or 999, or with a name of a header field that holds a blank or a control byte, was passed on as an answer, without that line and all behind it (MIXED, the product's own interface). Cause: http.client stops at a line that it can't parse and drops the rest, a length or a coding too; it takes statuses up to 999. Evidence: 16 of 19 odd heads, each on both ways to send. Fix: each parsed head is checked for lines that were left out, for names, control bytes and the status, interim heads too; services and engines share it.

--- a/libs/upstream/src/mulberryhub/upstream/bounded_http.py
+++ b/libs/upstream/src/mulberryhub/upstream/bounded_http.py
@@ -3,8 +3,10 @@
 from io import BufferedReader, RawIOBase
 
 from mulberryhub.base.green import urllib3
+from mulberryhub.upstream.response_heads import find_fault
 
 HTTPConnection = urllib3.connection.HTTPConnection
+HTTPException = urllib3.connection.HTTPException
 
 MAX_HEAD_BYTES = 65_536
 FIRST_FINAL_STATUS = 200
@@ -14,6 +16,10 @@
     """A response exceeds the bytes that are read of it."""
 
 
+class MalformedHead(HTTPException):
+    """The head of a response is not one as HTTP requires."""
+
+
 class BoundedSource(RawIOBase):
     """Unbuffered reader of at most `max_bytes` of `source`."""
 
@@ -53,8 +59,17 @@
         self.fp = BufferedReader(BoundedSource(self.fp.detach(), max_bytes))
 
     def begin(self):
-        """Read the head of the response, and skip interim responses before it."""
-        super().begin()
+        """Read the head of the response, and skip interim responses before it.
+
+        Raises MalformedHead.
+        """
+        self._read_head()
         while self.status < FIRST_FINAL_STATUS:
             self.headers = None  # so that begin() reads the next head
-            super().begin()
+            self._read_head()
+
+    def _read_head(self):
+        super().begin()
+        fault = find_fault(self.status, self.headers)
+        if fault is not None:
+            raise MalformedHead(fault)
