--- a/libs/fleet/src/mulberryhub/fleet/blame.py
+++ b/libs/fleet/src/mulberryhub/fleet/blame.py
@@ -18,8 +18,8 @@
 CERTAIN_EARLY_CRASH_COUNT = 5
 ANSWERING_CRASHES_PER_EARLY_ONE = 2  # that weigh as much, after half a second of answer
 MIN_REQUEST_COUNT = 3  # requests that crashed with a part, as one may be repeated
-# Share of the crashes in its period that another suspect must explain, by their least
-# number.
+# Share of the crashes in its period that a suspect must explain otherwise, by their
+# least number.
 MIN_EXPLAINED_SHARES = ((7, 0.0), (5, 0.5), (4, 0.75), (QUARANTINE_RUN_COUNT, 1.0))
 
 
--- a/libs/fleet/src/mulberryhub/fleet/records.py
+++ b/libs/fleet/src/mulberryhub/fleet/records.py
@@ -317,8 +317,8 @@
 class SavedAdmissions(msgspec.Struct, frozen=True):
     """What all routers admitted of workspaces that ask for more than their rate.
 
-    `router` saved it at `at` (wall time in ms). `rate_by_workspace` is their demand per
-    s.
+    `router` saved it at `at` (wall time in ms). `rate_by_workspace` is the demand in
+    the unit of the workspace per s.
     """
 
     router: Text
--- a/libs/forward/src/mulberryhub/forward/quotas.py
+++ b/libs/forward/src/mulberryhub/forward/quotas.py
@@ -52,8 +52,8 @@
     `read_others()` returns the Usage of other routers or None. `read_admitted(name)`
     returns what they admitted of a workspace in the window, and `read_news_age()` the
     ms since they were heard. `count_routers()` returns the number of routers that may
-    be admitting, including this one and those that it does not hear.
-    `earlier` are the EarlierAdmissions, of routers that have ended.
+    be admitting, including this one and those that it does not hear. `earlier` are the
+    EarlierAdmissions of routers that have ended.
     `borrow(name, cost)` returns the cost that the coordinator admits in place of this
     router, or None if no router lends, and `read_lending_share()` which share of the
     lent part this router may lend, from 0 to 1.
