Let a saved verdict stand if its evidence was read before it

What callers saw: after a restart, a request under quarantine was sent to an upstream once more (502 in place of 503), and a new router did not learn of the quarantine within 3 s. Cause: a router that starts reads the suspects first. The verdict then brings nothing new, and was dropped with the report that it is made of. Fix: a verdict stands when it is first read, if it is of the current round. Read once more, as after a new listing, it brings back nothing that was overruled. Before: the new case of test_suspects.py failed.

--- a/libs/fleet/src/mulberryhub/fleet/suspects.py
+++ b/libs/fleet/src/mulberryhub/fleet/suspects.py
@@ -50,6 +50,7 @@
         "_crashed_at_by_incarnation",
         "_verdicts",
         "_verdicts_due_at",
+        "_read_verdicts",
     )
 
     def __init__(self, clock):
@@ -59,6 +60,7 @@
         self._crashed_at_by_incarnation = OrderedDict()
         self._verdicts = Verdicts()
         self._verdicts_due_at = None
+        self._read_verdicts = {}
 
     def __len__(self):
         return len(self._entries_by_fingerprint)
@@ -127,15 +129,23 @@
         return merged
 
     def apply_verdict(self, verdict):
-        """Merge a Verdict like a Suspect, unless it is over; it stands as it is."""
+        """Merge a Verdict like a Suspect, unless it is over; it stands as it is.
+
+        It stands also if its evidence is known already. If it is read once more, it
+        may have been overruled since.
+        """
         suspect = verdict.suspect
         if self._clock.wall() - verdict.at >= quarantine_duration(suspect):
             return None
         merged = self.apply(suspect)
-        if merged is not None and merged.has_enough_crashed_runs:
+        known = self.get(suspect.fingerprint)
+        is_current = known.round == suspect.round and known.has_enough_crashed_runs
+        is_new = suspect != self._read_verdicts.get(suspect.fingerprint)
+        self._read_verdicts[suspect.fingerprint] = suspect
+        if is_current and (is_new or merged is not None):
             self._set_verdicts(
                 Verdicts(
-                    self._verdicts.blamed | {merged.fingerprint}, self._verdicts.open
+                    self._verdicts.blamed | {suspect.fingerprint}, self._verdicts.open
                 )
             )
         return merged
@@ -197,6 +207,7 @@
             dropped += kept[: max(0, len(kept) - MAX_SUSPECT_COUNT)]
         for fingerprint in dropped:
             del self._entries_by_fingerprint[fingerprint]
+            self._read_verdicts.pop(fingerprint, None)
         if not self._verdicts.blamed.isdisjoint(dropped):
             self._verdicts_due_at = self._clock.now()
         return dropped
--- a/tests/fleet/test_suspects.py
+++ b/tests/fleet/test_suspects.py
@@ -6,7 +6,13 @@
 
 from mulberryhub.base.clock import ManualClock
 from mulberryhub.fleet.blame import SETTLE_MS
-from mulberryhub.fleet.records import QUARANTINE_RUN_COUNT, CrashedRun, Suspect, Verdict
+from mulberryhub.fleet.records import (
+    QUARANTINE_RUN_COUNT,
+    CrashedRun,
+    SavedSuspects,
+    Suspect,
+    Verdict,
+)
 from mulberryhub.fleet.state import FleetState
 from mulberryhub.fleet.suspects import (
     MAX_CRASHED_RUN_COUNT,
@@ -218,6 +224,31 @@
 
 
 # The clock of the router that saves a verdict, less that of the one that reads it.
+def test_stored_verdict_stands_if_its_evidence_is_known_already():
+    # Guards against a verdict that is dropped as the saved suspects were read first.
+    clock = ManualClock()
+    table = Suspects(clock)
+    blamed = Suspect("aa", 0, crashed_runs("u1", "u2", "u3"))
+    table.apply_saved(SavedSuspects("n1", clock.wall(), [blamed]))
+    assert not table.is_quarantined("aa")
+    table.apply_verdict(Verdict(blamed, clock.wall()))
+    assert table.is_quarantined("aa")
+
+
+def test_stored_verdict_that_was_overruled_does_not_stand_when_it_is_read_again():
+    # Guards against a new listing of the store that brings back a former verdict.
+    clock = ManualClock()
+    table = Suspects(clock)
+    blamed = Suspect("aa", 0, crashed_runs("u1", "u2", "u3"), breadth=1)
+    table.apply_verdict(Verdict(blamed, clock.wall()))
+    runs = crashed_runs("u1", "u2", "u3", "u4", "u5", "u6", is_repeat=True)
+    table.apply(Suspect("bb", 0, runs))
+    clock.advance(1_000)
+    is_blamed = table.is_quarantined("aa")
+    table.apply_verdict(Verdict(blamed, clock.wall()))
+    assert table.is_quarantined("aa") == is_blamed
+
+
 @pytest.mark.parametrize("difference", [-5_000, 5_000], ids=["behind", "ahead"])
 def test_stored_verdict_counts_though_wall_clocks_differ_by_seconds(difference):
     reader = ManualClock(now=1_000)
