Vary the pauses of the callers in the case of idle connections

Cause: callers that wait for each other's answers send at the same moment, and whether an order is with a worker when the process ends was left to chance.

--- a/review/lab_3.py
+++ b/review/lab_3.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -32,6 +33,7 @@
 MEMORY_CHECK_S = 0.02
 BYTES_PER_MB = 1_048_576
 ORDER_TIMEOUT_MS = 1_557
+MAX_ORDER_PAUSE_S = 0.2  # so that callers do not send all at the same moment
 LENGTH_BYTES = 4
 OFFSET_BYTES = 8
 
@@ -666,13 +668,14 @@
 class Orders:
     """Callers that place one order after the other, and the orders that were lost."""
 
-    def __init__(self, lab, router):
+    def __init__(self, lab, router, timeout_ms=ORDER_TIMEOUT_MS):
         self.is_over = False
         self.sent_count = 0
         self.answered_count = 0
         self.lost_ids = []
         self._lab = lab
         self._router = router
+        self._timeout_ms = timeout_ms
 
     async def place(self, number):
         """Place orders on kept connections until the case is over."""
@@ -684,10 +687,11 @@
             id = f"order-{number}-{self.sent_count}"
             is_kept = client.answer_count > 0
             self.sent_count += 1
-            headers = call_headers(id, ORDER_TIMEOUT_MS)
+            headers = call_headers(id, self._timeout_ms)
             answer = await client.ask("POST", "/orders/x", headers, b"o" * 800)
             if answer is not None and answer.is_whole:
                 self.answered_count += 1
+                await asyncio.sleep(random.uniform(0, MAX_ORDER_PAUSE_S))
                 continue
             runs = self._lab.runs(id)
             self._lab.record.write(
