--- a/review/14/case.py
+++ b/review/14/case.py
@@ -16,10 +16,10 @@
 
 CALLER_COUNT = 8
 CALL_PAUSE_S = 0.2
-UPLOADER_COUNT = 60
+UPLOADER_COUNT = 80
 UPLOADS_PER_S = 30
-BODY_BYTES = 200_000  # maxBodyBytes is 4,194,304
-SHORT_CHUNK_BYTES = 8  # as of a JSON encoder that writes each token by itself
+BODY_BYTES = 80_000  # maxBodyBytes is 4,194,304
+SHORT_CHUNK_BYTES = 4  # as of a JSON encoder that writes each token by itself
 LONG_CHUNK_BYTES = 4_000
 WORK_S = 0.045
 DEADLINE_MS = 6_000  # of callers
--- a/review/lab_3.py
+++ b/review/lab_3.py
@@ -29,6 +29,8 @@
 CASE_TIMEOUT_S = 112
 READY_TIMEOUT_S = 15
 HEARTBEAT_S = 1.2
+EXPIRY_S = 3 * HEARTBEAT_S  # of the entry of a worker that is silent
+CRASH_S = 2.5  # until a worker that crashed is back
 RESTART_DELAY_S = 0.5
 MEMORY_CHECK_S = 0.02
 BYTES_PER_MB = 1_048_576
@@ -178,14 +180,25 @@
         self.ip = ip
         self.address = None
         self._server = None
+        self._writers = set()
 
     async def start(self):
-        """Listen at a free port."""
-        self._server = await asyncio.start_server(self._serve, self.ip, 0, limit=2**22)
+        """Listen at a free port, or at the port that this server had before."""
+        port = 0 if self.address is None else int(self.address.split(":")[1])
+        self._server = await asyncio.start_server(
+            self._serve, self.ip, port, limit=2**22
+        )
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{self.ip}:{port}"
 
+    def end_at_once(self):
+        """Refuse connections and reset those that are open, as a crash does."""
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         try:
             while (request := await read_head(reader)) is not None:
                 await read_body(reader, request)
@@ -194,6 +207,7 @@
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass  # The peer has gone, or the case is over.
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def handle(self, request, writer):
@@ -306,14 +320,19 @@
 
     It stops work at the deadline that it receives, with a 504. Requests whose path
     begins with a key of `work_s_by_prefix` take that time instead. `runs_by_id` has the
-    number of runs by attempt id.
+    number of runs by attempt id. A request whose path begins with `crash_prefix`
+    crashes it; it is back a while later, as another incarnation at the same address.
     """
 
     def __init__(self, ip, id, service, store, record, work_s, slots=6):
         super().__init__(ip)
         self.id = id
         self.work_s_by_prefix = {}
+        self.crash_prefix = None
+        self.crash_times = []
         self.runs_by_id = {}
+        self._incarnation = 0
+        self._crash_task = None
         self._service = service
         self._store = store
         self._record = record
@@ -335,17 +354,34 @@
             "coldRemainingMs": 0,
             "stage": "colocated",
             "models": [],
-            "born": 1_700_000_000_000,
+            "born": 1_700_000_000_000 + self._incarnation,
             "sequence": self._sequence,
         }
         self._store.put("keyed.servers", self.id, entry)
 
     async def keep_registered(self):
-        """Write the entry again at each heartbeat."""
+        """Write the entry again at each heartbeat, unless it has crashed."""
         while True:
-            self.register()
+            if self._server.is_serving():
+                self.register()
             await asyncio.sleep(HEARTBEAT_S)
 
+    async def crash(self):
+        """End at once, and be back with another id a while later."""
+        self.crash_times.append(time.monotonic())
+        self._record.write("worker", self.id, "crashes")
+        crashed_id = self.id
+        self.end_at_once()
+        await asyncio.sleep(CRASH_S)
+        self._incarnation += 1
+        self.id = f"{crashed_id.split('.')[0]}.{self._incarnation}"
+        self._free_slots = asyncio.Semaphore(self._slots)
+        await self.start()
+        self.register()
+        self._record.write("worker", crashed_id, "is back as", self.id)
+        await asyncio.sleep(EXPIRY_S - CRASH_S)
+        self._store.put("keyed.servers", crashed_id, None)
+
     async def handle(self, request, writer):
         """Serve a request that a router passed on."""
         if request.header(HEADER_PREFIX + "expect-instance", self.id) != self.id:
@@ -365,8 +401,13 @@
         try:
             self.runs_by_id[id] = self.runs_by_id.get(id, 0) + 1
             self._record.write("worker", self.id, "runs", id, len(request.body), "B")
+            path = request.first_line.split()[1]
+            if self.crash_prefix and path.startswith(self.crash_prefix):
+                self._crash_task = asyncio.ensure_future(self.crash())
+                await asyncio.sleep(CRASH_S)  # until the connection is reset
+                return
             time_left = ends_at - time.monotonic()
-            work_s = self._work_time(request.first_line.split()[1])
+            work_s = self._work_time(path)
             await asyncio.sleep(min(work_s, time_left))
             status = 200 if work_s <= time_left else 504
             self._record.write("worker", self.id, "answers", id, status)
@@ -672,6 +713,7 @@
         self.is_over = False
         self.sent_count = 0
         self.answered_count = 0
+        self.failed_count = 0
         self.lost_ids = []
         self._lab = lab
         self._router = router
@@ -691,6 +733,7 @@
             answer = await client.ask("POST", "/orders/x", headers, b"o" * 800)
             if answer is not None and answer.is_whole:
                 self.answered_count += 1
+                self.failed_count += answer.status >= 500 and self._lab.runs(id)
                 await asyncio.sleep(random.uniform(0, MAX_ORDER_PAUSE_S))
                 continue
             runs = self._lab.runs(id)
