Add a case of a tenant over its limit after refunds

Cause: a refund is booked at the time of the refusal and its charge at that of the admission, so that the charge leaves the window first.

--- a/review/lab_3.py
+++ b/review/lab_3.py
@@ -38,6 +38,7 @@
 MAX_ORDER_PAUSE_S = 0.2  # so that callers do not send all at the same moment
 LENGTH_BYTES = 4
 OFFSET_BYTES = 8
+SILENT_SOCKET_COUNT = 5
 
 SETTINGS = """
 nodeName = "{name}"
@@ -181,6 +182,7 @@
         self.address = None
         self._server = None
         self._writers = set()
+        self._silent = []
 
     async def start(self):
         """Listen at a free port, or at the port that this server had before."""
@@ -197,6 +199,29 @@
         for writer in self._writers:
             writer.transport.abort()
 
+    def go_dark(self):
+        """Leave all packets that open a connection unanswered, as a dead machine does.
+
+        The queue of a listener that accepts nothing is filled.
+        """
+        self.end_at_once()
+        ip, port = self.address.split(":")
+        self._silent = [socket.socket() for _ in range(SILENT_SOCKET_COUNT)]
+        listener = self._silent[0]
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((ip, int(port)))
+        listener.listen(0)
+        for sock in self._silent[1:]:
+            sock.setblocking(False)
+            sock.connect_ex((ip, int(port)))
+
+    async def come_back(self):
+        """Serve again."""
+        for sock in self._silent:
+            sock.close()
+        self._silent = []
+        await self.start()
+
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         try:
@@ -331,6 +356,7 @@
         self.crash_prefix = None
         self.crash_times = []
         self.runs_by_id = {}
+        self.run_times = []
         self._incarnation = 0
         self._crash_task = None
         self._service = service
@@ -400,6 +426,7 @@
             return
         try:
             self.runs_by_id[id] = self.runs_by_id.get(id, 0) + 1
+            self.run_times.append((time.monotonic(), id))
             self._record.write("worker", self.id, "runs", id, len(request.body), "B")
             path = request.first_line.split()[1]
             if self.crash_prefix and path.startswith(self.crash_prefix):
@@ -593,8 +620,11 @@
     }
 
 
-def make_configuration(version, routes):
-    """Return a configuration with one service and one tenant."""
+def make_configuration(version, routes, rate=0):
+    """Return a configuration with one service and one tenant.
+
+    `rate` is the limit of the tenant in tokens a second, and its burst; 0 is none.
+    """
     return {
         "version": version,
         "routes": routes,
@@ -621,8 +651,8 @@
                 "billingUnit": "token_stream",
                 "uncachedTokens": 200,
                 "isolated": False,
-                "ratePerS": 0,
-                "burst": 0,
+                "ratePerS": rate,
+                "burst": rate,
             }
         ],
     }
